--- /dev/null
+++ b/briarvale/_generated/__init__.py
@@ -0,0 +1,1 @@
+"""Code generated from the schema folder."""
--- /dev/null
+++ b/briarvale/_generated/messages.py
@@ -0,0 +1,662 @@
+"""Generated from schema/messages.capnp by tools/generate.py. Do not edit."""
+
+from enum import StrEnum
+from pathlib import Path
+from typing import Any, NamedTuple
+
+import capnp
+
+capnp.remove_import_hook()
+
+_SCHEMA_PATH = Path(__file__).parent.parent / "schema" / "messages.capnp"
+_module = capnp.load(str(_SCHEMA_PATH))
+_new_envelope = _module.Envelope.new_message
+_from_bytes = _module.Envelope.from_bytes
+
+
+class WorkClass(StrEnum):
+    """Values of WorkClass."""
+
+    ONLINE = "online"
+    BATCH = "batch"
+
+
+class VmHealth(StrEnum):
+    """Values of VmHealth."""
+
+    ALIVE = "alive"
+    SUSPECT = "suspect"
+    DEAD = "dead"
+    LEAVING = "leaving"
+
+
+class ServerHealth(StrEnum):
+    """Values of ServerHealth."""
+
+    READY = "ready"
+    DRAINING = "draining"
+    EJECTED = "ejected"
+    DOWN = "down"
+
+
+class Outcome(StrEnum):
+    """Values of Outcome."""
+
+    FINISHED = "finished"
+    CANCELLED = "cancelled"
+    FAILED = "failed"
+    CRASHED = "crashed"
+    REVOKED = "revoked"
+
+
+class Challenge(NamedTuple):
+    """The peer message Challenge."""
+
+    nonce: bytes = b""
+
+
+class Hello(NamedTuple):
+    """The peer message Hello."""
+
+    vm: str = ""
+    role: str = ""
+    boot_id: str = ""
+    proof: bytes = b""
+
+
+class Welcome(NamedTuple):
+    """The peer message Welcome."""
+
+    vm: str = ""
+
+
+class SlotRequest(NamedTuple):
+    """The peer message SlotRequest."""
+
+    request_id: str = ""
+    backend_server: str = ""
+    member: str = ""
+    work_class: WorkClass = WorkClass.ONLINE
+    slot_count: int = 0
+    cost_tokens: int = 0
+    deadline_ms: int = 0
+    fingerprint: str = ""
+
+
+class SlotGrant(NamedTuple):
+    """The peer message SlotGrant."""
+
+    request_id: str = ""
+    grant_id: str = ""
+    backend_server: str = ""
+    slot_count: int = 0
+    expires_at_ms: int = 0
+
+
+class SlotRefusal(NamedTuple):
+    """The peer message SlotRefusal."""
+
+    request_id: str = ""
+    code: str = ""
+    retry_at_ms: int = 0
+
+
+class SlotWithdraw(NamedTuple):
+    """The peer message SlotWithdraw."""
+
+    request_id: str = ""
+
+
+class SlotRevoke(NamedTuple):
+    """The peer message SlotRevoke."""
+
+    grant_id: str = ""
+    slot_count: int = 0
+    reason: str = ""
+
+
+class SlotRelease(NamedTuple):
+    """The peer message SlotRelease."""
+
+    grant_id: str = ""
+    outcome: Outcome = Outcome.FINISHED
+    tokens: int = 0
+    time_between_tokens_ms: int = 0
+
+
+class HeldGrant(NamedTuple):
+    """The peer message HeldGrant."""
+
+    grant_id: str = ""
+    backend_server: str = ""
+    member: str = ""
+    work_class: WorkClass = WorkClass.ONLINE
+    slot_count: int = 0
+    cost_tokens: int = 0
+    fingerprint: str = ""
+
+
+class HolderReport(NamedTuple):
+    """The peer message HolderReport."""
+
+    grants: tuple[HeldGrant, ...] = ()
+
+
+class VmState(NamedTuple):
+    """The peer message VmState."""
+
+    vm: str = ""
+    host: str = ""
+    region: str = ""
+    availability_zone: str = ""
+    health: VmHealth = VmHealth.ALIVE
+    incarnation: int = 0
+    config_revision: int = 0
+
+
+class ServerState(NamedTuple):
+    """The peer message ServerState."""
+
+    backend_server: str = ""
+    owner: str = ""
+    health: ServerHealth = ServerHealth.READY
+    streams: int = 0
+    queued: int = 0
+    limit: int = 0
+    observed_at_ms: int = 0
+
+
+class ViewSubscribe(NamedTuple):
+    """The peer message ViewSubscribe."""
+
+    role: str = ""
+
+
+class View(NamedTuple):
+    """The peer message View."""
+
+    vms: tuple[VmState, ...] = ()
+    servers: tuple[ServerState, ...] = ()
+    config_revision: int = 0
+
+
+class ConfigFetch(NamedTuple):
+    """The peer message ConfigFetch."""
+
+    have_revision: int = 0
+
+
+class ConfigDocument(NamedTuple):
+    """The peer message ConfigDocument."""
+
+    name: str = ""
+    digest: str = ""
+    body: bytes = b""
+
+
+class ConfigBundle(NamedTuple):
+    """The peer message ConfigBundle."""
+
+    revision: int = 0
+    documents: tuple[ConfigDocument, ...] = ()
+
+
+class SuspectNotice(NamedTuple):
+    """The peer message SuspectNotice."""
+
+    fingerprint: str = ""
+    crashes: int = 0
+    quarantined: bool = False
+    expires_at_ms: int = 0
+
+
+class Probe(NamedTuple):
+    """The peer message Probe."""
+
+    sequence: int = 0
+    source: str = ""
+    target: str = ""
+    updates: tuple[VmState, ...] = ()
+    config_revision: int = 0
+
+
+class ProbeAck(NamedTuple):
+    """The peer message ProbeAck."""
+
+    sequence: int = 0
+    source: str = ""
+    updates: tuple[VmState, ...] = ()
+    config_revision: int = 0
+
+
+class ProbeRequest(NamedTuple):
+    """The peer message ProbeRequest."""
+
+    sequence: int = 0
+    source: str = ""
+    target: str = ""
+
+
+Message = (
+    Challenge
+    | Hello
+    | Welcome
+    | SlotRequest
+    | SlotGrant
+    | SlotRefusal
+    | SlotWithdraw
+    | SlotRevoke
+    | SlotRelease
+    | HolderReport
+    | ViewSubscribe
+    | View
+    | ConfigFetch
+    | ConfigBundle
+    | SuspectNotice
+    | Probe
+    | ProbeAck
+    | ProbeRequest
+)
+
+
+def _read_challenge(reader: Any) -> Challenge:
+    return Challenge(
+        reader.nonce,
+    )
+
+
+def _write_challenge(builder: Any, message: Challenge) -> None:
+    builder.nonce = message.nonce
+
+
+def _read_hello(reader: Any) -> Hello:
+    return Hello(
+        reader.vm,
+        reader.role,
+        reader.bootId,
+        reader.proof,
+    )
+
+
+def _write_hello(builder: Any, message: Hello) -> None:
+    builder.vm = message.vm
+    builder.role = message.role
+    builder.bootId = message.boot_id
+    builder.proof = message.proof
+
+
+def _read_welcome(reader: Any) -> Welcome:
+    return Welcome(
+        reader.vm,
+    )
+
+
+def _write_welcome(builder: Any, message: Welcome) -> None:
+    builder.vm = message.vm
+
+
+def _read_slot_request(reader: Any) -> SlotRequest:
+    return SlotRequest(
+        reader.requestId,
+        reader.backendServer,
+        reader.member,
+        WorkClass(str(reader.workClass)),
+        reader.slotCount,
+        reader.costTokens,
+        reader.deadlineMs,
+        reader.fingerprint,
+    )
+
+
+def _write_slot_request(builder: Any, message: SlotRequest) -> None:
+    builder.requestId = message.request_id
+    builder.backendServer = message.backend_server
+    builder.member = message.member
+    builder.workClass = message.work_class.value
+    builder.slotCount = message.slot_count
+    builder.costTokens = message.cost_tokens
+    builder.deadlineMs = message.deadline_ms
+    builder.fingerprint = message.fingerprint
+
+
+def _read_slot_grant(reader: Any) -> SlotGrant:
+    return SlotGrant(
+        reader.requestId,
+        reader.grantId,
+        reader.backendServer,
+        reader.slotCount,
+        reader.expiresAtMs,
+    )
+
+
+def _write_slot_grant(builder: Any, message: SlotGrant) -> None:
+    builder.requestId = message.request_id
+    builder.grantId = message.grant_id
+    builder.backendServer = message.backend_server
+    builder.slotCount = message.slot_count
+    builder.expiresAtMs = message.expires_at_ms
+
+
+def _read_slot_refusal(reader: Any) -> SlotRefusal:
+    return SlotRefusal(
+        reader.requestId,
+        reader.code,
+        reader.retryAtMs,
+    )
+
+
+def _write_slot_refusal(builder: Any, message: SlotRefusal) -> None:
+    builder.requestId = message.request_id
+    builder.code = message.code
+    builder.retryAtMs = message.retry_at_ms
+
+
+def _read_slot_withdraw(reader: Any) -> SlotWithdraw:
+    return SlotWithdraw(
+        reader.requestId,
+    )
+
+
+def _write_slot_withdraw(builder: Any, message: SlotWithdraw) -> None:
+    builder.requestId = message.request_id
+
+
+def _read_slot_revoke(reader: Any) -> SlotRevoke:
+    return SlotRevoke(
+        reader.grantId,
+        reader.slotCount,
+        reader.reason,
+    )
+
+
+def _write_slot_revoke(builder: Any, message: SlotRevoke) -> None:
+    builder.grantId = message.grant_id
+    builder.slotCount = message.slot_count
+    builder.reason = message.reason
+
+
+def _read_slot_release(reader: Any) -> SlotRelease:
+    return SlotRelease(
+        reader.grantId,
+        Outcome(str(reader.outcome)),
+        reader.tokens,
+        reader.timeBetweenTokensMs,
+    )
+
+
+def _write_slot_release(builder: Any, message: SlotRelease) -> None:
+    builder.grantId = message.grant_id
+    builder.outcome = message.outcome.value
+    builder.tokens = message.tokens
+    builder.timeBetweenTokensMs = message.time_between_tokens_ms
+
+
+def _read_held_grant(reader: Any) -> HeldGrant:
+    return HeldGrant(
+        reader.grantId,
+        reader.backendServer,
+        reader.member,
+        WorkClass(str(reader.workClass)),
+        reader.slotCount,
+        reader.costTokens,
+        reader.fingerprint,
+    )
+
+
+def _write_held_grant(builder: Any, message: HeldGrant) -> None:
+    builder.grantId = message.grant_id
+    builder.backendServer = message.backend_server
+    builder.member = message.member
+    builder.workClass = message.work_class.value
+    builder.slotCount = message.slot_count
+    builder.costTokens = message.cost_tokens
+    builder.fingerprint = message.fingerprint
+
+
+def _read_holder_report(reader: Any) -> HolderReport:
+    return HolderReport(
+        tuple(_read_held_grant(item) for item in reader.grants),
+    )
+
+
+def _write_holder_report(builder: Any, message: HolderReport) -> None:
+    grants = builder.init("grants", len(message.grants))
+    for index, held_grant in enumerate(message.grants):
+        _write_held_grant(grants[index], held_grant)
+
+
+def _read_vm_state(reader: Any) -> VmState:
+    return VmState(
+        reader.vm,
+        reader.host,
+        reader.region,
+        reader.availabilityZone,
+        VmHealth(str(reader.health)),
+        reader.incarnation,
+        reader.configRevision,
+    )
+
+
+def _write_vm_state(builder: Any, message: VmState) -> None:
+    builder.vm = message.vm
+    builder.host = message.host
+    builder.region = message.region
+    builder.availabilityZone = message.availability_zone
+    builder.health = message.health.value
+    builder.incarnation = message.incarnation
+    builder.configRevision = message.config_revision
+
+
+def _read_server_state(reader: Any) -> ServerState:
+    return ServerState(
+        reader.backendServer,
+        reader.owner,
+        ServerHealth(str(reader.health)),
+        reader.streams,
+        reader.queued,
+        reader.limit,
+        reader.observedAtMs,
+    )
+
+
+def _write_server_state(builder: Any, message: ServerState) -> None:
+    builder.backendServer = message.backend_server
+    builder.owner = message.owner
+    builder.health = message.health.value
+    builder.streams = message.streams
+    builder.queued = message.queued
+    builder.limit = message.limit
+    builder.observedAtMs = message.observed_at_ms
+
+
+def _read_view_subscribe(reader: Any) -> ViewSubscribe:
+    return ViewSubscribe(
+        reader.role,
+    )
+
+
+def _write_view_subscribe(builder: Any, message: ViewSubscribe) -> None:
+    builder.role = message.role
+
+
+def _read_view(reader: Any) -> View:
+    return View(
+        tuple(_read_vm_state(item) for item in reader.vms),
+        tuple(_read_server_state(item) for item in reader.servers),
+        reader.configRevision,
+    )
+
+
+def _write_view(builder: Any, message: View) -> None:
+    vms = builder.init("vms", len(message.vms))
+    for index, vm_state in enumerate(message.vms):
+        _write_vm_state(vms[index], vm_state)
+    servers = builder.init("servers", len(message.servers))
+    for index, server_state in enumerate(message.servers):
+        _write_server_state(servers[index], server_state)
+    builder.configRevision = message.config_revision
+
+
+def _read_config_fetch(reader: Any) -> ConfigFetch:
+    return ConfigFetch(
+        reader.haveRevision,
+    )
+
+
+def _write_config_fetch(builder: Any, message: ConfigFetch) -> None:
+    builder.haveRevision = message.have_revision
+
+
+def _read_config_document(reader: Any) -> ConfigDocument:
+    return ConfigDocument(
+        reader.name,
+        reader.digest,
+        reader.body,
+    )
+
+
+def _write_config_document(builder: Any, message: ConfigDocument) -> None:
+    builder.name = message.name
+    builder.digest = message.digest
+    builder.body = message.body
+
+
+def _read_config_bundle(reader: Any) -> ConfigBundle:
+    return ConfigBundle(
+        reader.revision,
+        tuple(_read_config_document(item) for item in reader.documents),
+    )
+
+
+def _write_config_bundle(builder: Any, message: ConfigBundle) -> None:
+    builder.revision = message.revision
+    documents = builder.init("documents", len(message.documents))
+    for index, config_document in enumerate(message.documents):
+        _write_config_document(documents[index], config_document)
+
+
+def _read_suspect_notice(reader: Any) -> SuspectNotice:
+    return SuspectNotice(
+        reader.fingerprint,
+        reader.crashes,
+        reader.quarantined,
+        reader.expiresAtMs,
+    )
+
+
+def _write_suspect_notice(builder: Any, message: SuspectNotice) -> None:
+    builder.fingerprint = message.fingerprint
+    builder.crashes = message.crashes
+    builder.quarantined = message.quarantined
+    builder.expiresAtMs = message.expires_at_ms
+
+
+def _read_probe(reader: Any) -> Probe:
+    return Probe(
+        reader.sequence,
+        reader.source,
+        reader.target,
+        tuple(_read_vm_state(item) for item in reader.updates),
+        reader.configRevision,
+    )
+
+
+def _write_probe(builder: Any, message: Probe) -> None:
+    builder.sequence = message.sequence
+    builder.source = message.source
+    builder.target = message.target
+    updates = builder.init("updates", len(message.updates))
+    for index, vm_state in enumerate(message.updates):
+        _write_vm_state(updates[index], vm_state)
+    builder.configRevision = message.config_revision
+
+
+def _read_probe_ack(reader: Any) -> ProbeAck:
+    return ProbeAck(
+        reader.sequence,
+        reader.source,
+        tuple(_read_vm_state(item) for item in reader.updates),
+        reader.configRevision,
+    )
+
+
+def _write_probe_ack(builder: Any, message: ProbeAck) -> None:
+    builder.sequence = message.sequence
+    builder.source = message.source
+    updates = builder.init("updates", len(message.updates))
+    for index, vm_state in enumerate(message.updates):
+        _write_vm_state(updates[index], vm_state)
+    builder.configRevision = message.config_revision
+
+
+def _read_probe_request(reader: Any) -> ProbeRequest:
+    return ProbeRequest(
+        reader.sequence,
+        reader.source,
+        reader.target,
+    )
+
+
+def _write_probe_request(builder: Any, message: ProbeRequest) -> None:
+    builder.sequence = message.sequence
+    builder.source = message.source
+    builder.target = message.target
+
+
+_WRITERS: dict[type, tuple[str, Any]] = {
+    Challenge: ("challenge", _write_challenge),
+    Hello: ("hello", _write_hello),
+    Welcome: ("welcome", _write_welcome),
+    SlotRequest: ("slotRequest", _write_slot_request),
+    SlotGrant: ("slotGrant", _write_slot_grant),
+    SlotRefusal: ("slotRefusal", _write_slot_refusal),
+    SlotWithdraw: ("slotWithdraw", _write_slot_withdraw),
+    SlotRevoke: ("slotRevoke", _write_slot_revoke),
+    SlotRelease: ("slotRelease", _write_slot_release),
+    HolderReport: ("holderReport", _write_holder_report),
+    ViewSubscribe: ("viewSubscribe", _write_view_subscribe),
+    View: ("view", _write_view),
+    ConfigFetch: ("configFetch", _write_config_fetch),
+    ConfigBundle: ("configBundle", _write_config_bundle),
+    SuspectNotice: ("suspectNotice", _write_suspect_notice),
+    Probe: ("probe", _write_probe),
+    ProbeAck: ("probeAck", _write_probe_ack),
+    ProbeRequest: ("probeRequest", _write_probe_request),
+}
+_READERS: dict[str, Any] = {
+    "challenge": _read_challenge,
+    "hello": _read_hello,
+    "welcome": _read_welcome,
+    "slotRequest": _read_slot_request,
+    "slotGrant": _read_slot_grant,
+    "slotRefusal": _read_slot_refusal,
+    "slotWithdraw": _read_slot_withdraw,
+    "slotRevoke": _read_slot_revoke,
+    "slotRelease": _read_slot_release,
+    "holderReport": _read_holder_report,
+    "viewSubscribe": _read_view_subscribe,
+    "view": _read_view,
+    "configFetch": _read_config_fetch,
+    "configBundle": _read_config_bundle,
+    "suspectNotice": _read_suspect_notice,
+    "probe": _read_probe,
+    "probeAck": _read_probe_ack,
+    "probeRequest": _read_probe_request,
+}
+
+
+def encode_message(message: Message) -> bytes:
+    """Encodes a message in its envelope."""
+    envelope = _new_envelope()
+    field, write = _WRITERS[type(message)]
+    write(envelope.init(field), message)
+    data: bytes = envelope.to_bytes()
+    return data
+
+
+def decode_message(data: bytes) -> Message:
+    """Decodes an envelope; raises `capnp.KjException` on bad input."""
+    with _from_bytes(data) as envelope:
+        field = envelope.which()
+        message: Message = _READERS[str(field)](getattr(envelope, str(field)))
+        return message
--- /dev/null
+++ b/briarvale/environment.py
@@ -0,0 +1,85 @@
+"""The outside interfaces that every part is built with; tests put fakes in their place."""
+
+from contextlib import AsyncExitStack
+from typing import NamedTuple, Protocol
+
+import httpx
+
+from .clock import Clock
+from .config import BackendServer
+from .engine_client import Engine, HttpEngine
+from .object_store import HttpObjectStore, ObjectStore
+from .peer import PeerIdentity, PeerTransport, TcpTransport
+from .service_client import HttpPlainService, PlainService
+from .settings import Settings
+from .vm_list import HttpVmList, VmList
+
+MAX_CONNECTIONS = 2_000
+KEEPALIVE_EXPIRY_S = 30.0
+
+__all__ = ["BackendClients", "Environment", "HttpBackendClients", "open_environment"]
+
+
+class BackendClients(Protocol):
+    """Gives the client of a backend server."""
+
+    def engine(self, server: BackendServer) -> Engine:
+        """Returns the client of a model engine."""
+
+    def plain_service(self, server: BackendServer) -> PlainService:
+        """Returns the client of a plain service."""
+
+
+class Environment(NamedTuple):
+    """Clock, platform, backend servers and peers as a part sees them."""
+
+    clock: Clock
+    store: ObjectStore
+    vm_list: VmList
+    backends: BackendClients
+    transport: PeerTransport
+    identity: PeerIdentity
+
+
+class HttpBackendClients:
+    """Clients over HTTP that share one connection pool.
+
+    Args:
+        client: HTTP client; closed by its maker.
+    """
+
+    def __init__(self, client: httpx.AsyncClient) -> None:
+        self._client = client
+
+    def engine(self, server: BackendServer) -> Engine:
+        """Returns the client of a model engine."""
+        return HttpEngine(server.url, self._client)
+
+    def plain_service(self, server: BackendServer) -> PlainService:
+        """Returns the client of a plain service."""
+        return HttpPlainService(server.url, self._client)
+
+
+async def open_environment(
+    settings: Settings, identity: PeerIdentity, stack: AsyncExitStack
+) -> Environment:
+    """Opens the real interfaces; `stack` closes them."""
+    limits = httpx.Limits(
+        max_connections=MAX_CONNECTIONS,
+        max_keepalive_connections=MAX_CONNECTIONS,
+        keepalive_expiry=KEEPALIVE_EXPIRY_S,
+    )
+    backend_client = await stack.enter_async_context(_client(limits))
+    platform_client = await stack.enter_async_context(_client(limits))
+    return Environment(
+        clock=Clock.from_system(),
+        store=HttpObjectStore(settings.object_api_url, platform_client),
+        vm_list=HttpVmList(settings.vm_list_url, platform_client),
+        backends=HttpBackendClients(backend_client),
+        transport=TcpTransport(identity, settings.shared_secret),
+        identity=identity,
+    )
+
+
+def _client(limits: httpx.Limits) -> httpx.AsyncClient:
+    return httpx.AsyncClient(limits=limits, trust_env=False)
--- /dev/null
+++ b/briarvale/errors.py
@@ -0,0 +1,212 @@
+"""Every failure that a caller or an operator may see, each with its code.
+
+`not_run` is true only where no byte of the request was sent to a backend server.
+"""
+
+from typing import ClassVar, TypedDict
+
+RETRY_SOON_MS = 1_000
+RETRY_LATER_MS = 5_000
+
+
+class ErrorBody(TypedDict):
+    """The JSON body of a refusal."""
+
+    code: str
+    message: str
+    not_run: bool
+    retry_at_ms: int | None
+
+
+class BriarvaleError(Exception):
+    """Base of all failures with a code.
+
+    Args:
+        message: What happened, for a person.
+        retry_at_ms: Unix time in milliseconds when a retry makes sense; none for never.
+    """
+
+    code: ClassVar[str] = "internal"
+    http_status: ClassVar[int] = 500
+    not_run: ClassVar[bool] = False
+
+    def __init__(self, message: str = "", *, retry_at_ms: int | None = None) -> None:
+        super().__init__(message or self.code)
+        self.retry_at_ms = retry_at_ms
+
+    def body(self) -> ErrorBody:
+        """Returns the JSON body for callers."""
+        return ErrorBody(
+            code=self.code,
+            message=str(self),
+            not_run=self.not_run,
+            retry_at_ms=self.retry_at_ms,
+        )
+
+
+class InvalidRequest(BriarvaleError):
+    """The request is malformed."""
+
+    code, http_status, not_run = "invalid_request", 400, True
+
+
+class InvalidKey(BriarvaleError):
+    """The API key belongs to no member."""
+
+    code, http_status, not_run = "invalid_key", 401, True
+
+
+class NotFound(BriarvaleError):
+    """The service, model or job does not exist."""
+
+    code, http_status, not_run = "not_found", 404, True
+
+
+class JobConflict(BriarvaleError):
+    """The job id was used before with other content."""
+
+    code, http_status, not_run = "job_conflict", 409, True
+
+
+class BodyTooLarge(BriarvaleError):
+    """The body is over the declared size."""
+
+    code, http_status, not_run = "body_too_large", 413, True
+
+
+class Overloaded(BriarvaleError):
+    """The request would wait past its deadline, or its queue is full."""
+
+    code, http_status, not_run = "overloaded", 503, True
+
+
+class NoServer(BriarvaleError):
+    """No backend server of the service can take work now."""
+
+    code, http_status, not_run = "no_server", 503, True
+
+
+class NotReady(BriarvaleError):
+    """This process has no configuration yet or is stopping."""
+
+    code, http_status, not_run = "not_ready", 503, True
+
+
+class StoreUnavailable(BriarvaleError):
+    """The Object API did not answer; a write may or may not have taken effect."""
+
+    code, http_status = "store_unavailable", 503
+
+
+class AcceptanceRefused(BriarvaleError):
+    """Nothing was accepted, since the Object API could not record it."""
+
+    code, http_status, not_run = "store_unavailable", 503, True
+
+
+class StoreThrottled(BriarvaleError):
+    """The Object API refused the call because of its rate; it took no effect."""
+
+    code, http_status, not_run = "store_throttled", 503, True
+
+
+class ObjectNotFound(BriarvaleError):
+    """No object has this key."""
+
+    code, http_status = "object_not_found", 404
+
+
+class ObjectExists(BriarvaleError):
+    """An object with this key exists already."""
+
+    code, http_status = "object_exists", 409
+
+
+class VersionConflict(BriarvaleError):
+    """The object's version is not the expected one."""
+
+    code, http_status = "version_conflict", 409
+
+
+class ObjectTooLarge(BriarvaleError):
+    """The value is over the Object API's limit."""
+
+    code, http_status = "object_too_large", 413
+
+
+class ServerConnectFailed(BriarvaleError):
+    """The backend server refused the connection: no byte was sent."""
+
+    code, http_status, not_run = "connect_failed", 503, True
+
+
+class ServerLost(BriarvaleError):
+    """The backend server broke the connection after bytes were sent."""
+
+    code, http_status = "server_lost", 502
+
+
+class ServerRefused(BriarvaleError):
+    """The backend server answered that it does not take the request."""
+
+    code, http_status = "server_refused", 502
+
+
+class GrantRevoked(BriarvaleError):
+    """The owner took the slot back."""
+
+    code, http_status = "grant_revoked", 503
+
+
+class OwnerUnreachable(BriarvaleError):
+    """The owner of the backend server does not answer; nothing was sent to the server."""
+
+    code, http_status, not_run = "owner_unreachable", 503, True
+
+
+class Quarantined(BriarvaleError):
+    """The request crashed several backend servers and is refused for good."""
+
+    code, http_status = "quarantined", 422
+
+
+class InProgress(BriarvaleError):
+    """A call with this idempotency key runs now."""
+
+    code, http_status = "in_progress", 409
+
+
+class OutcomeUnknown(BriarvaleError):
+    """The call with this idempotency key may have run; its answer was lost."""
+
+    code, http_status = "outcome_unknown", 502
+
+
+class StaleOrder(BriarvaleError):
+    """The engine refused an order that carries an old fencing number."""
+
+    code, http_status = "stale_order", 409
+
+
+class PeerProtocolError(BriarvaleError):
+    """A peer sent a bad frame or failed the handshake."""
+
+    code, http_status = "peer_protocol", 400
+
+
+class PeerClosed(BriarvaleError):
+    """The connection to a peer ended."""
+
+    code, http_status = "peer_closed", 503
+
+
+class SettingsInvalid(BriarvaleError):
+    """A settings, inventory or rules file is wrong; says file, line and field."""
+
+    code, http_status, not_run = "settings_invalid", 422, True
+
+
+class ConfigConflict(BriarvaleError):
+    """Another operator changed the configuration first."""
+
+    code, http_status, not_run = "config_conflict", 409, True
--- /dev/null
+++ b/briarvale/fleet_view.py
@@ -0,0 +1,126 @@
+"""A local process's picture of the fleet, kept current by its VM's dispatcher."""
+
+import anyio
+
+from . import logs, metrics
+from ._generated.messages import (
+    ConfigBundle,
+    ServerHealth,
+    ServerState,
+    View,
+    ViewSubscribe,
+    VmState,
+)
+from .config import BackendServer, Config
+from .environment import Environment
+from .errors import NotReady, OwnerUnreachable, PeerClosed, PeerProtocolError
+from .peer import PeerAddress
+from .settings import Settings
+
+RECONNECT_DELAY_S = 0.2
+
+log = logs.part("view")
+
+__all__ = ["FleetView"]
+
+
+class FleetView:
+    """The view and the configuration as last told; survives the dispatcher's absence.
+
+    Args:
+        settings: This VM's settings.
+        environment: The outside interfaces.
+    """
+
+    def __init__(self, settings: Settings, environment: Environment) -> None:
+        self._settings = settings
+        self._environment = environment
+        self._config: Config | None = None
+        self._servers: dict[str, ServerState] = {}
+        self._vms: dict[str, VmState] = {}
+        self._changed = anyio.Event()
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether a configuration and a view have arrived."""
+        return self._config is not None and bool(self._vms)
+
+    @property
+    def config(self) -> Config:
+        """The configuration in force; raises `NotReady` before there is one."""
+        if self._config is None:
+            raise NotReady("no configuration yet")
+        return self._config
+
+    @property
+    def vms(self) -> tuple[VmState, ...]:
+        """All VMs as last told."""
+        return tuple(self._vms.values())
+
+    def server_state(self, backend_server: str) -> ServerState | None:
+        """Returns the state of a backend server as last told."""
+        return self._servers.get(backend_server)
+
+    def ready_servers(self, service: str) -> list[BackendServer]:
+        """Returns the backend servers of a service that may get new work."""
+        servers = self.config.servers_of(service)
+        return [server for server in servers if self._is_server_ready(server.id)]
+
+    def owner_address(self, backend_server: str) -> PeerAddress | None:
+        """Returns where the owner of a backend server listens."""
+        state = self._servers.get(backend_server)
+        owner = self._vms.get(state.owner) if state else None
+        return PeerAddress(owner.host, self._settings.peer_port) if owner else None
+
+    async def wait_changed(self) -> None:
+        """Waits until the dispatcher tells something new."""
+        await self._changed.wait()
+
+    async def wait_ready(self) -> None:
+        """Waits until `is_ready`."""
+        while not self.is_ready:
+            await self.wait_changed()
+
+    async def run(self) -> None:
+        """Subscribes at the dispatcher, again whenever the connection ends, until cancelled."""
+        address = PeerAddress(self._settings.host, self._settings.peer_port)
+        while True:
+            try:
+                await self._follow(address)
+            except (OwnerUnreachable, PeerClosed, PeerProtocolError) as error:
+                log.debug("No dispatcher on this VM: {}.", error)
+            await anyio.sleep(RECONNECT_DELAY_S)
+
+    async def _follow(self, address: PeerAddress) -> None:
+        stream = await self._environment.transport.connect(address)
+        try:
+            await stream.send(ViewSubscribe(self._environment.identity.role))
+            while True:
+                match await stream.receive():
+                    case View() as view:
+                        self._take_view(view)
+                    case ConfigBundle() as bundle:
+                        self._take_config(bundle)
+        finally:
+            await stream.aclose()
+
+    def _take_view(self, view: View) -> None:
+        self._vms = {vm.vm: vm for vm in view.vms}
+        self._servers = {server.backend_server: server for server in view.servers}
+        self._notify()
+
+    def _take_config(self, bundle: ConfigBundle) -> None:
+        if self._config is not None and bundle.revision <= self._config.revision:
+            return
+        self._config = Config(bundle)
+        metrics.CONFIG_REVISION.set({}, bundle.revision)
+        log.info("Configuration {} is in force.", bundle.revision)
+        self._notify()
+
+    def _notify(self) -> None:
+        self._changed.set()
+        self._changed = anyio.Event()
+
+    def _is_server_ready(self, backend_server: str) -> bool:
+        state = self._servers.get(backend_server)
+        return state is not None and state.health is ServerHealth.READY
--- /dev/null
+++ b/briarvale/gateway.py
@@ -0,0 +1,46 @@
+"""One VM's gateway: the parts behind the callers' HTTP interface."""
+
+import anyio
+
+from .environment import Environment
+from .fleet_view import FleetView
+from .jobs import Jobs
+from .online import OnlineService
+from .plain_calls import PlainCalls
+from .routing import Router
+from .settings import Settings
+from .slot_client import SlotClient
+
+__all__ = ["Gateway"]
+
+
+class Gateway:
+    """The gateway of one VM; `run` is its life.
+
+    Args:
+        settings: This VM's settings.
+        environment: The outside interfaces.
+    """
+
+    def __init__(self, settings: Settings, environment: Environment) -> None:
+        self.settings = settings
+        self.environment = environment
+        self.view = FleetView(settings, environment)
+        self.jobs = Jobs(environment.store, environment.clock)
+        self.is_stopping = False
+        self._tasks = anyio.create_task_group()
+        slots = SlotClient(environment, self.view, self._tasks)
+        router = Router(self.view)
+        self.online = OnlineService(environment, self.view, router, slots)
+        self.plain_calls = PlainCalls(environment, self.view, router, slots)
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether it takes requests."""
+        return self.view.is_ready and not self.is_stopping
+
+    async def run(self) -> None:
+        """Runs until cancelled."""
+        async with self._tasks as tasks:
+            tasks.start_soon(self.view.run)
+            await anyio.sleep_forever()
--- /dev/null
+++ b/briarvale/job_http.py
@@ -0,0 +1,112 @@
+"""The callers' HTTP interface to batch jobs."""
+
+import json
+import re
+from collections.abc import AsyncIterator, Awaitable, Callable
+from typing import TYPE_CHECKING, Any
+
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response, StreamingResponse
+from starlette.routing import Route
+
+from .errors import InvalidRequest, NotFound
+from .job_results import read_progress, read_results
+from .jobs import JobRecord, JobRequest
+
+if TYPE_CHECKING:
+    from .gateway import Gateway
+
+MAX_LINE_BYTES = 1_000_000
+JOB_ID_PATTERN = re.compile(r"[A-Za-z0-9._-]{1,128}")
+
+Handler = Callable[[Request, str], Awaitable[Response]]
+Wrap = Callable[[Handler], Callable[[Request], Awaitable[Response]]]
+
+__all__ = ["job_routes"]
+
+
+def job_routes(gateway: "Gateway", authenticated: Wrap) -> list[Route]:
+    """Returns the routes under `/v1/jobs`."""
+    http = _JobHttp(gateway)
+    return [
+        Route("/v1/jobs/{job_id}", authenticated(http.submit), methods=["PUT"]),
+        Route("/v1/jobs/{job_id}", authenticated(http.show), methods=["GET"]),
+        Route("/v1/jobs/{job_id}/results", authenticated(http.results), methods=["GET"]),
+    ]
+
+
+class _JobHttp:
+    """Handlers of job requests; each is given the member."""
+
+    def __init__(self, gateway: "Gateway") -> None:
+        self._gateway = gateway
+        self._store = gateway.environment.store
+
+    async def submit(self, request: Request, member: str) -> Response:
+        """Accepts a job from JSON lines; 202 once its record stands."""
+        job_id = request.path_params["job_id"]
+        if not JOB_ID_PATTERN.fullmatch(job_id):
+            raise InvalidRequest("job id: expected 1 to 128 letters, digits, dots, _ or -")
+        service = request.query_params.get("service", "")
+        declared = self._gateway.view.config.services.get(service)
+        if declared is None or declared.kind != "model":
+            raise NotFound(f"no model service {service}")
+        job_request = JobRequest(member, job_id, service, _due_at_ms(request))
+        job = await self._gateway.jobs.submit(job_request, _lines(request))
+        return JSONResponse(_summary(job), 202)
+
+    async def show(self, request: Request, member: str) -> Response:
+        """Answers with the job's state and progress."""
+        job = await self._gateway.jobs.get(member, request.path_params["job_id"])
+        progress = await read_progress(self._store, job)
+        return JSONResponse(_summary(job) | progress._asdict())
+
+    async def results(self, request: Request, member: str) -> Response:
+        """Streams the results as JSON lines."""
+        job = await self._gateway.jobs.get(member, request.path_params["job_id"])
+        return StreamingResponse(self._result_lines(job), media_type="application/jsonl")
+
+    async def _result_lines(self, job: JobRecord) -> AsyncIterator[str]:
+        offsets = _shard_offsets(job)
+        async for shard_index, result in read_results(self._store, job):
+            row = {"item": offsets[shard_index] + result.item_index, "text": result.text}
+            if result.error_code:
+                row["error_code"] = result.error_code
+            yield json.dumps(row) + "\n"
+
+
+def _summary(job: JobRecord) -> dict[str, Any]:
+    return {
+        "job_id": job.job_id,
+        "service": job.service,
+        "state": job.state.value,
+        "due_at_ms": job.due_at_ms,
+        "item_count": job.item_count,
+    }
+
+
+def _shard_offsets(job: JobRecord) -> list[int]:
+    offsets = [0]
+    for shard in job.shards:
+        offsets.append(offsets[-1] + shard.item_count)
+    return offsets
+
+
+def _due_at_ms(request: Request) -> int:
+    try:
+        return int(request.query_params["due_at_ms"])
+    except (KeyError, ValueError) as error:
+        raise InvalidRequest("due_at_ms: expected Unix milliseconds") from error
+
+
+async def _lines(request: Request) -> AsyncIterator[bytes]:
+    rest = b""
+    async for chunk in request.stream():
+        *whole, rest = (rest + chunk).split(b"\n")
+        for line in whole:
+            if line.strip():
+                yield line
+        if len(rest) > MAX_LINE_BYTES:
+            raise InvalidRequest(f"a line is over {MAX_LINE_BYTES} bytes")
+    if rest.strip():
+        yield rest
--- /dev/null
+++ b/briarvale/membership.py
@@ -0,0 +1,60 @@
+"""Which VMs are there: the platform's VM list joined with what heartbeats say."""
+
+import anyio
+
+from . import logs
+from ._generated.messages import VmHealth, VmState
+from .environment import Environment
+from .settings import Settings
+from .vm_list import VmEntry, VmListUnavailable, VmStatus
+
+POLL_INTERVAL_S = 1.0
+
+log = logs.part("membership")
+
+__all__ = ["Membership"]
+
+
+class Membership:
+    """The VMs as this dispatcher sees them.
+
+    Args:
+        settings: This VM's settings.
+        environment: The outside interfaces.
+    """
+
+    def __init__(self, settings: Settings, environment: Environment) -> None:
+        self._settings = settings
+        self._environment = environment
+        self._vms: dict[str, VmState] = {}
+        self._changed = anyio.Event()
+
+    @property
+    def vms(self) -> tuple[VmState, ...]:
+        """All known VMs, this one included."""
+        return tuple(self._vms[name] for name in sorted(self._vms))
+
+    async def wait_changed(self) -> None:
+        """Waits for the next change."""
+        await self._changed.wait()
+
+    async def run(self) -> None:
+        """Polls the VM list until cancelled; an outage keeps the last answer."""
+        while True:
+            try:
+                self._take_list(await self._environment.vm_list.fetch())
+            except VmListUnavailable as error:
+                log.warning("{}.", error)
+            await anyio.sleep(POLL_INTERVAL_S)
+
+    def _take_list(self, entries: tuple[VmEntry, ...]) -> None:
+        vms = {entry.vm: _state_of(entry) for entry in entries}
+        if vms != self._vms:
+            self._vms = vms
+            self._changed.set()
+            self._changed = anyio.Event()
+
+
+def _state_of(entry: VmEntry) -> VmState:
+    health = VmHealth.LEAVING if entry.status is VmStatus.LEAVING else VmHealth.ALIVE
+    return VmState(entry.vm, entry.host, entry.region, entry.availability_zone, health)
--- /dev/null
+++ b/briarvale/ownership.py
@@ -0,0 +1,31 @@
+"""Which VM's dispatcher owns a backend server: rendezvous hashing, same availability zone first."""
+
+from collections.abc import Iterable, Sequence
+
+import xxhash
+
+from ._generated.messages import VmHealth, VmState
+from .config import BackendServer
+
+__all__ = ["owner_of", "rank_by_rendezvous"]
+
+
+def rank_by_rendezvous(key: str, names: Iterable[str]) -> list[str]:
+    """Orders names for a key, best first; the order moves little when names come and go."""
+    return sorted(
+        names, key=lambda name: xxhash.xxh3_64_intdigest(f"{key}\0{name}".encode()), reverse=True
+    )
+
+
+def owner_of(server: BackendServer, vms: Sequence[VmState]) -> VmState | None:
+    """Returns the VM that owns a backend server, or none if no VM is alive.
+
+    VMs of the server's availability zone come first, then those of its region, then all.
+    """
+    alive = [vm for vm in vms if vm.health in (VmHealth.ALIVE, VmHealth.SUSPECT)]
+    in_region = [vm for vm in alive if vm.region == server.region]
+    in_zone = [vm for vm in in_region if vm.availability_zone == server.availability_zone]
+    candidates = {vm.vm: vm for vm in in_zone or in_region or alive}
+    if not candidates:
+        return None
+    return candidates[rank_by_rendezvous(server.id, candidates)[0]]
--- /dev/null
+++ b/briarvale/programs/__init__.py
@@ -0,0 +1,1 @@
+"""The programs: wiring only."""
--- /dev/null
+++ b/briarvale/schema/messages.capnp
@@ -0,0 +1,118 @@
+@0xb7c4e5a1d2f30918;
+# Messages between Briarvale's own processes. Fields carry their unit as suffix.
+
+enum WorkClass { online @0; batch @1; }
+enum VmHealth { alive @0; suspect @1; dead @2; leaving @3; }
+enum ServerHealth { ready @0; draining @1; ejected @2; down @3; }
+enum Outcome { finished @0; cancelled @1; failed @2; crashed @3; revoked @4; }
+
+struct Challenge { nonce @0 :Data; }
+struct Hello { vm @0 :Text; role @1 :Text; bootId @2 :Text; proof @3 :Data; }
+struct Welcome { vm @0 :Text; }
+
+struct SlotRequest {
+  requestId @0 :Text;
+  backendServer @1 :Text;
+  member @2 :Text;
+  workClass @3 :WorkClass;
+  slotCount @4 :UInt16;
+  costTokens @5 :UInt32;
+  deadlineMs @6 :UInt64;
+  fingerprint @7 :Text;
+}
+struct SlotGrant {
+  requestId @0 :Text;
+  grantId @1 :Text;
+  backendServer @2 :Text;
+  slotCount @3 :UInt16;
+  expiresAtMs @4 :UInt64;
+}
+struct SlotRefusal { requestId @0 :Text; code @1 :Text; retryAtMs @2 :UInt64; }
+struct SlotWithdraw { requestId @0 :Text; }
+struct SlotRevoke { grantId @0 :Text; slotCount @1 :UInt16; reason @2 :Text; }
+struct SlotRelease {
+  grantId @0 :Text;
+  outcome @1 :Outcome;
+  tokens @2 :UInt32;
+  timeBetweenTokensMs @3 :UInt32;
+}
+struct HeldGrant {
+  grantId @0 :Text;
+  backendServer @1 :Text;
+  member @2 :Text;
+  workClass @3 :WorkClass;
+  slotCount @4 :UInt16;
+  costTokens @5 :UInt32;
+  fingerprint @6 :Text;
+}
+struct HolderReport { grants @0 :List(HeldGrant); }
+
+struct VmState {
+  vm @0 :Text;
+  host @1 :Text;
+  region @2 :Text;
+  availabilityZone @3 :Text;
+  health @4 :VmHealth;
+  incarnation @5 :UInt32;
+  configRevision @6 :UInt64;
+}
+struct ServerState {
+  backendServer @0 :Text;
+  owner @1 :Text;
+  health @2 :ServerHealth;
+  streams @3 :UInt32;
+  queued @4 :UInt32;
+  limit @5 :UInt32;
+  observedAtMs @6 :UInt64;
+}
+struct ViewSubscribe { role @0 :Text; }
+struct View { vms @0 :List(VmState); servers @1 :List(ServerState); configRevision @2 :UInt64; }
+
+struct ConfigFetch { haveRevision @0 :UInt64; }
+struct ConfigDocument { name @0 :Text; digest @1 :Text; body @2 :Data; }
+struct ConfigBundle { revision @0 :UInt64; documents @1 :List(ConfigDocument); }
+
+struct SuspectNotice {
+  fingerprint @0 :Text;
+  crashes @1 :UInt16;
+  quarantined @2 :Bool;
+  expiresAtMs @3 :UInt64;
+}
+
+struct Probe {
+  sequence @0 :UInt32;
+  source @1 :Text;
+  target @2 :Text;
+  updates @3 :List(VmState);
+  configRevision @4 :UInt64;
+}
+struct ProbeAck {
+  sequence @0 :UInt32;
+  source @1 :Text;
+  updates @2 :List(VmState);
+  configRevision @3 :UInt64;
+}
+struct ProbeRequest { sequence @0 :UInt32; source @1 :Text; target @2 :Text; }
+
+struct Envelope {
+  union {
+    challenge @0 :Challenge;
+    hello @1 :Hello;
+    welcome @2 :Welcome;
+    slotRequest @3 :SlotRequest;
+    slotGrant @4 :SlotGrant;
+    slotRefusal @5 :SlotRefusal;
+    slotWithdraw @6 :SlotWithdraw;
+    slotRevoke @7 :SlotRevoke;
+    slotRelease @8 :SlotRelease;
+    holderReport @9 :HolderReport;
+    viewSubscribe @10 :ViewSubscribe;
+    view @11 :View;
+    configFetch @12 :ConfigFetch;
+    configBundle @13 :ConfigBundle;
+    suspectNotice @14 :SuspectNotice;
+    probe @15 :Probe;
+    probeAck @16 :ProbeAck;
+    probeRequest @17 :ProbeRequest;
+  }
+}
--- /dev/null
+++ b/briarvale/service_client.py
@@ -0,0 +1,71 @@
+"""Plain services beside the engines."""
+
+from typing import NamedTuple, Protocol
+
+import httpx
+
+from .errors import ServerConnectFailed, ServerLost
+from .traces import inject_headers
+
+CONNECT_TIMEOUT_S = 1.0
+READ_TIMEOUT_S = 30.0
+
+__all__ = ["HttpPlainService", "PlainService", "ServiceCall", "ServiceAnswer"]
+
+
+class ServiceCall(NamedTuple):
+    """One call to a plain service."""
+
+    verb: str
+    path: str
+    body: bytes
+    content_type: str
+    idempotency_key: str = ""
+
+
+class ServiceAnswer(NamedTuple):
+    """The whole answer of a plain service."""
+
+    status: int
+    body: bytes
+    content_type: str
+
+
+class PlainService(Protocol):
+    """What Briarvale asks of a plain service."""
+
+    async def call(self, call: ServiceCall) -> ServiceAnswer:
+        """Makes the call once. Raises `ServerConnectFailed` or `ServerLost`."""
+
+
+class HttpPlainService:
+    """A plain service over HTTP.
+
+    Args:
+        base_url: Its URL, by IP number.
+        client: HTTP client without retries; closed by its maker.
+    """
+
+    def __init__(self, base_url: str, client: httpx.AsyncClient) -> None:
+        self._base_url = base_url.rstrip("/")
+        self._client = client
+
+    async def call(self, call: ServiceCall) -> ServiceAnswer:
+        """Makes the call once."""
+        headers = {"content-type": call.content_type}
+        if call.idempotency_key:
+            headers["idempotency-key"] = call.idempotency_key
+        try:
+            response = await self._client.request(
+                call.verb,
+                f"{self._base_url}/{call.path}",
+                content=call.body,
+                headers=inject_headers(headers),
+                timeout=httpx.Timeout(READ_TIMEOUT_S, connect=CONNECT_TIMEOUT_S),
+            )
+        except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout) as error:
+            raise ServerConnectFailed(f"{self._base_url}: {type(error).__name__}") from error
+        except httpx.HTTPError as error:
+            raise ServerLost(f"{self._base_url}: {type(error).__name__}") from error
+        content_type = response.headers.get("content-type", "application/octet-stream")
+        return ServiceAnswer(response.status_code, response.content, content_type)
--- /dev/null
+++ b/briarvale/standins/engine.py
@@ -0,0 +1,304 @@
+"""A model engine in little: continuous batching by a cost model, with fault switches.
+
+One step generates a token for each stream whose prompt is prefilled. It takes `BASE_STEP_S`, plus
+`STREAM_STEP_S` a stream, plus `PREFILL_STEP_S` for each prompt token prefilled in it.
+"""
+
+import hashlib
+import math
+from collections import OrderedDict
+from collections.abc import AsyncIterator
+from typing import NamedTuple
+
+import anyio
+from anyio.streams.memory import MemoryObjectSendStream
+
+from ..engine_client import CacheEvent, CacheEvents, Completion, EngineLoad, Order, Token
+from ..errors import ServerConnectFailed, ServerLost, ServerRefused, StaleOrder
+
+BASE_STEP_S = 0.018
+STREAM_STEP_S = 0.000_35
+PREFILL_STEP_S = 0.000_06
+PREFILL_TOKENS_PER_STEP = 512
+BLOCK_TOKENS = 16
+CACHE_BLOCKS = 4_096
+LOAD_LAG_S = 0.5
+EVENT_LAG_S = 0.5
+EVENTS_KEPT = 2_048
+CRASH_MARK = "<crash>"
+IDLE_CHECK_S = 60.0
+
+__all__ = ["CRASH_MARK", "EngineFaults", "EngineSettings", "StandinEngine", "token_text"]
+
+
+class EngineSettings(NamedTuple):
+    """What one stand-in engine is."""
+
+    name: str
+    model: str = "reeds"
+    version: str = "1"
+    adapters: tuple[str, ...] = ()
+    checks_fencing: bool = True
+    load_seconds: float = 5.0
+    step_scale: float = 1.0
+
+
+class EngineFaults:
+    """Switches for what goes wrong; all off at the start."""
+
+    def __init__(self) -> None:
+        self.is_down = False
+        self.is_stuck = False
+        self.is_draining = False
+        self.slow_factor = 1.0
+        self.drop_events = False
+        self.fail_completions = False
+        self.lose_order_answers = False
+
+
+class _Stream:
+    """One running completion."""
+
+    def __init__(self, completion: Completion, sender: MemoryObjectSendStream[Token]) -> None:
+        self.completion = completion
+        self.sender = sender
+        self.prefill_left = 0
+        self.next_index = len(completion.resume_tokens)
+        self.is_cancelled = False
+
+
+class StandinEngine:
+    """An engine that implements the `Engine` protocol in memory; run `run()` in a task group.
+
+    Args:
+        settings: What it is.
+    """
+
+    def __init__(self, settings: EngineSettings) -> None:
+        self.settings = settings
+        self.faults = EngineFaults()
+        self.run_counts: dict[str, int] = {}
+        self.crashes = 0
+        self.tokens_generated = 0
+        self.model, self.version = settings.model, settings.version
+        self.adapters = settings.adapters
+        self.role = "mixed"
+        self.fencing_number = 0
+        self.orders_taken: list[Order] = []
+        self._streams: dict[str, _Stream] = {}
+        self._wake = anyio.Event()
+        self._loading_until_s = 0.0
+        self._cache: OrderedDict[str, None] = OrderedDict()
+        self._events: list[tuple[float, CacheEvent]] = []
+        self._event_sequence = 0
+        self._load_history: list[tuple[float, int, int]] = []
+        self._kv: dict[str, bytes] = {}
+
+    async def run(self) -> None:
+        """Generates tokens until cancelled."""
+        while True:
+            if not self._streams:
+                self._wake = anyio.Event()
+                await self._wake.wait()
+            await self._step()
+
+    def crash(self) -> None:
+        """Drops all streams at once, as a crash and restart does."""
+        self.crashes += 1
+        for stream in self._streams.values():
+            stream.sender.close()
+        self._streams.clear()
+        self._cache.clear()
+
+    @property
+    def stream_count(self) -> int:
+        """Streams running now."""
+        return len(self._streams)
+
+    async def complete(self, completion: Completion) -> AsyncIterator[Token]:
+        """Streams tokens."""
+        self._check_up()
+        self._check_serves(completion)
+        self.run_counts[completion.request_id] = self.run_counts.get(completion.request_id, 0) + 1
+        sender, receiver = anyio.create_memory_object_stream[Token](math.inf)
+        stream = _Stream(completion, sender)
+        stream.prefill_left = self._uncached_tokens(completion)
+        self._streams[completion.request_id] = stream
+        self._wake.set()
+        expected = completion.max_tokens - len(completion.resume_tokens)
+        received = 0
+        try:
+            async with receiver:
+                async for token in receiver:
+                    received += 1
+                    yield token
+        finally:
+            if self._streams.get(completion.request_id) is stream:
+                del self._streams[completion.request_id]
+        if received < expected:
+            raise ServerLost(f"{self.settings.name}: the stream ended early")
+
+    async def cancel(self, request_id: str) -> None:
+        """Stops a completion and keeps its KV cache for export."""
+        self._check_up()
+        stream = self._streams.pop(request_id, None)
+        if stream is not None:
+            self._kv[request_id] = str(stream.next_index).encode()
+            stream.sender.close()
+
+    async def load(self) -> EngineLoad:
+        """Reports the load of `LOAD_LAG_S` ago."""
+        self._check_up()
+        streams, waiting = self._lagged_load()
+        return EngineLoad(
+            streams=streams,
+            waiting=waiting,
+            model="" if self._is_loading() else self.model,
+            version=self.version,
+            adapters=self.adapters,
+            role=self.role,
+            fencing_number=self.fencing_number,
+            is_draining=self.faults.is_draining,
+        )
+
+    async def cache_events(self, after: int) -> CacheEvents:
+        """Reports cache events older than `EVENT_LAG_S`."""
+        self._check_up()
+        limit_s = anyio.current_time() - EVENT_LAG_S
+        ready = [event for at, event in self._events if at <= limit_s]
+        last = ready[-1].sequence if ready else 0
+        return CacheEvents(tuple(event for event in ready if event.sequence > after), last)
+
+    async def order(self, order: Order) -> None:
+        """Takes an order; an old fencing number is refused where the settings say so."""
+        self._check_up()
+        if self.settings.checks_fencing and order["fencing_number"] < self.fencing_number:
+            raise StaleOrder(f"{self.settings.name}: {order['fencing_number']} is old")
+        self.orders_taken.append(order)
+        self.fencing_number = order["fencing_number"]
+        self.role, self.adapters = order["role"], tuple(order["adapters"])
+        if (order["model"], order["version"]) != (self.model, self.version):
+            self.model, self.version = order["model"], order["version"]
+            self._loading_until_s = anyio.current_time() + self.settings.load_seconds
+            self._cache.clear()
+        if self.faults.lose_order_answers:
+            raise ServerLost(f"{self.settings.name}: the answer was lost")
+
+    async def export_kv(self, request_id: str) -> bytes:
+        """Exports KV cache."""
+        self._check_up()
+        return self._kv.get(request_id, b"")
+
+    async def import_kv(self, request_id: str, data: bytes) -> None:
+        """Imports KV cache."""
+        self._check_up()
+        self._kv[request_id] = data
+
+    async def _step(self) -> None:
+        while self.faults.is_stuck:
+            await anyio.sleep(0.1)
+        streams = list(self._streams.values())
+        prefilled = self._prefill(streams)
+        step_s = BASE_STEP_S + STREAM_STEP_S * len(streams) + PREFILL_STEP_S * prefilled
+        await anyio.sleep(step_s * self.settings.step_scale * self.faults.slow_factor)
+        self._record_load(streams)
+        for stream in streams:
+            if stream.prefill_left == 0 and stream.completion.request_id in self._streams:
+                self._emit(stream)
+
+    def _prefill(self, streams: list[_Stream]) -> int:
+        budget = PREFILL_TOKENS_PER_STEP
+        for stream in streams:
+            used = min(budget, stream.prefill_left)
+            stream.prefill_left -= used
+            budget -= used
+        return PREFILL_TOKENS_PER_STEP - budget
+
+    def _emit(self, stream: _Stream) -> None:
+        completion = stream.completion
+        if CRASH_MARK in completion.prompt:
+            self.crash()
+            return
+        if stream.next_index < completion.max_tokens:
+            text = token_text(completion.prompt, stream.next_index)
+            try:
+                stream.sender.send_nowait(Token(stream.next_index, text))
+            except (anyio.BrokenResourceError, anyio.ClosedResourceError):
+                self._streams.pop(completion.request_id, None)
+                return
+            stream.next_index += 1
+            self.tokens_generated += 1
+        if stream.next_index >= completion.max_tokens:
+            self._streams.pop(completion.request_id, None)
+            stream.sender.close()
+
+    def _uncached_tokens(self, completion: Completion) -> int:
+        words = completion.prompt.split()
+        cached = 0
+        is_prefix = True
+        for block_hash in _block_hashes(words):
+            is_prefix = is_prefix and block_hash in self._cache
+            if is_prefix:
+                cached += BLOCK_TOKENS
+            self._store_block(block_hash)
+        resumed = len(completion.resume_tokens)
+        if self._kv.pop(completion.request_id, None) is not None:
+            return 1
+        return max(1, len(words) + resumed - cached)
+
+    def _store_block(self, block_hash: str) -> None:
+        is_new = block_hash not in self._cache
+        self._cache[block_hash] = None
+        self._cache.move_to_end(block_hash)
+        if is_new:
+            self._publish(block_hash, is_stored=True)
+        if len(self._cache) > CACHE_BLOCKS:
+            evicted, _ = self._cache.popitem(last=False)
+            self._publish(evicted, is_stored=False)
+
+    def _publish(self, block_hash: str, *, is_stored: bool) -> None:
+        self._event_sequence += 1
+        if self.faults.drop_events:
+            return
+        event = CacheEvent(self._event_sequence, block_hash, is_stored)
+        self._events.append((anyio.current_time(), event))
+        del self._events[:-EVENTS_KEPT]
+
+    def _record_load(self, streams: list[_Stream]) -> None:
+        waiting = sum(1 for stream in streams if stream.prefill_left > 0)
+        self._load_history.append((anyio.current_time(), len(self._streams), waiting))
+        del self._load_history[:-256]
+
+    def _lagged_load(self) -> tuple[int, int]:
+        limit_s = anyio.current_time() - LOAD_LAG_S
+        older = [row for row in self._load_history if row[0] <= limit_s]
+        return (older[-1][1], older[-1][2]) if older else (0, 0)
+
+    def _is_loading(self) -> bool:
+        return anyio.current_time() < self._loading_until_s
+
+    def _check_up(self) -> None:
+        if self.faults.is_down:
+            raise ServerConnectFailed(f"{self.settings.name} is down")
+
+    def _check_serves(self, completion: Completion) -> None:
+        if self.faults.fail_completions or self.faults.is_draining or self._is_loading():
+            raise ServerRefused(f"{self.settings.name} takes no completions now")
+        if completion.model != self.model:
+            raise ServerRefused(f"{self.settings.name} has no model {completion.model}")
+        if completion.adapter and completion.adapter not in self.adapters:
+            raise ServerRefused(f"{self.settings.name} has no adapter {completion.adapter}")
+
+
+def token_text(prompt: str, index: int) -> str:
+    """Returns the token that every stand-in engine generates at this index for the prompt."""
+    return " " + hashlib.sha256(f"{index}:{prompt}".encode()).hexdigest()[:5]
+
+
+def _block_hashes(words: list[str]) -> list[str]:
+    hashes = []
+    digest = hashlib.sha256()
+    for start in range(0, len(words) - BLOCK_TOKENS + 1, BLOCK_TOKENS):
+        digest.update(" ".join(words[start : start + BLOCK_TOKENS]).encode())
+        hashes.append(digest.hexdigest()[:16])
+    return hashes
--- /dev/null
+++ b/briarvale/standins/memory_fleet.py
@@ -0,0 +1,209 @@
+"""A small fleet in one event loop, with stand-ins behind the interfaces, for virtual time."""
+
+import hashlib
+from typing import Any, NamedTuple
+
+import anyio
+import yaml
+from anyio.abc import TaskGroup
+
+from ..batch import Batch
+from ..clock import Clock
+from ..config import BackendServer
+from ..config_head import apply_config
+from ..dispatcher import Dispatcher
+from ..environment import Environment
+from ..gateway import Gateway
+from ..peer import PeerIdentity
+from ..settings import Settings
+from ..vm_list import VmEntry, VmStatus
+from .engine import EngineSettings, StandinEngine
+from .memory_network import MemoryNetwork
+from .object_api import StandinObjectApi
+from .plain_service import StandinPlainService
+from .vm_list import StandinVmList
+
+SHARED_SECRET = "memory-fleet-shared-secret"
+EPOCH_MS = 1_800_000_000_000
+MODEL = "reeds"
+ENGINE_SERVICE = "reed-desk"
+PLAIN_SERVICE = "orders"
+ZONES = ("caerdydd", "abertawe", "wrecsam")
+
+__all__ = ["ENGINE_SERVICE", "FleetSettings", "MemoryFleet", "MemoryVm", "PLAIN_SERVICE"]
+
+
+class FleetSettings(NamedTuple):
+    """Sizes of a fleet in memory and its rules."""
+
+    vm_count: int = 3
+    engine_count: int = 3
+    plain_count: int = 1
+    slots: int = 16
+    shares: tuple[tuple[str, float], ...] = (("cyweirio", 60), ("trust", 40))
+    rules: tuple[tuple[str, Any], ...] = ()
+    seed: int = 0
+
+
+class MemoryVm:
+    """One VM: its parts, each running in a cancel scope of its own."""
+
+    def __init__(self, settings: Settings, environments: dict[str, Environment]) -> None:
+        self.settings = settings
+        self.dispatcher = Dispatcher(settings, environments["dispatcher"])
+        self.gateway = Gateway(settings, environments["gateway"])
+        self.batch = Batch(settings, environments["batch"])
+        self.scopes = {part: anyio.CancelScope() for part in ("dispatcher", "gateway", "batch")}
+
+    async def run_part(self, part: str) -> None:
+        """Runs one part until it is killed."""
+        with self.scopes[part]:
+            await getattr(self, part).run()
+
+    def kill(self, part: str) -> None:
+        """Ends one part at once."""
+        self.scopes[part].cancel()
+
+
+class MemoryBackends:
+    """Implements `BackendClients` with the stand-ins themselves."""
+
+    def __init__(self) -> None:
+        self.engines: dict[str, StandinEngine] = {}
+        self.plain_services: dict[str, StandinPlainService] = {}
+
+    def engine(self, server: BackendServer) -> StandinEngine:
+        """Returns the stand-in engine."""
+        return self.engines[server.id]
+
+    def plain_service(self, server: BackendServer) -> StandinPlainService:
+        """Returns the stand-in plain service."""
+        return self.plain_services[server.id]
+
+
+class MemoryFleet:
+    """Stand-ins and VMs; `start` runs them in a task group and waits until they are ready.
+
+    Args:
+        settings: Sizes and rules.
+    """
+
+    def __init__(self, settings: FleetSettings) -> None:
+        self.settings = settings
+        self.clock = Clock(EPOCH_MS)
+        self.store = StandinObjectApi(settings.seed)
+        self.network = MemoryNetwork()
+        self.backends = MemoryBackends()
+        self.vms: dict[str, MemoryVm] = {}
+        self.vm_list = StandinVmList(tuple(self._vm_entry(n) for n in range(settings.vm_count)))
+
+    async def start(self, tasks: TaskGroup) -> None:
+        """Starts everything."""
+        for index in range(self.settings.engine_count):
+            engine = StandinEngine(EngineSettings(f"bs-{index + 1}", MODEL))
+            self.backends.engines[engine.settings.name] = engine
+            tasks.start_soon(engine.run)
+        for index in range(self.settings.plain_count):
+            name = f"bs-plain-{index + 1}"
+            self.backends.plain_services[name] = StandinPlainService(name)
+        await apply_config(self.store, self.inventory_text(), self.rules_text(), 0)
+        for index in range(self.settings.vm_count):
+            self.start_vm(index, tasks)
+        for vm in self.vms.values():
+            await vm.gateway.view.wait_ready()
+        await self._wait_owned()
+
+    def start_vm(self, index: int, tasks: TaskGroup) -> MemoryVm:
+        """Starts, or starts again, the VM of this index."""
+        entry = self._vm_entry(index)
+        settings = self._settings_of(entry)
+        environments = {
+            part: self._environment(settings, part) for part in ("dispatcher", "gateway", "batch")
+        }
+        vm = MemoryVm(settings, environments)
+        self.vms[settings.vm] = vm
+        for part in environments:
+            tasks.start_soon(vm.run_part, part)
+        return vm
+
+    def kill_vm(self, vm: str) -> None:
+        """Ends all parts of a VM and its connections at once."""
+        for part in self.vms[vm].scopes:
+            self.vms[vm].kill(part)
+        self.network.close_host(self.vms[vm].settings.host)
+
+    def inventory_text(self) -> str:
+        """Returns the inventory as YAML."""
+        return yaml.safe_dump(
+            {
+                "members": [
+                    {"id": member, "api_key_sha256": [_digest(member)]}
+                    for member, _ in self.settings.shares
+                ],
+                "models": [{"id": MODEL, "version": "1"}],
+                "services": [
+                    {"id": ENGINE_SERVICE, "kind": "model", "model": MODEL},
+                    {"id": PLAIN_SERVICE, "kind": "plain"},
+                ],
+                "backend_servers": [
+                    *(
+                        self._server_row(f"bs-{n + 1}", ENGINE_SERVICE, n)
+                        for n in range(self.settings.engine_count)
+                    ),
+                    *(
+                        self._server_row(f"bs-plain-{n + 1}", PLAIN_SERVICE, n)
+                        for n in range(self.settings.plain_count)
+                    ),
+                ],
+            }
+        )
+
+    def rules_text(self) -> str:
+        """Returns the rules as YAML."""
+        shares = [{"member": m, "percent": percent} for m, percent in self.settings.shares]
+        return yaml.safe_dump({"shares": shares} | dict(self.settings.rules))
+
+    async def _wait_owned(self) -> None:
+        first = next(iter(self.vms.values())).gateway.view
+        while not all(first.owner_address(server) for server in first.config.servers):
+            await first.wait_changed()
+
+    def _environment(self, settings: Settings, part: str) -> Environment:
+        identity = PeerIdentity(settings.vm, part, f"{settings.vm}-{part}")
+        return Environment(
+            clock=self.clock,
+            store=self.store,
+            vm_list=self.vm_list,
+            backends=self.backends,
+            transport=self.network.transport(settings.host, identity),
+            identity=identity,
+        )
+
+    def _vm_entry(self, index: int) -> VmEntry:
+        zone = ZONES[index % len(ZONES)]
+        return VmEntry(f"vm-{index + 1}", f"127.0.0.{index + 1}", "wales", zone, VmStatus.LIVE)
+
+    def _settings_of(self, entry: VmEntry) -> Settings:
+        return Settings(
+            vm=entry.vm,
+            region=entry.region,
+            availability_zone=entry.availability_zone,
+            host=entry.host,
+            shared_secret=SHARED_SECRET,
+            object_api_url="http://127.0.0.1:9000",
+            vm_list_url="http://127.0.0.1:9001/vms",
+        )
+
+    def _server_row(self, name: str, service: str, index: int) -> dict[str, Any]:
+        return {
+            "id": name,
+            "service": service,
+            "url": "http://127.0.0.1:9100",
+            "slots": self.settings.slots,
+            "region": "wales",
+            "availability_zone": ZONES[index % len(ZONES)],
+        }
+
+
+def _digest(member: str) -> str:
+    return hashlib.sha256(f"key-{member}".encode()).hexdigest()
--- /dev/null
+++ b/briarvale/standins/memory_network.py
@@ -0,0 +1,137 @@
+"""Peers connected in memory, for tests and benchmarks in virtual time, with cuts and freezes."""
+
+import math
+
+import anyio
+from anyio.streams.memory import MemoryObjectReceiveStream, MemoryObjectSendStream
+
+from .._generated.messages import Message
+from ..errors import OwnerUnreachable, PeerClosed
+from ..peer import MessageStream, PeerAddress, PeerHandler, PeerIdentity
+
+HOP_S = 0.0005
+
+__all__ = ["MemoryNetwork", "MemoryTransport"]
+
+
+class MemoryNetwork:
+    """All listening peers, and which hosts are cut off or frozen."""
+
+    def __init__(self) -> None:
+        self.handlers: dict[PeerAddress, PeerHandler] = {}
+        self.streams: list[MemoryStream] = []
+        self.cut: set[tuple[str, str]] = set()
+        self.hop_s = HOP_S
+
+    def transport(self, host: str, identity: PeerIdentity) -> "MemoryTransport":
+        """Returns the transport of a process on this host."""
+        return MemoryTransport(self, host, identity)
+
+    def close_host(self, host: str) -> None:
+        """Ends all connections of a host, as its death does."""
+        self.handlers = {a: h for a, h in self.handlers.items() if a.host != host}
+        for stream in [s for s in self.streams if host in (s.host, s.peer_host)]:
+            stream.close_now()
+
+    def is_cut(self, source: str, target: str) -> bool:
+        """Whether messages from source to target are lost."""
+        return (source, target) in self.cut
+
+
+class MemoryStream:
+    """One side of a connection in memory."""
+
+    def __init__(
+        self,
+        network: MemoryNetwork,
+        host: str,
+        peer_host: str,
+        sender: MemoryObjectSendStream[Message],
+        receiver: MemoryObjectReceiveStream[Message],
+    ) -> None:
+        self.host = host
+        self.peer_host = peer_host
+        self._network = network
+        self._sender = sender
+        self._receiver = receiver
+
+    async def send(self, message: Message) -> None:
+        """Sends one message; a cut connection loses it."""
+        await anyio.sleep(self._network.hop_s)
+        if self._network.is_cut(self.host, self.peer_host):
+            return
+        try:
+            self._sender.send_nowait(message)
+        except (anyio.BrokenResourceError, anyio.ClosedResourceError) as error:
+            raise PeerClosed("closed") from error
+
+    async def receive(self) -> Message:
+        """Receives one message."""
+        try:
+            return await self._receiver.receive()
+        except (anyio.EndOfStream, anyio.ClosedResourceError) as error:
+            raise PeerClosed("closed") from error
+
+    async def aclose(self) -> None:
+        """Closes both directions."""
+        self.close_now()
+
+    def close_now(self) -> None:
+        """Closes both directions without waiting."""
+        self._sender.close()
+        self._receiver.close()
+        if self in self._network.streams:
+            self._network.streams.remove(self)
+
+
+class MemoryTransport:
+    """Implements `PeerTransport` for one process.
+
+    Args:
+        network: What it is connected to.
+        host: The process's host.
+        identity: Who the process is.
+    """
+
+    def __init__(self, network: MemoryNetwork, host: str, identity: PeerIdentity) -> None:
+        self._network = network
+        self._host = host
+        self._identity = identity
+
+    async def connect(self, address: PeerAddress) -> MessageStream:
+        """Connects to a listening peer."""
+        await anyio.sleep(2 * self._network.hop_s)
+        handler = self._network.handlers.get(address)
+        if handler is None or self._network.is_cut(self._host, address.host):
+            raise OwnerUnreachable(f"{address.host}:{address.port}")
+        to_server, from_client = anyio.create_memory_object_stream[Message](math.inf)
+        to_client, from_server = anyio.create_memory_object_stream[Message](math.inf)
+        ours = MemoryStream(self._network, self._host, address.host, to_server, from_server)
+        theirs = MemoryStream(self._network, address.host, self._host, to_client, from_client)
+        self._network.streams += [ours, theirs]
+        await handler(theirs, self._identity)
+        return ours
+
+    async def serve(self, address: PeerAddress, handler: PeerHandler) -> None:
+        """Accepts connections until cancelled, one task for each."""
+        async with anyio.create_task_group() as tasks:
+
+            async def accept(stream: MessageStream, identity: PeerIdentity) -> None:
+                tasks.start_soon(self._serve_connection, stream, identity, handler)
+
+            self._network.handlers[address] = accept
+            try:
+                await anyio.sleep_forever()
+            finally:
+                if self._network.handlers.get(address) is accept:
+                    del self._network.handlers[address]
+
+    async def _serve_connection(
+        self, stream: MessageStream, identity: PeerIdentity, handler: PeerHandler
+    ) -> None:
+        try:
+            await handler(stream, identity)
+        except PeerClosed:
+            return
+        finally:
+            await stream.aclose()
--- /dev/null
+++ b/briarvale/standins/object_api.py
@@ -0,0 +1,228 @@
+"""The Object API in little: versions, conditional writes, lists, watches and fault switches."""
+
+import bisect
+import random
+from typing import NamedTuple
+
+import anyio
+
+from ..errors import (
+    ObjectExists,
+    ObjectNotFound,
+    ObjectTooLarge,
+    StoreThrottled,
+    StoreUnavailable,
+    VersionConflict,
+)
+from ..object_store import MAX_VALUE_BYTES, StoredObject, WatchResult
+
+HISTORY_KEPT = 10_000
+
+__all__ = ["ObjectApiFaults", "StandinObjectApi", "StoreCall"]
+
+
+class StoreCall(NamedTuple):
+    """One call as it reached the store; `writes` is true for a write that took effect."""
+
+    at_s: float
+    verb: str
+    key: str
+    writes: bool
+
+
+class ObjectApiFaults:
+    """Switches for what goes wrong; all off at the start.
+
+    Probabilities are between 0 and 1. A late write takes effect after `late_write_s`, while its
+    caller has long been told that the store is unavailable.
+    """
+
+    def __init__(self) -> None:
+        self.is_down = False
+        self.latency_s = 0.003
+        self.lose_answer_probability = 0.0
+        self.late_write_probability = 0.0
+        self.late_write_s = 2.0
+        self.writes_per_s = 500.0
+        self.reads_per_s = 2_000.0
+
+
+class _TokenBucket:
+    """Admits `rate_per_s` calls a second, with one second's worth of burst."""
+
+    def __init__(self, rate_per_s: float) -> None:
+        self.tokens = rate_per_s
+        self.filled_at_s = 0.0
+
+    def admit(self, rate_per_s: float) -> bool:
+        """Takes a token if there is one."""
+        now_s = anyio.current_time()
+        self.tokens = min(rate_per_s, self.tokens + (now_s - self.filled_at_s) * rate_per_s)
+        self.filled_at_s = now_s
+        if self.tokens < 1:
+            return False
+        self.tokens -= 1
+        return True
+
+
+class StandinObjectApi:
+    """Implements the `ObjectStore` protocol in memory.
+
+    Args:
+        seed: Seed of the fault switches' randomness.
+    """
+
+    def __init__(self, seed: int = 0) -> None:
+        self.faults = ObjectApiFaults()
+        self.calls: list[StoreCall] = []
+        self._random = random.Random(seed)
+        self._objects: dict[str, StoredObject] = {}
+        self._sorted_keys: list[str] = []
+        self._version = 0
+        self._history: list[tuple[int, str]] = []
+        self._changed = anyio.Event()
+        self._writes = _TokenBucket(self.faults.writes_per_s)
+        self._reads = _TokenBucket(self.faults.reads_per_s)
+        self._late_writes: list[tuple[float, str, bytes, int | None]] = []
+
+    async def get(self, key: str) -> StoredObject:
+        """Reads one object."""
+        await self._enter("get", key)
+        if key not in self._objects:
+            raise ObjectNotFound(key)
+        return self._objects[key]
+
+    async def create(self, key: str, value: bytes) -> int:
+        """Creates an object."""
+        await self._enter("create", key, is_write=True, value=value)
+        version = self._apply(key, value, expected_version=0)
+        self._maybe_lose_answer()
+        return version
+
+    async def update(self, key: str, value: bytes, version: int) -> int:
+        """Replaces an object."""
+        await self._enter("update", key, is_write=True, value=value, version=version)
+        new_version = self._apply(key, value, expected_version=version)
+        self._maybe_lose_answer()
+        return new_version
+
+    async def delete(self, key: str, version: int | None = None) -> None:
+        """Deletes an object."""
+        await self._enter("delete", key, is_write=True)
+        if key not in self._objects:
+            raise ObjectNotFound(key)
+        if version is not None and self._objects[key].version != version:
+            raise VersionConflict(key)
+        del self._objects[key]
+        self._sorted_keys.remove(key)
+        self._note_change(key)
+        self._maybe_lose_answer()
+
+    async def list_keys(self, prefix: str, after: str = "", limit: int = 1000) -> list[str]:
+        """Lists keys."""
+        await self._enter("list", prefix)
+        start = bisect.bisect_right(self._sorted_keys, after) if after > prefix else 0
+        start = max(start, bisect.bisect_left(self._sorted_keys, prefix))
+        keys = []
+        for key in self._sorted_keys[start : start + limit]:
+            if not key.startswith(prefix):
+                break
+            keys.append(key)
+        return keys
+
+    async def watch(self, prefix: str, after_version: int, timeout_s: float) -> WatchResult:
+        """Waits for writes."""
+        await self._enter("watch", prefix)
+        with anyio.move_on_after(timeout_s):
+            while not self._changed_keys(prefix, after_version):
+                self._fail_if_down()
+                await self._changed.wait()
+        self._fail_if_down()
+        return WatchResult(self._changed_keys(prefix, after_version), self._version)
+
+    def peek(self, key: str) -> bytes | None:
+        """Returns a value without a call, for checks."""
+        self._land_late_writes()
+        return self._objects[key].value if key in self._objects else None
+
+    def peek_keys(self, prefix: str) -> list[str]:
+        """Returns the keys under a prefix without a call, for checks."""
+        self._land_late_writes()
+        return [key for key in self._sorted_keys if key.startswith(prefix)]
+
+    async def _enter(
+        self,
+        verb: str,
+        key: str,
+        *,
+        is_write: bool = False,
+        value: bytes = b"",
+        version: int | None = None,
+    ) -> None:
+        await anyio.sleep(self.faults.latency_s)
+        self._land_late_writes()
+        self._fail_if_down()
+        self._throttle(is_write)
+        if len(value) > MAX_VALUE_BYTES:
+            raise ObjectTooLarge(key)
+        self.calls.append(StoreCall(anyio.current_time(), verb, key, is_write))
+        can_be_late = verb in ("create", "update")
+        if can_be_late and self._random.random() < self.faults.late_write_probability:
+            due_s = anyio.current_time() + self.faults.late_write_s
+            self._late_writes.append((due_s, key, value, version))
+            raise StoreUnavailable("the write is still on its way")
+
+    def _throttle(self, is_write: bool) -> None:
+        bucket = self._writes if is_write else self._reads
+        rate_per_s = self.faults.writes_per_s if is_write else self.faults.reads_per_s
+        if not bucket.admit(rate_per_s):
+            raise StoreThrottled("too many calls")
+
+    def _fail_if_down(self) -> None:
+        if self.faults.is_down:
+            raise StoreUnavailable("the store is down")
+
+    def _apply(self, key: str, value: bytes, expected_version: int) -> int:
+        current = self._objects.get(key)
+        if expected_version == 0 and current is not None:
+            raise ObjectExists(key)
+        if expected_version != 0 and current is None:
+            raise ObjectNotFound(key)
+        if expected_version != 0 and current is not None and current.version != expected_version:
+            raise VersionConflict(key)
+        if current is None:
+            bisect.insort(self._sorted_keys, key)
+        self._note_change(key)
+        self._objects[key] = StoredObject(key, value, self._version)
+        return self._version
+
+    def _note_change(self, key: str) -> None:
+        self._version += 1
+        self._history.append((self._version, key))
+        del self._history[:-HISTORY_KEPT]
+        self._changed.set()
+        self._changed = anyio.Event()
+
+    def _changed_keys(self, prefix: str, after_version: int) -> tuple[str, ...]:
+        recent = reversed(self._history)
+        keys = set()
+        for version, key in recent:
+            if version <= after_version:
+                break
+            if key.startswith(prefix):
+                keys.add(key)
+        return tuple(sorted(keys))
+
+    def _maybe_lose_answer(self) -> None:
+        if self._random.random() < self.faults.lose_answer_probability:
+            raise StoreUnavailable("the answer was lost")
+
+    def _land_late_writes(self) -> None:
+        now_s = anyio.current_time()
+        due = [write for write in self._late_writes if write[0] <= now_s]
+        self._late_writes = [write for write in self._late_writes if write[0] > now_s]
+        for _, key, value, version in due:
+            try:
+                self._apply(key, value, expected_version=version or 0)
+            except (ObjectExists, ObjectNotFound, VersionConflict):
+                continue
--- /dev/null
+++ b/features/support/virtual.py
@@ -0,0 +1,21 @@
+"""Runs code in virtual time: trio's mock clock jumps ahead, and a seed fixes the schedule."""
+
+import random
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
+
+import anyio
+import trio
+from trio.testing import MockClock
+
+T = TypeVar("T")
+
+__all__ = ["run_virtual"]
+
+
+def run_virtual(function: Callable[..., Awaitable[T]], *args: object, seed: int = 0) -> T:
+    """Runs an async function to its end in virtual time, the same way for the same seed."""
+    trio._core._run._ALLOW_DETERMINISTIC_SCHEDULING = True
+    trio._core._run._r = random.Random(seed)
+    clock = MockClock(autojump_threshold=0)
+    return anyio.run(function, *args, backend="trio", backend_options={"clock": clock})
