Split the dispatcher by concept and freeze the interfaces between parts

Cause: membership, configuration, health and slots would all change in one module. Ruled out: one gossip channel for each part, which costs a probe a second each. Conclusion: online, batch and many-nodes work can go on side by side.

--- a/briarvale/_generated/messages.py
+++ b/briarvale/_generated/messages.py
@@ -81,6 +81,7 @@
     cost_tokens: int = 0
     deadline_ms: int = 0
     fingerprint: str = ""
+    start_by_ms: int = 0
 
 
 class SlotGrant(NamedTuple):
@@ -91,6 +92,9 @@
     backend_server: str = ""
     slot_count: int = 0
     expires_at_ms: int = 0
+    held: int = 0
+    queued: int = 0
+    limit: int = 0
 
 
 class SlotRefusal(NamedTuple):
@@ -99,6 +103,9 @@
     request_id: str = ""
     code: str = ""
     retry_at_ms: int = 0
+    held: int = 0
+    queued: int = 0
+    limit: int = 0
 
 
 class SlotWithdraw(NamedTuple):
@@ -218,6 +225,8 @@
     target: str = ""
     updates: tuple[VmState, ...] = ()
     config_revision: int = 0
+    servers: tuple[ServerState, ...] = ()
+    suspects: tuple[SuspectNotice, ...] = ()
 
 
 class ProbeAck(NamedTuple):
@@ -227,6 +236,8 @@
     source: str = ""
     updates: tuple[VmState, ...] = ()
     config_revision: int = 0
+    servers: tuple[ServerState, ...] = ()
+    suspects: tuple[SuspectNotice, ...] = ()
 
 
 class ProbeRequest(NamedTuple):
@@ -305,6 +316,7 @@
         reader.costTokens,
         reader.deadlineMs,
         reader.fingerprint,
+        reader.startByMs,
     )
 
 
@@ -317,6 +329,7 @@
     builder.costTokens = message.cost_tokens
     builder.deadlineMs = message.deadline_ms
     builder.fingerprint = message.fingerprint
+    builder.startByMs = message.start_by_ms
 
 
 def _read_slot_grant(reader: Any) -> SlotGrant:
@@ -326,6 +339,9 @@
         reader.backendServer,
         reader.slotCount,
         reader.expiresAtMs,
+        reader.held,
+        reader.queued,
+        reader.limit,
     )
 
 
@@ -335,6 +351,9 @@
     builder.backendServer = message.backend_server
     builder.slotCount = message.slot_count
     builder.expiresAtMs = message.expires_at_ms
+    builder.held = message.held
+    builder.queued = message.queued
+    builder.limit = message.limit
 
 
 def _read_slot_refusal(reader: Any) -> SlotRefusal:
@@ -342,6 +361,9 @@
         reader.requestId,
         reader.code,
         reader.retryAtMs,
+        reader.held,
+        reader.queued,
+        reader.limit,
     )
 
 
@@ -349,6 +371,9 @@
     builder.requestId = message.request_id
     builder.code = message.code
     builder.retryAtMs = message.retry_at_ms
+    builder.held = message.held
+    builder.queued = message.queued
+    builder.limit = message.limit
 
 
 def _read_slot_withdraw(reader: Any) -> SlotWithdraw:
@@ -558,6 +583,8 @@
         reader.target,
         tuple(_read_vm_state(item) for item in reader.updates),
         reader.configRevision,
+        tuple(_read_server_state(item) for item in reader.servers),
+        tuple(_read_suspect_notice(item) for item in reader.suspects),
     )
 
 
@@ -569,6 +596,12 @@
     for index, vm_state in enumerate(message.updates):
         _write_vm_state(updates[index], vm_state)
     builder.configRevision = message.config_revision
+    servers = builder.init("servers", len(message.servers))
+    for index, server_state in enumerate(message.servers):
+        _write_server_state(servers[index], server_state)
+    suspects = builder.init("suspects", len(message.suspects))
+    for index, suspect_notice in enumerate(message.suspects):
+        _write_suspect_notice(suspects[index], suspect_notice)
 
 
 def _read_probe_ack(reader: Any) -> ProbeAck:
@@ -577,6 +610,8 @@
         reader.source,
         tuple(_read_vm_state(item) for item in reader.updates),
         reader.configRevision,
+        tuple(_read_server_state(item) for item in reader.servers),
+        tuple(_read_suspect_notice(item) for item in reader.suspects),
     )
 
 
@@ -587,6 +622,12 @@
     for index, vm_state in enumerate(message.updates):
         _write_vm_state(updates[index], vm_state)
     builder.configRevision = message.config_revision
+    servers = builder.init("servers", len(message.servers))
+    for index, server_state in enumerate(message.servers):
+        _write_server_state(servers[index], server_state)
+    suspects = builder.init("suspects", len(message.suspects))
+    for index, suspect_notice in enumerate(message.suspects):
+        _write_suspect_notice(suspects[index], suspect_notice)
 
 
 def _read_probe_request(reader: Any) -> ProbeRequest:
--- /dev/null
+++ b/briarvale/commands/_common.py
@@ -0,0 +1,49 @@
+"""What the verbs share: the settings option, the Object API, and errors turned into exit codes."""
+
+import sys
+from collections.abc import Awaitable, Callable
+from contextlib import AsyncExitStack
+from pathlib import Path
+from typing import Annotated, TypeVar
+
+import anyio
+import httpx
+import typer
+from rich.console import Console
+
+from ..errors import BriarvaleError, SettingsInvalid
+from ..object_store import HttpObjectStore, ObjectStore
+from ..settings import load_settings
+
+EXIT_FAILED = 1
+EXIT_INVALID = 2
+
+T = TypeVar("T")
+SettingsOption = Annotated[Path, typer.Option("--settings", help="Settings file of a VM.")]
+console = Console()
+
+__all__ = ["SettingsOption", "console", "or_exit", "with_store"]
+
+
+def with_store(settings_path: Path, action: Callable[[ObjectStore], Awaitable[T]]) -> T:
+    """Runs an async action on the Object API that the settings name."""
+    settings = load_settings(settings_path)
+
+    async def run() -> T:
+        async with AsyncExitStack() as stack:
+            client = await stack.enter_async_context(httpx.AsyncClient(trust_env=False))
+            return await action(HttpObjectStore(settings.object_api_url, client))
+
+    return anyio.run(run)
+
+
+def or_exit(action: Callable[[], T]) -> T:
+    """Runs an action; a failure is printed with its code and ends the program.
+
+    Exits with 2 for a wrong file and with 1 for any other failure.
+    """
+    try:
+        return action()
+    except BriarvaleError as error:
+        Console(stderr=True).print(f"{error.code}: {error}", markup=False, soft_wrap=True)
+        sys.exit(EXIT_INVALID if isinstance(error, SettingsInvalid) else EXIT_FAILED)
--- a/briarvale/environment.py
+++ b/briarvale/environment.py
@@ -7,6 +7,7 @@
 
 from .clock import Clock
 from .config import BackendServer
+from .datagrams import Datagrams, UdpDatagrams
 from .engine_client import Engine, HttpEngine
 from .object_store import HttpObjectStore, ObjectStore
 from .peer import PeerIdentity, PeerTransport, TcpTransport
@@ -38,6 +39,7 @@
     vm_list: VmList
     backends: BackendClients
     transport: PeerTransport
+    datagrams: Datagrams
     identity: PeerIdentity
 
 
@@ -77,6 +79,7 @@
         vm_list=HttpVmList(settings.vm_list_url, platform_client),
         backends=HttpBackendClients(backend_client),
         transport=TcpTransport(identity, settings.shared_secret),
+        datagrams=UdpDatagrams(),
         identity=identity,
     )
 
--- a/briarvale/fleet_view.py
+++ b/briarvale/fleet_view.py
@@ -1,5 +1,8 @@
 """A local process's picture of the fleet, kept current by its VM's dispatcher."""
 
+from collections.abc import Callable
+from contextlib import suppress
+
 import anyio
 
 from . import logs, metrics
@@ -7,6 +10,7 @@
     ConfigBundle,
     ServerHealth,
     ServerState,
+    SuspectNotice,
     View,
     ViewSubscribe,
     VmState,
@@ -14,14 +18,16 @@
 from .config import BackendServer, Config
 from .environment import Environment
 from .errors import NotReady, OwnerUnreachable, PeerClosed, PeerProtocolError
-from .peer import PeerAddress
+from .peer import MessageStream, PeerAddress
 from .settings import Settings
 
 RECONNECT_DELAY_S = 0.2
 
 log = logs.part("view")
 
-__all__ = ["FleetView"]
+__all__ = ["FleetView", "SuspectHandler"]
+
+SuspectHandler = Callable[[SuspectNotice], None]
 
 
 class FleetView:
@@ -39,6 +45,8 @@
         self._servers: dict[str, ServerState] = {}
         self._vms: dict[str, VmState] = {}
         self._changed = anyio.Event()
+        self._stream: MessageStream | None = None
+        self._suspect_handlers: list[SuspectHandler] = []
 
     @property
     def is_ready(self) -> bool:
@@ -81,6 +89,17 @@
         while not self.is_ready:
             await self.wait_changed()
 
+    def subscribe_suspects(self, handler: SuspectHandler) -> None:
+        """Calls the handler with each notice of a request that crashed backend servers."""
+        self._suspect_handlers.append(handler)
+
+    async def report(self, notice: SuspectNotice) -> None:
+        """Tells the dispatcher, which spreads it; lost silently while there is none."""
+        if self._stream is None:
+            return
+        with suppress(PeerClosed):
+            await self._stream.send(notice)
+
     async def run(self) -> None:
         """Subscribes at the dispatcher, again whenever the connection ends, until cancelled."""
         address = PeerAddress(self._settings.host, self._settings.peer_port)
@@ -95,13 +114,18 @@
         stream = await self._environment.transport.connect(address)
         try:
             await stream.send(ViewSubscribe(self._environment.identity.role))
+            self._stream = stream
             while True:
                 match await stream.receive():
                     case View() as view:
                         self._take_view(view)
                     case ConfigBundle() as bundle:
                         self._take_config(bundle)
+                    case SuspectNotice() as notice:
+                        for handler in self._suspect_handlers:
+                            handler(notice)
         finally:
+            self._stream = None
             await stream.aclose()
 
     def _take_view(self, view: View) -> None:
--- a/briarvale/membership.py
+++ b/briarvale/membership.py
@@ -1,9 +1,11 @@
 """Which VMs are there: the platform's VM list joined with what heartbeats say."""
 
+from collections.abc import Callable
+
 import anyio
 
 from . import logs
-from ._generated.messages import VmHealth, VmState
+from ._generated.messages import ServerState, SuspectNotice, VmHealth, VmState
 from .environment import Environment
 from .settings import Settings
 from .vm_list import VmEntry, VmListUnavailable, VmStatus
@@ -12,7 +14,10 @@
 
 log = logs.part("membership")
 
-__all__ = ["Membership"]
+__all__ = ["Membership", "Rumor", "RumorHandler"]
+
+Rumor = ServerState | SuspectNotice
+RumorHandler = Callable[[Rumor], None]
 
 
 class Membership:
@@ -28,6 +33,7 @@
         self._environment = environment
         self._vms: dict[str, VmState] = {}
         self._changed = anyio.Event()
+        self._rumor_handlers: list[RumorHandler] = []
 
     @property
     def vms(self) -> tuple[VmState, ...]:
@@ -38,6 +44,13 @@
         """Waits for the next change."""
         await self._changed.wait()
 
+    def publish(self, rumor: Rumor) -> None:
+        """Spreads a rumor to all dispatchers within seconds; heartbeats carry it."""
+
+    def subscribe(self, handler: RumorHandler) -> None:
+        """Calls the handler with each rumor that arrives from another dispatcher."""
+        self._rumor_handlers.append(handler)
+
     async def run(self) -> None:
         """Polls the VM list until cancelled; an outage keeps the last answer."""
         while True:
--- a/briarvale/schema/messages.capnp
+++ b/briarvale/schema/messages.capnp
@@ -19,6 +19,7 @@
   costTokens @5 :UInt32;
   deadlineMs @6 :UInt64;
   fingerprint @7 :Text;
+  startByMs @8 :UInt64;
 }
 struct SlotGrant {
   requestId @0 :Text;
@@ -26,8 +27,18 @@
   backendServer @2 :Text;
   slotCount @3 :UInt16;
   expiresAtMs @4 :UInt64;
+  held @5 :UInt32;
+  queued @6 :UInt32;
+  limit @7 :UInt32;
+}
+struct SlotRefusal {
+  requestId @0 :Text;
+  code @1 :Text;
+  retryAtMs @2 :UInt64;
+  held @3 :UInt32;
+  queued @4 :UInt32;
+  limit @5 :UInt32;
 }
-struct SlotRefusal { requestId @0 :Text; code @1 :Text; retryAtMs @2 :UInt64; }
 struct SlotWithdraw { requestId @0 :Text; }
 struct SlotRevoke { grantId @0 :Text; slotCount @1 :UInt16; reason @2 :Text; }
 struct SlotRelease {
@@ -85,12 +96,16 @@
   target @2 :Text;
   updates @3 :List(VmState);
   configRevision @4 :UInt64;
+  servers @5 :List(ServerState);
+  suspects @6 :List(SuspectNotice);
 }
 struct ProbeAck {
   sequence @0 :UInt32;
   source @1 :Text;
   updates @2 :List(VmState);
   configRevision @3 :UInt64;
+  servers @4 :List(ServerState);
+  suspects @5 :List(SuspectNotice);
 }
 struct ProbeRequest { sequence @0 :UInt32; source @1 :Text; target @2 :Text; }
 
--- a/briarvale/standins/memory_fleet.py
+++ b/briarvale/standins/memory_fleet.py
@@ -11,6 +11,7 @@
 from ..clock import Clock
 from ..config import BackendServer
 from ..config_head import apply_config
+from ..controller import Controller
 from ..dispatcher import Dispatcher
 from ..environment import Environment
 from ..gateway import Gateway
@@ -28,6 +29,7 @@
 MODEL = "reeds"
 ENGINE_SERVICE = "reed-desk"
 PLAIN_SERVICE = "orders"
+PARTS = ("dispatcher", "gateway", "batch", "controller")
 ZONES = ("caerdydd", "abertawe", "wrecsam")
 
 __all__ = ["ENGINE_SERVICE", "FleetSettings", "MemoryFleet", "MemoryVm", "PLAIN_SERVICE"]
@@ -53,7 +55,8 @@
         self.dispatcher = Dispatcher(settings, environments["dispatcher"])
         self.gateway = Gateway(settings, environments["gateway"])
         self.batch = Batch(settings, environments["batch"])
-        self.scopes = {part: anyio.CancelScope() for part in ("dispatcher", "gateway", "batch")}
+        self.controller = Controller(settings, environments["controller"])
+        self.scopes = {part: anyio.CancelScope() for part in PARTS}
 
     async def run_part(self, part: str) -> None:
         """Runs one part until it is killed."""
@@ -117,9 +120,7 @@
         """Starts, or starts again, the VM of this index."""
         entry = self._vm_entry(index)
         settings = self._settings_of(entry)
-        environments = {
-            part: self._environment(settings, part) for part in ("dispatcher", "gateway", "batch")
-        }
+        environments = {part: self._environment(settings, part) for part in PARTS}
         vm = MemoryVm(settings, environments)
         self.vms[settings.vm] = vm
         for part in environments:
@@ -176,6 +177,7 @@
             vm_list=self.vm_list,
             backends=self.backends,
             transport=self.network.transport(settings.host, identity),
+            datagrams=self.network.datagrams(settings.host),
             identity=identity,
         )
 
--- a/briarvale/standins/memory_network.py
+++ b/briarvale/standins/memory_network.py
@@ -6,12 +6,13 @@
 from anyio.streams.memory import MemoryObjectReceiveStream, MemoryObjectSendStream
 
 from .._generated.messages import Message
+from ..datagrams import DatagramHandler
 from ..errors import OwnerUnreachable, PeerClosed
 from ..peer import MessageStream, PeerAddress, PeerHandler, PeerIdentity
 
 HOP_S = 0.0005
 
-__all__ = ["MemoryNetwork", "MemoryTransport"]
+__all__ = ["MemoryDatagrams", "MemoryNetwork", "MemoryTransport"]
 
 
 class MemoryNetwork:
@@ -20,6 +21,9 @@
     def __init__(self) -> None:
         self.handlers: dict[PeerAddress, PeerHandler] = {}
         self.streams: list[MemoryStream] = []
+        self.datagram_handlers: dict[PeerAddress, DatagramHandler] = {}
+        self.datagram_bytes: dict[str, int] = {}
+        self.frozen: set[str] = set()
         self.cut: set[tuple[str, str]] = set()
         self.hop_s = HOP_S
 
@@ -27,15 +31,20 @@
         """Returns the transport of a process on this host."""
         return MemoryTransport(self, host, identity)
 
+    def datagrams(self, host: str) -> "MemoryDatagrams":
+        """Returns the datagrams of a process on this host."""
+        return MemoryDatagrams(self, host)
+
     def close_host(self, host: str) -> None:
         """Ends all connections of a host, as its death does."""
         self.handlers = {a: h for a, h in self.handlers.items() if a.host != host}
+        self.datagram_handlers = {a: h for a, h in self.datagram_handlers.items() if a.host != host}
         for stream in [s for s in self.streams if host in (s.host, s.peer_host)]:
             stream.close_now()
 
     def is_cut(self, source: str, target: str) -> bool:
-        """Whether messages from source to target are lost."""
-        return (source, target) in self.cut
+        """Whether messages from source to target are lost: a cut link or a frozen host."""
+        return (source, target) in self.cut or bool(self.frozen & {source, target})
 
 
 class MemoryStream:
@@ -135,3 +144,36 @@
             return
         finally:
             await stream.aclose()
+
+
+class MemoryDatagrams:
+    """Implements `Datagrams` for one host and counts the bytes that it sends.
+
+    Args:
+        network: What it is connected to.
+        host: The process's host.
+    """
+
+    def __init__(self, network: MemoryNetwork, host: str) -> None:
+        self._network = network
+        self._host = host
+        self._address = PeerAddress(host, 0)
+
+    async def serve(self, address: PeerAddress, handler: DatagramHandler) -> None:
+        """Receives until cancelled."""
+        self._address = address
+        self._network.datagram_handlers[address] = handler
+        try:
+            await anyio.sleep_forever()
+        finally:
+            if self._network.datagram_handlers.get(address) is handler:
+                del self._network.datagram_handlers[address]
+
+    async def send(self, address: PeerAddress, data: bytes) -> None:
+        """Delivers one datagram after a hop, or loses it."""
+        sent = self._network.datagram_bytes.get(self._host, 0)
+        self._network.datagram_bytes[self._host] = sent + len(data)
+        await anyio.sleep(self._network.hop_s)
+        handler = self._network.datagram_handlers.get(address)
+        if handler is not None and not self._network.is_cut(self._host, address.host):
+            handler(data, self._address)
