--- /dev/null
+++ b/briarvale/active_jobs.py
@@ -0,0 +1,165 @@
+"""The jobs that are not finished, as one batch program knows them.
+
+Each has an index object, made before its acceptance and deleted after its end. A watch on the job
+records tells of changes at once; the index is listed at the start and now and then, so that what a
+broken watch left out is found.
+"""
+
+import random
+from typing import NamedTuple
+
+import anyio
+
+from . import logs
+from .errors import ObjectNotFound, StoreThrottled, StoreUnavailable
+from .jobs import ACTIVE_PREFIX, JobRecord, job_key
+from .object_store import ObjectStore
+from .store_budget import StoreBudget
+
+WATCH_S = 30.0
+LIST_INTERVAL_S = 60.0
+PENDING_INTERVAL_S = 10.0
+RETRY_MAX_S = 5.0
+PAUSE_S = 5.0
+PAGE_KEYS = 1_000
+
+log = logs.part("batch")
+
+__all__ = ["ActiveJobs", "UploadKey", "list_all_keys"]
+
+
+class UploadKey(NamedTuple):
+    """Names one submission of a job."""
+
+    member: str
+    job_id: str
+    upload_id: str
+
+
+class ActiveJobs:
+    """Keeps the records of unfinished jobs current.
+
+    Args:
+        store: The Object API.
+        budget: Paces and retries the calls.
+    """
+
+    def __init__(self, store: ObjectStore, budget: StoreBudget) -> None:
+        self._store = store
+        self._budget = budget
+        self._random = random.Random(random.random())
+        self.records: dict[UploadKey, JobRecord] = {}
+        self.pending: set[UploadKey] = set()
+        self.pause_count = 0
+        self._changed = anyio.Event()
+
+    async def run(self) -> None:
+        """Follows the jobs until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._watch)
+            tasks.start_soon(self._recheck_pending)
+            tasks.start_soon(self._detect_pauses)
+
+    async def wait_changed(self) -> None:
+        """Waits until a record changes or the process finds that it was paused."""
+        await self._changed.wait()
+
+    def forget(self, upload: UploadKey) -> None:
+        """Drops a submission whose index object is gone."""
+        self.records.pop(upload, None)
+        self.pending.discard(upload)
+
+    async def refresh(self, upload: UploadKey) -> None:
+        """Reads the record of a submission again."""
+        job = await self._read(job_key(upload.member, upload.job_id))
+        self._take(upload, job)
+
+    def note_pause(self) -> None:
+        """Counts a pause of this process, after which nothing that it knew can be relied on."""
+        log.warning("This process was paused; reads its logs again.")
+        self.pause_count += 1
+        self._notify()
+
+    async def _watch(self) -> None:
+        """Follows the records; after a failure all are read again."""
+        version = -1
+        list_at_s = 0.0
+        while True:
+            try:
+                if version < 0:
+                    version = (await self._store.watch("jobs/", 0, 0.0)).version
+                    await self._list(also_known=True)
+                elif anyio.current_time() >= list_at_s:
+                    await self._list(also_known=False)
+                    list_at_s = anyio.current_time() + self._jitter(LIST_INTERVAL_S)
+                changes = await self._store.watch("jobs/", version, self._jitter(WATCH_S))
+                for key in changes.keys:
+                    await self._follow(key)
+                version = changes.version
+            except (StoreUnavailable, StoreThrottled) as error:
+                log.debug("Can't watch the jobs: {}.", error)
+                version = -1
+                await anyio.sleep(self._random.uniform(0.1, 1) * RETRY_MAX_S)
+
+    async def _list(self, *, also_known: bool) -> None:
+        keys = await list_all_keys(self._budget, self._store, ACTIVE_PREFIX)
+        listed = {UploadKey(*key.removeprefix(ACTIVE_PREFIX).split("/")) for key in keys}
+        for upload in sorted((self.records.keys() | self.pending) - listed):
+            self.forget(upload)
+        stale = listed if also_known else listed - self.records.keys()
+        for upload in sorted(stale):
+            await self.refresh(upload)
+
+    async def _follow(self, key: str) -> None:
+        job = await self._read(key)
+        known = [u for u in (*self.records, *self.pending) if job_key(u.member, u.job_id) == key]
+        for upload in known:
+            self._take(upload, job)
+        if job is not None and not job.state.is_final:
+            self._take(UploadKey(job.member, job.job_id, job.upload_id), job)
+
+    async def _detect_pauses(self) -> None:
+        while True:
+            slept_at_s = anyio.current_time()
+            await anyio.sleep(1)
+            if anyio.current_time() - slept_at_s > PAUSE_S:
+                self.note_pause()
+
+    async def _recheck_pending(self) -> None:
+        while True:
+            await anyio.sleep(self._jitter(PENDING_INTERVAL_S))
+            for upload in sorted(self.pending):
+                await self.refresh(upload)
+
+    async def _read(self, key: str) -> JobRecord | None:
+        try:
+            return JobRecord.decode((await self._budget.call(self._store.get, key)).value)
+        except ObjectNotFound:
+            return None
+
+    def _take(self, upload: UploadKey, job: JobRecord | None) -> None:
+        if job is None or job.upload_id != upload.upload_id:
+            self.records.pop(upload, None)
+            self.pending.add(upload)
+        else:
+            self.pending.discard(upload)
+            self.records[upload] = job
+        self._notify()
+
+    def _notify(self) -> None:
+        self._changed.set()
+        self._changed = anyio.Event()
+
+    def _jitter(self, interval_s: float) -> float:
+        return interval_s * self._random.uniform(0.8, 1.2)
+
+
+async def list_all_keys(budget: StoreBudget, store: ObjectStore, prefix: str) -> list[str]:
+    """Lists all keys under a prefix, page by page."""
+    keys: list[str] = []
+    while True:
+        after = keys[-1] if keys else ""
+        page = await budget.call(store.list_keys, prefix, after, PAGE_KEYS)
+        keys += page
+        if len(page) < PAGE_KEYS:
+            return keys
--- a/briarvale/batch.py
+++ b/briarvale/batch.py
@@ -1,24 +1,43 @@
 """One VM's batch program: finds jobs and runs the shards that fall to this VM."""
 
+import random
+
 import anyio
 from anyio.abc import TaskGroup
 
 from . import logs
 from ._generated.messages import VmHealth
+from .active_jobs import ActiveJobs, UploadKey
+from .completion import JobFinisher, read_seals
+from .due_dates import DueDates, RemainingWork
 from .environment import Environment
-from .errors import BriarvaleError
+from .errors import BriarvaleError, ObjectExists
 from .fleet_view import FleetView
-from .jobs import JobRecord, JobState
+from .item_runner import ItemRunner
+from .item_scheduler import ItemScheduler
+from .jobs import JobRecord, JobState, late_key
 from .ownership import rank_by_rendezvous
+from .retention import Retention
 from .routing import Router
 from .settings import Settings
-from .shard_runner import ShardRunner
+from .shard_runner import RunningShard, ShardRunner
 from .slot_client import SlotClient
+from .store_budget import StoreBudget
 
-JOB_POLL_S = 1.0
+LOOK_INTERVAL_S = 1.0
+FINISH_INTERVAL_S = 30.0
+YIELD_S = 30.0
+RETRY_S = 5.0
+NOT_MINE_GRACE_S = 5.0
+OPEN_SHARDS = 48
+OPEN_SHARDS_PER_MEMBER = 6
+QUEUE_FACTOR = 1.25
+STOP_TIMEOUT_S = 10.0
 
 log = logs.part("batch")
 
+ShardKey = tuple[UploadKey, int]
+
 __all__ = ["Batch"]
 
 
@@ -28,14 +47,28 @@
     Args:
         settings: This VM's settings.
         environment: The outside interfaces.
+        due_dates: Order of a member's jobs; by least slack unless given.
     """
 
-    def __init__(self, settings: Settings, environment: Environment) -> None:
+    def __init__(
+        self, settings: Settings, environment: Environment, due_dates: DueDates | None = None
+    ) -> None:
         self._settings = settings
         self._environment = environment
         self.view = FleetView(settings, environment)
-        self._running: set[tuple[str, str, int]] = set()
-        self._done: set[tuple[str, str, int]] = set()
+        self.budget = StoreBudget()
+        self.due_dates = due_dates or DueDates(environment.clock)
+        self.jobs = ActiveJobs(environment.store, self.budget)
+        self.finisher = JobFinisher(environment.store, self.budget, environment.clock)
+        self._running: dict[ShardKey, RunningShard] = {}
+        self._sealed: dict[UploadKey, set[int]] = {}
+        self._not_before_s: dict[ShardKey, float] = {}
+        self._not_mine_since_s: dict[ShardKey, float] = {}
+        self._mine: dict[UploadKey, list[int]] = {}
+        self._seals_read: set[UploadKey] = set()
+        self._alive: tuple[str, ...] = ()
+        self._pauses_seen = 0
+        self._is_stopping = False
 
     @property
     def is_ready(self) -> bool:
@@ -48,40 +81,201 @@
             tasks.start_soon(self.view.run)
             await self.view.wait_ready()
             slots = SlotClient(self._environment, self.view, tasks)
-            runner = ShardRunner(self._environment, self.view, Router(self.view), slots)
+            items = ItemRunner(self._environment, self.view, Router(self.view), slots)
+            scheduler = ItemScheduler(items, self.due_dates, self.budget, self._items_at_once)
+            runner = ShardRunner(self._environment, self.budget, scheduler, self.finisher)
+            retention = Retention(self._environment, self.budget, self.view, self.is_mine)
+            tasks.start_soon(scheduler.run)
+            tasks.start_soon(self.jobs.run)
+            tasks.start_soon(retention.run, self.jobs)
+            tasks.start_soon(self._finish_jobs)
+            tasks.start_soon(self._watch_due_dates, scheduler)
             while True:
-                try:
-                    await self._start_shards(runner, tasks)
-                except BriarvaleError as error:
-                    log.warning("Can't read the jobs: {}.", error)
-                await anyio.sleep(JOB_POLL_S)
-
-    async def _start_shards(self, runner: ShardRunner, tasks: TaskGroup) -> None:
-        store = self._environment.store
-        for key in await store.list_keys("jobs/"):
-            job = JobRecord.decode((await store.get(key)).value)
-            if job.state is not JobState.RUNNING:
+                self._follow_vms()
+                self._follow_jobs()
+                self._start_shards(runner, tasks)
+                with anyio.move_on_after(LOOK_INTERVAL_S):
+                    await self.jobs.wait_changed()
+
+    async def stop(self) -> None:
+        """Starts no further item, commits the results that it has, and returns."""
+        self._is_stopping = True
+        for running in self._running.values():
+            running.stop()
+        with anyio.move_on_after(STOP_TIMEOUT_S):
+            while self._running:
+                await anyio.sleep(0.1)
+
+    def is_mine(self, key: str) -> bool:
+        """Whether this VM is the one that should see to what the key names."""
+        alive = self._alive_vms()
+        return bool(alive) and rank_by_rendezvous(key, alive)[0] == self._settings.vm
+
+    def _alive_vms(self) -> tuple[str, ...]:
+        return tuple(sorted(vm.vm for vm in self.view.vms if vm.health is VmHealth.ALIVE))
+
+    def _follow_vms(self) -> None:
+        """Forgets which shards are this VM's when the VMs that are alive change."""
+        alive = self._alive_vms()
+        if alive != self._alive:
+            self._alive = alive
+            self._mine.clear()
+            self._seals_read.clear()
+
+    def _follow_jobs(self) -> None:
+        """Tells running shards of changed records, pauses and new owners."""
+        must_replay = self._pauses_seen != self.jobs.pause_count
+        self._pauses_seen = self.jobs.pause_count
+        for key, running in self._running.items():
+            job = self.jobs.records.get(key[0])
+            if job is None:
+                running.scope.cancel()
                 continue
-            for shard_index in range(len(job.shards)):
-                shard = (job.member, job.job_id, shard_index)
-                if shard in self._running or shard in self._done or not self._is_mine(shard):
-                    continue
-                self._running.add(shard)
-                tasks.start_soon(self._run_shard, runner, job, shard)
+            if job is not running.job:
+                running.update(job)
+            if must_replay:
+                running.replay()
+            if self._is_lost(key):
+                running.stop()
+
+    def _is_lost(self, key: ShardKey) -> bool:
+        """Whether the shard has belonged to another VM for a while."""
+        if self.is_mine(_shard_name(key)):
+            self._not_mine_since_s.pop(key, None)
+            return False
+        since_s = self._not_mine_since_s.setdefault(key, anyio.current_time())
+        return anyio.current_time() - since_s >= NOT_MINE_GRACE_S
 
-    async def _run_shard(
-        self, runner: ShardRunner, job: JobRecord, shard: tuple[str, str, int]
+    def _start_shards(self, runner: ShardRunner, tasks: TaskGroup) -> None:
+        """Opens shards, the least slack first, up to the limits."""
+        if self._is_stopping:
+            return
+        by_slack = sorted(
+            self.jobs.records.items(), key=lambda row: (self.due_dates.start_by_ms(row[1]), row[0])
+        )
+        for upload, job in by_slack:
+            if len(self._running) >= OPEN_SHARDS:
+                return
+            if not job.state.is_final and self._has_room(upload):
+                self._start_next_shard(runner, tasks, upload, job)
+
+    def _has_room(self, upload: UploadKey) -> bool:
+        """Whether the member may open a shard; a job without an open one always may."""
+        own = [key for key in self._running if key[0].member == upload.member]
+        is_open = any(key[0] == upload for key in own)
+        return len(own) < OPEN_SHARDS_PER_MEMBER or not is_open
+
+    def _start_next_shard(
+        self, runner: ShardRunner, tasks: TaskGroup, upload: UploadKey, job: JobRecord
     ) -> None:
+        for index in self._open_indexes(upload, job):
+            key = (upload, index)
+            if self._has_room(upload) and len(self._running) < OPEN_SHARDS:
+                self._running[key] = RunningShard(job, index)
+                tasks.start_soon(self._run_shard, runner, key, self._running[key])
+
+    def _open_indexes(self, upload: UploadKey, job: JobRecord) -> list[int]:
+        """Returns this VM's shards of the job that are neither sealed nor running."""
+        now_s = anyio.current_time()
+        sealed = self._sealed.get(upload, set())
+        return [
+            index
+            for index in self._my_indexes(upload, job)
+            if index not in sealed
+            and (upload, index) not in self._running
+            and self._not_before_s.get((upload, index), 0.0) <= now_s
+        ]
+
+    def _my_indexes(self, upload: UploadKey, job: JobRecord) -> list[int]:
+        if upload not in self._mine:
+            indexes = range(len(job.shard_items))
+            self._mine[upload] = [i for i in indexes if self.is_mine(_shard_name((upload, i)))]
+        return self._mine[upload]
+
+    async def _run_shard(self, runner: ShardRunner, key: ShardKey, running: RunningShard) -> None:
+        retry_s = RETRY_S
         try:
-            await runner.run(job, shard[2])
-            self._done.add(shard)
-            log.info("Finished shard {} of {}.", shard[2], job.job_id)
-        except* BriarvaleError as errors:
-            log.warning("Shard {} of {}: {}.", shard[2], job.job_id, errors.exceptions[0])
+            if await self._is_sealed(key, running.job) or await runner.run(running):
+                self._sealed.setdefault(key[0], set()).add(key[1])
+                log.info("Finished shard {} of {}.", key[1], key[0].job_id)
+            elif not running.is_stopping:
+                retry_s = YIELD_S
+        except BriarvaleError as error:
+            log.warning("Shard {} of {}: {}.", key[1], key[0].job_id, error)
         finally:
-            self._running.discard(shard)
+            del self._running[key]
+            self._not_before_s[key] = anyio.current_time() + retry_s * random.uniform(0.7, 1.3)
 
-    def _is_mine(self, shard: tuple[str, str, int]) -> bool:
-        alive = [vm.vm for vm in self.view.vms if vm.health is VmHealth.ALIVE]
-        key = "\0".join(str(part) for part in shard)
-        return bool(alive) and rank_by_rendezvous(key, alive)[0] == self._settings.vm
+    async def _is_sealed(self, key: ShardKey, job: JobRecord) -> bool:
+        """Reads the seals of a job once after each change of the VMs that are alive."""
+        if key[0] not in self._seals_read:
+            self._seals_read.add(key[0])
+            seals = await read_seals(self._environment.store, self.budget, job)
+            self._sealed.setdefault(key[0], set()).update(seal.shard_index for seal in seals)
+        return key[1] in self._sealed.get(key[0], set())
+
+    async def _finish_jobs(self) -> None:
+        """Ends jobs whose last runner was lost after its seal, and cleans up after ended ones."""
+        while True:
+            for upload, job in sorted(self.jobs.records.items()):
+                if not self.is_mine("/".join(upload)):
+                    continue
+                if job.state.is_final:
+                    await self.finisher.clean_up(job)
+                    self._forget(upload, job)
+                else:
+                    self._sealed[upload] = await self.finisher.finish_if_sealed(job)
+            self._drop_gone()
+            await anyio.sleep(FINISH_INTERVAL_S * random.uniform(0.8, 1.2))
+
+    def _drop_gone(self) -> None:
+        for upload, job in list(self.jobs.records.items()):
+            if job.state.is_final:
+                self._forget(upload, job)
+        for upload in [u for u in (*self._sealed, *self._mine) if u not in self.jobs.records]:
+            self._sealed.pop(upload, None)
+            self._mine.pop(upload, None)
+            self._seals_read.discard(upload)
+        for key in [key for key in self._not_before_s if key[0] not in self.jobs.records]:
+            del self._not_before_s[key]
+            self._not_mine_since_s.pop(key, None)
+
+    def _forget(self, upload: UploadKey, job: JobRecord) -> None:
+        self.jobs.forget(upload)
+        self.due_dates.forget(job)
+
+    async def _watch_due_dates(self, scheduler: ItemScheduler) -> None:
+        """Predicts when jobs end, and says early that one will be late."""
+        while True:
+            await anyio.sleep(LOOK_INTERVAL_S)
+            work = [
+                RemainingWork(job, self._items_left(upload, job), scheduler.running_of(job.member))
+                for upload, job in self.jobs.records.items()
+                if job.state is JobState.RUNNING
+            ]
+            for job in self.due_dates.update(work):
+                await self._record_late(job)
+
+    def _items_left(self, upload: UploadKey, job: JobRecord) -> int:
+        left = sum(job.shard_items[index] for index in self._open_indexes(upload, job))
+        for key, running in self._running.items():
+            if key[0] == upload and running.open_shard is not None:
+                left += running.open_shard.unfinished_count
+        return left
+
+    async def _record_late(self, job: JobRecord) -> None:
+        value = str(self.due_dates.finish_at_ms(job)).encode()
+        try:
+            await self.budget.call(self._environment.store.create, late_key(job), value)
+        except ObjectExists:
+            return
+
+    def _items_at_once(self) -> int:
+        """Returns this VM's part of all slots, and a little more so that some always wait."""
+        slots = sum(server.slots for server in self.view.config.servers.values())
+        alive = sum(1 for vm in self.view.vms if vm.health is VmHealth.ALIVE)
+        return round(slots * QUEUE_FACTOR / max(1, alive))
+
+
+def _shard_name(key: ShardKey) -> str:
+    return "/".join((*key[0], str(key[1])))
--- a/briarvale/errors.py
+++ b/briarvale/errors.py
@@ -104,6 +104,36 @@
     code, http_status, not_run = "store_unavailable", 503, True
 
 
+class AcceptanceUnknown(BriarvaleError):
+    """The job may have been accepted or may yet be; submitting it again settles it."""
+
+    code, http_status = "acceptance_unknown", 503
+
+
+class CancelUnknown(BriarvaleError):
+    """The job may have been cancelled or may yet be; cancelling it again settles it."""
+
+    code, http_status = "cancel_unknown", 503
+
+
+class JobTooLarge(BriarvaleError):
+    """The job is over the size that the rules allow; nothing was accepted."""
+
+    code, http_status, not_run = "job_too_large", 413, True
+
+
+class TooManyJobs(BriarvaleError):
+    """The member has as many unfinished jobs as the rules allow; nothing was accepted."""
+
+    code, http_status, not_run = "too_many_jobs", 429, True
+
+
+class ShardSealed(BriarvaleError):
+    """Nothing may be appended to a sealed log."""
+
+    code, http_status = "shard_sealed", 409
+
+
 class StoreThrottled(BriarvaleError):
     """The Object API refused the call because of its rate; it took no effect."""
 
--- /dev/null
+++ b/briarvale/item_runner.py
@@ -0,0 +1,256 @@
+"""Runs one batch item to its result, over as many slots and backend servers as it takes."""
+
+import hashlib
+import random
+from collections.abc import AsyncIterator
+from typing import NamedTuple
+
+import anyio
+
+from . import logs
+from ._generated.messages import Outcome, SlotRequest, WorkClass
+from .config import BackendServer
+from .engine_client import Completion, Engine, Token
+from .environment import Environment
+from .errors import (
+    BriarvaleError,
+    InvalidRequest,
+    Quarantined,
+    ServerLost,
+    ServerRefused,
+)
+from .fleet_view import FleetView
+from .jobs import Item, JobRecord
+from .routing import Router, RouteRequest
+from .shard_log import ItemResult
+from .slot_client import HeldSlot, SlotClient, new_request_id
+from .traces import tracer
+
+SLOT_WAIT_MS = 30_000
+RETRY_START_S = 0.5
+RETRY_MAX_S = 30.0
+WAIT_MAX_S = 2.0
+CANCEL_TIMEOUT_S = 3.0
+MAX_REFUSALS = 20
+TOKEN_TIMEOUT_S = 60.0
+MAX_RESULT_BYTES = 500_000
+ATTEMPTS_EXHAUSTED = "attempts_exhausted"
+RESULT_TOO_LARGE = "result_too_large"
+
+log = logs.part("batch")
+
+__all__ = ["ItemRunner", "ItemWork"]
+
+
+class ItemWork(NamedTuple):
+    """One item of a shard, and by when it should start."""
+
+    job: JobRecord
+    item: Item
+    item_index: int
+    start_by_ms: int
+
+
+class _Progress:
+    """What is known of an item between its attempts."""
+
+    def __init__(self) -> None:
+        self.request_id = new_request_id()
+        self.tokens: list[str] = []
+        self.is_whole = False
+        self.attempts = 0
+        self.refusals = 0
+        self.waits = 0
+        self.excluded: set[str] = set()
+        self.cache_server: BackendServer | None = None
+
+
+class ItemRunner:
+    """Runs items.
+
+    Args:
+        environment: The outside interfaces.
+        view: The fleet as last told.
+        router: Chooses backend servers.
+        slots: Asks their owners for slots.
+    """
+
+    def __init__(
+        self, environment: Environment, view: FleetView, router: Router, slots: SlotClient
+    ) -> None:
+        self._environment = environment
+        self._view = view
+        self._router = router
+        self._slots = slots
+
+    async def run(self, work: ItemWork) -> ItemResult:
+        """Runs an item until it has a result, which is an error if it can never be done.
+
+        Only a server that was lost while it ran the item counts as a failed attempt. Waiting for a
+        slot or a server, and giving a slot back, count for nothing.
+        """
+        progress = _Progress()
+        while not progress.is_whole:
+            try:
+                await self._attempt(work, progress)
+            except (InvalidRequest, Quarantined) as error:
+                return ItemResult(work.item_index, "", error.code)
+            except ServerLost as error:
+                progress.attempts += 1
+                log.info("Item {} of {}: {}.", work.item_index, work.job.job_id, error)
+                await _back_off(progress.attempts, RETRY_MAX_S)
+            except ServerRefused:
+                progress.refusals += 1
+                await _back_off(progress.refusals, RETRY_MAX_S)
+            except BriarvaleError as error:
+                progress.waits += 1
+                log.debug("Item {} of {}: {}.", work.item_index, work.job.job_id, error)
+                await _back_off(progress.waits, WAIT_MAX_S)
+            if self._is_exhausted(progress):
+                return ItemResult(work.item_index, "", ATTEMPTS_EXHAUSTED)
+        return _result(work, progress)
+
+    def _is_exhausted(self, progress: _Progress) -> bool:
+        max_attempts = self._view.config.rules.max_attempts
+        return progress.attempts >= max_attempts or progress.refusals >= MAX_REFUSALS
+
+    async def _attempt(self, work: ItemWork, progress: _Progress) -> None:
+        server = self._router.choose(_route(work), self._excluded(work, progress))
+        progress.excluded = {server.id}
+        with tracer.start_as_current_span("batch item") as span:
+            span.set_attribute("briarvale.backend_server", server.id)
+            async with self._slots.hold(self._slot_request(work, progress, server.id)) as slot:
+                progress.waits = 0
+                await self._move_cache(progress, server)
+                try:
+                    await self._stream(work, progress, slot, server)
+                except ServerLost:
+                    slot.outcome = Outcome.CRASHED
+                    raise
+        progress.excluded = set()
+
+    async def _stream(
+        self, work: ItemWork, progress: _Progress, slot: HeldSlot, server: BackendServer
+    ) -> None:
+        """Reads tokens until the last, or until the owner wants the slot back."""
+        engine = self._environment.backends.engine(server)
+        stream = engine.complete(self._completion(work, progress))
+        errors: list[BriarvaleError] = []
+
+        async def read() -> None:
+            try:
+                await _read_tokens(stream, progress, slot)
+            except BriarvaleError as error:
+                errors.append(error)
+            reading.cancel_scope.cancel()
+
+        async with anyio.create_task_group() as reading:
+            reading.start_soon(read)
+            try:
+                await slot.revoked.wait()
+            finally:
+                is_stopped = not progress.is_whole and not errors
+                if is_stopped:
+                    await _cancel_quietly(engine, progress.request_id)
+                reading.cancel_scope.cancel()
+        if progress.is_whole:
+            slot.outcome = Outcome.FINISHED
+        elif is_stopped:
+            slot.outcome = Outcome.REVOKED
+            progress.cache_server = server
+        else:
+            raise errors[0]
+
+    async def _move_cache(self, progress: _Progress, server: BackendServer) -> None:
+        """Takes the KV cache along to the next server; without it the prompt is prefilled again."""
+        source, progress.cache_server = progress.cache_server, None
+        if source is None or source.id == server.id:
+            return
+        backends = self._environment.backends
+        try:
+            data = await backends.engine(source).export_kv(progress.request_id)
+            if data:
+                await backends.engine(server).import_kv(progress.request_id, data)
+        except BriarvaleError as error:
+            log.debug("No KV cache from {}: {}.", source.id, error)
+
+    def _excluded(self, work: ItemWork, progress: _Progress) -> set[str]:
+        ready = {server.id for server in self._view.ready_servers(work.job.service)}
+        return progress.excluded if ready - progress.excluded else set()
+
+    def _completion(self, work: ItemWork, progress: _Progress) -> Completion:
+        return Completion(
+            request_id=progress.request_id,
+            model=self._view.config.services[work.job.service].model,
+            prompt=work.item["prompt"],
+            max_tokens=work.item["max_tokens"],
+            adapter=work.item.get("adapter", ""),
+            resume_tokens=tuple(progress.tokens),
+        )
+
+    def _slot_request(
+        self, work: ItemWork, progress: _Progress, backend_server: str
+    ) -> SlotRequest:
+        prompt_tokens = len(work.item["prompt"].split())
+        return SlotRequest(
+            request_id=new_request_id(),
+            backend_server=backend_server,
+            member=work.job.member,
+            work_class=WorkClass.BATCH,
+            slot_count=1,
+            cost_tokens=prompt_tokens + work.item["max_tokens"] - len(progress.tokens),
+            deadline_ms=self._environment.clock.now_ms() + SLOT_WAIT_MS,
+            fingerprint=_fingerprint(work),
+            start_by_ms=max(0, work.start_by_ms),
+        )
+
+
+async def _cancel_quietly(engine: Engine, request_id: str) -> None:
+    with anyio.move_on_after(CANCEL_TIMEOUT_S, shield=True):
+        try:
+            await engine.cancel(request_id)
+        except BriarvaleError as error:
+            log.debug("Can't cancel {}: {}.", request_id, error)
+
+
+async def _back_off(failures: int, max_s: float) -> None:
+    longest_s = min(max_s, RETRY_START_S * 2 ** min(failures - 1, 10))
+    await anyio.sleep(longest_s * random.uniform(0.5, 1))
+
+
+async def _read_tokens(
+    stream: AsyncIterator[Token], progress: _Progress, slot: HeldSlot
+) -> None:
+    try:
+        while True:
+            with anyio.fail_after(TOKEN_TIMEOUT_S):
+                token = await anext(stream, None)
+            if token is None:
+                progress.is_whole = True
+                return
+            progress.tokens.append(token.text)
+            slot.tokens += 1
+    except TimeoutError as error:
+        raise ServerLost("no token before the time-out") from error
+    finally:
+        with anyio.CancelScope(shield=True):
+            await stream.aclose()  # type: ignore[attr-defined]
+
+
+def _route(work: ItemWork) -> RouteRequest:
+    item = work.item
+    return RouteRequest(
+        work.job.service, item["prompt"], item.get("adapter", ""), _fingerprint(work)
+    )
+
+
+def _fingerprint(work: ItemWork) -> str:
+    content = f"{work.job.service}\0{work.item['prompt']}"
+    return hashlib.sha256(content.encode()).hexdigest()[:32]
+
+
+def _result(work: ItemWork, progress: _Progress) -> ItemResult:
+    result = ItemResult(work.item_index, "".join(progress.tokens))
+    if result.size_bytes > MAX_RESULT_BYTES:
+        return ItemResult(work.item_index, "", RESULT_TOO_LARGE)
+    return result
--- /dev/null
+++ b/briarvale/item_scheduler.py
@@ -0,0 +1,191 @@
+"""Which item of the open shards runs next on this VM, and how many run at once.
+
+Members take turns by items in flight; within a member the job with the least slack goes first.
+"""
+
+import math
+from collections import deque
+from collections.abc import Callable
+
+import anyio
+from anyio.abc import TaskGroup
+
+from .due_dates import DueDates
+from .item_runner import ItemRunner, ItemWork
+from .jobs import Item, JobRecord
+from .shard_log import ItemResult
+from .store_budget import StoreBudget
+
+MIN_ITEMS_AT_ONCE = 16
+MAX_ITEMS_AT_ONCE = 1_024
+
+__all__ = ["ItemScheduler", "OpenShard"]
+
+
+class OpenShard:
+    """A shard whose items are in memory.
+
+    Args:
+        job: The job's record.
+        shard_index: Which shard of it.
+        items: All its items.
+        done: Indexes that have a result in the log.
+    """
+
+    def __init__(
+        self, job: JobRecord, shard_index: int, items: list[Item], done: set[int]
+    ) -> None:
+        self.job = job
+        self.shard_index = shard_index
+        self.items = items
+        self.pending = deque(index for index in range(len(items)) if index not in done)
+        self.running: dict[int, anyio.CancelScope] = {}
+        self.results: dict[int, ItemResult] = {}
+        self.result_bytes = 0
+        self.is_held = False
+        self.oldest_result_at_s = math.inf
+        self._changed = anyio.Event()
+
+    @property
+    def unfinished_count(self) -> int:
+        """Items without a result."""
+        return len(self.pending) + len(self.running)
+
+    async def wait_changed(self, timeout_s: float) -> None:
+        """Waits until a result arrives or the shard is told to look again."""
+        with anyio.move_on_after(timeout_s):
+            await self._changed.wait()
+
+    def notify(self) -> None:
+        """Wakes who waits for a change."""
+        self._changed.set()
+        self._changed = anyio.Event()
+
+    def add(self, result: ItemResult) -> None:
+        """Takes the result of an item that ran."""
+        if not self.results:
+            self.oldest_result_at_s = anyio.current_time()
+        self.results[result.item_index] = result
+        self.result_bytes += result.size_bytes
+        self.notify()
+
+    def drop(self, done: set[int]) -> int:
+        """Stops and forgets items that have a result in the log; returns the bytes set free."""
+        for index in done & self.running.keys():
+            self.running[index].cancel()
+        self.pending = deque(index for index in self.pending if index not in done)
+        dropped = [self.results.pop(index) for index in sorted(done & self.results.keys())]
+        if not self.results:
+            self.oldest_result_at_s = math.inf
+        dropped_bytes = sum(result.size_bytes for result in dropped)
+        self.result_bytes -= dropped_bytes
+        return dropped_bytes
+
+    def stop(self) -> None:
+        """Stops all items; their results so far stay."""
+        self.pending.clear()
+        for scope in self.running.values():
+            scope.cancel()
+
+
+class ItemScheduler:
+    """Starts items of the open shards while there is room.
+
+    Args:
+        runner: Runs an item.
+        due_dates: Order of a member's jobs.
+        budget: Says when too many results wait for the Object API.
+        items_at_once: Returns how many items this VM should run at once.
+    """
+
+    def __init__(
+        self,
+        runner: ItemRunner,
+        due_dates: DueDates,
+        budget: StoreBudget,
+        items_at_once: Callable[[], int],
+    ) -> None:
+        self._runner = runner
+        self._due_dates = due_dates
+        self._budget = budget
+        self._items_at_once = items_at_once
+        self.shards: list[OpenShard] = []
+        self._wake = anyio.Event()
+
+    @property
+    def running_count(self) -> int:
+        """Items that run now."""
+        return sum(len(shard.running) for shard in self.shards)
+
+    def running_of(self, member: str) -> int:
+        """Returns how many items of a member run now."""
+        return sum(len(shard.running) for shard in self.shards if shard.job.member == member)
+
+    def open(self, shard: OpenShard) -> None:
+        """Adds a shard."""
+        self.shards.append(shard)
+        self.wake()
+
+    def close(self, shard: OpenShard) -> None:
+        """Removes a shard and stops its items."""
+        shard.stop()
+        self.shards.remove(shard)
+        self._budget.buffer(-shard.result_bytes)
+        self.wake()
+
+    def wake(self) -> None:
+        """Lets it look for room and items again."""
+        self._wake.set()
+
+    async def run(self) -> None:
+        """Starts items until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            while True:
+                self._wake = anyio.Event()
+                self._fill(tasks)
+                with anyio.move_on_after(1):
+                    await self._wake.wait()
+
+    def _fill(self, tasks: TaskGroup) -> None:
+        room = min(MAX_ITEMS_AT_ONCE, max(MIN_ITEMS_AT_ONCE, self._items_at_once()))
+        room -= self.running_count
+        while room > 0 and not self._budget.is_full:
+            shard = self._next_shard()
+            if shard is None:
+                return
+            index = shard.pending.popleft()
+            scope = anyio.CancelScope()
+            shard.running[index] = scope
+            tasks.start_soon(self._run_item, shard, index, scope)
+            room -= 1
+
+    def _next_shard(self) -> OpenShard | None:
+        ready = [shard for shard in self.shards if shard.pending and not shard.is_held]
+        if not ready:
+            return None
+        running = {shard.job.member: 0 for shard in ready}
+        for shard in self.shards:
+            if shard.job.member in running:
+                running[shard.job.member] += len(shard.running)
+        member = min(running, key=lambda name: (running[name], name))
+        own = [shard for shard in ready if shard.job.member == member]
+        return min(own, key=lambda shard: (self._due_dates.start_by_ms(shard.job), shard.job.key))
+
+    async def _run_item(self, shard: OpenShard, index: int, scope: anyio.CancelScope) -> None:
+        started_s = anyio.current_time()
+        start_by_ms = self._due_dates.start_by_ms(shard.job)
+        try:
+            with scope:
+                work = ItemWork(shard.job, shard.items[index], index, start_by_ms)
+                result = await self._runner.run(work)
+                self._due_dates.note_item(shard.job, (anyio.current_time() - started_s) * 1_000)
+                self._keep(shard, result)
+        finally:
+            del shard.running[index]
+            shard.notify()
+            self.wake()
+
+    def _keep(self, shard: OpenShard, result: ItemResult) -> None:
+        if shard in self.shards:
+            self._budget.buffer(result.size_bytes)
+            shard.add(result)
--- a/briarvale/jobs.py
+++ b/briarvale/jobs.py
@@ -1,40 +1,54 @@
-"""Batch jobs: what is accepted, kept in the Object API as one record a job."""
+"""Batch jobs: their records, items and the keys under which the Object API keeps them.
+
+An upload id names one submission. Inputs, log entries and seals of a job carry it in their keys, so
+that nothing written for one submission can be taken for another of the same job id.
+"""
 
-import hashlib
 import json
-from collections.abc import AsyncIterator
-from contextlib import suppress
 from enum import StrEnum
-from typing import NamedTuple, TypedDict
-
-from .clock import Clock
-from .errors import (
-    AcceptanceRefused,
-    InvalidRequest,
-    JobConflict,
-    NotFound,
-    ObjectExists,
-    ObjectNotFound,
-    StoreThrottled,
-    StoreUnavailable,
-)
-from .object_store import ObjectStore
-
-SHARD_ITEMS = 1_000
-SHARD_BYTES = 900_000
-MAX_ITEM_BYTES = 500_000
-RETRY_DELAY_MS = 5_000
+from typing import NamedTuple, NotRequired, TypedDict
+
+from .errors import InvalidRequest, NotFound, ObjectNotFound
+from .object_store import ObjectStore, StoredObject
 
-__all__ = ["Item", "JobRecord", "JobState", "Jobs", "Shard", "job_key", "load_shard"]
+MAX_ITEM_BYTES = 500_000
+MAX_ITEM_TOKENS = 131_072
+
+__all__ = [
+    "ACTIVE_PREFIX",
+    "Item",
+    "JobCounts",
+    "JobRecord",
+    "JobRequest",
+    "JobState",
+    "MAX_ITEM_BYTES",
+    "active_key",
+    "check_line",
+    "input_key",
+    "job_key",
+    "late_key",
+    "load_job",
+    "load_shard",
+    "log_prefix",
+    "seal_prefix",
+]
+
+ACTIVE_PREFIX = "active/"
 
 
 class JobState(StrEnum):
-    """Where a job stands."""
+    """Where a job stands. A void record marks an id under which nothing is accepted."""
 
     RUNNING = "running"
     CANCELLING = "cancelling"
     CANCELLED = "cancelled"
     COMPLETED = "completed"
+    VOID = "void"
+
+    @property
+    def is_final(self) -> bool:
+        """Whether no item of the job will run any more."""
+        return self in (JobState.CANCELLED, JobState.COMPLETED, JobState.VOID)
 
 
 class Item(TypedDict):
@@ -42,17 +56,28 @@
 
     prompt: str
     max_tokens: int
+    adapter: NotRequired[str]
 
 
-class Shard(NamedTuple):
-    """A part of a job: the object that holds its items, one JSON line each."""
+class JobRequest(NamedTuple):
+    """What a caller submits, besides the items."""
 
-    input_key: str
-    item_count: int
+    member: str
+    job_id: str
+    service: str
+    due_at_ms: int
+
+
+class JobCounts(NamedTuple):
+    """Items of a finished job by how they ended."""
+
+    done_count: int = 0
+    failed_count: int = 0
+    cancelled_count: int = 0
 
 
 class JobRecord(NamedTuple):
-    """An accepted job."""
+    """An accepted job. `shard_items` holds the number of items of each shard."""
 
     member: str
     job_id: str
@@ -60,13 +85,21 @@
     due_at_ms: int
     accepted_at_ms: int
     digest: str
+    upload_id: str
     state: JobState
-    shards: tuple[Shard, ...]
+    shard_items: tuple[int, ...]
+    finished_at_ms: int = 0
+    counts: JobCounts = JobCounts()
 
     @property
     def item_count(self) -> int:
         """Items in all shards."""
-        return sum(shard.item_count for shard in self.shards)
+        return sum(self.shard_items)
+
+    @property
+    def key(self) -> str:
+        """Key of this record."""
+        return job_key(self.member, self.job_id)
 
     def encode(self) -> bytes:
         """Returns the JSON that the Object API keeps."""
@@ -76,17 +109,10 @@
     def decode(cls, value: bytes) -> "JobRecord":
         """Reads the JSON that the Object API keeps."""
         row = json.loads(value)
-        shards = tuple(Shard(*shard) for shard in row["shards"])
-        return cls(**row | {"state": JobState(row["state"]), "shards": shards})
-
-
-class JobRequest(NamedTuple):
-    """What a caller submits, besides the items."""
-
-    member: str
-    job_id: str
-    service: str
-    due_at_ms: int
+        row["state"] = JobState(row["state"])
+        row["shard_items"] = tuple(row["shard_items"])
+        row["counts"] = JobCounts(*row["counts"])
+        return cls(**row)
 
 
 def job_key(member: str, job_id: str) -> str:
@@ -94,101 +120,72 @@
     return f"jobs/{member}/{job_id}"
 
 
-class Jobs:
-    """Accepts jobs and reads their records.
-
-    Args:
-        store: The Object API.
-        clock: Source of instants.
-    """
-
-    def __init__(self, store: ObjectStore, clock: Clock) -> None:
-        self._store = store
-        self._clock = clock
-
-    async def submit(self, request: JobRequest, lines: AsyncIterator[bytes]) -> JobRecord:
-        """Accepts a job; creating its record is the acceptance.
-
-        Raises:
-            InvalidRequest: Names the line; nothing was accepted.
-            JobConflict: If the id was used with other content.
-            AcceptanceRefused: If the Object API can't record it; nothing was accepted.
-        """
-        try:
-            shards, digest = await self._store_inputs(request, lines)
-            return await self._accept(request, shards, digest)
-        except (StoreUnavailable, StoreThrottled) as error:
-            retry_at_ms = self._clock.now_ms() + RETRY_DELAY_MS
-            raise AcceptanceRefused(str(error), retry_at_ms=retry_at_ms) from error
-
-    async def get(self, member: str, job_id: str) -> JobRecord:
-        """Reads a job's record; raises `NotFound`."""
-        try:
-            return JobRecord.decode((await self._store.get(job_key(member, job_id))).value)
-        except ObjectNotFound as error:
-            raise NotFound(f"no job {job_id}") from error
-
-    async def _accept(
-        self, request: JobRequest, shards: tuple[Shard, ...], digest: str
-    ) -> JobRecord:
-        record = JobRecord(
-            *request, self._clock.now_ms(), digest, state=JobState.RUNNING, shards=shards
-        )
-        try:
-            await self._store.create(job_key(request.member, request.job_id), record.encode())
-            return record
-        except ObjectExists:
-            existing = await self.get(request.member, request.job_id)
-        if existing.digest != digest:
-            raise JobConflict(f"job {request.job_id} exists with other content")
-        return existing
-
-    async def _store_inputs(
-        self, request: JobRequest, lines: AsyncIterator[bytes]
-    ) -> tuple[tuple[Shard, ...], str]:
-        digest = hashlib.sha256(f"{request.service}\0{request.due_at_ms}\0".encode())
-        shards: list[Shard] = []
-        chunk: list[bytes] = []
-        chunk_bytes = 0
-        line_number = 0
-        async for line in lines:
-            line_number += 1
-            _check_line(line, line_number)
-            digest.update(line + b"\n")
-            if chunk and (len(chunk) == SHARD_ITEMS or chunk_bytes + len(line) > SHARD_BYTES):
-                shards.append(await self._store_chunk(request.member, chunk))
-                chunk, chunk_bytes = [], 0
-            chunk.append(line)
-            chunk_bytes += len(line) + 1
-        if chunk:
-            shards.append(await self._store_chunk(request.member, chunk))
-        if not shards:
-            raise InvalidRequest("the job has no items")
-        return tuple(shards), digest.hexdigest()
-
-    async def _store_chunk(self, member: str, chunk: list[bytes]) -> Shard:
-        value = b"\n".join(chunk)
-        key = f"inputs/{member}/{hashlib.sha256(value).hexdigest()}"
-        with suppress(ObjectExists):
-            await self._store.create(key, value)
-        return Shard(key, len(chunk))
-
-
-async def load_shard(store: ObjectStore, shard: Shard) -> list[Item]:
+def active_key(member: str, job_id: str, upload_id: str) -> str:
+    """Returns the key that says that a submission or its job is not finished."""
+    return f"{ACTIVE_PREFIX}{member}/{job_id}/{upload_id}"
+
+
+def input_key(member: str, job_id: str, upload_id: str, shard_index: int) -> str:
+    """Returns the key of a shard's items."""
+    return f"inputs/{member}/{job_id}/{upload_id}/{shard_index:05d}"
+
+
+def log_prefix(job: JobRecord, shard_index: int) -> str:
+    """Returns the prefix of a shard's log entries."""
+    return f"logs/{job.member}/{job.job_id}/{job.upload_id}/{shard_index:05d}/"
+
+
+def seal_prefix(job: JobRecord) -> str:
+    """Returns the prefix of the markers of a job's sealed shards."""
+    return f"seals/{job.member}/{job.job_id}/{job.upload_id}/"
+
+
+def late_key(job: JobRecord) -> str:
+    """Returns the key of the warning that a job will be late."""
+    return f"late/{job.member}/{job.job_id}/{job.upload_id}"
+
+
+async def load_job(store: ObjectStore, member: str, job_id: str) -> tuple[JobRecord, StoredObject]:
+    """Reads a job's record; raises `NotFound` if there is none or it is void."""
+    try:
+        stored = await store.get(job_key(member, job_id))
+    except ObjectNotFound as error:
+        raise NotFound(f"no job {job_id}") from error
+    job = JobRecord.decode(stored.value)
+    if job.state is JobState.VOID:
+        raise NotFound(f"no job {job_id}")
+    return job, stored
+
+
+async def load_shard(store: ObjectStore, job: JobRecord, shard_index: int) -> list[Item]:
     """Reads the items of a shard."""
-    value = (await store.get(shard.input_key)).value
+    key = input_key(job.member, job.job_id, job.upload_id, shard_index)
+    value = (await store.get(key)).value
     return [json.loads(line) for line in value.split(b"\n")]
 
 
-def _check_line(line: bytes, line_number: int) -> None:
+def check_line(line: bytes, line_number: int) -> None:
+    """Checks one line of a submission; raises `InvalidRequest` that names the line."""
     if len(line) > MAX_ITEM_BYTES:
         raise InvalidRequest(f"line {line_number}: over {MAX_ITEM_BYTES} bytes")
     try:
         item = json.loads(line)
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise InvalidRequest(f"line {line_number}: not JSON: {error}") from error
     if not isinstance(item, dict) or not isinstance(item.get("prompt"), str):
         raise InvalidRequest(f"line {line_number}: expected an object with a prompt")
+    _check_text(item["prompt"], "prompt", line_number)
+    _check_text(item.get("adapter", ""), "adapter", line_number)
     max_tokens = item.get("max_tokens")
-    if not isinstance(max_tokens, int) or isinstance(max_tokens, bool) or max_tokens < 1:
-        raise InvalidRequest(f"line {line_number}: expected max_tokens of 1 or more")
+    is_number = isinstance(max_tokens, int) and not isinstance(max_tokens, bool)
+    if not is_number or not 1 <= max_tokens <= MAX_ITEM_TOKENS:
+        raise InvalidRequest(f"line {line_number}: expected max_tokens of 1 to {MAX_ITEM_TOKENS}")
+
+
+def _check_text(value: object, name: str, line_number: int) -> None:
+    if not isinstance(value, str):
+        raise InvalidRequest(f"line {line_number}: {name}: expected a text")
+    try:
+        value.encode()
+    except UnicodeEncodeError as error:
+        raise InvalidRequest(f"line {line_number}: {name}: not a Unicode text") from error
--- a/briarvale/metrics.py
+++ b/briarvale/metrics.py
@@ -23,12 +23,18 @@
 PEER_BAD_FRAMES = Counter("briarvale_peer_bad_frames_total", "Connections closed for a bad frame.")
 STORE_CALLS = Counter("briarvale_store_calls_total", "Object API calls by verb and result.")
 ITEMS = Counter("briarvale_items_total", "Batch items committed by result.")
+BATCH_BUFFER_BYTES = Gauge(
+    "briarvale_batch_buffer_bytes", "Batch results that wait for the Object API."
+)
+JOBS_LATE = Gauge("briarvale_jobs_late", "Jobs that are predicted to miss their due date.")
 CONFIG_REVISION = Gauge("briarvale_config_revision", "Configuration revision in force.")
 
 __all__ = [
+    "BATCH_BUFFER_BYTES",
     "CONFIG_REVISION",
     "FIRST_TOKEN_S",
     "ITEMS",
+    "JOBS_LATE",
     "PEER_BAD_FRAMES",
     "REFUSALS",
     "REQUESTS",
--- a/briarvale/shard_log.py
+++ b/briarvale/shard_log.py
@@ -1,12 +1,17 @@
-"""The log of one shard's results: creating entry n is the commit of what it holds."""
+"""The log of one shard's results: creating entry n is the commit of what it holds.
+
+The rules named in the docstrings are those of specs/shard_log.pml.
+"""
 
 import json
+import secrets
 from typing import NamedTuple
 
-from .errors import ObjectExists, ObjectNotFound
+from .errors import ObjectExists, ObjectNotFound, ShardSealed
 from .object_store import ObjectStore
+from .store_budget import StoreBudget
 
-__all__ = ["ItemResult", "LogEntry", "ShardLog", "log_prefix"]
+__all__ = ["ItemResult", "LogEntry", "ShardLog"]
 
 
 class ItemResult(NamedTuple):
@@ -16,6 +21,11 @@
     text: str
     error_code: str = ""
 
+    @property
+    def size_bytes(self) -> int:
+        """Size in a log entry, at most."""
+        return len(json.dumps(self))
+
 
 class LogEntry(NamedTuple):
     """One immutable object of the log."""
@@ -36,23 +46,21 @@
         return cls(**row | {"results": tuple(ItemResult(*result) for result in row["results"])})
 
 
-def log_prefix(member: str, job_id: str, shard_index: int) -> str:
-    """Returns the prefix of a shard's log entries."""
-    return f"logs/{member}/{job_id}/{shard_index:05d}/"
-
-
 class ShardLog:
-    """Reads and appends a shard's log.
+    """Reads and appends a shard's log. It keeps which items have results, not the results.
 
     Args:
         store: The Object API.
+        budget: Paces and retries the calls.
         prefix: Prefix of the entries' keys.
     """
 
-    def __init__(self, store: ObjectStore, prefix: str) -> None:
+    def __init__(self, store: ObjectStore, budget: StoreBudget, prefix: str) -> None:
         self._store = store
+        self._budget = budget
         self._prefix = prefix
-        self.results: dict[int, ItemResult] = {}
+        self.done: set[int] = set()
+        self.failed_count = 0
         self.next_sequence = 0
         self.is_sealed = False
 
@@ -60,25 +68,50 @@
         """Reads all entries that it has not read yet."""
         while not self.is_sealed:
             try:
-                stored = await self._store.get(self._key(self.next_sequence))
+                self._take(await self._read(self.next_sequence))
             except ObjectNotFound:
                 return
-            self._take(LogEntry.decode(stored.value))
 
-    async def append(self, entry: LogEntry) -> bool:
-        """Creates the entry; returns whether it stands, reading what stands there if not."""
+    async def append(self, results: list[ItemResult], *, is_seal: bool = False) -> bool:
+        """Commits results at the next sequence number; returns whether this entry stands.
+
+        If another writer's entry stands there, it is read, and nothing of this call was committed.
+        specs/shard_log.pml: Append, Seal, NoAppendAfterSeal.
+
+        Raises:
+            ShardSealed: If the log is sealed.
+        """
+        if self.is_sealed:
+            raise ShardSealed(self._prefix)
+        entry = LogEntry(self.next_sequence, secrets.token_hex(8), tuple(results), is_seal)
+        if await self._create(entry):
+            self._take(entry)
+            return True
+        standing = await self._read(entry.sequence)
+        self._take(standing)
+        return standing.nonce == entry.nonce
+
+    async def _create(self, entry: LogEntry) -> bool:
+        """Creates the entry; false if an object stands there, which may be this entry.
+
+        An attempt without an answer may land late, so each retry repeats the same bytes at the same
+        sequence number. specs/shard_log.pml: RetrySameBytes.
+        """
         try:
-            await self._store.create(self._key(entry.sequence), entry.encode())
+            await self._budget.call(self._store.create, self._key(entry.sequence), entry.encode())
         except ObjectExists:
-            stored = LogEntry.decode((await self._store.get(self._key(entry.sequence))).value)
-            self._take(stored)
-            return stored.nonce == entry.nonce
-        self._take(entry)
+            return False
         return True
 
+    async def _read(self, sequence: int) -> LogEntry:
+        """Settles a sequence number. specs/shard_log.pml: SettleByReading."""
+        stored = await self._budget.call(self._store.get, self._key(sequence))
+        return LogEntry.decode(stored.value)
+
     def _take(self, entry: LogEntry) -> None:
         for result in entry.results:
-            self.results.setdefault(result.item_index, result)
+            self.done.add(result.item_index)
+            self.failed_count += bool(result.error_code)
         self.is_sealed = entry.is_seal
         self.next_sequence = entry.sequence + 1
 
--- a/briarvale/shard_runner.py
+++ b/briarvale/shard_runner.py
@@ -1,115 +1,184 @@
-"""Runs the items of one shard and commits their results to its log."""
-
-import secrets
+"""Opens one shard, commits the results of its items to its log, and seals the log."""
 
 import anyio
 
 from . import logs, metrics
-from ._generated.messages import Outcome, SlotRequest, WorkClass
-from .engine_client import Completion
+from .completion import JobFinisher, ShardSeal
 from .environment import Environment
-from .errors import BriarvaleError
-from .fleet_view import FleetView
-from .jobs import Item, JobRecord, load_shard
-from .routing import Router, RouteRequest
-from .shard_log import ItemResult, LogEntry, ShardLog, log_prefix
-from .slot_client import SlotClient, new_request_id
-from .traces import tracer
-
-ITEMS_AT_ONCE = 16
-COMMIT_RESULTS = 100
-COMMIT_INTERVAL_S = 1.0
-RETRY_DELAY_S = 0.5
-SLOT_WAIT_MS = 30_000
+from .item_scheduler import ItemScheduler, OpenShard
+from .jobs import JobRecord, JobState, load_shard, log_prefix
+from .shard_log import ItemResult, ShardLog
+from .store_budget import StoreBudget
+
+ENTRY_RESULTS = 250
+ENTRY_MAX_BYTES = 900_000
+ENTRY_MAX_AGE_S = 60.0
 
 log = logs.part("batch")
 
-__all__ = ["ShardRunner"]
+__all__ = ["RunningShard", "ShardRunner"]
+
+
+class RunningShard:
+    """What the batch program may tell a shard that runs: a changed record, or to stop."""
+
+    def __init__(self, job: JobRecord, shard_index: int) -> None:
+        self.job = job
+        self.shard_index = shard_index
+        self.is_stopping = False
+        self.must_replay = False
+        self.open_shard: OpenShard | None = None
+        self.scope = anyio.CancelScope()
+
+    @property
+    def is_cancelling(self) -> bool:
+        """Whether the job is being cancelled."""
+        return self.job.state is JobState.CANCELLING
+
+    def update(self, job: JobRecord) -> None:
+        """Takes the job's changed record; one that has ended stops the shard."""
+        self.job = job
+        if job.state.is_final:
+            self.scope.cancel()
+        elif self.is_cancelling:
+            self._hold()
+
+    def stop(self) -> None:
+        """Stops items, commits what is done and closes the shard."""
+        self.is_stopping = True
+        self._hold()
+
+    def replay(self) -> None:
+        """Reads the log again before further items start."""
+        self.must_replay = True
+        self._hold()
+
+    def _hold(self) -> None:
+        if self.open_shard is not None:
+            self.open_shard.is_held = True
+            if self.is_cancelling or self.is_stopping:
+                self.open_shard.stop()
+            self.open_shard.notify()
 
 
 class ShardRunner:
-    """Runs one shard until its log is sealed.
+    """Runs shards.
 
     Args:
         environment: The outside interfaces.
-        view: The fleet as last told.
-        router: Chooses backend servers.
-        slots: Asks their owners for slots.
+        budget: Paces and retries the calls to the Object API.
+        scheduler: Runs the items.
+        finisher: Told of each sealed shard.
     """
 
     def __init__(
-        self, environment: Environment, view: FleetView, router: Router, slots: SlotClient
-    ) -> None:
-        self._environment = environment
-        self._view = view
-        self._router = router
-        self._slots = slots
-
-    async def run(self, job: JobRecord, shard_index: int) -> None:
-        """Runs what the log lacks, then seals it."""
-        prefix = log_prefix(job.member, job.job_id, shard_index)
-        shard_log = ShardLog(self._environment.store, prefix)
-        await shard_log.replay()
-        if shard_log.is_sealed:
-            return
-        items = await load_shard(self._environment.store, job.shards[shard_index])
-        pending = [index for index in range(len(items)) if index not in shard_log.results]
-        results: list[ItemResult] = []
-        limiter = anyio.CapacityLimiter(ITEMS_AT_ONCE)
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._commit_until_sealed, shard_log, results, len(items))
-            for index in pending:
-                tasks.start_soon(self._run_item, job, items[index], index, results, limiter)
-
-    async def _run_item(
         self,
-        job: JobRecord,
-        item: Item,
-        index: int,
-        results: list[ItemResult],
-        limiter: anyio.CapacityLimiter,
+        environment: Environment,
+        budget: StoreBudget,
+        scheduler: ItemScheduler,
+        finisher: JobFinisher,
     ) -> None:
-        async with limiter:
-            for _ in range(self._view.config.rules.max_attempts):
-                try:
-                    text = await self._complete(job, item)
-                    results.append(ItemResult(index, text))
-                    return
-                except BriarvaleError as error:
-                    log.info("Item {} of {} failed: {}.", index, job.job_id, error)
-                await anyio.sleep(RETRY_DELAY_S)
-            results.append(ItemResult(index, "", "attempts_exhausted"))
-
-    async def _complete(self, job: JobRecord, item: Item) -> str:
-        server = self._router.choose(RouteRequest(job.service, item["prompt"]))
-        request = SlotRequest(
-            request_id=new_request_id(),
-            backend_server=server.id,
-            member=job.member,
-            work_class=WorkClass.BATCH,
-            slot_count=1,
-            cost_tokens=len(item["prompt"].split()) + item["max_tokens"],
-            deadline_ms=self._environment.clock.now_ms() + SLOT_WAIT_MS,
-        )
-        model = self._view.config.services[job.service].model
-        completion = Completion(request.request_id, model, item["prompt"], item["max_tokens"])
-        with tracer.start_as_current_span("batch item") as span:
-            span.set_attribute("briarvale.backend_server", server.id)
-            async with self._slots.hold(request) as slot:
-                engine = self._environment.backends.engine(server)
-                tokens = [token.text async for token in engine.complete(completion)]
-                slot.outcome, slot.tokens = Outcome.FINISHED, len(tokens)
-                return "".join(tokens)
+        self._store = environment.store
+        self._budget = budget
+        self._scheduler = scheduler
+        self._finisher = finisher
+
+    async def run(self, running: RunningShard) -> bool:
+        """Runs what the log lacks and seals it; returns whether the log is sealed.
+
+        A runner that loses a sequence number to another gives the shard up, so that of two runners
+        just one goes on. One that is told to stop commits what it has.
+        """
+        with running.scope:
+            job, index = running.job, running.shard_index
+            shard_log = ShardLog(self._store, self._budget, log_prefix(job, index))
+            await shard_log.replay()
+            if not shard_log.is_sealed:
+                await self._run_items(running, shard_log)
+            if shard_log.is_sealed:
+                done_count = len(shard_log.done) - shard_log.failed_count
+                seal = ShardSeal(index, done_count, shard_log.failed_count)
+                await self._finisher.mark_sealed(job, seal)
+            return shard_log.is_sealed
+        return False
+
+    async def _run_items(self, running: RunningShard, shard_log: ShardLog) -> None:
+        job = running.job
+        items = await self._budget.call(load_shard, self._store, job, running.shard_index)
+        shard = OpenShard(job, running.shard_index, items, shard_log.done)
+        running.open_shard = shard
+        if running.is_cancelling or running.is_stopping:
+            shard.stop()
+        self._scheduler.open(shard)
+        try:
+            await self._commit_until_sealed(running, shard, shard_log)
+        finally:
+            self._scheduler.close(shard)
+            running.open_shard = None
 
     async def _commit_until_sealed(
-        self, shard_log: ShardLog, results: list[ItemResult], item_count: int
+        self, running: RunningShard, shard: OpenShard, shard_log: ShardLog
     ) -> None:
+        """Commits results as they come. specs/shard_log.pml: Append, Seal, Cancel."""
         while not shard_log.is_sealed:
-            await anyio.sleep(COMMIT_INTERVAL_S)
-            batch = [result for result in results if result.item_index not in shard_log.results]
-            is_complete = len(shard_log.results) + len(batch) == item_count
-            if batch or is_complete:
-                nonce = secrets.token_hex(8)
-                entry = LogEntry(shard_log.next_sequence, nonce, tuple(batch), is_complete)
-                if await shard_log.append(entry):
-                    metrics.ITEMS.add({"result": "committed"}, len(batch))
+            if running.must_replay:
+                running.must_replay = False
+                await shard_log.replay()
+                self._drop(shard, shard_log)
+                shard.is_held = running.is_cancelling or running.is_stopping
+                continue
+            is_complete = len(shard_log.done) + len(shard.results) == len(shard.items)
+            is_last = is_complete or running.is_cancelling
+            if is_last or running.is_stopping or self._is_entry_due(shard):
+                is_ours = await self._commit(running, shard, shard_log, is_last)
+                if not is_ours or (running.is_stopping and not shard.results):
+                    return
+            else:
+                await shard.wait_changed(ENTRY_MAX_AGE_S)
+
+    async def _commit(
+        self, running: RunningShard, shard: OpenShard, shard_log: ShardLog, is_last: bool
+    ) -> bool:
+        results = _entry_results(shard)
+        is_seal = is_last and len(results) == len(shard.results)
+        if not results and not is_seal:
+            return True
+        is_ours = await shard_log.append(results, is_seal=is_seal)
+        if is_ours:
+            _count(results)
+        else:
+            log.info("Another runner has shard {} of {}.", shard.shard_index, shard.job.job_id)
+        self._drop(shard, shard_log)
+        return is_ours
+
+    def _drop(self, shard: OpenShard, shard_log: ShardLog) -> None:
+        if shard_log.is_sealed:
+            shard.stop()
+        self._budget.buffer(-shard.drop(shard_log.done))
+        self._scheduler.wake()
+
+    def _is_entry_due(self, shard: OpenShard) -> bool:
+        wanted = ENTRY_RESULTS * self._budget.entry_factor
+        if len(shard.results) >= wanted:
+            return True
+        if shard.result_bytes >= ENTRY_MAX_BYTES:
+            return True
+        return anyio.current_time() - shard.oldest_result_at_s >= ENTRY_MAX_AGE_S
+
+
+def _entry_results(shard: OpenShard) -> list[ItemResult]:
+    """Returns the results for one entry: as many as fit into one object."""
+    size_bytes = 0
+    chosen = []
+    for result in shard.results.values():
+        size_bytes += result.size_bytes + 2
+        if chosen and size_bytes > ENTRY_MAX_BYTES:
+            break
+        chosen.append(result)
+    return chosen
+
+
+def _count(results: list[ItemResult]) -> None:
+    failed = sum(1 for result in results if result.error_code)
+    metrics.ITEMS.add({"result": "done"}, len(results) - failed)
+    metrics.ITEMS.add({"result": "failed"}, failed)
--- /dev/null
+++ b/briarvale/store_budget.py
@@ -0,0 +1,80 @@
+"""Keeps one process's calls to the Object API inside a budget, and retries them with back-off."""
+
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
+
+import anyio
+from tenacity import AsyncRetrying, retry_if_exception_type, wait_random_exponential
+
+from . import metrics
+from .errors import StoreThrottled, StoreUnavailable
+
+MAX_CALLS_PER_S = 40.0
+MIN_CALLS_PER_S = 0.5
+RATE_STEP_PER_S = 1.0
+BACK_OFF_START_S = 0.5
+BACK_OFF_MAX_S = 20.0
+MAX_BUFFER_BYTES = 64_000_000
+
+T = TypeVar("T")
+
+__all__ = ["MAX_BUFFER_BYTES", "StoreBudget"]
+
+
+class StoreBudget:
+    """Paces and retries calls: additive increase of the rate, halved by each failure.
+
+    It also counts the bytes of results that wait to be committed. When `is_full`, no further item
+    should be started.
+    """
+
+    def __init__(self, max_buffer_bytes: int = MAX_BUFFER_BYTES) -> None:
+        self._max_buffer_bytes = max_buffer_bytes
+        self._rate_per_s = MAX_CALLS_PER_S
+        self._next_at_s = 0.0
+        self._buffered_bytes = 0
+
+    @property
+    def is_full(self) -> bool:
+        """Whether the results that wait to be committed fill the buffer."""
+        return self._buffered_bytes >= self._max_buffer_bytes
+
+    @property
+    def entry_factor(self) -> float:
+        """How many times larger than usual log entries should be: grows as the rate falls."""
+        return min(8.0, MAX_CALLS_PER_S / self._rate_per_s)
+
+    def buffer(self, size_bytes: int) -> None:
+        """Counts results that now wait, or with a negative size no longer wait."""
+        self._buffered_bytes += size_bytes
+        metrics.BATCH_BUFFER_BYTES.set({}, self._buffered_bytes)
+
+    async def call(self, function: Callable[..., Awaitable[T]], *args: object) -> T:
+        """Makes a call until the Object API answers it.
+
+        Only an idempotent call may be made so: a read, or a write of the same bytes at the same
+        key, whose earlier attempt may have taken effect.
+        """
+        retrying = AsyncRetrying(
+            retry=retry_if_exception_type((StoreUnavailable, StoreThrottled)),
+            wait=wait_random_exponential(multiplier=BACK_OFF_START_S, max=BACK_OFF_MAX_S),
+            sleep=anyio.sleep,
+        )
+        return await retrying(self._call_once, function, *args)
+
+    async def _call_once(self, function: Callable[..., Awaitable[T]], *args: object) -> T:
+        await self._wait_turn()
+        try:
+            result = await function(*args)
+        except (StoreUnavailable, StoreThrottled):
+            self._rate_per_s = max(MIN_CALLS_PER_S, self._rate_per_s / 2)
+            raise
+        self._rate_per_s = min(MAX_CALLS_PER_S, self._rate_per_s + RATE_STEP_PER_S)
+        return result
+
+    async def _wait_turn(self) -> None:
+        now_s = anyio.current_time()
+        turn_at_s = max(now_s, self._next_at_s)
+        self._next_at_s = turn_at_s + 1 / self._rate_per_s
+        if turn_at_s > now_s:
+            await anyio.sleep(turn_at_s - now_s)
--- /dev/null
+++ b/briarvale/submission.py
@@ -0,0 +1,346 @@
+"""Accepts jobs: the items stream into the Object API, then the record's creation is the acceptance.
+
+A refusal with `not_run: true` is settled first: where a write of the record may still land, a void
+record is put in its place, or the refusal says that the acceptance is unknown.
+"""
+
+import hashlib
+import secrets
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import suppress
+from typing import NamedTuple, TypeVar
+
+import anyio
+from tenacity import AsyncRetrying, retry_if_exception_type, wait_random_exponential
+
+from . import logs
+from .active_jobs import list_all_keys
+from .clock import MS_PER_S, Clock
+from .completion import expiring_key
+from .errors import (
+    AcceptanceRefused,
+    AcceptanceUnknown,
+    BriarvaleError,
+    InvalidRequest,
+    JobConflict,
+    JobTooLarge,
+    ObjectExists,
+    ObjectNotFound,
+    StoreThrottled,
+    StoreUnavailable,
+    TooManyJobs,
+    VersionConflict,
+)
+from .jobs import (
+    ACTIVE_PREFIX,
+    JobRecord,
+    JobRequest,
+    JobState,
+    active_key,
+    check_line,
+    input_key,
+    job_key,
+)
+from .object_store import ObjectStore, StoredObject
+from .store_budget import StoreBudget
+
+SHARD_ITEMS = 1_000
+SHARD_BYTES = 900_000
+RETRY_DELAY_MS = 5_000
+INPUT_TIMEOUT_S = 30.0
+SETTLE_TIMEOUT_S = 10.0
+DISCARD_TIMEOUT_S = 30.0
+UPLOAD_TERM_MS = 3_600_000
+
+T = TypeVar("T")
+
+log = logs.part("gateway")
+
+__all__ = [
+    "Acceptance",
+    "SubmissionLimits",
+    "Submitter",
+    "UPLOAD_TERM_MS",
+    "delete_quietly",
+    "discard_upload",
+    "void_record",
+]
+
+
+class SubmissionLimits(NamedTuple):
+    """What the rules allow a member to submit."""
+
+    max_job_bytes: int
+    max_active_jobs: int
+
+
+class _Upload:
+    """What one submission has stored so far."""
+
+    def __init__(self, request: JobRequest) -> None:
+        self.request = request
+        self.upload_id = secrets.token_hex(8)
+        self.started_at_s = anyio.current_time()
+        self.shard_items: list[int] = []
+        self.size_bytes = 0
+        header = f"{request.service}\0{request.due_at_ms}\0"
+        self.hash = hashlib.sha256(header.encode())
+
+    @property
+    def active_key(self) -> str:
+        """Key that says that this submission is not finished."""
+        return active_key(self.request.member, self.request.job_id, self.upload_id)
+
+    def next_input_key(self) -> str:
+        """Returns the key for the next shard's items."""
+        place = (self.request.member, self.request.job_id, self.upload_id)
+        return input_key(*place, len(self.shard_items))
+
+
+class Submitter:
+    """Takes submissions.
+
+    Args:
+        store: The Object API.
+        clock: Source of instants.
+    """
+
+    def __init__(self, store: ObjectStore, clock: Clock) -> None:
+        self._store = store
+        self._clock = clock
+        self._acceptance = Acceptance(store, clock)
+
+    async def submit(
+        self, request: JobRequest, lines: AsyncIterator[bytes], limits: SubmissionLimits
+    ) -> JobRecord:
+        """Accepts a job; an id that was accepted before with the same content is the same job.
+
+        Raises:
+            InvalidRequest: Names the line; nothing was accepted.
+            JobConflict: If the id was used with other content.
+            JobTooLarge, TooManyJobs: If the rules forbid it; nothing was accepted.
+            AcceptanceRefused: If the Object API can't record it; nothing was or will be accepted.
+            AcceptanceUnknown: If a write may still land.
+        """
+        upload = _Upload(request)
+        seen = await self._refusing(self._find, request)
+        if seen is not None and _record(seen).state is not JobState.VOID:
+            return await self._compare(upload, lines, _record(seen), limits)
+        try:
+            await self._refusing(self._announce, upload, limits)
+            await self._store_inputs(upload, lines, limits)
+            record = self._new_record(upload)
+        except BaseException:
+            await self._discard(upload)
+            raise
+        standing = await self._acceptance.settle(record, seen)
+        if standing.upload_id != upload.upload_id:
+            await self._discard(upload)
+        if standing.state is JobState.VOID:
+            raise self._refused("the job could not be recorded")
+        return _same_or_conflict(standing, record.digest)
+
+    def _new_record(self, upload: _Upload) -> JobRecord:
+        if not upload.shard_items:
+            raise InvalidRequest("the job has no items")
+        spent_ms = (anyio.current_time() - upload.started_at_s) * MS_PER_S
+        if spent_ms > UPLOAD_TERM_MS / 2:
+            raise self._refused("the upload took too long")
+        return JobRecord(
+            *upload.request,
+            accepted_at_ms=self._clock.now_ms(),
+            digest=upload.hash.hexdigest(),
+            upload_id=upload.upload_id,
+            state=JobState.RUNNING,
+            shard_items=tuple(upload.shard_items),
+        )
+
+    async def _compare(
+        self,
+        upload: _Upload,
+        lines: AsyncIterator[bytes],
+        standing: JobRecord,
+        limits: SubmissionLimits,
+    ) -> JobRecord:
+        """Reads a resent job without storing it."""
+        async for line in _checked(upload, lines, limits):
+            upload.hash.update(line + b"\n")
+        return _same_or_conflict(standing, upload.hash.hexdigest())
+
+    async def _announce(self, upload: _Upload, limits: SubmissionLimits) -> None:
+        """Makes the index object, from which everything of this submission can be found."""
+        prefix = f"{ACTIVE_PREFIX}{upload.request.member}/"
+        keys = await list_all_keys(StoreBudget(), self._store, prefix)
+        if len(keys) >= limits.max_active_jobs:
+            retry_at_ms = self._clock.now_ms() + RETRY_DELAY_MS
+            raise TooManyJobs(f"{len(keys)} jobs are not finished", retry_at_ms=retry_at_ms)
+        with suppress(ObjectExists):
+            value = str(self._clock.now_ms()).encode()
+            await self._store.create(upload.active_key, value)
+
+    async def _store_inputs(
+        self, upload: _Upload, lines: AsyncIterator[bytes], limits: SubmissionLimits
+    ) -> None:
+        chunk: list[bytes] = []
+        chunk_bytes = 0
+        async for line in _checked(upload, lines, limits):
+            upload.hash.update(line + b"\n")
+            if chunk and (len(chunk) == SHARD_ITEMS or chunk_bytes + len(line) > SHARD_BYTES):
+                await self._refusing(self._store_chunk, upload, chunk)
+                chunk, chunk_bytes = [], 0
+            chunk.append(line)
+            chunk_bytes += len(line) + 1
+        if chunk:
+            await self._refusing(self._store_chunk, upload, chunk)
+
+    async def _store_chunk(self, upload: _Upload, chunk: list[bytes]) -> None:
+        with suppress(ObjectExists):
+            await self._store.create(upload.next_input_key(), b"\n".join(chunk))
+        upload.shard_items.append(len(chunk))
+
+    async def _find(self, request: JobRequest) -> StoredObject | None:
+        try:
+            return await self._store.get(job_key(request.member, request.job_id))
+        except ObjectNotFound:
+            return None
+
+    async def _refusing(self, function: Callable[..., Awaitable[T]], *args: object) -> T:
+        """Calls before the acceptance is tried; a store that stays away means that it is refused.
+
+        The calls may be repeated: their keys are this submission's own.
+        """
+        try:
+            return await _retrying(INPUT_TIMEOUT_S)(function, *args)
+        except (StoreUnavailable, StoreThrottled) as error:
+            raise self._refused(str(error)) from error
+
+    def _refused(self, message: str) -> AcceptanceRefused:
+        return AcceptanceRefused(message, retry_at_ms=self._clock.now_ms() + RETRY_DELAY_MS)
+
+    async def _discard(self, upload: _Upload) -> None:
+        """Removes what was stored for a submission that will not be accepted, if the store lets it.
+
+        What stays is removed once the upload's term is over.
+        """
+        with anyio.move_on_after(DISCARD_TIMEOUT_S, shield=True):
+            try:
+                await discard_upload(self._store, upload.request, upload.upload_id)
+            except BriarvaleError:
+                return
+
+
+class Acceptance:
+    """Writes the record of a job so that it stands, or can never stand.
+
+    Args:
+        store: The Object API.
+        clock: Source of instants.
+    """
+
+    def __init__(self, store: ObjectStore, clock: Clock) -> None:
+        self._store = store
+        self._clock = clock
+
+    async def settle(self, record: JobRecord, seen: StoredObject | None) -> JobRecord:
+        """Returns the record that stands: this one, an earlier one, or a void one.
+
+        Args:
+            record: The record to write.
+            seen: The void record in whose place it is put; none if there was no record.
+
+        Raises:
+            AcceptanceUnknown: If the record may still land.
+        """
+        try:
+            return await _retrying(SETTLE_TIMEOUT_S)(self._write, record, seen)
+        except (StoreUnavailable, StoreThrottled) as error:
+            log.warning("Can't record job {}: {}.", record.job_id, error)
+        void = void_record(record.member, record.job_id, self._clock.now_ms())
+        try:
+            return await _retrying(SETTLE_TIMEOUT_S)(self._write, void, seen)
+        except (StoreUnavailable, StoreThrottled) as error:
+            retry_at_ms = self._clock.now_ms() + RETRY_DELAY_MS
+            message = "the job may have been accepted; submit it again"
+            raise AcceptanceUnknown(message, retry_at_ms=retry_at_ms) from error
+
+    async def _write(self, record: JobRecord, seen: StoredObject | None) -> JobRecord:
+        value = record.encode()
+        if record.state is JobState.VOID:
+            with suppress(ObjectExists):
+                await self._store.create(expiring_key(record), b"")
+        try:
+            if seen is None:
+                await self._store.create(record.key, value)
+            else:
+                await self._store.update(record.key, value, seen.version)
+        except (ObjectExists, VersionConflict):
+            return _record(await self._store.get(record.key))
+        except ObjectNotFound:
+            return void_record(record.member, record.job_id, self._clock.now_ms())
+        return record
+
+
+def void_record(member: str, job_id: str, now_ms: int) -> JobRecord:
+    """Returns a record that keeps an acceptance from landing late."""
+    return JobRecord(
+        member=member,
+        job_id=job_id,
+        service="",
+        due_at_ms=0,
+        accepted_at_ms=now_ms,
+        digest="",
+        upload_id=secrets.token_hex(8),
+        state=JobState.VOID,
+        shard_items=(),
+        finished_at_ms=now_ms,
+    )
+
+
+async def discard_upload(store: ObjectStore, request: JobRequest, upload_id: str) -> None:
+    """Removes the inputs of a submission, then its index object."""
+    member, job_id = request.member, request.job_id
+    budget = StoreBudget()
+    prefix = input_key(member, job_id, upload_id, 0).rsplit("/", 1)[0] + "/"
+    for key in await list_all_keys(budget, store, prefix):
+        await delete_quietly(store, budget, key)
+    await delete_quietly(store, budget, active_key(member, job_id, upload_id))
+
+
+async def delete_quietly(store: ObjectStore, budget: StoreBudget, key: str) -> None:
+    """Deletes an object that may be gone."""
+    with suppress(ObjectNotFound):
+        await budget.call(store.delete, key)
+
+
+async def _checked(
+    upload: _Upload, lines: AsyncIterator[bytes], limits: SubmissionLimits
+) -> AsyncIterator[bytes]:
+    line_number = 0
+    async for line in lines:
+        line_number += 1
+        check_line(line, line_number)
+        upload.size_bytes += len(line) + 1
+        if upload.size_bytes > limits.max_job_bytes:
+            raise JobTooLarge(f"line {line_number}: the job is over {limits.max_job_bytes} bytes")
+        yield line
+
+
+def _same_or_conflict(standing: JobRecord, digest: str) -> JobRecord:
+    if standing.digest != digest:
+        raise JobConflict(f"job {standing.job_id} exists with other content")
+    return standing
+
+
+def _record(stored: StoredObject) -> JobRecord:
+    return JobRecord.decode(stored.value)
+
+
+def _retrying(timeout_s: float) -> AsyncRetrying:
+    stop_at_s = anyio.current_time() + timeout_s
+    return AsyncRetrying(
+        retry=retry_if_exception_type((StoreUnavailable, StoreThrottled)),
+        wait=wait_random_exponential(multiplier=0.2, max=3),
+        stop=lambda _: anyio.current_time() >= stop_at_s,
+        sleep=anyio.sleep,
+        reraise=True,
+    )
