Check the callers' boundary and drain a gateway before it ends

Cause: a gateway that got SIGTERM refused new requests at once, while the balancer still sent them. Ruled out: closing the listener first, which refuses the same requests one layer lower. Conclusion: refusals at the boundary are true and typed.

--- a/Makefile
+++ b/Makefile
@@ -28,7 +28,7 @@
 	touch $(STAMP)
 
 demo: install
-	$(BIN)/python tools/demo.py
+	$(BIN)/python -m tools.demo
 
 test: install
 	$(BIN)/python tools/check.py
--- a/briarvale/_generated/settings.py
+++ b/briarvale/_generated/settings.py
@@ -24,6 +24,7 @@
     log_level: str = "INFO"
     trace_file: str = ""
     otlp_url: str = ""
+    balancer_lag_s: float = 5.0
     data_folder: str = ""
 
     @classmethod
@@ -47,5 +48,6 @@
             log_level=mapping.get("log_level", "INFO"),
             trace_file=mapping.get("trace_file", ""),
             otlp_url=mapping.get("otlp_url", ""),
+            balancer_lag_s=float(mapping.get("balancer_lag_s", 5.0)),
             data_folder=mapping.get("data_folder", ""),
         )
--- a/briarvale/batch.py
+++ b/briarvale/batch.py
@@ -42,6 +42,9 @@
         """Whether it knows the fleet."""
         return self.view.is_ready
 
+    async def drain(self) -> None:
+        """Ends its work gracefully."""
+
     async def run(self) -> None:
         """Runs until cancelled."""
         async with anyio.create_task_group() as tasks:
--- a/briarvale/dispatcher.py
+++ b/briarvale/dispatcher.py
@@ -60,6 +60,9 @@
         """Whether it has a configuration and knows the VMs."""
         return self.config_spread.config is not None and bool(self.membership.vms)
 
+    async def drain(self) -> None:
+        """Ends its work gracefully."""
+
     async def run(self) -> None:
         """Runs until cancelled."""
         self.membership.subscribe(self._take_rumor)
--- a/briarvale/gateway.py
+++ b/briarvale/gateway.py
@@ -2,15 +2,20 @@
 
 import anyio
 
+from . import logs
+from .clock import MS_PER_S
 from .environment import Environment
 from .fleet_view import FleetView
 from .jobs import Jobs
 from .online import OnlineService
 from .plain_calls import PlainCalls
+from .request_count import RequestCount
 from .routing import Router
 from .settings import Settings
 from .slot_client import SlotClient
 
+log = logs.part("gateway")
+
 __all__ = ["Gateway"]
 
 
@@ -27,7 +32,8 @@
         self.environment = environment
         self.view = FleetView(settings, environment)
         self.jobs = Jobs(environment.store, environment.clock)
-        self.is_stopping = False
+        self.requests = RequestCount()
+        self._is_draining = False
         self._tasks = anyio.create_task_group()
         slots = SlotClient(environment, self.view, self._tasks)
         router = Router(self.view)
@@ -36,11 +42,19 @@
 
     @property
     def is_ready(self) -> bool:
-        """Whether it takes requests."""
-        return self.view.is_ready and not self.is_stopping
+        """Whether the platform's balancer should send requests here."""
+        return self.view.is_ready and not self._is_draining
 
     async def run(self) -> None:
         """Runs until cancelled."""
         async with self._tasks as tasks:
             tasks.start_soon(self.view.run)
             await anyio.sleep_forever()
+
+    async def drain(self) -> None:
+        """Goes unready, serves on until the balancer has noticed, then ends the last request."""
+        self._is_draining = True
+        noticed_at_ms = self.environment.clock.now_ms() + self.settings.balancer_lag_s * MS_PER_S
+        await self.environment.clock.sleep_until(noticed_at_ms)
+        await self.requests.wait_idle()
+        log.info("The last request has ended.")
--- a/briarvale/gateway_http.py
+++ b/briarvale/gateway_http.py
@@ -20,7 +20,6 @@
     InvalidKey,
     InvalidRequest,
     NotFound,
-    NotReady,
 )
 from .gateway import Gateway
 from .job_http import job_routes
@@ -28,6 +27,7 @@
 from .online import OnlineRequest
 from .operator_http import OperatorAuth, health_route
 from .plain_calls import PlainRequest
+from .request_count import RequestCountMiddleware
 from .service_client import ServiceCall
 from .slot_client import new_request_id
 from .traces import extract_context, tracer
@@ -56,6 +56,7 @@
         *job_routes(gateway, http.authenticated),
     ]
     app = Starlette(routes=routes, exception_handlers={BriarvaleError: _answer_error})
+    app.add_middleware(RequestCountMiddleware, count=gateway.requests)
     app.state.clock = gateway.environment.clock
     app.mount("/", OperatorAuth(Starlette(routes=[metrics_route()]), gateway.settings))
     return app
@@ -71,8 +72,6 @@
         """Checks the API key before anything else and opens the request's span."""
 
         async def handle(request: Request) -> Response:
-            if not self._gateway.is_ready:
-                raise NotReady("the gateway is not ready")
             member = self._member(request)
             context = extract_context(dict(request.headers))
             with tracer.start_as_current_span("gateway", context=context) as span:
--- a/briarvale/programs/_run.py
+++ b/briarvale/programs/_run.py
@@ -5,55 +5,113 @@
 import sys
 from collections.abc import Awaitable, Callable
 from contextlib import AsyncExitStack
+from enum import StrEnum
 from pathlib import Path
+from typing import Annotated, Protocol
 
 import anyio
+import typer
 
 from .. import logs, traces
 from ..environment import Environment, open_environment
 from ..errors import SettingsInvalid
+from ..http_server import serve_app
+from ..operator_http import operator_app
 from ..peer import PeerIdentity
 from ..settings import Settings, load_settings
 
+EXIT_STOPPED_AT_ONCE = 1
 EXIT_BAD_SETTINGS = 2
 
-Main = Callable[[Settings, Environment, Callable[[], Awaitable[None]]], Awaitable[None]]
+Shutdown = Callable[[], Awaitable[None]]
+Main = Callable[[Settings, Environment, Shutdown], Awaitable[None]]
 
-__all__ = ["EXIT_BAD_SETTINGS", "run_program"]
+__all__ = ["Part", "Shutdown", "program", "serve_part"]
 
 
-def run_program(path: Path, program: str, main: Main) -> None:
-    """Loads the settings and runs `main` until SIGTERM or SIGINT has been served.
+class LogFormat(StrEnum):
+    """Forms of the log lines."""
 
-    Exits with 2 and starts nothing if the settings are wrong.
+    TEXT = "text"
+    JSON = "json"
+
+
+class Part(Protocol):
+    """The part of a VM that a program runs."""
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether it serves."""
+
+    async def run(self) -> None:
+        """Runs until cancelled."""
+
+    async def drain(self) -> None:
+        """Ends its work gracefully; returns when nothing would be cut."""
+
+
+def program(name: str, summary: str, main: Main) -> typer.Typer:
+    """Returns a program's command line: `briarvale-NAME SETTINGS [--log-format json]`.
+
+    It exits with 2 and starts nothing if the settings are wrong. SIGTERM or SIGINT starts a
+    graceful shutdown; a second one ends the program at once with 1.
     """
+    app = typer.Typer(add_completion=False)
+
+    @app.command(help=summary)
+    def run(
+        settings: Annotated[Path, typer.Argument(help="Settings file of this VM.")],
+        log_format: Annotated[LogFormat | None, typer.Option(help="Form of the log lines.")] = None,
+    ) -> None:
+        loaded = _load_or_exit(settings)
+        if log_format is not None:
+            loaded = loaded._replace(log_format=log_format.value)
+        logs.configure(loaded)
+        traces.configure(loaded, name)
+        anyio.run(_run, loaded, name, main)
+
+    return app
+
+
+async def serve_part(settings: Settings, part: Part, port: int, shutdown: Shutdown) -> None:
+    """Runs a part beside its operator port; at shutdown drains it first."""
+
+    async def drained() -> None:
+        await shutdown()
+        await part.drain()
+
+    operators = operator_app(settings, lambda: part.is_ready, [])
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(part.run)
+        await serve_app(operators, settings.host, port, drained)
+        tasks.cancel_scope.cancel()
+
+
+def _load_or_exit(path: Path) -> Settings:
     try:
-        settings = load_settings(path)
+        return load_settings(path)
     except SettingsInvalid as error:
         print(error, file=sys.stderr)
         sys.exit(EXIT_BAD_SETTINGS)
-    logs.configure(settings)
-    traces.configure(settings, program)
-    anyio.run(_run, settings, program, main)
 
 
-async def _run(settings: Settings, program: str, main: Main) -> None:
-    identity = PeerIdentity(settings.vm, program, secrets.token_hex(8))
+async def _run(settings: Settings, name: str, main: Main) -> None:
+    identity = PeerIdentity(settings.vm, name, secrets.token_hex(8))
     stopped = anyio.Event()
     async with AsyncExitStack() as stack:
         environment = await open_environment(settings, identity, stack)
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(_watch_signals, program, stopped)
+            tasks.start_soon(_watch_signals, name, stopped)
             await main(settings, environment, stopped.wait)
             tasks.cancel_scope.cancel()
 
 
-async def _watch_signals(program: str, stopped: anyio.Event) -> None:
-    log = logs.part(program)
+async def _watch_signals(name: str, stopped: anyio.Event) -> None:
+    log = logs.part(name)
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
         async for number in signals:
             if stopped.is_set():
-                log.warning("Stops now, at the second {}.", number.name)
-                sys.exit(1)
+                log.warning("Stops at once, at the second {}.", number.name)
+                sys.exit(EXIT_STOPPED_AT_ONCE)
             log.info("Stops gracefully, at {}.", number.name)
             stopped.set()
--- a/briarvale/programs/batch.py
+++ b/briarvale/programs/batch.py
@@ -1,38 +1,14 @@
-"""`briarvale-batch`: the batch of one VM."""
-
-from collections.abc import Awaitable, Callable
-from pathlib import Path
-
-import anyio
-import typer
+"""`briarvale-batch`: wiring of the batch of one VM."""
 
 from ..batch import Batch
 from ..environment import Environment
-from ..http_server import serve_app
-from ..operator_http import operator_app
 from ..settings import Settings
-from ._run import run_program
-
-app = typer.Typer(add_completion=False)
-
-
-@app.command()
-def run(settings: Path) -> None:
-    """Runs the batch with the SETTINGS file until SIGTERM."""
-    run_program(settings, "batch", _main)
+from ._run import Shutdown, program, serve_part
 
 
-async def _main(
-    settings: Settings, environment: Environment, stopped: Callable[[], Awaitable[None]]
-) -> None:
-    batch = Batch(settings, environment)
-    operators = operator_app(settings, lambda: batch.is_ready, [])
-    async with anyio.create_task_group() as tasks:
-        tasks.start_soon(batch.run)
-        await serve_app(operators, settings.host, settings.batch_port, stopped)
-        tasks.cancel_scope.cancel()
+async def _main(settings: Settings, environment: Environment, shutdown: Shutdown) -> None:
+    part = Batch(settings, environment)
+    await serve_part(settings, part, settings.batch_port, shutdown)
 
 
-def main() -> None:
-    """Entry point."""
-    app()
+main = program("batch", "The batch program of one VM: runs the shards of jobs.", _main)
--- a/briarvale/programs/controller.py
+++ b/briarvale/programs/controller.py
@@ -1,38 +1,16 @@
-"""`briarvale-controller`: the controller of one VM."""
-
-from collections.abc import Awaitable, Callable
-from pathlib import Path
-
-import anyio
-import typer
+"""`briarvale-controller`: wiring of the controller of one VM."""
 
 from ..controller import Controller
 from ..environment import Environment
-from ..http_server import serve_app
-from ..operator_http import operator_app
 from ..settings import Settings
-from ._run import run_program
-
-app = typer.Typer(add_completion=False)
-
-
-@app.command()
-def run(settings: Path) -> None:
-    """Runs the controller with the SETTINGS file until SIGTERM."""
-    run_program(settings, "controller", _main)
+from ._run import Shutdown, program, serve_part
 
 
-async def _main(
-    settings: Settings, environment: Environment, stopped: Callable[[], Awaitable[None]]
-) -> None:
-    controller = Controller(settings, environment)
-    operators = operator_app(settings, lambda: controller.is_ready, [])
-    async with anyio.create_task_group() as tasks:
-        tasks.start_soon(controller.run)
-        await serve_app(operators, settings.host, settings.controller_port, stopped)
-        tasks.cancel_scope.cancel()
+async def _main(settings: Settings, environment: Environment, shutdown: Shutdown) -> None:
+    part = Controller(settings, environment)
+    await serve_part(settings, part, settings.controller_port, shutdown)
 
 
-def main() -> None:
-    """Entry point."""
-    app()
+main = program(
+    "controller", "The controller of one VM: orders engines into the declared state.", _main
+)
--- /dev/null
+++ b/features/steps/frame_http.py
@@ -0,0 +1,136 @@
+"""Steps of the gateway's HTTP boundary, in virtual time over an ASGI transport."""
+
+import json
+from typing import Any, NamedTuple
+
+import anyio
+import httpx
+from behave import given, then, when
+from behave.runner import Context
+
+from briarvale.gateway_http import gateway_app
+from briarvale.standins.engine import token_text
+from briarvale.standins.memory_fleet import (
+    ENGINE_SERVICE,
+    PLAIN_SERVICE,
+    SHARED_SECRET,
+    FleetSettings,
+    MemoryFleet,
+)
+from features.support.virtual import run_virtual
+
+KEY = {"authorization": "Bearer key-cyweirio"}
+GOOD = {"model": ENGINE_SERVICE, "prompt": "low G", "max_tokens": 4}
+LIMIT_BYTES = 2000
+
+
+class Sent(NamedTuple):
+    """One request of a test."""
+
+    path: str
+    body: bytes
+    headers: dict[str, str] = KEY
+    verb: str = "POST"
+
+
+def completion(**changes: Any) -> bytes:
+    return json.dumps(GOOD | changes).encode()
+
+
+REQUESTS = {
+    "a wrong API key": Sent("/v1/completions", completion(), {"authorization": "Bearer nobody"}),
+    "no API key and a huge body": Sent("/v1/completions", b"x" * 10 * LIMIT_BYTES, {}),
+    "a body over the limit": Sent("/v1/completions", completion(prompt="x" * LIMIT_BYTES)),
+    "malformed JSON": Sent("/v1/completions", b'{"model": ]}'),
+    "JSON that is no object": Sent("/v1/completions", b"[]"),
+    "bytes that are not UTF-8": Sent("/v1/completions", b'{"model": "\xff\xfe"}'),
+    "no prompt": Sent("/v1/completions", json.dumps({"model": ENGINE_SERVICE}).encode()),
+    "an unknown service": Sent("/v1/completions", completion(model="nothing")),
+    "a plain call to a model": Sent(f"/v1/services/{ENGINE_SERVICE}/x", b""),
+    "a bad deadline": Sent("/v1/completions", completion(), KEY | {"x-deadline-ms": "soon"}),
+    "zero tokens": Sent("/v1/completions", completion(max_tokens=0)),
+    "metrics without the secret": Sent("/metrics", b"", KEY, "GET"),
+}
+
+
+@given("the HTTP interface of a gateway")
+def given_interface(context: Context) -> None:
+    async def play(requests: list[Sent]) -> tuple[list[httpx.Response], int]:
+        fleet = MemoryFleet(FleetSettings(vm_count=1, rules=(("max_body_bytes", LIMIT_BYTES),)))
+        async with anyio.create_task_group() as tasks:
+            await fleet.start(tasks)
+            transport = httpx.ASGITransport(gateway_app(fleet.vms["vm-1"].gateway))
+            async with httpx.AsyncClient(transport=transport, base_url="http://gateway") as client:
+                answers = [
+                    await client.request(r.verb, r.path, content=r.body, headers=r.headers)
+                    for r in requests
+                ]
+            tasks.cancel_scope.cancel()
+        engine_runs = sum(len(e.run_counts) for e in fleet.backends.engines.values())
+        plain_runs = sum(len(s.runs) for s in fleet.backends.plain_services.values())
+        return answers, engine_runs + plain_runs
+
+    context.play = lambda requests: run_virtual(play, requests)
+
+
+@when("a caller sends {request}")
+def when_sends(context: Context, request: str) -> None:
+    (context.answer,), context.run_count = context.play([REQUESTS[request]])
+
+
+@then('the refusal has status {status:d} and code {code} and mentions "{text}"')
+def then_refused(context: Context, status: int, code: str, text: str) -> None:
+    body = context.answer.json()
+    assert (context.answer.status_code, body["code"]) == (status, code), context.answer.text
+    assert text in body["message"], body["message"]
+    assert body["not_run"] is True
+
+
+@then("no backend server ran anything")
+def then_nothing_ran(context: Context) -> None:
+    assert context.run_count == 0
+
+
+@when("a caller asks for the same completion whole, streamed and as a chat")
+def when_forms(context: Context) -> None:
+    chat = {"model": ENGINE_SERVICE, "max_tokens": 4}
+    chat["messages"] = [{"role": "user", "content": "low G"}]
+    requests = [
+        Sent("/v1/completions", completion()),
+        Sent("/v1/completions", completion(stream=True)),
+        Sent("/v1/chat/completions", json.dumps(chat).encode()),
+        Sent("/v1/chat/completions", json.dumps(chat | {"stream": True}).encode()),
+        Sent(f"/v1/services/{PLAIN_SERVICE}/lookup", b"{}"),
+    ]
+    context.answers, _ = context.play(requests)
+
+
+@then("every form carries the whole answer")
+def then_forms(context: Context) -> None:
+    whole, streamed, chat, chat_streamed, plain = context.answers
+    text = "".join(token_text("low G", n) for n in range(4))
+    chat_text = "".join(token_text("user: low G", n) for n in range(4))
+    assert whole.json()["choices"][0]["text"] == text
+    assert "".join(c["text"] for c in choices_of(streamed)) == text
+    assert chat.json()["choices"][0]["message"]["content"] == chat_text
+    assert "".join(c["delta"]["content"] for c in choices_of(chat_streamed)) == chat_text
+    assert plain.json()["run"] == 1
+
+
+def choices_of(answer: httpx.Response) -> list[dict[str, Any]]:
+    lines = [line.removeprefix("data: ") for line in answer.text.splitlines() if line]
+    assert lines[-1] == "[DONE]"
+    return [json.loads(line)["choices"][0] for line in lines[:-1]]
+
+
+@when("an operator reads the metrics")
+def when_metrics(context: Context) -> None:
+    secret = {"authorization": f"Bearer {SHARED_SECRET}"}
+    requests = [Sent("/v1/completions", completion()), Sent("/metrics", b"", secret, "GET")]
+    (_, context.answer), _ = context.play(requests)
+
+
+@then("they name the requests by member and code")
+def then_metrics(context: Context) -> None:
+    assert context.answer.status_code == 200
+    assert 'briarvale_requests_total{code="200",member="cyweirio"}' in context.answer.text
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -145,6 +145,7 @@
             "object_api_url": f"http://{self.net}.1:9000",
             "vm_list_url": f"http://{self.net}.1:9001/vms",
             "trace_file": "traces.jsonl",
+            "balancer_lag_s": 0.2,
         }
 
     def _inventory(self) -> dict[str, Any]:
