--- a/briarvale/_generated/rules.py
+++ b/briarvale/_generated/rules.py
@@ -28,6 +28,8 @@
     harm_weight: float = 0.5
     max_attempts: int = 3
     max_body_bytes: int = 1048576
+    max_job_bytes: int = 1073741824
+    max_active_jobs: int = 1000
     retention_days: int = 30
 
     @classmethod
@@ -40,5 +42,7 @@
             harm_weight=float(mapping.get("harm_weight", 0.5)),
             max_attempts=mapping.get("max_attempts", 3),
             max_body_bytes=mapping.get("max_body_bytes", 1048576),
+            max_job_bytes=mapping.get("max_job_bytes", 1073741824),
+            max_active_jobs=mapping.get("max_active_jobs", 1000),
             retention_days=mapping.get("retention_days", 30),
         )
--- a/briarvale/batch.py
+++ b/briarvale/batch.py
@@ -75,9 +75,6 @@
         """Whether it knows the fleet."""
         return self.view.is_ready
 
-    async def drain(self) -> None:
-        """Ends its work gracefully."""
-
     async def run(self) -> None:
         """Runs until cancelled."""
         async with anyio.create_task_group() as tasks:
@@ -100,7 +97,7 @@
                 with anyio.move_on_after(LOOK_INTERVAL_S):
                     await self.jobs.wait_changed()
 
-    async def stop(self) -> None:
+    async def drain(self) -> None:
         """Starts no further item, commits the results that it has, and returns."""
         self._is_stopping = True
         for running in self._running.values():
--- /dev/null
+++ b/briarvale/commands/job.py
@@ -0,0 +1,126 @@
+"""`briarvale job`: batch jobs, over a gateway's HTTP interface."""
+
+import json
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Annotated, Any, NamedTuple
+
+import httpx
+import typer
+
+from ..errors import GatewayRefused, GatewayUnreachable
+from ..job_http import SEALED_HEADER, SHARD_COUNT_HEADER
+from ._common import console, or_exit
+
+TIMEOUT_S = 60.0
+CHUNK_BYTES = 65_536
+RESUME_SUFFIX = ".resume"
+
+app = typer.Typer(no_args_is_help=True, help="Batch jobs.")
+
+GatewayOption = Annotated[str, typer.Option("--gateway", help="Base URL of a gateway.")]
+KeyOption = Annotated[
+    str, typer.Option("--api-key", envvar="BRIARVALE_API_KEY", help="The member's API key.")
+]
+
+__all__ = ["app"]
+
+
+class _Place(NamedTuple):
+    """Where an interrupted download goes on."""
+
+    job_id: str
+    next_shard: int
+    size_bytes: int
+
+
+@app.command()
+def submit(
+    job_id: str,
+    items: Path,
+    service: Annotated[str, typer.Option(help="Service that runs the items.")],
+    due_at_ms: Annotated[int, typer.Option(help="Due date, Unix milliseconds.")],
+    gateway: GatewayOption,
+    api_key: KeyOption,
+) -> None:
+    """Submits the JSON lines of the ITEMS file; safe to repeat."""
+    params = {"service": service, "due_at_ms": str(due_at_ms)}
+    url = f"/v1/jobs/{job_id}"
+    with _client(gateway, api_key) as client:
+        answer = or_exit(lambda: _call(client, "PUT", url, params=params, content=_chunks(items)))
+    console.print_json(answer.text)
+
+
+@app.command()
+def show(job_id: str, gateway: GatewayOption, api_key: KeyOption) -> None:
+    """Shows a job's state and progress."""
+    with _client(gateway, api_key) as client:
+        console.print_json(or_exit(lambda: _call(client, "GET", f"/v1/jobs/{job_id}")).text)
+
+
+@app.command()
+def cancel(job_id: str, gateway: GatewayOption, api_key: KeyOption) -> None:
+    """Cancels a job; safe to repeat."""
+    with _client(gateway, api_key) as client:
+        console.print_json(or_exit(lambda: _call(client, "DELETE", f"/v1/jobs/{job_id}")).text)
+
+
+@app.command()
+def results(job_id: str, output: Path, gateway: GatewayOption, api_key: KeyOption) -> None:
+    """Writes the results to the OUTPUT file; run again, it goes on where it stopped."""
+    with _client(gateway, api_key) as client:
+        place, shard_count = or_exit(lambda: _download(client, job_id, output))
+    console.print(f"{place.next_shard} of {shard_count} shards are in {output}.")
+    if place.next_shard < shard_count:
+        console.print("The rest is not finished; run this again later.")
+
+
+def _download(client: httpx.Client, job_id: str, output: Path) -> tuple[_Place, int]:
+    """Appends whole shards, each noted in the resume file once it is written."""
+    resume = output.with_name(output.name + RESUME_SUFFIX)
+    place = _read_place(resume, job_id)
+    with output.open("ab") as file:
+        file.truncate(place.size_bytes)
+        while True:
+            url = f"/v1/jobs/{job_id}/results"
+            answer = _call(client, "GET", url, params={"shard": str(place.next_shard)})
+            shard_count = int(answer.headers[SHARD_COUNT_HEADER])
+            if answer.headers[SEALED_HEADER] != "true":
+                return place, shard_count
+            file.write(answer.content)
+            file.flush()
+            size_bytes = place.size_bytes + len(answer.content)
+            place = _Place(job_id, place.next_shard + 1, size_bytes)
+            if place.next_shard == shard_count:
+                resume.unlink(missing_ok=True)
+                return place, shard_count
+            resume.write_text(json.dumps(place))
+
+
+def _read_place(resume: Path, job_id: str) -> _Place:
+    try:
+        place = _Place(*json.loads(resume.read_text()))
+    except (OSError, ValueError, TypeError):
+        return _Place(job_id, 0, 0)
+    return place if place.job_id == job_id else _Place(job_id, 0, 0)
+
+
+def _client(gateway: str, api_key: str) -> httpx.Client:
+    headers = {"authorization": f"Bearer {api_key}"}
+    return httpx.Client(base_url=gateway, headers=headers, timeout=TIMEOUT_S, trust_env=False)
+
+
+def _call(client: httpx.Client, verb: str, url: str, **options: Any) -> httpx.Response:
+    try:
+        response = client.request(verb, url, **options)
+    except httpx.HTTPError as error:
+        raise GatewayUnreachable(f"{client.base_url}: {type(error).__name__}") from error
+    if response.is_success:
+        return response
+    raise GatewayRefused(response.text)
+
+
+def _chunks(path: Path) -> Iterator[bytes]:
+    with path.open("rb") as file:
+        while chunk := file.read(CHUNK_BYTES):
+            yield chunk
--- a/briarvale/completion.py
+++ b/briarvale/completion.py
@@ -83,9 +83,7 @@
                 break
             ended = self._ended(current, counts)
             try:
-                await self._budget.call(
-                    self._store.update, job.key, ended.encode(), stored.version
-                )
+                await self._budget.call(self._store.update, job.key, ended.encode(), stored.version)
             except (VersionConflict, ObjectNotFound):
                 continue
             log.info("Job {} of {} is {}.", job.job_id, job.member, ended.state.value)
@@ -117,9 +115,7 @@
     return f"{EXPIRING_PREFIX}{job.finished_at_ms:014d}/{place}"
 
 
-async def read_seals(
-    store: ObjectStore, budget: StoreBudget, job: JobRecord
-) -> list[ShardSeal]:
+async def read_seals(store: ObjectStore, budget: StoreBudget, job: JobRecord) -> list[ShardSeal]:
     """Lists the markers of a job's sealed shards."""
     keys = await list_all_keys(budget, store, seal_prefix(job))
     return [ShardSeal.from_key(key) for key in keys]
--- a/briarvale/errors.py
+++ b/briarvale/errors.py
@@ -128,6 +128,18 @@
     code, http_status, not_run = "too_many_jobs", 429, True
 
 
+class GatewayUnreachable(BriarvaleError):
+    """The command line can't reach the gateway."""
+
+    code, http_status = "gateway_unreachable", 503
+
+
+class GatewayRefused(BriarvaleError):
+    """The gateway refused; the message is its answer."""
+
+    code, http_status = "gateway_refused", 502
+
+
 class ShardSealed(BriarvaleError):
     """Nothing may be appended to a sealed log."""
 
--- a/briarvale/gateway.py
+++ b/briarvale/gateway.py
@@ -6,7 +6,7 @@
 from .clock import MS_PER_S
 from .environment import Environment
 from .fleet_view import FleetView
-from .jobs import Jobs
+from .job_service import JobService
 from .online import OnlineService
 from .plain_calls import PlainCalls
 from .request_count import RequestCount
@@ -31,7 +31,7 @@
         self.settings = settings
         self.environment = environment
         self.view = FleetView(settings, environment)
-        self.jobs = Jobs(environment.store, environment.clock)
+        self.jobs = JobService(environment, self.view)
         self.requests = RequestCount()
         self._is_draining = False
         self._tasks = anyio.create_task_group()
--- a/briarvale/item_runner.py
+++ b/briarvale/item_runner.py
@@ -218,9 +218,7 @@
     await anyio.sleep(longest_s * random.uniform(0.5, 1))
 
 
-async def _read_tokens(
-    stream: AsyncIterator[Token], progress: _Progress, slot: HeldSlot
-) -> None:
+async def _read_tokens(stream: AsyncIterator[Token], progress: _Progress, slot: HeldSlot) -> None:
     try:
         while True:
             with anyio.fail_after(TOKEN_TIMEOUT_S):
--- a/briarvale/item_scheduler.py
+++ b/briarvale/item_scheduler.py
@@ -32,9 +32,7 @@
         done: Indexes that have a result in the log.
     """
 
-    def __init__(
-        self, job: JobRecord, shard_index: int, items: list[Item], done: set[int]
-    ) -> None:
+    def __init__(self, job: JobRecord, shard_index: int, items: list[Item], done: set[int]) -> None:
         self.job = job
         self.shard_index = shard_index
         self.items = items
--- a/briarvale/job_http.py
+++ b/briarvale/job_http.py
@@ -1,5 +1,6 @@
 """The callers' HTTP interface to batch jobs."""
 
+import itertools
 import json
 import re
 from collections.abc import AsyncIterator, Awaitable, Callable
@@ -10,19 +11,23 @@
 from starlette.routing import Route
 
 from .errors import InvalidRequest, NotFound
-from .job_results import read_progress, read_results
+from .job_results import read_progress, read_results, read_shard
 from .jobs import JobRecord, JobRequest
+from .shard_log import ItemResult
 
 if TYPE_CHECKING:
     from .gateway import Gateway
 
 MAX_LINE_BYTES = 1_000_000
-JOB_ID_PATTERN = re.compile(r"[A-Za-z0-9._-]{1,128}")
+JOB_ID_PATTERN = re.compile(r"[A-Za-z0-9_-][A-Za-z0-9._-]{0,127}")
+MAX_INSTANT_MS = 2**53
+SHARD_COUNT_HEADER = "x-shard-count"
+SEALED_HEADER = "x-sealed"
 
 Handler = Callable[[Request, str], Awaitable[Response]]
 Wrap = Callable[[Handler], Callable[[Request], Awaitable[Response]]]
 
-__all__ = ["job_routes"]
+__all__ = ["SEALED_HEADER", "SHARD_COUNT_HEADER", "job_routes"]
 
 
 def job_routes(gateway: "Gateway", authenticated: Wrap) -> list[Route]:
@@ -31,6 +36,7 @@
     return [
         Route("/v1/jobs/{job_id}", authenticated(http.submit), methods=["PUT"]),
         Route("/v1/jobs/{job_id}", authenticated(http.show), methods=["GET"]),
+        Route("/v1/jobs/{job_id}", authenticated(http.cancel), methods=["DELETE"]),
         Route("/v1/jobs/{job_id}/results", authenticated(http.results), methods=["GET"]),
     ]
 
@@ -61,18 +67,46 @@
         progress = await read_progress(self._store, job)
         return JSONResponse(_summary(job) | progress._asdict())
 
+    async def cancel(self, request: Request, member: str) -> Response:
+        """Asks for the job to be stopped; 202 until it is, 200 for a job that has ended."""
+        job = await self._gateway.jobs.cancel(member, request.path_params["job_id"])
+        return JSONResponse(_summary(job), 200 if job.state.is_final else 202)
+
     async def results(self, request: Request, member: str) -> Response:
-        """Streams the results as JSON lines."""
+        """Answers with the results as JSON lines: of the shard that is named, or of all."""
         job = await self._gateway.jobs.get(member, request.path_params["job_id"])
+        if "shard" in request.query_params:
+            return await self._shard_results(job, _shard_index(request, job))
         return StreamingResponse(self._result_lines(job), media_type="application/jsonl")
 
+    async def _shard_results(self, job: JobRecord, shard_index: int) -> Response:
+        page = await read_shard(self._store, job, shard_index)
+        offset = sum(job.shard_items[:shard_index])
+        lines = "".join(_result_line(offset, result) for result in page.results)
+        headers = {
+            SHARD_COUNT_HEADER: str(len(job.shard_items)),
+            SEALED_HEADER: "true" if page.is_sealed else "false",
+        }
+        return Response(lines, headers=headers, media_type="application/jsonl")
+
     async def _result_lines(self, job: JobRecord) -> AsyncIterator[str]:
-        offsets = _shard_offsets(job)
+        offsets = [0, *itertools.accumulate(job.shard_items)]
         async for shard_index, result in read_results(self._store, job):
-            row = {"item": offsets[shard_index] + result.item_index, "text": result.text}
-            if result.error_code:
-                row["error_code"] = result.error_code
-            yield json.dumps(row) + "\n"
+            yield _result_line(offsets[shard_index], result)
+
+
+def _result_line(offset: int, result: ItemResult) -> str:
+    row = {"item": offset + result.item_index, "text": result.text}
+    if result.error_code:
+        row["error_code"] = result.error_code
+    return json.dumps(row) + "\n"
+
+
+def _shard_index(request: Request, job: JobRecord) -> int:
+    text = request.query_params["shard"]
+    if not text.isascii() or not text.isdigit() or int(text) >= len(job.shard_items):
+        raise InvalidRequest(f"shard: expected 0 to {len(job.shard_items) - 1}")
+    return int(text)
 
 
 def _summary(job: JobRecord) -> dict[str, Any]:
@@ -85,18 +119,11 @@
     }
 
 
-def _shard_offsets(job: JobRecord) -> list[int]:
-    offsets = [0]
-    for shard in job.shards:
-        offsets.append(offsets[-1] + shard.item_count)
-    return offsets
-
-
 def _due_at_ms(request: Request) -> int:
-    try:
-        return int(request.query_params["due_at_ms"])
-    except (KeyError, ValueError) as error:
-        raise InvalidRequest("due_at_ms: expected Unix milliseconds") from error
+    text = request.query_params.get("due_at_ms", "")
+    if not text.isascii() or not text.isdigit() or int(text) > MAX_INSTANT_MS:
+        raise InvalidRequest("due_at_ms: expected Unix milliseconds")
+    return int(text)
 
 
 async def _lines(request: Request) -> AsyncIterator[bytes]:
--- a/briarvale/job_results.py
+++ b/briarvale/job_results.py
@@ -11,6 +11,7 @@
 from .store_budget import StoreBudget
 
 MAX_SHARDS_READ = 8
+READ_TIMEOUT_S = 5.0
 
 __all__ = ["JobProgress", "ShardPage", "read_progress", "read_results", "read_shard"]
 
@@ -26,8 +27,8 @@
     """How far a job is.
 
     The counts are exact once `is_sealed`. Before, `done_count` and `failed_count` are lower bounds
-    if more than `MAX_SHARDS_READ` shards are unsealed. `late_until_ms` is the predicted end of a job
-    that will be late, 0 otherwise.
+    if more than `MAX_SHARDS_READ` shards are unsealed. `late_until_ms` is the predicted end of a
+    job that will be late, 0 otherwise.
     """
 
     item_count: int
@@ -40,7 +41,7 @@
 
 async def read_shard(store: ObjectStore, job: JobRecord, shard_index: int) -> ShardPage:
     """Reads the results of one shard."""
-    budget = StoreBudget()
+    budget = StoreBudget(give_up_after_s=READ_TIMEOUT_S)
     prefix = log_prefix(job, shard_index)
     results: dict[int, ItemResult] = {}
     sequence = 0
@@ -69,7 +70,7 @@
     """Counts the results that stand in the logs."""
     if job.state.is_final:
         return JobProgress(job.item_count, *job.counts, is_sealed=True, late_until_ms=0)
-    seals = await read_seals(store, StoreBudget(), job)
+    seals = await read_seals(store, StoreBudget(give_up_after_s=READ_TIMEOUT_S), job)
     done = sum(seal.done_count for seal in seals)
     failed = sum(seal.failed_count for seal in seals)
     sealed = {seal.shard_index for seal in seals}
--- a/briarvale/jobs.py
+++ b/briarvale/jobs.py
@@ -177,8 +177,7 @@
     _check_text(item["prompt"], "prompt", line_number)
     _check_text(item.get("adapter", ""), "adapter", line_number)
     max_tokens = item.get("max_tokens")
-    is_number = isinstance(max_tokens, int) and not isinstance(max_tokens, bool)
-    if not is_number or not 1 <= max_tokens <= MAX_ITEM_TOKENS:
+    if type(max_tokens) is not int or not 1 <= max_tokens <= MAX_ITEM_TOKENS:
         raise InvalidRequest(f"line {line_number}: expected max_tokens of 1 to {MAX_ITEM_TOKENS}")
 
 
--- a/briarvale/programs/cli.py
+++ b/briarvale/programs/cli.py
@@ -2,10 +2,11 @@
 
 import typer
 
-from ..commands import config
+from ..commands import config, job
 
 app = typer.Typer(add_completion=False, no_args_is_help=True)
 app.add_typer(config.app, name="config")
+app.add_typer(job.app, name="job")
 
 
 @app.callback()
--- a/briarvale/retention.py
+++ b/briarvale/retention.py
@@ -100,9 +100,7 @@
     async def _remove(self, upload: UploadKey) -> None:
         """Removes the record first, so that no reader meets a job with a part of its results."""
         try:
-            stored = await self._budget.call(
-                self._store.get, job_key(upload.member, upload.job_id)
-            )
+            stored = await self._budget.call(self._store.get, job_key(upload.member, upload.job_id))
             record = JobRecord.decode(stored.value)
             if record.upload_id == upload.upload_id:
                 await self._budget.call(self._store.delete, stored.key, stored.version)
--- a/briarvale/shard_runner.py
+++ b/briarvale/shard_runner.py
@@ -169,7 +169,7 @@
 def _entry_results(shard: OpenShard) -> list[ItemResult]:
     """Returns the results for one entry: as many as fit into one object."""
     size_bytes = 0
-    chosen = []
+    chosen: list[ItemResult] = []
     for result in shard.results.values():
         size_bytes += result.size_bytes + 2
         if chosen and size_bytes > ENTRY_MAX_BYTES:
--- a/briarvale/standins/engine.py
+++ b/briarvale/standins/engine.py
@@ -28,7 +28,14 @@
 CRASH_MARK = "<crash>"
 IDLE_CHECK_S = 60.0
 
-__all__ = ["CRASH_MARK", "EngineFaults", "EngineSettings", "StandinEngine", "token_text"]
+__all__ = [
+    "CRASH_MARK",
+    "EngineFaults",
+    "EngineSettings",
+    "EngineStart",
+    "StandinEngine",
+    "token_text",
+]
 
 
 class EngineSettings(NamedTuple):
@@ -43,6 +50,14 @@
     step_scale: float = 1.0
 
 
+class EngineStart(NamedTuple):
+    """One start of a completion, for checks."""
+
+    at_s: float
+    request_id: str
+    prompt: str
+
+
 class EngineFaults:
     """Switches for what goes wrong; all off at the start."""
 
@@ -78,6 +93,7 @@
         self.settings = settings
         self.faults = EngineFaults()
         self.run_counts: dict[str, int] = {}
+        self.starts: list[EngineStart] = []
         self.crashes = 0
         self.tokens_generated = 0
         self.model, self.version = settings.model, settings.version
@@ -120,6 +136,8 @@
         self._check_up()
         self._check_serves(completion)
         self.run_counts[completion.request_id] = self.run_counts.get(completion.request_id, 0) + 1
+        start = EngineStart(anyio.current_time(), completion.request_id, completion.prompt)
+        self.starts.append(start)
         sender, receiver = anyio.create_memory_object_stream[Token](math.inf)
         stream = _Stream(completion, sender)
         stream.prefill_left = self._uncached_tokens(completion)
--- a/briarvale/standins/object_api.py
+++ b/briarvale/standins/object_api.py
@@ -18,7 +18,7 @@
 
 HISTORY_KEPT = 10_000
 
-__all__ = ["ObjectApiFaults", "StandinObjectApi", "StoreCall"]
+__all__ = ["ObjectApiFaults", "StandinObjectApi", "StoreCall", "StoreWrite"]
 
 
 class StoreCall(NamedTuple):
@@ -30,6 +30,14 @@
     writes: bool
 
 
+class StoreWrite(NamedTuple):
+    """One write that took effect, at once or late; no value for a deletion."""
+
+    at_s: float
+    key: str
+    value: bytes | None
+
+
 class ObjectApiFaults:
     """Switches for what goes wrong; all off at the start.
 
@@ -75,6 +83,7 @@
     def __init__(self, seed: int = 0) -> None:
         self.faults = ObjectApiFaults()
         self.calls: list[StoreCall] = []
+        self.landed: list[StoreWrite] = []
         self._random = random.Random(seed)
         self._objects: dict[str, StoredObject] = {}
         self._sorted_keys: list[str] = []
@@ -115,6 +124,7 @@
             raise VersionConflict(key)
         del self._objects[key]
         self._sorted_keys.remove(key)
+        self.landed.append(StoreWrite(anyio.current_time(), key, None))
         self._note_change(key)
         self._maybe_lose_answer()
 
@@ -193,6 +203,7 @@
         if current is None:
             bisect.insort(self._sorted_keys, key)
         self._note_change(key)
+        self.landed.append(StoreWrite(anyio.current_time(), key, value))
         self._objects[key] = StoredObject(key, value, self._version)
         return self._version
 
--- a/briarvale/store_budget.py
+++ b/briarvale/store_budget.py
@@ -1,5 +1,6 @@
 """Keeps one process's calls to the Object API inside a budget, and retries them with back-off."""
 
+import math
 from collections.abc import Awaitable, Callable
 from typing import TypeVar
 
@@ -26,9 +27,16 @@
 
     It also counts the bytes of results that wait to be committed. When `is_full`, no further item
     should be started.
+
+    Args:
+        max_buffer_bytes: Bytes of results that may wait.
+        give_up_after_s: Time after which a call that keeps failing is given up; never by default.
     """
 
-    def __init__(self, max_buffer_bytes: int = MAX_BUFFER_BYTES) -> None:
+    def __init__(
+        self, max_buffer_bytes: int = MAX_BUFFER_BYTES, give_up_after_s: float = math.inf
+    ) -> None:
+        self._give_up_after_s = give_up_after_s
         self._max_buffer_bytes = max_buffer_bytes
         self._rate_per_s = MAX_CALLS_PER_S
         self._next_at_s = 0.0
@@ -55,10 +63,13 @@
         Only an idempotent call may be made so: a read, or a write of the same bytes at the same
         key, whose earlier attempt may have taken effect.
         """
+        stop_at_s = anyio.current_time() + self._give_up_after_s
         retrying = AsyncRetrying(
             retry=retry_if_exception_type((StoreUnavailable, StoreThrottled)),
             wait=wait_random_exponential(multiplier=BACK_OFF_START_S, max=BACK_OFF_MAX_S),
+            stop=lambda _: anyio.current_time() >= stop_at_s,
             sleep=anyio.sleep,
+            reraise=True,
         )
         return await retrying(self._call_once, function, *args)
 
--- a/briarvale/submission.py
+++ b/briarvale/submission.py
@@ -170,7 +170,7 @@
     async def _announce(self, upload: _Upload, limits: SubmissionLimits) -> None:
         """Makes the index object, from which everything of this submission can be found."""
         prefix = f"{ACTIVE_PREFIX}{upload.request.member}/"
-        keys = await list_all_keys(StoreBudget(), self._store, prefix)
+        keys = await list_all_keys(StoreBudget(give_up_after_s=0), self._store, prefix)
         if len(keys) >= limits.max_active_jobs:
             retry_at_ms = self._clock.now_ms() + RETRY_DELAY_MS
             raise TooManyJobs(f"{len(keys)} jobs are not finished", retry_at_ms=retry_at_ms)
