Detect failed VMs by heartbeats and spread rumors in them

Cause: the membership knew the VM list alone, which lags, and publish() did nothing. Change: SWIM-like probes over sealed datagrams, indirect probes, suspicion, incarnations that start at the boot instant, and rumors within a byte budget. Membership.leave() tells the peers. Datagrams in memory can be lost or slow.

--- a/briarvale/_generated/messages.py
+++ b/briarvale/_generated/messages.py
@@ -248,6 +248,38 @@
     target: str = ""
 
 
+class ProbeNack(NamedTuple):
+    """The peer message ProbeNack."""
+
+    sequence: int = 0
+    source: str = ""
+    target: str = ""
+
+
+class Gossip(NamedTuple):
+    """The peer message Gossip."""
+
+    source: str = ""
+    updates: tuple[VmState, ...] = ()
+    config_revision: int = 0
+    servers: tuple[ServerState, ...] = ()
+    suspects: tuple[SuspectNotice, ...] = ()
+
+
+class StateFetch(NamedTuple):
+    """The peer message StateFetch."""
+
+    vm: str = ""
+
+
+class StateSnapshot(NamedTuple):
+    """The peer message StateSnapshot."""
+
+    vms: tuple[VmState, ...] = ()
+    servers: tuple[ServerState, ...] = ()
+    suspects: tuple[SuspectNotice, ...] = ()
+
+
 Message = (
     Challenge
     | Hello
@@ -267,6 +299,10 @@
     | Probe
     | ProbeAck
     | ProbeRequest
+    | ProbeNack
+    | Gossip
+    | StateFetch
+    | StateSnapshot
 )
 
 
@@ -644,6 +680,74 @@
     builder.target = message.target
 
 
+def _read_probe_nack(reader: Any) -> ProbeNack:
+    return ProbeNack(
+        reader.sequence,
+        reader.source,
+        reader.target,
+    )
+
+
+def _write_probe_nack(builder: Any, message: ProbeNack) -> None:
+    builder.sequence = message.sequence
+    builder.source = message.source
+    builder.target = message.target
+
+
+def _read_gossip(reader: Any) -> Gossip:
+    return Gossip(
+        reader.source,
+        tuple(_read_vm_state(item) for item in reader.updates),
+        reader.configRevision,
+        tuple(_read_server_state(item) for item in reader.servers),
+        tuple(_read_suspect_notice(item) for item in reader.suspects),
+    )
+
+
+def _write_gossip(builder: Any, message: Gossip) -> None:
+    builder.source = message.source
+    updates = builder.init("updates", len(message.updates))
+    for index, vm_state in enumerate(message.updates):
+        _write_vm_state(updates[index], vm_state)
+    builder.configRevision = message.config_revision
+    servers = builder.init("servers", len(message.servers))
+    for index, server_state in enumerate(message.servers):
+        _write_server_state(servers[index], server_state)
+    suspects = builder.init("suspects", len(message.suspects))
+    for index, suspect_notice in enumerate(message.suspects):
+        _write_suspect_notice(suspects[index], suspect_notice)
+
+
+def _read_state_fetch(reader: Any) -> StateFetch:
+    return StateFetch(
+        reader.vm,
+    )
+
+
+def _write_state_fetch(builder: Any, message: StateFetch) -> None:
+    builder.vm = message.vm
+
+
+def _read_state_snapshot(reader: Any) -> StateSnapshot:
+    return StateSnapshot(
+        tuple(_read_vm_state(item) for item in reader.vms),
+        tuple(_read_server_state(item) for item in reader.servers),
+        tuple(_read_suspect_notice(item) for item in reader.suspects),
+    )
+
+
+def _write_state_snapshot(builder: Any, message: StateSnapshot) -> None:
+    vms = builder.init("vms", len(message.vms))
+    for index, vm_state in enumerate(message.vms):
+        _write_vm_state(vms[index], vm_state)
+    servers = builder.init("servers", len(message.servers))
+    for index, server_state in enumerate(message.servers):
+        _write_server_state(servers[index], server_state)
+    suspects = builder.init("suspects", len(message.suspects))
+    for index, suspect_notice in enumerate(message.suspects):
+        _write_suspect_notice(suspects[index], suspect_notice)
+
+
 _WRITERS: dict[type, tuple[str, Any]] = {
     Challenge: ("challenge", _write_challenge),
     Hello: ("hello", _write_hello),
@@ -663,6 +767,10 @@
     Probe: ("probe", _write_probe),
     ProbeAck: ("probeAck", _write_probe_ack),
     ProbeRequest: ("probeRequest", _write_probe_request),
+    ProbeNack: ("probeNack", _write_probe_nack),
+    Gossip: ("gossip", _write_gossip),
+    StateFetch: ("stateFetch", _write_state_fetch),
+    StateSnapshot: ("stateSnapshot", _write_state_snapshot),
 }
 _READERS: dict[str, Any] = {
     "challenge": _read_challenge,
@@ -683,6 +791,10 @@
     "probe": _read_probe,
     "probeAck": _read_probe_ack,
     "probeRequest": _read_probe_request,
+    "probeNack": _read_probe_nack,
+    "gossip": _read_gossip,
+    "stateFetch": _read_state_fetch,
+    "stateSnapshot": _read_state_snapshot,
 }
 
 
--- a/briarvale/datagrams.py
+++ b/briarvale/datagrams.py
@@ -1,19 +1,34 @@
-"""Datagrams between dispatchers, for heartbeats; they may be lost, doubled or reordered."""
+"""Datagrams between dispatchers, for heartbeats; they may be lost, doubled or reordered.
 
+A sealed datagram is a truncated HMAC of the shared secret, followed by one encoded envelope.
+"""
+
+import hmac
 from collections.abc import Callable
 from typing import Protocol
 
 import anyio
+import capnp
 from anyio.abc import UDPSocket
 
 from . import logs
+from ._generated.messages import Message, decode_message, encode_message
+from .errors import PeerProtocolError
 from .peer import PeerAddress
 
 MAX_DATAGRAM_BYTES = 1_400
+SEAL_BYTES = 16
 
 log = logs.part("datagrams")
 
-__all__ = ["DatagramHandler", "Datagrams", "MAX_DATAGRAM_BYTES", "UdpDatagrams"]
+__all__ = [
+    "DatagramHandler",
+    "DatagramSeal",
+    "Datagrams",
+    "MAX_DATAGRAM_BYTES",
+    "SEAL_BYTES",
+    "UdpDatagrams",
+]
 
 DatagramHandler = Callable[[bytes, PeerAddress], None]
 
@@ -51,3 +66,32 @@
             await self._socket.sendto(data, address.host, address.port)
         except OSError as error:
             log.debug("Could not send to {}: {}.", address.host, error)
+
+
+class DatagramSeal:
+    """Seals and opens datagrams with the secret that all peers share.
+
+    Args:
+        shared_secret: Secret of the fleet.
+    """
+
+    def __init__(self, shared_secret: str) -> None:
+        self._secret = shared_secret.encode()
+
+    def seal(self, message: Message) -> bytes:
+        """Encodes a message and puts its seal in front."""
+        body = encode_message(message)
+        return self._tag(body) + body
+
+    def open(self, data: bytes) -> Message:
+        """Returns the message of a sealed datagram; raises `PeerProtocolError`."""
+        tag, body = data[:SEAL_BYTES], data[SEAL_BYTES:]
+        if not hmac.compare_digest(tag, self._tag(body)):
+            raise PeerProtocolError("datagram with a wrong seal")
+        try:
+            return decode_message(body)
+        except (capnp.KjException, KeyError, ValueError) as error:
+            raise PeerProtocolError(f"bad datagram: {type(error).__name__}") from error
+
+    def _tag(self, body: bytes) -> bytes:
+        return hmac.digest(self._secret, body, "sha256")[:SEAL_BYTES]
--- a/briarvale/dispatcher.py
+++ b/briarvale/dispatcher.py
@@ -15,6 +15,7 @@
     SlotRelease,
     SlotRequest,
     SlotWithdraw,
+    StateFetch,
     SuspectNotice,
     View,
     ViewSubscribe,
@@ -171,6 +172,8 @@
                 config = self.config_spread.config
                 if config is not None and config.revision > have_revision:
                     connection.notify(config.bundle)
+            case StateFetch():
+                connection.notify(self.membership.snapshot())
             case SuspectNotice():
                 self.membership.publish(message)
                 self._broadcast(message)
--- /dev/null
+++ b/briarvale/heartbeats.py
@@ -0,0 +1,317 @@
+"""Heartbeats between dispatchers: one probe a second, indirect probes, and rumors on their back.
+
+The cost of one VM does not depend on the size of the fleet: it sends one probe and answers about
+one a second, and what these carry is bounded by a budget of bytes.
+"""
+
+import random
+from collections.abc import Callable
+
+import anyio
+from anyio.abc import TaskGroup
+
+from . import logs, metrics
+from ._generated.messages import (
+    Gossip,
+    Message,
+    Probe,
+    ProbeAck,
+    ProbeNack,
+    ProbeRequest,
+    ServerState,
+    SuspectNotice,
+    VmHealth,
+    VmState,
+)
+from .clock import MS_PER_S
+from .datagrams import MAX_DATAGRAM_BYTES, SEAL_BYTES, DatagramSeal
+from .environment import Environment
+from .errors import PeerProtocolError
+from .failure_detector import FailureDetector
+from .peer import PeerAddress
+from .rumors import RumorBatch, RumorQueue, size_bytes
+from .settings import Settings
+
+PROBE_INTERVAL_MS = 1_000
+DIRECT_TIMEOUT_S = 0.3
+INDIRECT_TIMEOUT_S = 0.6
+HELPER_COUNT = 3
+DEAD_PROBE_TICKS = 2
+PAUSE_MS = 700
+PUSH_DELAY_S = 0.05
+PUSH_FANOUT = 3
+RUMOR_BYTES_PER_S = 1_800.0
+RUMOR_BURST_BYTES = 6_000.0
+HEADER_BYTES = 160
+
+log = logs.part("heartbeats")
+
+__all__ = ["HeardRumor", "Heartbeats"]
+
+HeardRumor = Callable[[ServerState | SuspectNotice], None]
+Digest = Probe | ProbeAck | Gossip
+
+
+class _Pending:
+    """A probe that waits for its answer."""
+
+    def __init__(self, target: str) -> None:
+        self.target = target
+        self.acked = anyio.Event()
+        self.is_helped = False
+
+
+class _ByteBudget:
+    """Bytes that rumors may take: a steady rate with a bounded burst."""
+
+    def __init__(self) -> None:
+        self._bytes = RUMOR_BURST_BYTES
+        self._filled_at_s = 0.0
+
+    def available(self) -> int:
+        """Returns the bytes that may be sent now."""
+        now_s = anyio.current_time()
+        gained = (now_s - self._filled_at_s) * RUMOR_BYTES_PER_S
+        self._bytes = min(RUMOR_BURST_BYTES, self._bytes + gained)
+        self._filled_at_s = now_s
+        return int(self._bytes)
+
+    def spend(self, size: int) -> None:
+        """Takes bytes out."""
+        self._bytes -= size
+
+
+class Heartbeats:
+    """Probes other dispatchers and answers theirs.
+
+    Args:
+        settings: This VM's settings.
+        environment: The outside interfaces.
+        detector: Gets the verdicts.
+        rumors: What to spread.
+        on_rumor: Called with each rumor on a backend server or a request that arrives.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        environment: Environment,
+        detector: FailureDetector,
+        rumors: RumorQueue,
+        on_rumor: HeardRumor,
+    ) -> None:
+        self._settings = settings
+        self._environment = environment
+        self._detector = detector
+        self._rumors = rumors
+        self._on_rumor = on_rumor
+        self._seal = DatagramSeal(settings.shared_secret)
+        self._random = random.Random(environment.identity.boot_id)
+        self._sequence = self._random.randrange(2**31)
+        self._pending: dict[int, _Pending] = {}
+        self._budget = _ByteBudget()
+        self._pushed = anyio.Event()
+        self._tasks: TaskGroup | None = None
+        self.config_revision = 0
+        self.newest_seen: tuple[int, str] = (0, "")
+        self.last_heard_ms = 0
+
+    async def run(self) -> None:
+        """Serves and probes until cancelled."""
+        address = PeerAddress(self._settings.host, self._settings.heartbeat_port)
+        async with anyio.create_task_group() as tasks:
+            self._tasks = tasks
+            tasks.start_soon(self._environment.datagrams.serve, address, self._receive)
+            tasks.start_soon(self._push_fresh)
+            await self._probe_each_tick(tasks)
+
+    def wake_push(self) -> None:
+        """Sends fresh rumors soon, ahead of the next probe."""
+        self._pushed.set()
+
+    async def push_to(self, vms: list[str]) -> None:
+        """Sends rumors at once to these VMs."""
+        for vm in vms:
+            await self._send_to(vm, self._gossip(vm))
+
+    async def _probe_each_tick(self, tasks: TaskGroup) -> None:
+        while True:
+            tick = self._now_ms() // PROBE_INTERVAL_MS + 1
+            due_ms = tick * PROBE_INTERVAL_MS
+            await self._environment.clock.sleep_until(due_ms)
+            late_ms = self._now_ms() - due_ms
+            if late_ms > PAUSE_MS:
+                self._forgive(late_ms)
+            self._detector.expire_suspects(self._now_ms())
+            target = self._detector.probe_target(tick)
+            if target is not None:
+                tasks.start_soon(self._probe, target)
+            if tick % DEAD_PROBE_TICKS == 0:
+                await self._probe_dead()
+
+    async def _probe(self, target: str) -> None:
+        pending, sequence = self._expect(target)
+        try:
+            await self._send_to(target, self._probe_message(sequence, target))
+            with anyio.move_on_after(DIRECT_TIMEOUT_S):
+                await pending.acked.wait()
+            if not pending.acked.is_set():
+                await self._probe_indirectly(target, sequence, pending)
+        finally:
+            self._pending.pop(sequence, None)
+
+    async def _probe_indirectly(self, target: str, sequence: int, pending: _Pending) -> None:
+        helpers = self._random_peers(HELPER_COUNT, excluded=target)
+        for helper in helpers:
+            request = ProbeRequest(sequence, self._settings.vm, target)
+            await self._send_to(helper, request)
+        with anyio.move_on_after(INDIRECT_TIMEOUT_S):
+            await pending.acked.wait()
+        if pending.acked.is_set() or sequence not in self._pending:
+            return
+        self._detector.suspect(target, self._now_ms(), is_local=not pending.is_helped)
+        await self._send_to(target, self._gossip(target))
+
+    async def _probe_for(self, request: ProbeRequest, sender: PeerAddress) -> None:
+        pending, sequence = self._expect(request.target)
+        try:
+            await self._send_to(request.target, self._probe_message(sequence, request.target))
+            with anyio.move_on_after(DIRECT_TIMEOUT_S):
+                await pending.acked.wait()
+        finally:
+            self._pending.pop(sequence, None)
+        if pending.acked.is_set():
+            answer: Message = ProbeAck(request.sequence, request.target)
+        else:
+            answer = ProbeNack(request.sequence, self._settings.vm, request.target)
+        await self._send(sender, answer)
+
+    async def _probe_dead(self) -> None:
+        target = self._detector.dead_target(self._random)
+        if target is not None:
+            self._sequence += 1
+            await self._send_to(target, self._probe_message(self._sequence, target))
+
+    async def _push_fresh(self) -> None:
+        while True:
+            await self._pushed.wait()
+            self._pushed = anyio.Event()
+            await anyio.sleep(PUSH_DELAY_S * (1 + self._random.random()))
+            if not self._rumors.has_fresh or self._budget.available() < RUMOR_BURST_BYTES / 2:
+                continue
+            await self.push_to(self._random_peers(PUSH_FANOUT))
+
+    def _receive(self, data: bytes, sender: PeerAddress) -> None:
+        try:
+            message = self._seal.open(data)
+        except PeerProtocolError as error:
+            metrics.BAD_DATAGRAMS.inc({})
+            log.debug("Dropped from {}: {}.", sender.host, error)
+            return
+        self.last_heard_ms = self._now_ms()
+        match message:
+            case Probe(sequence=sequence, source=source, target=target):
+                self._take_digest(message)
+                if target == self._settings.vm:
+                    self._start(self._send, sender, self._ack(sequence, source))
+            case ProbeAck(sequence=sequence, source=source):
+                self._take_digest(message)
+                self._note_ack(sequence, source)
+            case ProbeNack(sequence=sequence):
+                if sequence in self._pending:
+                    self._pending[sequence].is_helped = True
+            case ProbeRequest():
+                self._start(self._probe_for, message, sender)
+            case Gossip():
+                self._take_digest(message)
+            case _:
+                metrics.BAD_DATAGRAMS.inc({})
+
+    def _take_digest(self, message: Digest) -> None:
+        now_ms = self._now_ms()
+        for update in message.updates:
+            self._detector.take_update(update, now_ms)
+        self._detector.note_heard(message.source, message.config_revision, now_ms)
+        if message.config_revision > self.newest_seen[0]:
+            self.newest_seen = (message.config_revision, message.source)
+        for server in message.servers:
+            self._on_rumor(server)
+        for suspect in message.suspects:
+            self._on_rumor(suspect)
+
+    def _note_ack(self, sequence: int, source: str) -> None:
+        pending = self._pending.get(sequence)
+        if pending is not None and pending.target == source:
+            pending.acked.set()
+
+    def _expect(self, target: str) -> tuple[_Pending, int]:
+        self._sequence += 1
+        pending = self._pending[self._sequence] = _Pending(target)
+        return pending, self._sequence
+
+    def _forgive(self, late_ms: int) -> None:
+        log.info("This process was paused for {} ms.", late_ms)
+        self._pending.clear()
+        self._detector.postpone_suspects(late_ms)
+
+    def _probe_message(self, sequence: int, target: str) -> Probe:
+        updates, servers, suspects = self._batch(target)
+        revision = self.config_revision
+        return Probe(sequence, self._settings.vm, target, updates, revision, servers, suspects)
+
+    def _ack(self, sequence: int, receiver: str) -> ProbeAck:
+        updates, servers, suspects = self._batch(receiver)
+        revision = self.config_revision
+        return ProbeAck(sequence, self._settings.vm, updates, revision, servers, suspects)
+
+    def _gossip(self, receiver: str) -> Gossip:
+        updates, servers, suspects = self._batch(receiver)
+        return Gossip(self._settings.vm, updates, self.config_revision, servers, suspects)
+
+    def _batch(self, receiver: str) -> RumorBatch:
+        always = [self._detector.own._replace(config_revision=self.config_revision)]
+        receiver_state = self._detector.state(receiver)
+        if receiver_state is not None and receiver_state.health is not VmHealth.ALIVE:
+            always.append(receiver_state)
+        room = MAX_DATAGRAM_BYTES - SEAL_BYTES - HEADER_BYTES - sum(map(size_bytes, always))
+        room = min(room, self._budget.available())
+        batch = self._rumors.take(room, len(self._detector.candidates()))
+        self._budget.spend(sum(size_bytes(rumor) for part in batch for rumor in part))
+        return batch._replace(updates=(*always, *batch.updates))
+
+    def _random_peers(self, count: int, excluded: str = "") -> list[str]:
+        own = self._settings.vm
+        peers = [vm for vm in self._detector.candidates() if vm not in (own, excluded)]
+        return self._random.sample(peers, min(count, len(peers)))
+
+    def _start(self, function: Callable[..., object], *args: object) -> None:
+        if self._tasks is not None:
+            self._tasks.start_soon(function, *args)  # type: ignore[arg-type]
+
+    async def _send_to(self, vm: str, message: Message) -> None:
+        state = self._detector.state(vm)
+        if state is not None:
+            await self._send(PeerAddress(state.host, self._settings.heartbeat_port), message)
+
+    async def _send(self, address: PeerAddress, message: Message) -> None:
+        await self._environment.datagrams.send(address, self._seal.seal(message))
+
+    def _now_ms(self) -> int:
+        return self._environment.clock.now_ms()
+
+
+def first_incarnation(environment: Environment) -> int:
+    """Returns the incarnation of a process that starts now: higher than any earlier one's."""
+    return environment.clock.now_ms() // MS_PER_S
+
+
+def own_state(settings: Settings, environment: Environment) -> VmState:
+    """Returns the state of this VM at its start."""
+    return VmState(
+        settings.vm,
+        settings.host,
+        settings.region,
+        settings.availability_zone,
+        VmHealth.ALIVE,
+        first_incarnation(environment),
+    )
--- a/briarvale/membership.py
+++ b/briarvale/membership.py
@@ -1,16 +1,33 @@
 """Which VMs are there: the platform's VM list joined with what heartbeats say."""
 
+import random
 from collections.abc import Callable
 
 import anyio
 
-from . import logs
-from ._generated.messages import ServerState, SuspectNotice, VmHealth, VmState
+from . import logs, metrics
+from ._generated.messages import (
+    ServerState,
+    StateFetch,
+    StateSnapshot,
+    SuspectNotice,
+    VmHealth,
+    VmState,
+)
 from .environment import Environment
+from .errors import OwnerUnreachable, PeerClosed, PeerProtocolError
+from .failure_detector import FailureDetector
+from .heartbeats import Heartbeats, own_state
+from .peer import PeerAddress
+from .rumors import RumorQueue
 from .settings import Settings
-from .vm_list import VmEntry, VmListUnavailable, VmStatus
+from .vm_list import VmEntry, VmListUnavailable
 
 POLL_INTERVAL_S = 1.0
+POLL_JITTER = 0.5
+SYNC_TIMEOUT_S = 2.0
+SYNC_ATTEMPTS = 3
+LEAVE_FANOUT = 16
 
 log = logs.part("membership")
 
@@ -31,14 +48,38 @@
     def __init__(self, settings: Settings, environment: Environment) -> None:
         self._settings = settings
         self._environment = environment
-        self._vms: dict[str, VmState] = {}
-        self._changed = anyio.Event()
+        self._random = random.Random(environment.identity.boot_id)
+        self._rumors = RumorQueue()
+        self._detector = FailureDetector(own_state(settings, environment), self._spread)
+        self._heartbeats = Heartbeats(
+            settings, environment, self._detector, self._rumors, self._hear
+        )
+        self._servers: dict[str, ServerState] = {}
+        self._suspects: dict[str, SuspectNotice] = {}
         self._rumor_handlers: list[RumorHandler] = []
+        self._vms: tuple[VmState, ...] = ()
+        self._seen_version = 0
+        self._changed = anyio.Event()
+        self._has_list = False
 
     @property
     def vms(self) -> tuple[VmState, ...]:
-        """All known VMs, this one included."""
-        return tuple(self._vms[name] for name in sorted(self._vms))
+        """All known VMs, this one included; none before the first VM list."""
+        if not self._has_list:
+            return ()
+        if self._seen_version != self._detector.version:
+            self._seen_version = self._detector.version
+            self._vms = self._detector.states
+        return self._vms
+
+    @property
+    def config_revision(self) -> int:
+        """The revision in force here, which heartbeats tell the other VMs."""
+        return self._heartbeats.config_revision
+
+    @config_revision.setter
+    def config_revision(self, revision: int) -> None:
+        self._heartbeats.config_revision = revision
 
     async def wait_changed(self) -> None:
         """Waits for the next change."""
@@ -46,28 +87,135 @@
 
     def publish(self, rumor: Rumor) -> None:
         """Spreads a rumor to all dispatchers within seconds; heartbeats carry it."""
+        if self._remember(rumor):
+            self._spread(rumor)
 
     def subscribe(self, handler: RumorHandler) -> None:
         """Calls the handler with each rumor that arrives from another dispatcher."""
         self._rumor_handlers.append(handler)
 
+    async def leave(self) -> None:
+        """Tells other dispatchers that this VM leaves, so that owners move at once."""
+        self._detector.leave()
+        peers = [vm for vm in self._detector.candidates() if vm != self._settings.vm]
+        await self._heartbeats.push_to(peers[:LEAVE_FANOUT])
+
+    def snapshot(self) -> StateSnapshot:
+        """Returns all that heartbeats told, for a VM that starts."""
+        servers, suspects = tuple(self._servers.values()), tuple(self._suspects.values())
+        return StateSnapshot(self._detector.states, servers, suspects)
+
     async def run(self) -> None:
-        """Polls the VM list until cancelled; an outage keeps the last answer."""
+        """Polls the VM list and speaks with other dispatchers until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._poll_list)
+            tasks.start_soon(self._sync_at_start)
+            tasks.start_soon(self._watch_detector)
+            await self._heartbeats.run()
+
+    async def _poll_list(self) -> None:
         while True:
             try:
                 self._take_list(await self._environment.vm_list.fetch())
             except VmListUnavailable as error:
                 log.warning("{}.", error)
-            await anyio.sleep(POLL_INTERVAL_S)
+            jitter = 1 + POLL_JITTER * (2 * self._random.random() - 1)
+            await anyio.sleep(POLL_INTERVAL_S * jitter)
 
     def _take_list(self, entries: tuple[VmEntry, ...]) -> None:
-        vms = {entry.vm: _state_of(entry) for entry in entries}
-        if vms != self._vms:
-            self._vms = vms
-            self._changed.set()
-            self._changed = anyio.Event()
+        if not entries:
+            log.warning("The VM list is empty; kept the last one.")
+            return
+        self._detector.take_list(entries)
+        if not self._has_list:
+            self._has_list = True
+            self._notify()
+
+    async def _sync_at_start(self) -> None:
+        while not self._has_list:
+            await self._changed.wait()
+        for _ in range(SYNC_ATTEMPTS):
+            peers = [vm for vm in self._detector.candidates() if vm != self._settings.vm]
+            if not peers or await self._sync_with(self._random.choice(peers)):
+                return
+
+    async def _sync_with(self, vm: str) -> bool:
+        state = self._detector.state(vm)
+        if state is None:
+            return False
+        address = PeerAddress(state.host, self._settings.peer_port)
+        try:
+            with anyio.fail_after(SYNC_TIMEOUT_S):
+                self._take_snapshot(await self._fetch_snapshot(address))
+        except (OwnerUnreachable, PeerClosed, PeerProtocolError, TimeoutError) as error:
+            log.debug("No state from {}: {}.", vm, error)
+            return False
+        return True
+
+    async def _fetch_snapshot(self, address: PeerAddress) -> StateSnapshot:
+        stream = await self._environment.transport.connect(address)
+        try:
+            await stream.send(StateFetch(self._settings.vm))
+            while True:
+                message = await stream.receive()
+                if isinstance(message, StateSnapshot):
+                    return message
+        finally:
+            await stream.aclose()
+
+    def _take_snapshot(self, snapshot: StateSnapshot) -> None:
+        now_ms = self._environment.clock.now_ms()
+        for vm in snapshot.vms:
+            self._detector.take_update(vm, now_ms)
+        for server in snapshot.servers:
+            self._hear(server)
+        for suspect in snapshot.suspects:
+            self._hear(suspect)
+
+    async def _watch_detector(self) -> None:
+        version = self._detector.version
+        while True:
+            await anyio.sleep(0.1)
+            if version != self._detector.version:
+                version = self._detector.version
+                self._notify()
+
+    def _hear(self, rumor: Rumor) -> None:
+        if not self._remember(rumor):
+            return
+        self._spread(rumor)
+        for handler in self._rumor_handlers:
+            handler(rumor)
+
+    def _remember(self, rumor: Rumor) -> bool:
+        match rumor:
+            case ServerState(backend_server=name, observed_at_ms=observed_at_ms):
+                known = self._servers.get(name)
+                if known is not None and known.observed_at_ms >= observed_at_ms:
+                    return False
+                self._servers[name] = rumor
+            case SuspectNotice(fingerprint=fingerprint):
+                notice = self._suspects.get(fingerprint)
+                if notice is not None and not _is_worse(rumor, notice):
+                    return False
+                self._suspects[fingerprint] = rumor
+        return True
+
+    def _spread(self, rumor: Rumor | VmState) -> None:
+        self._rumors.put(rumor)
+        self._heartbeats.wake_push()
+
+    def _notify(self) -> None:
+        for health in VmHealth:
+            count = sum(vm.health is health for vm in self.vms)
+            metrics.VMS.set({"health": health.value}, count)
+        self._changed.set()
+        self._changed = anyio.Event()
 
 
-def _state_of(entry: VmEntry) -> VmState:
-    health = VmHealth.LEAVING if entry.status is VmStatus.LEAVING else VmHealth.ALIVE
-    return VmState(entry.vm, entry.host, entry.region, entry.availability_zone, health)
+def _is_worse(notice: SuspectNotice, known: SuspectNotice) -> bool:
+    return (notice.quarantined, notice.crashes, notice.expires_at_ms) > (
+        known.quarantined,
+        known.crashes,
+        known.expires_at_ms,
+    )
--- a/briarvale/metrics.py
+++ b/briarvale/metrics.py
@@ -21,11 +21,16 @@
 SLOTS_HELD = Gauge("briarvale_slots_held", "Slots granted by backend server and class.")
 SLOTS_REVOKED = Counter("briarvale_slots_revoked_total", "Batch slots taken back.")
 PEER_BAD_FRAMES = Counter("briarvale_peer_bad_frames_total", "Connections closed for a bad frame.")
+BAD_DATAGRAMS = Counter(
+    "briarvale_bad_datagrams_total", "Datagrams dropped for a bad seal or form."
+)
+VMS = Gauge("briarvale_vms", "VMs of the VM list by health.")
 STORE_CALLS = Counter("briarvale_store_calls_total", "Object API calls by verb and result.")
 ITEMS = Counter("briarvale_items_total", "Batch items committed by result.")
 CONFIG_REVISION = Gauge("briarvale_config_revision", "Configuration revision in force.")
 
 __all__ = [
+    "BAD_DATAGRAMS",
     "CONFIG_REVISION",
     "FIRST_TOKEN_S",
     "ITEMS",
@@ -36,6 +41,7 @@
     "SLOTS_REVOKED",
     "SLOT_WAIT_S",
     "STORE_CALLS",
+    "VMS",
     "metrics_route",
 ]
 
--- /dev/null
+++ b/briarvale/rumors.py
@@ -0,0 +1,114 @@
+"""Rumors that wait to be spread in datagrams, each a bounded number of times."""
+
+from typing import NamedTuple
+
+from ._generated.messages import ServerState, SuspectNotice, VmState
+
+RETRANSMIT_FACTOR = 3
+MAX_RUMORS = 4_096
+WORD_BYTES = 8
+VM_STATE_BYTES = 48
+SERVER_STATE_BYTES = 48
+SUSPECT_NOTICE_BYTES = 32
+
+__all__ = ["AnyRumor", "RumorBatch", "RumorQueue", "rumor_key", "size_bytes"]
+
+AnyRumor = VmState | ServerState | SuspectNotice
+
+
+class RumorBatch(NamedTuple):
+    """Rumors that travel in one datagram."""
+
+    updates: tuple[VmState, ...]
+    servers: tuple[ServerState, ...]
+    suspects: tuple[SuspectNotice, ...]
+
+
+class _Pending:
+    """A rumor and how often it was sent."""
+
+    __slots__ = ("rumor", "sent")
+
+    def __init__(self, rumor: AnyRumor) -> None:
+        self.rumor = rumor
+        self.sent = 0
+
+
+class RumorQueue:
+    """Keeps the latest rumor about each subject until it was sent O(log n) times."""
+
+    def __init__(self) -> None:
+        self._pending: dict[tuple[str, str], _Pending] = {}
+
+    def __len__(self) -> int:
+        return len(self._pending)
+
+    @property
+    def has_fresh(self) -> bool:
+        """Whether a rumor waits that was never sent."""
+        return any(pending.sent == 0 for pending in self._pending.values())
+
+    def put(self, rumor: AnyRumor) -> None:
+        """Queues a rumor in place of an earlier one about the same subject."""
+        key = rumor_key(rumor)
+        self._pending.pop(key, None)
+        if len(self._pending) >= MAX_RUMORS:
+            most_sent = max(self._pending, key=lambda key: self._pending[key].sent)
+            del self._pending[most_sent]
+        self._pending[key] = _Pending(rumor)
+
+    def take(self, room_bytes: int, vm_count: int) -> RumorBatch:
+        """Returns the least sent rumors that fit, and counts them as sent once more.
+
+        Args:
+            room_bytes: Bytes that they may take.
+            vm_count: Size of the fleet; each rumor is sent O(log n) times.
+        """
+        send_limit = RETRANSMIT_FACTOR * (vm_count + 1).bit_length()
+        chosen: list[AnyRumor] = []
+        for key, pending in sorted(self._pending.items(), key=lambda item: item[1].sent):
+            size = size_bytes(pending.rumor)
+            if size > room_bytes:
+                break
+            room_bytes -= size
+            chosen.append(pending.rumor)
+            pending.sent += 1
+            if pending.sent >= send_limit:
+                del self._pending[key]
+        return _batch(chosen)
+
+
+def rumor_key(rumor: AnyRumor) -> tuple[str, str]:
+    """Returns the subject of a rumor; a later rumor replaces an earlier one about it."""
+    match rumor:
+        case VmState(vm=vm):
+            return "vm", vm
+        case ServerState(backend_server=backend_server):
+            return "server", backend_server
+        case SuspectNotice(fingerprint=fingerprint):
+            return "suspect", fingerprint
+
+
+def size_bytes(rumor: AnyRumor) -> int:
+    """Returns the encoded size of a rumor, rounded up."""
+    match rumor:
+        case VmState():
+            return VM_STATE_BYTES + _text_bytes(
+                rumor.vm, rumor.host, rumor.region, rumor.availability_zone
+            )
+        case ServerState():
+            return SERVER_STATE_BYTES + _text_bytes(rumor.backend_server, rumor.owner)
+        case SuspectNotice():
+            return SUSPECT_NOTICE_BYTES + _text_bytes(rumor.fingerprint)
+
+
+def _text_bytes(*texts: str) -> int:
+    return sum((len(text.encode()) // WORD_BYTES + 1) * WORD_BYTES for text in texts)
+
+
+def _batch(rumors: list[AnyRumor]) -> RumorBatch:
+    return RumorBatch(
+        tuple(rumor for rumor in rumors if isinstance(rumor, VmState)),
+        tuple(rumor for rumor in rumors if isinstance(rumor, ServerState)),
+        tuple(rumor for rumor in rumors if isinstance(rumor, SuspectNotice)),
+    )
--- a/briarvale/schema/messages.capnp
+++ b/briarvale/schema/messages.capnp
@@ -108,6 +108,20 @@
   suspects @5 :List(SuspectNotice);
 }
 struct ProbeRequest { sequence @0 :UInt32; source @1 :Text; target @2 :Text; }
+struct ProbeNack { sequence @0 :UInt32; source @1 :Text; target @2 :Text; }
+struct Gossip {
+  source @0 :Text;
+  updates @1 :List(VmState);
+  configRevision @2 :UInt64;
+  servers @3 :List(ServerState);
+  suspects @4 :List(SuspectNotice);
+}
+struct StateFetch { vm @0 :Text; }
+struct StateSnapshot {
+  vms @0 :List(VmState);
+  servers @1 :List(ServerState);
+  suspects @2 :List(SuspectNotice);
+}
 
 struct Envelope {
   union {
@@ -129,5 +143,9 @@
     probe @15 :Probe;
     probeAck @16 :ProbeAck;
     probeRequest @17 :ProbeRequest;
+    probeNack @18 :ProbeNack;
+    gossip @19 :Gossip;
+    stateFetch @20 :StateFetch;
+    stateSnapshot @21 :StateSnapshot;
   }
 }
--- a/briarvale/standins/memory_network.py
+++ b/briarvale/standins/memory_network.py
@@ -1,8 +1,10 @@
 """Peers connected in memory, for tests and benchmarks in virtual time, with cuts and freezes."""
 
 import math
+import random
 
 import anyio
+from anyio.abc import TaskGroup
 from anyio.streams.memory import MemoryObjectReceiveStream, MemoryObjectSendStream
 
 from .._generated.messages import Message
@@ -23,9 +25,13 @@
         self.streams: list[MemoryStream] = []
         self.datagram_handlers: dict[PeerAddress, DatagramHandler] = {}
         self.datagram_bytes: dict[str, int] = {}
+        self.datagram_count: dict[str, int] = {}
         self.frozen: set[str] = set()
         self.cut: set[tuple[str, str]] = set()
         self.hop_s = HOP_S
+        self.slow_hosts: dict[str, float] = {}
+        self.datagram_loss = 0.0
+        self.random = random.Random(0)
 
     def transport(self, host: str, identity: PeerIdentity) -> "MemoryTransport":
         """Returns the transport of a process on this host."""
@@ -46,6 +52,15 @@
         """Whether messages from source to target are lost: a cut link or a frozen host."""
         return (source, target) in self.cut or bool(self.frozen & {source, target})
 
+    def delay_s(self, source: str, target: str) -> float:
+        """Returns how long a message takes, slow hosts included."""
+        slow = self.slow_hosts
+        return self.hop_s + slow.get(source, 0.0) + slow.get(target, 0.0)
+
+    def is_lost(self) -> bool:
+        """Whether the next datagram is lost, by `datagram_loss`."""
+        return self.datagram_loss > 0 and self.random.random() < self.datagram_loss
+
 
 class MemoryStream:
     """One side of a connection in memory."""
@@ -158,22 +173,34 @@
         self._network = network
         self._host = host
         self._address = PeerAddress(host, 0)
+        self._tasks: TaskGroup | None = None
 
     async def serve(self, address: PeerAddress, handler: DatagramHandler) -> None:
         """Receives until cancelled."""
         self._address = address
         self._network.datagram_handlers[address] = handler
         try:
-            await anyio.sleep_forever()
+            async with anyio.create_task_group() as tasks:
+                self._tasks = tasks
+                await anyio.sleep_forever()
         finally:
+            self._tasks = None
             if self._network.datagram_handlers.get(address) is handler:
                 del self._network.datagram_handlers[address]
 
     async def send(self, address: PeerAddress, data: bytes) -> None:
-        """Delivers one datagram after a hop, or loses it."""
-        sent = self._network.datagram_bytes.get(self._host, 0)
-        self._network.datagram_bytes[self._host] = sent + len(data)
-        await anyio.sleep(self._network.hop_s)
-        handler = self._network.datagram_handlers.get(address)
-        if handler is not None and not self._network.is_cut(self._host, address.host):
+        """Sends one datagram, which is delivered after a hop or lost."""
+        if self._tasks is None:
+            return
+        network = self._network
+        network.datagram_bytes[self._host] = network.datagram_bytes.get(self._host, 0) + len(data)
+        network.datagram_count[self._host] = network.datagram_count.get(self._host, 0) + 1
+        self._tasks.start_soon(self._deliver, address, data)
+
+    async def _deliver(self, address: PeerAddress, data: bytes) -> None:
+        network = self._network
+        await anyio.sleep(network.delay_s(self._host, address.host))
+        handler = network.datagram_handlers.get(address)
+        is_cut = network.is_cut(self._host, address.host)
+        if handler is not None and not is_cut and not network.is_lost():
             handler(data, self._address)
