Move the shards of a batch program that died while its VM lives

Cause: shards went to VMs that are alive, whether or not their batch program runs. Ruled out: a heartbeat of the batch program's own, since its dispatcher sees the connection end. Change: a VM's state says whether a batch program is connected; shards go only to such VMs. Before: the job stayed at a part of its items (features/processes/survival.feature:14). After: it goes on, but an item may still end with attempts_exhausted while an owner is away, so it stays red. Conclusion: being without a slot must not count as an attempt of the item.

--- a/briarvale/_generated/messages.py
+++ b/briarvale/_generated/messages.py
@@ -159,6 +159,7 @@
     health: VmHealth = VmHealth.ALIVE
     incarnation: int = 0
     config_revision: int = 0
+    runs_batch: bool = False
 
 
 class ServerState(NamedTuple):
@@ -495,6 +496,7 @@
         VmHealth(str(reader.health)),
         reader.incarnation,
         reader.configRevision,
+        reader.runsBatch,
     )
 
 
@@ -506,6 +508,7 @@
     builder.health = message.health.value
     builder.incarnation = message.incarnation
     builder.configRevision = message.config_revision
+    builder.runsBatch = message.runs_batch
 
 
 def _read_server_state(reader: Any) -> ServerState:
--- a/briarvale/batch.py
+++ b/briarvale/batch.py
@@ -4,12 +4,11 @@
 from anyio.abc import TaskGroup
 
 from . import logs
-from ._generated.messages import VmHealth
 from .environment import Environment
 from .errors import BriarvaleError
 from .fleet_view import FleetView
 from .jobs import JobRecord, JobState
-from .ownership import rank_by_rendezvous
+from .ownership import batch_vms, rank_by_rendezvous
 from .routing import Router
 from .settings import Settings
 from .shard_runner import ShardRunner
@@ -85,6 +84,6 @@
             self._running.discard(shard)
 
     def _is_mine(self, shard: tuple[str, str, int]) -> bool:
-        alive = [vm.vm for vm in self.view.vms if vm.health is VmHealth.ALIVE]
+        alive = batch_vms(self.view.vms)
         key = "\0".join(str(part) for part in shard)
         return bool(alive) and rank_by_rendezvous(key, alive)[0] == self._settings.vm
--- a/briarvale/dispatcher.py
+++ b/briarvale/dispatcher.py
@@ -150,6 +150,10 @@
             if connection.is_subscribed:
                 connection.notify(message)
 
+    def _note_batch(self) -> None:
+        subscribed = [c for c in self._connections if c.is_subscribed]
+        self.membership.set_runs_batch(any(c.identity.role == "batch" for c in subscribed))
+
     async def _serve_peer(self, stream: MessageStream, identity: PeerIdentity) -> None:
         connection = PeerConnection(stream, identity)
         self._connections.add(connection)
@@ -162,6 +166,7 @@
             log.debug("Lost {}: {}.", connection.name, errors.exceptions[0])
         finally:
             self._connections.discard(connection)
+            self._note_batch()
             connection.close()
             self.slot_owner.drop_holder(connection)
 
@@ -185,6 +190,7 @@
 
     def _subscribe(self, connection: PeerConnection) -> None:
         connection.is_subscribed = True
+        self._note_batch()
         if self.config_spread.config is not None:
             connection.notify(self.config_spread.config.bundle)
         connection.notify(self.view())
--- a/briarvale/failure_detector.py
+++ b/briarvale/failure_detector.py
@@ -165,6 +165,12 @@
         """Counts this VM as leaving."""
         self._raise_own(self.own.incarnation + 1, VmHealth.LEAVING)
 
+    def set_runs_batch(self, runs_batch: bool) -> None:
+        """Tells other VMs whether a batch program is connected here."""
+        if runs_batch != self.own.runs_batch:
+            self.own = self.own._replace(runs_batch=runs_batch)
+            self._raise_own(self.own.incarnation + 1, self.own.health)
+
     def _take_entry(self, entry: VmEntry, presumed: VmHealth) -> None:
         member = self._members.get(entry.vm)
         if member is None:
@@ -181,7 +187,7 @@
             self._set(member, member.state._replace(health=VmHealth.LEAVING), 0)
 
     def _set(self, member: _Member, state: VmState, now_ms: int, *, is_local: bool = False) -> None:
-        was = member.state.health
+        was, ran_batch = member.state.health, member.state.runs_batch
         member.state = state
         member.is_local = is_local
         self._suspects.discard(state.vm)
@@ -193,6 +199,7 @@
                 self._note_death(member, now_ms)
         if was is not state.health:
             log.info("{} is {}, at incarnation {}.", state.vm, state.health, state.incarnation)
+        if (was, ran_batch) != (state.health, state.runs_batch):
             self._note_change()
         if not is_local:
             self._spread(state)
--- a/briarvale/membership.py
+++ b/briarvale/membership.py
@@ -94,6 +94,10 @@
         """Calls the handler with each rumor that arrives from another dispatcher."""
         self._rumor_handlers.append(handler)
 
+    def set_runs_batch(self, runs_batch: bool) -> None:
+        """Tells other dispatchers whether a batch program is connected to this one."""
+        self._detector.set_runs_batch(runs_batch)
+
     async def leave(self) -> None:
         """Tells other dispatchers that this VM leaves, so that owners move at once."""
         self._detector.leave()
--- a/briarvale/ownership.py
+++ b/briarvale/ownership.py
@@ -7,7 +7,7 @@
 from ._generated.messages import VmHealth, VmState
 from .config import BackendServer
 
-__all__ = ["owner_of", "rank_by_rendezvous"]
+__all__ = ["batch_vms", "owner_of", "rank_by_rendezvous"]
 
 
 def rank_by_rendezvous(key: str, names: Iterable[str]) -> list[str]:
@@ -17,6 +17,12 @@
     )
 
 
+def batch_vms(vms: Iterable[VmState]) -> list[str]:
+    """Returns the VMs whose batch program runs, by name."""
+    running = (vm for vm in vms if vm.runs_batch)
+    return sorted(vm.vm for vm in running if vm.health in (VmHealth.ALIVE, VmHealth.SUSPECT))
+
+
 def owner_of(server: BackendServer, vms: Sequence[VmState]) -> VmState | None:
     """Returns the VM that owns a backend server, or none if no VM is alive.
 
--- a/briarvale/schema/messages.capnp
+++ b/briarvale/schema/messages.capnp
@@ -66,6 +66,7 @@
   health @4 :VmHealth;
   incarnation @5 :UInt32;
   configRevision @6 :UInt64;
+  runsBatch @7 :Bool;
 }
 struct ServerState {
   backendServer @0 :Text;
