--- a/briarvale/_generated/messages.py
+++ b/briarvale/_generated/messages.py
@@ -149,6 +149,12 @@
     grants: tuple[HeldGrant, ...] = ()
 
 
+class SlotHeartbeat(NamedTuple):
+    """The peer message SlotHeartbeat."""
+
+    sequence: int = 0
+
+
 class VmState(NamedTuple):
     """The peer message VmState."""
 
@@ -267,6 +273,7 @@
     | Probe
     | ProbeAck
     | ProbeRequest
+    | SlotHeartbeat
 )
 
 
@@ -450,6 +457,16 @@
         _write_held_grant(grants[index], held_grant)
 
 
+def _read_slot_heartbeat(reader: Any) -> SlotHeartbeat:
+    return SlotHeartbeat(
+        reader.sequence,
+    )
+
+
+def _write_slot_heartbeat(builder: Any, message: SlotHeartbeat) -> None:
+    builder.sequence = message.sequence
+
+
 def _read_vm_state(reader: Any) -> VmState:
     return VmState(
         reader.vm,
@@ -663,6 +680,7 @@
     Probe: ("probe", _write_probe),
     ProbeAck: ("probeAck", _write_probe_ack),
     ProbeRequest: ("probeRequest", _write_probe_request),
+    SlotHeartbeat: ("slotHeartbeat", _write_slot_heartbeat),
 }
 _READERS: dict[str, Any] = {
     "challenge": _read_challenge,
@@ -683,6 +701,7 @@
     "probe": _read_probe,
     "probeAck": _read_probe_ack,
     "probeRequest": _read_probe_request,
+    "slotHeartbeat": _read_slot_heartbeat,
 }
 
 
--- a/briarvale/dispatcher.py
+++ b/briarvale/dispatcher.py
@@ -12,6 +12,7 @@
     HolderReport,
     Message,
     ServerState,
+    SlotHeartbeat,
     SlotRelease,
     SlotRequest,
     SlotWithdraw,
@@ -163,7 +164,7 @@
 
     def _handle(self, connection: PeerConnection, message: Message) -> None:
         match message:
-            case SlotRequest() | SlotWithdraw() | SlotRelease() | HolderReport():
+            case SlotRequest() | SlotWithdraw() | SlotRelease() | HolderReport() | SlotHeartbeat():
                 self.slot_owner.handle(connection, message)
             case ViewSubscribe():
                 self._subscribe(connection)
--- a/briarvale/errors.py
+++ b/briarvale/errors.py
@@ -164,6 +164,12 @@
     code, http_status, not_run = "owner_unreachable", 503, True
 
 
+class NotOwner(BriarvaleError):
+    """The asked dispatcher does not own the backend server now."""
+
+    code, http_status, not_run = "not_owner", 503, True
+
+
 class Quarantined(BriarvaleError):
     """The request crashed several backend servers and is refused for good."""
 
--- /dev/null
+++ b/briarvale/fairness.py
@@ -0,0 +1,127 @@
+"""Fair queueing among members: start-time fair queueing in tokens by declared share."""
+
+from bisect import insort
+from collections.abc import Iterator, Mapping
+from typing import NamedTuple
+
+from ._generated.messages import SlotRequest
+from .holder import Holder
+
+MIN_WEIGHT = 0.001
+
+__all__ = ["FairQueue", "Shares", "Waiter"]
+
+
+class Waiter(NamedTuple):
+    """A request that waits for a slot."""
+
+    request: SlotRequest
+    holder: Holder
+    since_ms: int
+    sequence: int
+
+    @property
+    def urgency(self) -> tuple[int, int]:
+        """Sort key within one member: the least slack first, then the order of arrival."""
+        return (self.request.start_by_ms, self.sequence)
+
+
+class Shares(NamedTuple):
+    """Each member's declared fraction of the fleet."""
+
+    fractions: Mapping[str, float]
+
+    def weight(self, member: str) -> float:
+        """Returns the member's weight in fair queueing; never 0."""
+        return max(MIN_WEIGHT, self.fractions.get(member, 0.0))
+
+    def slots(self, member: str, limit: int) -> float:
+        """Returns the slots that the member owns of so many."""
+        return self.fractions.get(member, 0.0) * limit
+
+    def among(self, member: str, members: set[str]) -> float:
+        """Returns the member's fraction where only these members compete."""
+        return self.weight(member) / sum(self.weight(name) for name in members | {member})
+
+
+class FairQueue:
+    """Waiting requests of one class, a bounded queue for each member.
+
+    A member's start tag is the virtual time at which its next request starts service. Serving a
+    request of `c` tokens moves the tag on by `c` over the member's weight. The member with the
+    least tag is served next, so backlogged members get tokens in proportion to their weights.
+
+    Args:
+        max_queued: Requests that one member may have waiting.
+    """
+
+    def __init__(self, max_queued: int) -> None:
+        self._max_queued = max_queued
+        self._waiting: dict[str, list[Waiter]] = {}
+        self._start_tags: dict[str, float] = {}
+        self._finish_tags: dict[str, float] = {}
+        self._virtual_time = 0.0
+
+    def __len__(self) -> int:
+        return sum(len(queue) for queue in self._waiting.values())
+
+    def __iter__(self) -> Iterator[Waiter]:
+        for queue in self._waiting.values():
+            yield from queue
+
+    @property
+    def members(self) -> list[str]:
+        """Members that wait, the next to be served first."""
+        return sorted(self._waiting, key=lambda member: self._start_tags[member])
+
+    def queued(self, member: str) -> int:
+        """Returns how many requests of the member wait."""
+        return len(self._waiting.get(member, ()))
+
+    def is_full(self, member: str) -> bool:
+        """Whether the member's queue takes no more."""
+        return self.queued(member) >= self._max_queued
+
+    def push(self, waiter: Waiter) -> None:
+        """Adds a request."""
+        member = waiter.request.member
+        if member not in self._waiting:
+            self._waiting[member] = []
+            finish_tag = self._finish_tags.get(member, 0.0)
+            self._start_tags[member] = max(self._virtual_time, finish_tag)
+        insort(self._waiting[member], waiter, key=lambda each: each.urgency)
+
+    def peek(self, member: str) -> Waiter:
+        """Returns the member's next request."""
+        return self._waiting[member][0]
+
+    def pop(self, member: str, shares: Shares) -> Waiter:
+        """Removes the member's next request, to be served now."""
+        waiter = self._waiting[member].pop(0)
+        start_tag = self._start_tags[member]
+        finish_tag = start_tag + waiter.request.cost_tokens / shares.weight(member)
+        self._virtual_time = max(self._virtual_time, start_tag)
+        self._finish_tags[member] = finish_tag
+        self._start_tags[member] = finish_tag
+        self._forget_if_empty(member)
+        return waiter
+
+    def refund(self, member: str, tokens: int, shares: Shares) -> None:
+        """Takes back the charge for tokens that were not generated."""
+        refund = tokens / shares.weight(member)
+        if member in self._finish_tags:
+            self._finish_tags[member] -= refund
+        if member in self._start_tags:
+            tag = max(self._virtual_time, self._start_tags[member] - refund)
+            self._start_tags[member] = tag
+
+    def remove(self, waiter: Waiter) -> None:
+        """Removes a request that is not to be served."""
+        member = waiter.request.member
+        self._waiting[member].remove(waiter)
+        self._forget_if_empty(member)
+
+    def _forget_if_empty(self, member: str) -> None:
+        if not self._waiting[member]:
+            del self._waiting[member]
+            del self._start_tags[member]
--- /dev/null
+++ b/briarvale/grants.py
@@ -0,0 +1,118 @@
+"""The slots of one backend server that are granted now, each a lease of its holder."""
+
+from collections import Counter
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from ._generated.messages import HeldGrant, WorkClass
+from .holder import Holder
+
+__all__ = ["Grant", "GrantTable"]
+
+
+class Grant(NamedTuple):
+    """A granted slot request."""
+
+    held: HeldGrant
+    holder: Holder
+    request_id: str
+    granted_at_ms: int
+    expires_at_ms: int
+    start_by_ms: int = 0
+    is_orphan: bool = False
+
+
+class GrantTable:
+    """Grants by id, with counts of slots by class and member."""
+
+    def __init__(self) -> None:
+        self._grants: dict[str, Grant] = {}
+        self._id_by_request: dict[str, str] = {}
+        self._revoking: set[str] = set()
+        self.held: dict[WorkClass, Counter[str]] = {work: Counter() for work in WorkClass}
+
+    def __len__(self) -> int:
+        return len(self._grants)
+
+    @property
+    def slots(self) -> int:
+        """Slots granted."""
+        return sum(counts.total() for counts in self.held.values())
+
+    def slots_of(self, work_class: WorkClass) -> int:
+        """Returns the slots granted to a class."""
+        return self.held[work_class].total()
+
+    @property
+    def revoking_slots(self) -> int:
+        """Slots that their holders have been told to give back."""
+        return sum(self._grants[grant_id].held.slot_count for grant_id in self._revoking)
+
+    def revocable(self) -> list[Grant]:
+        """Returns batch grants that are not being revoked yet."""
+        return [
+            grant
+            for grant_id, grant in self._grants.items()
+            if grant.held.work_class is WorkClass.BATCH and grant_id not in self._revoking
+        ]
+
+    def add(self, grant: Grant) -> None:
+        """Adds a grant, or puts it in place of the one with its id."""
+        self.remove(grant.held.grant_id)
+        self._grants[grant.held.grant_id] = grant
+        self._id_by_request[grant.request_id] = grant.held.grant_id
+        self.held[grant.held.work_class][grant.held.member] += grant.held.slot_count
+
+    def remove(self, grant_id: str) -> Grant | None:
+        """Removes and returns a grant; none if it isn't there."""
+        grant = self._grants.pop(grant_id, None)
+        if grant is None:
+            return None
+        self._id_by_request.pop(grant.request_id, None)
+        self._revoking.discard(grant_id)
+        self.held[grant.held.work_class][grant.held.member] -= grant.held.slot_count
+        return grant
+
+    def id_of_request(self, request_id: str, holder: Holder) -> str | None:
+        """Returns the grant that a holder's request got."""
+        grant_id = self._id_by_request.get(request_id)
+        if grant_id is None or self._grants[grant_id].holder is not holder:
+            return None
+        return grant_id
+
+    def mark_revoking(self, grant_id: str) -> None:
+        """Notes that the holder was told to give the slot back."""
+        self._revoking.add(grant_id)
+
+    def renew(self, holder: Holder, expires_at_ms: int) -> None:
+        """Extends all leases of a holder."""
+        for grant_id, grant in self._grants.items():
+            if grant.holder is holder:
+                self._grants[grant_id] = grant._replace(expires_at_ms=expires_at_ms)
+
+    def extend_all(self, by_ms: int) -> None:
+        """Extends all leases, after a pause of the owner itself."""
+        for grant_id, grant in self._grants.items():
+            expires_at_ms = grant.expires_at_ms + by_ms
+            self._grants[grant_id] = grant._replace(expires_at_ms=expires_at_ms)
+
+    def orphan(self, holder: Holder) -> None:
+        """Keeps a vanished holder's grants until they expire or it reports them again."""
+        for grant_id, grant in self._grants.items():
+            if grant.holder is holder:
+                self._grants[grant_id] = grant._replace(is_orphan=True)
+
+    def remove_unreported(self, holder: Holder, reported: Iterable[str]) -> None:
+        """Removes orphans of the same process that it reports no more."""
+        kept = set(reported)
+        for grant_id, grant in list(self._grants.items()):
+            is_same = grant.is_orphan and grant.holder.name == holder.name
+            if is_same and grant_id not in kept:
+                self.remove(grant_id)
+
+    def remove_expired(self, now_ms: int) -> int:
+        """Removes grants whose lease has ended; returns how many."""
+        expired = [key for key, grant in self._grants.items() if grant.expires_at_ms <= now_ms]
+        for grant_id in expired:
+            self.remove(grant_id)
+        return len(expired)
--- a/briarvale/metrics.py
+++ b/briarvale/metrics.py
@@ -20,6 +20,12 @@
 )
 SLOTS_HELD = Gauge("briarvale_slots_held", "Slots granted by backend server and class.")
 SLOTS_REVOKED = Counter("briarvale_slots_revoked_total", "Batch slots taken back.")
+SLOTS_BORROWED = Gauge("briarvale_slots_borrowed", "Slots a member holds above its share.")
+SLOTS_QUEUED = Gauge("briarvale_slots_queued", "Requests that wait for a slot by class.")
+SLOT_LIMIT = Gauge("briarvale_slot_limit", "Slots that may be granted by backend server.")
+SLOT_REFUSALS = Counter("briarvale_slot_refusals_total", "Refused slot requests by code.")
+LEASES_EXPIRED = Counter("briarvale_slot_leases_expired_total", "Slots freed by expiry.")
+OWNER_LINKS_LOST = Counter("briarvale_owner_links_lost_total", "Connections to owners that broke.")
 PEER_BAD_FRAMES = Counter("briarvale_peer_bad_frames_total", "Connections closed for a bad frame.")
 STORE_CALLS = Counter("briarvale_store_calls_total", "Object API calls by verb and result.")
 ITEMS = Counter("briarvale_items_total", "Batch items committed by result.")
@@ -29,11 +35,17 @@
     "CONFIG_REVISION",
     "FIRST_TOKEN_S",
     "ITEMS",
+    "LEASES_EXPIRED",
+    "OWNER_LINKS_LOST",
     "PEER_BAD_FRAMES",
     "REFUSALS",
     "REQUESTS",
+    "SLOTS_BORROWED",
     "SLOTS_HELD",
+    "SLOTS_QUEUED",
     "SLOTS_REVOKED",
+    "SLOT_LIMIT",
+    "SLOT_REFUSALS",
     "SLOT_WAIT_S",
     "STORE_CALLS",
     "metrics_route",
--- /dev/null
+++ b/briarvale/owner_link.py
@@ -0,0 +1,122 @@
+"""One connection of a holder to an owner: messages, heartbeats and the loss of either side."""
+
+from collections import deque
+from collections.abc import Callable
+
+import anyio
+
+from . import logs, metrics
+from ._generated.messages import (
+    HeldGrant,
+    HolderReport,
+    Message,
+    SlotGrant,
+    SlotHeartbeat,
+    SlotRequest,
+)
+from .clock import Clock
+from .errors import BriarvaleError, OwnerUnreachable, PeerClosed, PeerProtocolError
+from .peer import MessageStream, PeerAddress, PeerIdentity
+from .peer_connection import PeerConnection
+
+HEARTBEAT_INTERVAL_MS = 1_000
+MAX_SILENCE_MS = 2_500
+MAX_IDLE_MS = 60_000
+EARLY_REVOCATIONS = 256
+
+log = logs.part("slots")
+
+__all__ = ["OwnerLink", "PendingRequest"]
+
+
+class PendingRequest:
+    """A slot request that its owner has not answered."""
+
+    def __init__(self, request: SlotRequest) -> None:
+        self.request = request
+        self.answered = anyio.Event()
+        self.grant: SlotGrant | None = None
+        self.error: BriarvaleError | None = None
+
+    def fail(self, error: BriarvaleError) -> None:
+        """Ends the wait with an error, unless it has ended."""
+        if not self.answered.is_set():
+            self.error = error
+            self.answered.set()
+
+
+class OwnerLink:
+    """A connection to an owner; nothing on it blocks the sender.
+
+    Args:
+        address: The owner.
+        stream: The connection.
+        clock: Source of instants.
+    """
+
+    def __init__(self, address: PeerAddress, stream: MessageStream, clock: Clock) -> None:
+        self.address = address
+        self.waiting: dict[str, PendingRequest] = {}
+        self.revoked_early: deque[str] = deque(maxlen=EARLY_REVOCATIONS)
+        self.is_closed = False
+        self._clock = clock
+        self._stream = stream
+        self._connection = PeerConnection(stream, PeerIdentity(address.host, "owner", ""))
+        self._scope = anyio.CancelScope()
+        self._sequence = 0
+        self._next_beat_ms = 0
+        self._used_at_ms = clock.now_ms()
+        self._silent_since_ms: int | None = None
+
+    def notify(self, message: Message) -> None:
+        """Queues a message; it is lost with the connection."""
+        self._connection.notify(message)
+
+    def report(self, grants: tuple[HeldGrant, ...]) -> None:
+        """Tells the owner all that is held of it."""
+        self.notify(HolderReport(grants))
+
+    def keep_alive(self, *, is_holding: bool) -> None:
+        """Sends a heartbeat if one is due; closes a connection that is silent or idle."""
+        now_ms = self._clock.now_ms()
+        if self._silent_since_ms is not None and now_ms - self._silent_since_ms > MAX_SILENCE_MS:
+            log.info("The owner at {} is silent.", self.address.host)
+            self.close()
+        elif is_holding or self.waiting:
+            self._used_at_ms = now_ms
+            self._beat(now_ms)
+        elif now_ms - self._used_at_ms > MAX_IDLE_MS:
+            self.close()
+
+    def close(self) -> None:
+        """Ends the connection; waiting requests fail."""
+        self.is_closed = True
+        self._scope.cancel()
+        for pending in self.waiting.values():
+            pending.fail(OwnerUnreachable("the owner went away"))
+
+    async def run(self, handle: Callable[["OwnerLink", Message], None]) -> None:
+        """Reads and writes until the connection ends."""
+        try:
+            with self._scope:
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(self._connection.write_outbox)
+                    while True:
+                        message = await self._stream.receive()
+                        self._silent_since_ms = None
+                        handle(self, message)
+        except* (PeerClosed, PeerProtocolError):
+            log.info("Lost the connection to the owner at {}.", self.address.host)
+        finally:
+            metrics.OWNER_LINKS_LOST.inc({})
+            self.close()
+            await self._stream.aclose()
+
+    def _beat(self, now_ms: int) -> None:
+        if now_ms < self._next_beat_ms:
+            return
+        self._next_beat_ms = now_ms + HEARTBEAT_INTERVAL_MS
+        self._sequence += 1
+        if self._silent_since_ms is None:
+            self._silent_since_ms = now_ms
+        self.notify(SlotHeartbeat(self._sequence))
--- a/briarvale/schema/messages.capnp
+++ b/briarvale/schema/messages.capnp
@@ -57,6 +57,7 @@
   fingerprint @6 :Text;
 }
 struct HolderReport { grants @0 :List(HeldGrant); }
+struct SlotHeartbeat { sequence @0 :UInt32; }
 
 struct VmState {
   vm @0 :Text;
@@ -129,5 +130,6 @@
     probe @15 :Probe;
     probeAck @16 :ProbeAck;
     probeRequest @17 :ProbeRequest;
+    slotHeartbeat @18 :SlotHeartbeat;
   }
 }
--- a/briarvale/slot_client.py
+++ b/briarvale/slot_client.py
@@ -1,8 +1,9 @@
 """The holder's side of slots: asks owners, keeps grants, reports them to a next owner."""
 
 import secrets
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
+from typing import NamedTuple
 
 import anyio
 from anyio.abc import TaskGroup
@@ -10,7 +11,6 @@
 from . import logs
 from ._generated.messages import (
     HeldGrant,
-    HolderReport,
     Message,
     Outcome,
     SlotGrant,
@@ -22,21 +22,19 @@
 )
 from .clock import MS_PER_S
 from .environment import Environment
-from .errors import (
-    BriarvaleError,
-    GrantRevoked,
-    NoServer,
-    Overloaded,
-    OwnerUnreachable,
-    PeerClosed,
-    PeerProtocolError,
-)
+from .errors import GrantRevoked, NoServer, NotOwner, Overloaded, OwnerUnreachable
 from .fleet_view import FleetView
-from .peer import MessageStream, PeerAddress
+from .owner_link import OwnerLink, PendingRequest
+from .peer import PeerAddress
+
+KEEP_INTERVAL_S = 0.25
+OWNER_SETTLE_S = 0.1
+MAX_OWNERS_ASKED = 10
+UNREACHABLE_MS = 500
 
 log = logs.part("slots")
 
-__all__ = ["HeldSlot", "SlotClient"]
+__all__ = ["HeldSlot", "LoadHandler", "ServerLoad", "SlotClient"]
 
 
 class HeldSlot:
@@ -50,39 +48,45 @@
         self.time_between_tokens_ms = 0
 
 
-class _OwnerLink:
-    """One connection to an owner; one task reads it."""
+class ServerLoad(NamedTuple):
+    """What an owner's answer says of its backend server."""
 
-    def __init__(self, stream: MessageStream) -> None:
-        self.stream = stream
-        self.waiting: dict[str, _PendingRequest] = {}
-        self.held: dict[str, HeldSlot] = {}
-        self.is_closed = False
+    backend_server: str
+    held: int
+    queued: int
+    limit: int
 
 
-class _PendingRequest:
-    def __init__(self, request: SlotRequest) -> None:
-        self.request = request
-        self.answered = anyio.Event()
-        self.grant: SlotGrant | None = None
-        self.error: BriarvaleError | None = None
+LoadHandler = Callable[[ServerLoad], None]
 
 
 class SlotClient:
     """Holds slots on backend servers for one program.
 
+    A slot outlives the connection to its owner: it is reported again to the same owner, or to
+    the next one that the view names, while its stream goes on.
+
     Args:
         environment: The outside interfaces.
         view: Says who owns which backend server.
-        tasks: Runs one reader for each owner.
+        tasks: Runs the tasks of the connections to owners.
     """
 
     def __init__(self, environment: Environment, view: FleetView, tasks: TaskGroup) -> None:
         self._environment = environment
         self._view = view
         self._tasks = tasks
-        self._links: dict[PeerAddress, _OwnerLink] = {}
+        self._links: dict[PeerAddress, OwnerLink] = {}
         self._connecting: dict[PeerAddress, anyio.Lock] = {}
+        self._unreachable_until_ms: dict[PeerAddress, int] = {}
+        self._held: dict[str, HeldSlot] = {}
+        self._holding_link: dict[str, OwnerLink] = {}
+        self._load_handlers: list[LoadHandler] = []
+        self._is_keeping = False
+
+    def subscribe_load(self, handler: LoadHandler) -> None:
+        """Calls the handler with the load that each owner's answer carries."""
+        self._load_handlers.append(handler)
 
     @asynccontextmanager
     async def hold(self, request: SlotRequest) -> AsyncIterator[HeldSlot]:
@@ -93,38 +97,62 @@
             OwnerUnreachable: If the owner can't be reached.
             NoServer: If the backend server has no owner.
         """
-        link = await self._link_to(self._owner_address(request.backend_server))
-        slot = await self._acquire(link, request)
+        slot = await self._acquire_from_owner(request)
         try:
             yield slot
         finally:
-            with anyio.CancelScope(shield=True):
-                await self._release(link, slot)
-
-    async def _acquire(self, link: _OwnerLink, request: SlotRequest) -> HeldSlot:
-        pending = _PendingRequest(request)
+            self._release(slot)
+
+    async def _acquire_from_owner(self, request: SlotRequest) -> HeldSlot:
+        for _ in range(MAX_OWNERS_ASKED):
+            address = self._owner_address(request.backend_server)
+            try:
+                link = await self._link_to(address)
+                return await self._acquire(link, request)
+            except NotOwner:
+                await self._wait_view(request)
+            except OwnerUnreachable:
+                if self._view.owner_address(request.backend_server) in (None, address):
+                    raise
+        raise OwnerUnreachable(f"{request.backend_server} changes its owner")
+
+    async def _wait_view(self, request: SlotRequest) -> None:
+        """Waits a moment for the view to name the next owner."""
+        wait_s = (request.deadline_ms - self._environment.clock.now_ms()) / MS_PER_S
+        if wait_s <= 0:
+            raise Overloaded("no slot before the deadline")
+        with anyio.move_on_after(min(OWNER_SETTLE_S, wait_s)):
+            await self._view.wait_changed()
+
+    async def _acquire(self, link: OwnerLink, request: SlotRequest) -> HeldSlot:
+        pending = PendingRequest(request)
         link.waiting[request.request_id] = pending
         wait_ms = request.deadline_ms - self._environment.clock.now_ms()
+        slot: HeldSlot | None = None
         try:
-            await link.stream.send(request)
+            link.notify(request)
             with anyio.fail_after(max(0.0, wait_ms / MS_PER_S)):
                 await pending.answered.wait()
-        except PeerClosed as error:
-            raise OwnerUnreachable(str(error)) from error
+            if pending.grant is not None:
+                slot = self._keep(link, request, pending.grant)
         except TimeoutError as error:
             raise Overloaded("no slot before the deadline") from error
         finally:
             link.waiting.pop(request.request_id, None)
-            if pending.grant is None and pending.error is None:
-                with anyio.CancelScope(shield=True):
-                    await self._withdraw(link, request)
-        if pending.error is not None:
-            raise pending.error
-        if pending.grant is None:
-            raise OwnerUnreachable("the owner closed the connection")
-        return self._keep(link, request, pending.grant)
-
-    def _keep(self, link: _OwnerLink, request: SlotRequest, grant: SlotGrant) -> HeldSlot:
+            if slot is None:
+                self._give_up(link, pending)
+        if slot is None:
+            raise pending.error or OwnerUnreachable("the owner closed the connection")
+        return slot
+
+    def _give_up(self, link: OwnerLink, pending: PendingRequest) -> None:
+        """Withdraws what is unanswered and releases a grant that nobody takes."""
+        if pending.grant is not None:
+            link.notify(SlotRelease(pending.grant.grant_id, Outcome.CANCELLED))
+        elif pending.error is None:
+            link.notify(SlotWithdraw(pending.request.request_id))
+
+    def _keep(self, link: OwnerLink, request: SlotRequest, grant: SlotGrant) -> HeldSlot:
         held = HeldGrant(
             grant_id=grant.grant_id,
             backend_server=grant.backend_server,
@@ -135,24 +163,17 @@
             fingerprint=request.fingerprint,
         )
         slot = HeldSlot(held)
-        link.held[grant.grant_id] = slot
+        if grant.grant_id in link.revoked_early:
+            slot.revoked.set()
+        self._held[grant.grant_id] = slot
+        self._holding_link[grant.grant_id] = link
         return slot
 
-    async def _withdraw(self, link: _OwnerLink, request: SlotRequest) -> None:
-        try:
-            await link.stream.send(SlotWithdraw(request.request_id))
-        except PeerClosed:
-            return
-
-    async def _release(self, link: _OwnerLink, slot: HeldSlot) -> None:
-        link.held.pop(slot.grant.grant_id, None)
-        release = SlotRelease(
-            slot.grant.grant_id, slot.outcome, slot.tokens, slot.time_between_tokens_ms
-        )
-        try:
-            await link.stream.send(release)
-        except PeerClosed:
-            return
+    def _release(self, slot: HeldSlot) -> None:
+        grant_id = slot.grant.grant_id
+        del self._held[grant_id]
+        link = self._holding_link.pop(grant_id)
+        link.notify(SlotRelease(grant_id, slot.outcome, slot.tokens, slot.time_between_tokens_ms))
 
     def _owner_address(self, backend_server: str) -> PeerAddress:
         owner = self._view.owner_address(backend_server)
@@ -160,53 +181,116 @@
             raise NoServer(f"{backend_server} has no owner now")
         return owner
 
-    async def _link_to(self, address: PeerAddress) -> _OwnerLink:
+    async def _link_to(self, address: PeerAddress) -> OwnerLink:
+        self._start_keeping()
         async with self._connecting.setdefault(address, anyio.Lock()):
             link = self._links.get(address)
-            if link is None or link.is_closed:
-                link = _OwnerLink(await self._environment.transport.connect(address))
-                self._links[address] = link
-                self._tasks.start_soon(self._read_link, link)
-            return link
-
-    async def _read_link(self, link: _OwnerLink) -> None:
+            if link is not None and not link.is_closed:
+                return link
+            return await self._connect(address)
+
+    async def _connect(self, address: PeerAddress) -> OwnerLink:
+        now_ms = self._environment.clock.now_ms()
+        if now_ms < self._unreachable_until_ms.get(address, 0):
+            raise OwnerUnreachable(f"{address.host} did not answer a moment ago")
         try:
-            while True:
-                self._handle(link, await link.stream.receive())
-        except (PeerClosed, PeerProtocolError):
-            log.info("Lost the connection to an owner.")
-        finally:
-            link.is_closed = True
-            self._fail_waiting(link)
-            await link.stream.aclose()
-
-    def _handle(self, link: _OwnerLink, message: Message) -> None:
-        match message:
-            case SlotGrant(request_id=request_id) if request_id in link.waiting:
-                link.waiting[request_id].grant = message
-                link.waiting[request_id].answered.set()
-            case SlotGrant(grant_id=grant_id):
-                release = SlotRelease(grant_id, Outcome.CANCELLED, 0, 0)
-                self._tasks.start_soon(self._send_quietly, link, release)
-            case SlotRefusal(request_id, code, retry_at_ms) if request_id in link.waiting:
-                error = Overloaded(f"the owner refused: {code}", retry_at_ms=retry_at_ms)
-                link.waiting[request_id].error = error
-                link.waiting[request_id].answered.set()
-            case SlotRevoke(grant_id=grant_id) if grant_id in link.held:
-                link.held[grant_id].revoked.set()
-            case _:
-                return
-
-    def _fail_waiting(self, link: _OwnerLink) -> None:
-        for pending in link.waiting.values():
-            pending.error = OwnerUnreachable("the owner went away")
-            pending.answered.set()
-
-    async def _send_quietly(self, link: _OwnerLink, message: Message) -> None:
+            stream = await self._environment.transport.connect(address)
+        except OwnerUnreachable:
+            now_ms = self._environment.clock.now_ms()
+            self._unreachable_until_ms[address] = now_ms + UNREACHABLE_MS
+            raise
+        link = OwnerLink(address, stream, self._environment.clock)
+        self._links[address] = link
+        self._report(link)
+        self._tasks.start_soon(link.run, self._handle)
+        return link
+
+    def _start_keeping(self) -> None:
+        if not self._is_keeping:
+            self._is_keeping = True
+            self._tasks.start_soon(self._keep_links)
+
+    async def _keep_links(self) -> None:
+        """Follows the view: moves slots and waiting requests to next owners; sends heartbeats."""
+        while True:
+            with anyio.move_on_after(KEEP_INTERVAL_S):
+                await self._view.wait_changed()
+            self._move_waiting()
+            for address in self._owners_without_report():
+                self._tasks.start_soon(self._report_to, address)
+            for link in list(self._links.values()):
+                is_holding = link in self._holding_link.values()
+                link.keep_alive(is_holding=is_holding)
+                if link.is_closed:
+                    del self._links[link.address]
+
+    def _move_waiting(self) -> None:
+        for link in self._links.values():
+            for pending in link.waiting.values():
+                address = self._view.owner_address(pending.request.backend_server)
+                if address not in (None, link.address) and not pending.answered.is_set():
+                    link.notify(SlotWithdraw(pending.request.request_id))
+                    pending.fail(NotOwner(f"{pending.request.backend_server} has a next owner"))
+
+    def _owners_without_report(self) -> set[PeerAddress]:
+        """Owners, as the view names them, that don't know of a slot held of theirs."""
+        addresses = set()
+        for grant_id, slot in self._held.items():
+            address = self._view.owner_address(slot.grant.backend_server)
+            link = self._holding_link[grant_id]
+            if address is not None and (link.is_closed or link.address != address):
+                addresses.add(address)
+        return addresses
+
+    async def _report_to(self, address: PeerAddress) -> None:
         try:
-            await link.stream.send(message)
-        except PeerClosed:
+            link = await self._link_to(address)
+        except OwnerUnreachable as error:
+            log.debug("Can't report held slots: {}.", error)
+            return
+        if address in self._owners_without_report():
+            self._report(link)
+
+    def _report(self, link: OwnerLink) -> None:
+        """Reports all slots of the link, those that its owner took over included."""
+        for grant_id, slot in self._held.items():
+            if self._view.owner_address(slot.grant.backend_server) == link.address:
+                self._holding_link[grant_id] = link
+        grants = [slot.grant for key, slot in self._held.items() if self._holding_link[key] is link]
+        link.report(tuple(grants))
+
+    def _handle(self, link: OwnerLink, message: Message) -> None:
+        match message:
+            case SlotGrant():
+                self._take_grant(link, message)
+            case SlotRefusal(request_id) if request_id in link.waiting:
+                self._take_refusal(link.waiting[request_id], message)
+            case SlotRevoke(grant_id=grant_id) if grant_id in self._held:
+                self._held[grant_id].revoked.set()
+            case SlotRevoke(grant_id=grant_id):
+                link.revoked_early.append(grant_id)
+
+    def _take_grant(self, link: OwnerLink, grant: SlotGrant) -> None:
+        self._note_load(ServerLoad(grant.backend_server, grant.held, grant.queued, grant.limit))
+        pending = link.waiting.get(grant.request_id)
+        if pending is None or pending.answered.is_set():
+            link.notify(SlotRelease(grant.grant_id, Outcome.CANCELLED))
+            return
+        pending.grant = grant
+        pending.answered.set()
+
+    def _take_refusal(self, pending: PendingRequest, refusal: SlotRefusal) -> None:
+        if refusal.code == NotOwner.code:
+            pending.fail(NotOwner(pending.request.backend_server))
             return
+        server = pending.request.backend_server
+        self._note_load(ServerLoad(server, refusal.held, refusal.queued, refusal.limit))
+        message = f"the owner refused: {refusal.code}"
+        pending.fail(Overloaded(message, retry_at_ms=refusal.retry_at_ms))
+
+    def _note_load(self, load: ServerLoad) -> None:
+        for handler in self._load_handlers:
+            handler(load)
 
 
 def new_request_id() -> str:
@@ -217,8 +301,3 @@
 def revoked_error() -> GrantRevoked:
     """Returns the error of work whose slot was taken back."""
     return GrantRevoked("the owner took the slot back")
-
-
-def report_of(slots: list[HeldSlot]) -> HolderReport:
-    """Returns the report of held slots for a next owner."""
-    return HolderReport(tuple(slot.grant for slot in slots))
--- a/briarvale/slot_owner.py
+++ b/briarvale/slot_owner.py
@@ -1,25 +1,31 @@
 """The slots of all backend servers that this dispatcher owns."""
 
+from collections.abc import Callable
+
 from . import logs
 from ._generated.messages import (
+    HeldGrant,
     HolderReport,
+    SlotHeartbeat,
     SlotRefusal,
     SlotRelease,
     SlotRequest,
     SlotWithdraw,
 )
 from .clock import Clock
-from .config import Config
-from .errors import NoServer
-from .slots import Holder, SlotQueue
+from .config import BackendServer, Config, Rules
+from .errors import NotOwner
+from .holder import Holder
+from .slots import SlotQueue
 
 RETRY_DELAY_MS = 500
 
 log = logs.part("dispatcher")
 
-__all__ = ["SlotMessage", "SlotOwner"]
+__all__ = ["QueueFactory", "SlotMessage", "SlotOwner"]
 
-SlotMessage = SlotRequest | SlotWithdraw | SlotRelease | HolderReport
+SlotMessage = SlotRequest | SlotWithdraw | SlotRelease | HolderReport | SlotHeartbeat
+QueueFactory = Callable[[BackendServer, Clock, Rules], SlotQueue]
 
 
 class SlotOwner:
@@ -27,20 +33,26 @@
 
     Args:
         clock: Source of instants.
+        make_queue: Builds the queue of a backend server.
     """
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, make_queue: QueueFactory = SlotQueue) -> None:
         self._clock = clock
+        self._make_queue = make_queue
         self._queues: dict[str, SlotQueue] = {}
+        self._early_reports: dict[str, tuple[HeldGrant, Holder]] = {}
 
     def settle(self, config: Config, owned: set[str]) -> None:
         """Takes up and gives up backend servers, so that just `owned` remain."""
-        for name in owned - self._queues.keys():
-            self._queues[name] = SlotQueue(config.servers[name], self._clock)
-            log.info("Owns {}.", name)
         for name in self._queues.keys() - owned:
-            del self._queues[name]
+            self._queues.pop(name).close()
             log.info("No longer owns {}.", name)
+        for name in self._queues:
+            self._queues[name].configure(config.servers[name], config.rules)
+        for name in owned - self._queues.keys():
+            self._queues[name] = self._make_queue(config.servers[name], self._clock, config.rules)
+            self._adopt_early(name)
+            log.info("Owns {}.", name)
 
     def queue(self, backend_server: str) -> SlotQueue | None:
         """Returns the queue of an owned backend server."""
@@ -54,16 +66,21 @@
             case SlotWithdraw(request_id):
                 for queue in self._queues.values():
                     queue.withdraw(request_id, holder)
-            case SlotRelease():
+            case SlotRelease(grant_id):
+                self._early_reports.pop(grant_id, None)
                 for queue in self._queues.values():
                     queue.release(message)
             case HolderReport(grants):
-                for grant in grants:
-                    if grant.backend_server in self._queues:
-                        self._queues[grant.backend_server].adopt(grant, holder)
+                self._take_report(holder, grants)
+            case SlotHeartbeat():
+                for queue in self._queues.values():
+                    queue.renew(holder)
+                holder.notify(message)
 
     def drop_holder(self, holder: Holder) -> None:
         """Forgets a holder whose connection ended."""
+        early = self._early_reports
+        self._early_reports = {key: row for key, row in early.items() if row[1] is not holder}
         for queue in self._queues.values():
             queue.drop_holder(holder)
 
@@ -78,4 +95,18 @@
             queue.submit(request, holder)
             return
         retry_at_ms = self._clock.now_ms() + RETRY_DELAY_MS
-        holder.notify(SlotRefusal(request.request_id, NoServer.code, retry_at_ms))
+        holder.notify(SlotRefusal(request.request_id, NotOwner.code, retry_at_ms))
+
+    def _take_report(self, holder: Holder, grants: tuple[HeldGrant, ...]) -> None:
+        for queue in self._queues.values():
+            queue.report(holder, grants)
+        for held in grants:
+            if held.backend_server not in self._queues:
+                self._early_reports[held.grant_id] = (held, holder)
+
+    def _adopt_early(self, backend_server: str) -> None:
+        """Takes reports that came before this dispatcher knew that it is the owner."""
+        for held, holder in list(self._early_reports.values()):
+            if held.backend_server == backend_server:
+                del self._early_reports[held.grant_id]
+                self._queues[backend_server].adopt(held, holder)
--- a/briarvale/slots.py
+++ b/briarvale/slots.py
@@ -1,13 +1,14 @@
 """The slot queue of one backend server at its owner: who may run a request there now."""
 
+import math
 import secrets
-from collections import deque
-from typing import NamedTuple, Protocol
+from collections import Counter
+from typing import NamedTuple
 
 from . import logs, metrics
 from ._generated.messages import (
     HeldGrant,
-    Message,
+    Outcome,
     SlotGrant,
     SlotRefusal,
     SlotRelease,
@@ -15,64 +16,77 @@
     SlotRevoke,
     WorkClass,
 )
-from .clock import Clock
-from .config import BackendServer
-from .errors import Overloaded
+from .clock import MS_PER_S, Clock
+from .config import BackendServer, Rules
+from .errors import NotOwner, Overloaded
+from .fairness import FairQueue, Shares, Waiter
+from .grants import Grant, GrantTable
+from .headroom import BatchPacer, PeakDemand, YieldPolicy, burst_reserve
+from .holder import Holder
+from .limits import SlotLimit
+from .wait_estimate import WaitEstimate
 
-GRANT_TERM_MS = 10_000
-MAX_QUEUED = 1_000
+GRANT_TERM_MS = 4_000
+REPORT_GRACE_MS = 500
+MAX_TICK_GAP_MS = 1_000
+MAX_QUEUED_ONLINE = 256
+MAX_QUEUED_BATCH = 256
 RETRY_DELAY_MS = 1_000
+BURST_FACTOR = 2
 
 log = logs.part("dispatcher")
 
-__all__ = ["Holder", "SlotQueue"]
+__all__ = ["Holder", "MemberUsage", "SlotQueue"]
 
 
-class Holder(Protocol):
-    """A connected process that asks for slots."""
-
-    @property
-    def name(self) -> str:
-        """VM and program, for logs."""
-
-    def notify(self, message: Message) -> None:
-        """Queues a message to it; never blocks."""
+class MemberUsage(NamedTuple):
+    """What a member holds of a backend server's slots, beside its share."""
 
+    member: str
+    share_slots: float
+    online_slots: int
+    batch_slots: int
 
-class _Waiter(NamedTuple):
-    request: SlotRequest
-    holder: Holder
-    since_ms: int
-
-
-class _Grant(NamedTuple):
-    held: HeldGrant
-    holder: Holder
-    expires_at_ms: int
+    @property
+    def borrowed_slots(self) -> float:
+        """Slots held above the share."""
+        return max(0.0, self.online_slots + self.batch_slots - self.share_slots)
 
 
 class SlotQueue:
-    """Grants the slots of one backend server, online before batch.
+    """Grants the slots of one backend server: online before batch, members by share.
+
+    A fresh queue grants nothing for `REPORT_GRACE_MS`, in which the holders of an earlier owner's
+    grants report them.
 
     Args:
         server: The backend server that this owner decides for.
         clock: Source of instants.
+        rules: The rules in force.
     """
 
-    def __init__(self, server: BackendServer, clock: Clock) -> None:
+    def __init__(self, server: BackendServer, clock: Clock, rules: Rules) -> None:
         self.server = server
         self._clock = clock
-        self._limit = server.slots
-        self._waiting: dict[WorkClass, deque[_Waiter]] = {
-            WorkClass.ONLINE: deque(),
-            WorkClass.BATCH: deque(),
+        self._slot_limit = SlotLimit(server.slots)
+        self._waiting = {
+            WorkClass.ONLINE: FairQueue(MAX_QUEUED_ONLINE),
+            WorkClass.BATCH: FairQueue(MAX_QUEUED_BATCH),
         }
-        self._grants: dict[str, _Grant] = {}
+        self._grants = GrantTable()
+        self._peaks: dict[str, PeakDemand] = {}
+        self._online_peak = PeakDemand()
+        self._pacer = BatchPacer()
+        self._estimate = WaitEstimate()
+        self._sequence = 0
+        self._ticked_at_ms = clock.now_ms()
+        self._grant_from_ms = clock.now_ms() + REPORT_GRACE_MS
+        self.configure(server, rules)
 
     @property
     def held(self) -> int:
         """Slots granted now."""
-        return len(self._grants)
+        return self._grants.slots
 
     @property
     def queued(self) -> int:
@@ -82,15 +96,43 @@
     @property
     def limit(self) -> int:
         """Slots that may be granted."""
-        return self._limit
+        return self._slot_limit.slots
+
+    @property
+    def usage(self) -> tuple[MemberUsage, ...]:
+        """What each member holds and owns."""
+        online, batch = self._grants.held[WorkClass.ONLINE], self._grants.held[WorkClass.BATCH]
+        members = sorted(self._shares.fractions.keys() | online.keys() | batch.keys())
+        return tuple(
+            MemberUsage(m, self._shares.slots(m, self.limit), online[m], batch[m]) for m in members
+        )
+
+    def configure(self, server: BackendServer, rules: Rules) -> None:
+        """Takes a new configuration."""
+        self.server = server
+        self._slot_limit.declare(server.slots)
+        self._shares = Shares({share.member: share.percent / 100 for share in rules.shares})
+        self._priority_member = rules.priority_member
+        self._batch_part = rules.batch_budget_percent / 100
+        self._policy = YieldPolicy.from_harm_weight(rules.harm_weight)
 
     def submit(self, request: SlotRequest, holder: Holder) -> None:
         """Queues a request; the holder is told of the grant or the refusal."""
-        if self.queued >= MAX_QUEUED:
-            self._refuse(request, holder, Overloaded.code)
+        now_ms = self._clock.now_ms()
+        queue = self._waiting[request.work_class]
+        if queue.is_full(request.member):
+            wait_ms = max(RETRY_DELAY_MS, self._predicted_wait_ms(request))
+            self._refuse(request, holder, now_ms + wait_ms)
             return
-        self._waiting[request.work_class].append(_Waiter(request, holder, self._clock.now_ms()))
+        self._sequence += 1
+        waiter = Waiter(request, holder, now_ms, self._sequence)
+        queue.push(waiter)
+        self._observe_demand(now_ms)
         self.pump()
+        wait_ms = self._predicted_wait_ms(request)
+        if now_ms + wait_ms > request.deadline_ms and waiter in list(queue):
+            queue.remove(waiter)
+            self._refuse(request, holder, now_ms + wait_ms)
 
     def withdraw(self, request_id: str, holder: Holder) -> None:
         """Forgets a waiting request, or releases the grant that crossed with the withdrawal."""
@@ -98,45 +140,194 @@
             for waiter in list(queue):
                 if waiter.request.request_id == request_id and waiter.holder is holder:
                     queue.remove(waiter)
+        grant_id = self._grants.id_of_request(request_id, holder)
+        if grant_id is not None:
+            self.release(SlotRelease(grant_id, Outcome.CANCELLED))
 
     def release(self, release: SlotRelease) -> None:
         """Takes a slot back from its holder."""
-        if self._grants.pop(release.grant_id, None) is not None:
-            self.pump()
+        grant = self._grants.remove(release.grant_id)
+        if grant is None:
+            return
+        now_ms = self._clock.now_ms()
+        self._slot_limit.observe(release.time_between_tokens_ms, now_ms)
+        if grant.held.work_class is WorkClass.ONLINE:
+            self._estimate.observe(now_ms - grant.granted_at_ms)
+        if release.outcome is Outcome.REVOKED:
+            unused_tokens = max(0, grant.held.cost_tokens - release.tokens)
+            queue = self._waiting[grant.held.work_class]
+            queue.refund(grant.held.member, unused_tokens, self._shares)
+        self.pump()
 
-    def adopt(self, grant: HeldGrant, holder: Holder) -> None:
+    def adopt(self, held: HeldGrant, holder: Holder) -> None:
         """Takes over a grant that an earlier owner, or an earlier connection, gave."""
-        expires_at_ms = self._clock.now_ms() + GRANT_TERM_MS
-        self._grants[grant.grant_id] = _Grant(grant, holder, expires_at_ms)
+        now_ms = self._clock.now_ms()
+        self._grants.add(Grant(held, holder, held.grant_id, now_ms, now_ms + GRANT_TERM_MS))
+        self._observe_demand(now_ms)
+
+    def report(self, holder: Holder, grants: tuple[HeldGrant, ...]) -> None:
+        """Takes a holder's full report: adopts what it holds, frees what it lost."""
+        own = [held for held in grants if held.backend_server == self.server.id]
+        self._grants.remove_unreported(holder, (held.grant_id for held in own))
+        for held in own:
+            self.adopt(held, holder)
+        self.pump()
+
+    def renew(self, holder: Holder) -> None:
+        """Extends a holder's leases."""
+        self._grants.renew(holder, self._clock.now_ms() + GRANT_TERM_MS)
 
     def drop_holder(self, holder: Holder) -> None:
-        """Forgets what a vanished holder waited for and frees what it held."""
+        """Forgets what a vanished holder waited for; what it holds stays until it expires."""
         for queue in self._waiting.values():
             for waiter in [waiter for waiter in queue if waiter.holder is holder]:
                 queue.remove(waiter)
-        for grant_id in [key for key, grant in self._grants.items() if grant.holder is holder]:
-            del self._grants[grant_id]
+        self._grants.orphan(holder)
         self.pump()
 
+    def close(self) -> None:
+        """Refuses all that wait: another dispatcher owns the backend server now."""
+        for queue in self._waiting.values():
+            for waiter in list(queue):
+                queue.remove(waiter)
+                self._refuse(waiter.request, waiter.holder, self._clock.now_ms(), NotOwner.code)
+
     def tick(self) -> None:
-        """Refuses waiting requests whose deadline has passed."""
+        """Lets deadlines and expiries take effect."""
         now_ms = self._clock.now_ms()
+        gap_ms = now_ms - self._ticked_at_ms
+        self._ticked_at_ms = now_ms
+        if gap_ms > MAX_TICK_GAP_MS:
+            # This process was paused: renewals may wait unread on its connections.
+            self._grants.extend_all(gap_ms)
+        expired = self._grants.remove_expired(now_ms)
+        if expired:
+            metrics.LEASES_EXPIRED.add({"backend_server": self.server.id}, expired)
+            log.info("Freed {} expired slots on {}.", expired, self.server.id)
         for queue in self._waiting.values():
             for waiter in [w for w in queue if w.request.deadline_ms <= now_ms]:
                 queue.remove(waiter)
-                self._refuse(waiter.request, waiter.holder, Overloaded.code)
+                self._refuse(waiter.request, waiter.holder, now_ms + RETRY_DELAY_MS)
+        self._observe_demand(now_ms)
         self.pump()
+        self._publish()
 
     def pump(self) -> None:
-        """Grants free slots and revokes batch slots that online requests wait for."""
-        for queue in self._waiting.values():
-            while queue and self.held < self._limit:
-                self._grant(queue.popleft())
-        self._revoke_for_online()
+        """Grants what may be granted and revokes the batch slots that are wanted back."""
+        now_ms = self._clock.now_ms()
+        if now_ms < self._grant_from_ms:
+            return
+        self._grant_online(now_ms)
+        online_slots = self._grants.slots_of(WorkClass.ONLINE)
+        wanted = self._wanted_online_slots()
+        self._revoke_for_online(online_slots, wanted)
+        if wanted == 0:
+            self._grant_batch(now_ms)
+            self._return_batch_shares(now_ms)
+
+    def _grant_online(self, now_ms: int) -> None:
+        while (member := self._next_online(self._grants.held[WorkClass.ONLINE])) is not None:
+            queue = self._waiting[WorkClass.ONLINE]
+            if queue.peek(member).request.slot_count > self.limit - self.held:
+                return
+            self._pacer.note_online_start(now_ms)
+            self._grant(queue.pop(member, self._shares), now_ms)
+
+    def _next_online(self, held: Counter[str]) -> str | None:
+        members = self._waiting[WorkClass.ONLINE].members
+        members.sort(key=lambda member: member != self._priority_member)
+        peaks = {name: peak.peak(self._clock.now_ms()) for name, peak in self._peaks.items()}
+        return next((name for name in members if self._may_grow(name, held, peaks)), None)
+
+    def _may_grow(self, member: str, held: Counter[str], peaks: dict[str, int]) -> bool:
+        """Whether a member's online may take another slot, in its share or borrowed."""
+        slots = held[member] + 1
+        if held.total() + 1 > self.limit:
+            return False
+        if slots <= self._shares.slots(member, self.limit):
+            return True
+        reserve = burst_reserve(member, held, peaks, self._shares, self.limit)
+        return held.total() + 1 + reserve <= self.limit
+
+    def _wanted_online_slots(self) -> int:
+        """Slots that waiting online requests would get if batch held none."""
+        held = Counter(self._grants.held[WorkClass.ONLINE])
+        peaks = {name: peak.peak(self._clock.now_ms()) for name, peak in self._peaks.items()}
+        wanted = 0
+        for member in self._waiting[WorkClass.ONLINE].members:
+            for _ in range(self._waiting[WorkClass.ONLINE].queued(member)):
+                if not self._may_grow(member, held, peaks):
+                    break
+                held[member] += 1
+                wanted += 1
+        return wanted
+
+    def _batch_limit(self, online_slots: int) -> int:
+        """Slots that batch may hold beside so many online slots.
+
+        Above its budget, batch borrows what online leaves idle even if it grows by `BURST_FACTOR`.
+        """
+        burst = BURST_FACTOR * max(online_slots, self._online_peak.peak(self._clock.now_ms()))
+        budget = max(math.floor(self._batch_part * self.limit), self.limit - burst)
+        return min(self._policy.batch_limit(self.limit, online_slots), budget)
+
+    def _revoke_for_online(self, online_slots: int, wanted: int) -> None:
+        batch_slots = self._grants.slots_of(WorkClass.BATCH)
+        over_limit = batch_slots - self._batch_limit(online_slots + wanted)
+        over_total = self.held + wanted - self.limit
+        excess = max(over_limit, over_total) - self._grants.revoking_slots
+        for grant in self._by_yield_order()[: max(0, excess)]:
+            self._revoke(grant, "online")
+
+    def _by_yield_order(self) -> list[Grant]:
+        """Batch grants, first those of members furthest above their share, then the newest."""
+        held = self._grants.held[WorkClass.BATCH]
+        return sorted(
+            self._grants.revocable(),
+            key=lambda grant: (
+                held[grant.held.member] / self._shares.weight(grant.held.member),
+                grant.start_by_ms,
+                grant.granted_at_ms,
+            ),
+            reverse=True,
+        )
 
-    def _grant(self, waiter: _Waiter) -> None:
+    def _grant_batch(self, now_ms: int) -> None:
+        queue = self._waiting[WorkClass.BATCH]
+        online_peak = self._online_peak.peak(now_ms)
+        limit = self._batch_limit(max(online_peak, self._grants.slots_of(WorkClass.ONLINE)))
+        while len(queue) and self._pacer.may_start(self._policy, now_ms):
+            member = queue.members[0]
+            count = queue.peek(member).request.slot_count
+            if self._grants.slots_of(WorkClass.BATCH) + count > limit:
+                return
+            if self.held + count > self.limit:
+                return
+            self._pacer.note_batch_start(now_ms)
+            self._grant(queue.pop(member, self._shares), now_ms)
+
+    def _return_batch_shares(self, now_ms: int) -> None:
+        """Revokes batch that borrows a share whose owner's batch waits."""
+        queue = self._waiting[WorkClass.BATCH]
+        if not len(queue) or not self._pacer.may_start(self._policy, now_ms):
+            return
+        held = self._grants.held[WorkClass.BATCH]
+        competing = {name for name in held if held[name] > 0} | set(queue.members)
+        limit = min(self._grants.slots_of(WorkClass.BATCH), self.limit)
+        owed = {name: math.floor(self._shares.among(name, competing) * limit) for name in competing}
+        missing = sum(
+            max(0, min(queue.queued(member), owed[member] - held[member]))
+            for member in queue.members
+        )
+        if self._policy.start_interval_ms > 0:
+            missing = min(missing, 1)
+        victims = (g for g in self._by_yield_order() if held[g.held.member] > owed[g.held.member])
+        for grant, _ in zip(victims, range(missing - self._grants.revoking_slots), strict=False):
+            self._revoke(grant, "share")
+
+    def _grant(self, waiter: Waiter, now_ms: int) -> None:
         request = waiter.request
-        grant = HeldGrant(
+        held = HeldGrant(
             grant_id=secrets.token_hex(8),
             backend_server=self.server.id,
             member=request.member,
@@ -145,23 +336,71 @@
             cost_tokens=request.cost_tokens,
             fingerprint=request.fingerprint,
         )
-        expires_at_ms = self._clock.now_ms() + GRANT_TERM_MS
-        self._grants[grant.grant_id] = _Grant(grant, waiter.holder, expires_at_ms)
+        expires_at_ms = now_ms + GRANT_TERM_MS
+        self._grants.add(
+            Grant(
+                held, waiter.holder, request.request_id, now_ms, expires_at_ms, request.start_by_ms
+            )
+        )
         labels = {"work_class": request.work_class.value}
-        metrics.SLOT_WAIT_S.observe(labels, (self._clock.now_ms() - waiter.since_ms) / 1_000)
+        metrics.SLOT_WAIT_S.observe(labels, (now_ms - waiter.since_ms) / MS_PER_S)
         message = SlotGrant(
-            request.request_id, grant.grant_id, self.server.id, request.slot_count, expires_at_ms
+            request.request_id,
+            held.grant_id,
+            self.server.id,
+            request.slot_count,
+            expires_at_ms,
+            self.held,
+            self.queued,
+            self.limit,
         )
         waiter.holder.notify(message)
         log.debug("Granted a slot on {} to {}.", self.server.id, waiter.holder.name)
 
-    def _revoke_for_online(self) -> None:
-        wanted = len(self._waiting[WorkClass.ONLINE])
-        batch = [g for g in self._grants.values() if g.held.work_class is WorkClass.BATCH]
-        for grant in batch[:wanted]:
-            grant.holder.notify(SlotRevoke(grant.held.grant_id, grant.held.slot_count, "online"))
-            metrics.SLOTS_REVOKED.inc({"backend_server": self.server.id})
+    def _revoke(self, grant: Grant, reason: str) -> None:
+        self._grants.mark_revoking(grant.held.grant_id)
+        grant.holder.notify(SlotRevoke(grant.held.grant_id, grant.held.slot_count, reason))
+        metrics.SLOTS_REVOKED.inc({"backend_server": self.server.id, "reason": reason})
+
+    def _refuse(
+        self, request: SlotRequest, holder: Holder, retry_at_ms: float, code: str = Overloaded.code
+    ) -> None:
+        metrics.SLOT_REFUSALS.inc({"code": code, "work_class": request.work_class.value})
+        retry_at_ms = math.ceil(retry_at_ms)
+        holder.notify(
+            SlotRefusal(request.request_id, code, retry_at_ms, self.held, self.queued, self.limit)
+        )
+
+    def _predicted_wait_ms(self, request: SlotRequest) -> float:
+        """Returns the wait of the member's last queued online request; 0 for batch."""
+        if request.work_class is WorkClass.BATCH:
+            return 0.0
+        queue = self._waiting[WorkClass.ONLINE]
+        slots = float(self.limit)
+        if request.member != self._priority_member:
+            competing = {name for name, count in self._online_held.items() if count > 0}
+            slots *= self._shares.among(request.member, competing | set(queue.members))
+        return self._estimate.wait_ms(queue.queued(request.member), slots)
+
+    @property
+    def _online_held(self) -> Counter[str]:
+        return self._grants.held[WorkClass.ONLINE]
+
+    def _observe_demand(self, now_ms: int) -> None:
+        queue = self._waiting[WorkClass.ONLINE]
+        total = 0
+        for member in self._online_held.keys() | set(queue.members):
+            demand = self._online_held[member] + queue.queued(member)
+            self._peaks.setdefault(member, PeakDemand()).observe(demand, now_ms)
+            total += demand
+        self._online_peak.observe(total, now_ms)
 
-    def _refuse(self, request: SlotRequest, holder: Holder, code: str) -> None:
-        retry_at_ms = self._clock.now_ms() + RETRY_DELAY_MS
-        holder.notify(SlotRefusal(request.request_id, code, retry_at_ms))
+    def _publish(self) -> None:
+        server = {"backend_server": self.server.id}
+        metrics.SLOT_LIMIT.set(server, self.limit)
+        for work_class, queue in self._waiting.items():
+            labels = server | {"work_class": work_class.value}
+            metrics.SLOTS_HELD.set(labels, self._grants.slots_of(work_class))
+            metrics.SLOTS_QUEUED.set(labels, len(queue))
+        for row in self.usage:
+            metrics.SLOTS_BORROWED.set(server | {"member": row.member}, row.borrowed_slots)
--- /dev/null
+++ b/features/steps/slots_order.py
@@ -0,0 +1,452 @@
+"""Steps of the slot queue alone, with holders that record what they are told."""
+
+from collections.abc import Awaitable, Callable
+
+import anyio
+from behave import given, then, when
+from behave.runner import Context
+
+from briarvale._generated.messages import (
+    Message,
+    Outcome,
+    SlotGrant,
+    SlotRefusal,
+    SlotRelease,
+    SlotRequest,
+    SlotRevoke,
+    WorkClass,
+)
+from briarvale._generated.rules import Rules, Share
+from briarvale.clock import Clock
+from briarvale.config import BackendServer
+from briarvale.slots import SlotQueue
+from features.support.virtual import run_virtual
+
+SHARES = (Share("cyweirio", 60), Share("trust", 40))
+SERVER = BackendServer("bs-1", "reed-desk", "", 0, "wales", "caerdydd")
+START_S = 1.0
+
+Step = Callable[["QueueBench"], Awaitable[None]]
+
+
+class RecordingHolder:
+    """A holder that keeps what it is told."""
+
+    name = "gateway vm-1"
+
+    def __init__(self) -> None:
+        self.messages: list[Message] = []
+
+    def notify(self, message: Message) -> None:
+        self.messages.append(message)
+
+
+class QueueBench:
+    """One slot queue with a holder, and what was asked of it."""
+
+    def __init__(self, slots: int, rules: Rules) -> None:
+        self.clock = Clock(1_800_000_000_000)
+        self.rules = rules
+        self.queue = SlotQueue(SERVER._replace(slots=slots), self.clock, rules)
+        self.holder = RecordingHolder()
+        self.requests: dict[str, SlotRequest] = {}
+        self.released: set[str] = set()
+        self.asked_at_ms = 0
+
+    def ask(self, member: str, work: WorkClass, cost: int = 100, **fields: int) -> SlotRequest:
+        """Submits one request; `fields` override its fields."""
+        request_id = f"r{len(self.requests)}"
+        self.asked_at_ms = self.clock.now_ms()
+        deadline_ms = self.asked_at_ms + 600_000
+        request = SlotRequest(request_id, "bs-1", member, work, 1, cost, deadline_ms)
+        request = request._replace(**fields)
+        self.requests[request_id] = request
+        self.queue.submit(request, self.holder)
+        return request
+
+    def told(self, kind: type) -> list:
+        """Returns the messages of one kind."""
+        return [message for message in self.holder.messages if isinstance(message, kind)]
+
+    def held(self, member: str, work: WorkClass) -> list[SlotGrant]:
+        """Returns the grants of a member that are not released, the oldest first."""
+        return [
+            grant
+            for grant in self.told(SlotGrant)
+            if grant.grant_id not in self.released
+            and self.requests[grant.request_id].member == member
+            and self.requests[grant.request_id].work_class is work
+        ]
+
+    def release(self, grant_id: str, time_between_tokens_ms: int = 0) -> None:
+        """Releases one grant."""
+        self.released.add(grant_id)
+        release = SlotRelease(grant_id, Outcome.FINISHED, 0, time_between_tokens_ms)
+        self.queue.release(release)
+
+    def release_revoked(self) -> None:
+        """Releases what was revoked, until nothing more is."""
+        while True:
+            revoked = {revoke.grant_id for revoke in self.told(SlotRevoke)} - self.released
+            if not revoked:
+                return
+            for grant_id in sorted(revoked):
+                self.release(grant_id)
+
+    async def wait(self, seconds: float) -> None:
+        """Lets time pass, with the owner's ticks and heartbeats."""
+        until = anyio.current_time() + seconds
+        while anyio.current_time() < until:
+            await anyio.sleep(0.1)
+            self.queue.renew(self.holder)
+            self.queue.tick()
+
+
+def add_step(context: Context, step: Step) -> None:
+    context.queue_steps.append(step)
+
+
+def check(context: Context, predicate: Callable[[QueueBench], bool]) -> None:
+    """Replays all steps so far in virtual time, then checks."""
+
+    async def play() -> tuple[bool, str]:
+        bench = QueueBench(context.slot_count, context.queue_rules)
+        await bench.wait(START_S)
+        for step in context.queue_steps:
+            await step(bench)
+        return predicate(bench), f"{bench.queue.usage} queued {bench.queue.queued}"
+
+    is_true, state = run_virtual(play)
+    assert is_true, state
+
+
+@given("a slot queue of {slots:d} slots with harm weight {weight:g}")
+def given_queue(context: Context, slots: int, weight: float) -> None:
+    context.slot_count = slots
+    context.queue_rules = Rules(SHARES, batch_budget_percent=100, harm_weight=weight)
+    context.queue_steps = []
+
+
+@given("a slot queue of {slots:d} slots with harm weight {weight:g} and priority member {member}")
+def given_priority_queue(context: Context, slots: int, weight: float, member: str) -> None:
+    given_queue(context, slots, weight)
+    context.queue_rules = context.queue_rules._replace(priority_member=member)
+
+
+@given("a slot queue of {slots:d} slots with harm weight {w:g} and a batch budget of {part:g} %")
+def given_budget_queue(context: Context, slots: int, w: float, part: float) -> None:
+    given_queue(context, slots, w)
+    context.queue_rules = context.queue_rules._replace(batch_budget_percent=part)
+
+
+@given("batch of {member} holds every slot")
+def given_batch_full(context: Context, member: str) -> None:
+    async def step(bench: QueueBench) -> None:
+        for _ in range(context.slot_count):
+            bench.ask(member, WorkClass.BATCH)
+        assert len(bench.held(member, WorkClass.BATCH)) == context.slot_count
+        await bench.wait(1)
+
+    add_step(context, step)
+
+
+@given("online of cyweirio holds all that it may")
+def given_online_full(context: Context) -> None:
+    async def step(bench: QueueBench) -> None:
+        for _ in range(context.slot_count):
+            bench.ask("cyweirio", WorkClass.ONLINE)
+
+    add_step(context, step)
+
+
+@given("online slots were held for {hold_ms:d} ms each")
+def given_hold_times(context: Context, hold_ms: int) -> None:
+    async def step(bench: QueueBench) -> None:
+        for _ in range(10):
+            bench.ask("cyweirio", WorkClass.ONLINE)
+            await bench.wait(hold_ms / 1_000)
+            bench.release(bench.told(SlotGrant)[-1].grant_id)
+
+    add_step(context, step)
+
+
+@when("{count:d} {work} requests of {member} ask for slots")
+def when_ask(context: Context, count: int, work: str, member: str) -> None:
+    async def step(bench: QueueBench) -> None:
+        for _ in range(count):
+            bench.ask(member, WorkClass(work))
+
+    add_step(context, step)
+
+
+@when("{count:d} batch requests of {member} ask for slots over {seconds:d} s")
+def when_ask_over(context: Context, count: int, member: str, seconds: int) -> None:
+    async def step(bench: QueueBench) -> None:
+        for _ in range(count):
+            bench.ask(member, WorkClass.BATCH)
+        await bench.wait(seconds)
+
+    add_step(context, step)
+
+
+@when("{member} sends {count:d} online requests that may wait {wait_ms:d} ms")
+def when_ask_deadline(context: Context, member: str, count: int, wait_ms: int) -> None:
+    async def step(bench: QueueBench) -> None:
+        for _ in range(count):
+            bench.ask(member, WorkClass.ONLINE, deadline_ms=bench.clock.now_ms() + wait_ms)
+
+    add_step(context, step)
+
+
+@when("both members keep 20 online requests of different cost waiting while 400 are served")
+def when_backlog(context: Context) -> None:
+    async def step(bench: QueueBench) -> None:
+        costs = {"cyweirio": 50, "trust": 400}
+        ends_at: dict[str, int] = {}
+        now = 0
+        while len(bench.told(SlotGrant)) < 400:
+            waiting = dict.fromkeys(costs, 0)
+            granted = {grant.request_id for grant in bench.told(SlotGrant)}
+            for request_id, request in bench.requests.items():
+                waiting[request.member] += request_id not in granted
+            for member, cost in costs.items():
+                for _ in range(20 - waiting[member]):
+                    bench.ask(member, WorkClass.ONLINE, cost)
+            held = [g for g in bench.told(SlotGrant) if g.grant_id not in bench.released]
+            for grant in held:
+                ends_at.setdefault(
+                    grant.grant_id, now + bench.requests[grant.request_id].cost_tokens
+                )
+            first = min(held, key=lambda grant: ends_at[grant.grant_id])
+            now = ends_at[first.grant_id]
+            bench.release(first.grant_id)
+
+    add_step(context, step)
+
+
+@when("batch of {member} due {first:d}, {second:d} and {third:d} ms from now asks for slots")
+def when_due(context: Context, member: str, first: int, second: int, third: int) -> None:
+    async def step(bench: QueueBench) -> None:
+        for due_ms in (first, second, third):
+            start_by_ms = bench.clock.now_ms() + due_ms
+            bench.ask(member, WorkClass.BATCH, start_by_ms=start_by_ms, cost_tokens=due_ms)
+
+    add_step(context, step)
+
+
+@when("{count:d} costly online requests of {member} arrive")
+def when_ask_costly(context: Context, count: int, member: str) -> None:
+    async def step(bench: QueueBench) -> None:
+        for _ in range(count):
+            bench.ask(member, WorkClass.ONLINE, 1_000)
+
+    add_step(context, step)
+
+
+@when("the revoked slots are released")
+def when_revoked_released(context: Context) -> None:
+    async def step(bench: QueueBench) -> None:
+        bench.release_revoked()
+
+    add_step(context, step)
+
+
+@when("every slot is released")
+def when_all_released(context: Context) -> None:
+    async def step(bench: QueueBench) -> None:
+        for grant in [g for g in bench.told(SlotGrant) if g.grant_id not in bench.released]:
+            bench.release(grant.grant_id)
+
+    add_step(context, step)
+
+
+@when("the oldest online slot is released")
+def when_oldest_released(context: Context) -> None:
+    async def step(bench: QueueBench) -> None:
+        bench.release(bench.held("cyweirio", WorkClass.ONLINE)[0].grant_id)
+
+    add_step(context, step)
+
+
+@when("{count:d} online slots are released at once")
+def when_some_released(context: Context, count: int) -> None:
+    async def step(bench: QueueBench) -> None:
+        for grant in bench.held("cyweirio", WorkClass.ONLINE)[:count]:
+            bench.release(grant.grant_id)
+
+    add_step(context, step)
+
+
+@when("{seconds:d} s pass")
+def when_time_passes(context: Context, seconds: int) -> None:
+    async def step(bench: QueueBench) -> None:
+        await bench.wait(seconds)
+
+    add_step(context, step)
+
+
+@when("streams end with {between_ms:d} ms between tokens for {seconds:d} s")
+def when_streams_end(context: Context, between_ms: int, seconds: int) -> None:
+    async def step(bench: QueueBench) -> None:
+        for _ in range(seconds * 5):
+            bench.ask("cyweirio", WorkClass.ONLINE)
+            await bench.wait(0.2)
+            bench.release(bench.told(SlotGrant)[-1].grant_id, between_ms)
+
+    add_step(context, step)
+
+
+@when("the configuration declares {slots:d} slots and a share of {percent:g} % for trust")
+def when_configured(context: Context, slots: int, percent: float) -> None:
+    async def step(bench: QueueBench) -> None:
+        shares = (Share("cyweirio", 100 - percent), Share("trust", percent))
+        rules = bench.rules._replace(shares=shares)
+        bench.queue.configure(SERVER._replace(slots=slots), rules)
+
+    add_step(context, step)
+
+
+@then("{count:d} batch slots are revoked and no slot twice")
+def then_revoked(context: Context, count: int) -> None:
+    def is_once(bench: QueueBench) -> bool:
+        bench.queue.tick()
+        revoked = [revoke.grant_id for revoke in bench.told(SlotRevoke)]
+        return len(revoked) == len(set(revoked)) == count
+
+    check(context, is_once)
+
+
+@then("cyweirio holds {online:d} online slots and trust {batch:d} batch slots")
+def then_held(context: Context, online: int, batch: int) -> None:
+    check(
+        context,
+        lambda bench: (
+            len(bench.held("cyweirio", WorkClass.ONLINE)) == online
+            and len(bench.held("trust", WorkClass.BATCH)) == batch
+        ),
+    )
+
+
+@then("cyweirio holds {first:d} batch slots and trust {second:d}")
+def then_batch_held(context: Context, first: int, second: int) -> None:
+    check(
+        context,
+        lambda bench: (
+            len(bench.held("cyweirio", WorkClass.BATCH)) == first
+            and len(bench.held("trust", WorkClass.BATCH)) == second
+        ),
+    )
+
+
+@then("trust holds at most {count:d} batch slots")
+def then_at_most(context: Context, count: int) -> None:
+    check(context, lambda bench: len(bench.held("trust", WorkClass.BATCH)) <= count)
+
+
+@then("trust holds at least {count:d} batch slots")
+def then_at_least(context: Context, count: int) -> None:
+    check(context, lambda bench: len(bench.held("trust", WorkClass.BATCH)) >= count)
+
+
+@then("cyweirio got between {low:g} and {high:g} of the served tokens")
+def then_tokens(context: Context, low: float, high: float) -> None:
+    def part(bench: QueueBench) -> bool:
+        served = [bench.requests[grant.request_id] for grant in bench.told(SlotGrant)]
+        own = sum(request.cost_tokens for request in served if request.member == "cyweirio")
+        return low <= own / sum(request.cost_tokens for request in served) <= high
+
+    check(context, part)
+
+
+@then("the latest grant is trust's")
+def then_latest(context: Context) -> None:
+    check(
+        context,
+        lambda bench: bench.requests[bench.told(SlotGrant)[-1].request_id].member == "trust",
+    )
+
+
+@then("cyweirio borrows online slots and the usage shows it")
+def then_borrows(context: Context) -> None:
+    def shows(bench: QueueBench) -> bool:
+        held = len(bench.held("cyweirio", WorkClass.ONLINE))
+        usage = next(row for row in bench.queue.usage if row.member == "cyweirio")
+        return held > 12 and usage.borrowed_slots == held - 12
+
+    check(context, shows)
+
+
+@then("trust holds {count:d} online slots and cyweirio less than {limit:d}")
+def then_reserve(context: Context, count: int, limit: int) -> None:
+    check(
+        context,
+        lambda bench: (
+            len(bench.held("trust", WorkClass.ONLINE)) == count
+            and len(bench.held("cyweirio", WorkClass.ONLINE)) < limit
+        ),
+    )
+
+
+@then("the batch due after {first:d} and {second:d} ms holds the slots")
+def then_slack(context: Context, first: int, second: int) -> None:
+    def is_served(bench: QueueBench) -> bool:
+        held = bench.held("trust", WorkClass.BATCH)
+        return [bench.requests[g.request_id].cost_tokens for g in held] == [first, second]
+
+    check(context, is_served)
+
+
+@then("at most {count:d} wait and each other one is refused with a later retry_at_ms")
+def then_bounded(context: Context, count: int) -> None:
+    def is_bounded(bench: QueueBench) -> bool:
+        refusals = bench.told(SlotRefusal)
+        granted = len(bench.told(SlotGrant))
+        answers_add_up = bench.queue.queued + granted + len(refusals) == 400
+        are_later = all(refusal.retry_at_ms > bench.asked_at_ms for refusal in refusals)
+        return answers_add_up and bench.queue.queued <= count and are_later
+
+    check(context, is_bounded)
+
+
+@then("the latest request waits or is granted")
+def then_not_refused(context: Context) -> None:
+    check(
+        context,
+        lambda bench: bench.told(SlotRefusal)[-1].request_id != f"r{len(bench.requests) - 1}",
+    )
+
+
+@then("some are refused at the same instant with retry_at_ms after their deadline")
+def then_early_refusal(context: Context) -> None:
+    def is_early(bench: QueueBench) -> bool:
+        refusals = bench.told(SlotRefusal)
+        limits = [bench.requests[refusal.request_id].deadline_ms for refusal in refusals]
+        at_once = bench.clock.now_ms() == bench.asked_at_ms
+        return (
+            at_once
+            and 0 < len(refusals) < 10
+            and all(r.retry_at_ms > min(limits) for r in refusals)
+        )
+
+    check(context, is_early)
+
+
+@then("the slot limit is below {count:d}")
+def then_limit_below(context: Context, count: int) -> None:
+    check(context, lambda bench: bench.queue.limit < count)
+
+
+@then("the slot limit is {count:d}")
+def then_limit(context: Context, count: int) -> None:
+    check(context, lambda bench: bench.queue.limit == count)
+
+
+@then("the share of trust is {slots:g} slots")
+def then_share(context: Context, slots: float) -> None:
+    check(
+        context,
+        lambda bench: any(
+            row.member == "trust" and abs(row.share_slots - slots) < 1e-6
+            for row in bench.queue.usage
+        ),
+    )
