Prove slots through the loss, freeze and cut of owners and holders

Cause: a lost connection freed slots in use; a frozen owner kept its waiters for ever; a grant that crossed with a cancelled wait leaked.

--- a/features/slots/order.feature
+++ b/features/slots/order.feature
@@ -94,3 +94,21 @@
     And 8 online requests of trust ask for slots
     Then the slot limit is 8
     And the share of trust is 7.2 slots
+
+  Scenario: A next owner waits for reports before it grants
+    Given a slot queue of 4 slots with harm weight 0
+    And online of cyweirio holds all that it may
+    When a next owner takes over and 4 online requests of trust come before the report
+    Then all that is held is at most 4 slots and the reported ones are among them
+
+  Scenario: A holder that connects again frees what it holds no more
+    Given a slot queue of 4 slots with harm weight 0
+    And batch of trust holds every slot
+    When the holder connects again and reports 1 slot
+    Then 1 slots are counted as held at once
+
+  Scenario: A report that comes before the next owner knows its part counts
+    Given a slot queue of 4 slots with harm weight 0
+    And batch of trust holds every slot
+    When the report reaches a dispatcher just before it becomes the owner
+    Then 4 slots are counted as held at once
--- /dev/null
+++ b/features/steps/slots_failures.py
@@ -0,0 +1,314 @@
+"""Steps of holders and owners through failures, on a fleet in memory."""
+
+from collections.abc import Awaitable, Callable
+
+import anyio
+from anyio.abc import TaskGroup
+from behave import given, then, when
+from behave.runner import Context
+
+from briarvale._generated.messages import Outcome, SlotRequest, WorkClass
+from briarvale.engine_client import Completion
+from briarvale.environment import Environment
+from briarvale.errors import BriarvaleError
+from briarvale.settings import Settings
+from briarvale.slot_client import SlotClient, new_request_id
+from briarvale.standins.engine import token_text
+from briarvale.standins.memory_fleet import MODEL, FleetSettings, MemoryFleet
+from briarvale.standins.vm_list import StandinVmList
+from briarvale.vm_list import VmStatus
+from features.support.virtual import run_virtual
+
+SLOTS = 4
+TOKENS = 400
+SAMPLE_S = 0.01
+LIMIT_S = 60.0
+
+Failure = Callable[["SlotScene"], Awaitable[None]]
+
+
+class SplitFleet(MemoryFleet):
+    """A fleet whose first VM reads a VM list of its own."""
+
+    def __init__(self, settings: FleetSettings) -> None:
+        super().__init__(settings)
+        entries = tuple(self._vm_entry(n) for n in range(settings.vm_count))
+        self.first_list = StandinVmList(entries)
+
+    def _environment(self, settings: Settings, part: str) -> Environment:
+        environment = super()._environment(settings, part)
+        return (
+            environment._replace(vm_list=self.first_list) if settings.vm == "vm-1" else environment
+        )
+
+
+class SlotScene:
+    """A fleet with one engine, holders, and what was seen of both."""
+
+    def __init__(self, tasks: TaskGroup) -> None:
+        self.fleet = SplitFleet(FleetSettings(engine_count=1, plain_count=0, slots=SLOTS))
+        self.tasks = tasks
+        self.answers: dict[str, list[str]] = {}
+        self.expected = 0
+        self.peak_streams = 0
+        self.refused_after_s: list[float] = []
+        self.granted_at_s: dict[str, float] = {}
+        self.failed_at_s = 0.0
+        self.failure_ended_at_s = 0.0
+        self.owner_held: list[tuple[float, int]] = []
+        self.late_streams = 0
+        self.settled_at_s = float("inf")
+
+    async def start(self) -> None:
+        """Starts the fleet and waits until its owner grants."""
+        await self.fleet.start(self.tasks)
+        self.engine = self.fleet.backends.engines["bs-1"]
+        self.clients = {name: self.client(name) for name in self.fleet.vms}
+        self.tasks.start_soon(self._sample)
+        await anyio.sleep(2)
+
+    def client(self, vm: str) -> SlotClient:
+        """Returns a new holder on a VM."""
+        gateway = self.fleet.vms[vm].gateway
+        return SlotClient(gateway.environment, gateway.view, self.tasks)
+
+    def ask(self, vm: str, count: int) -> None:
+        """Starts streams of one VM."""
+        for _ in range(count):
+            self.expected += 1
+            self.tasks.start_soon(self._stream, vm, f"{vm} reed {self.expected}")
+
+    async def finish(self) -> None:
+        """Waits for all answers."""
+        with anyio.move_on_after(LIMIT_S):
+            while len(self.answers) < self.expected:
+                await anyio.sleep(SAMPLE_S)
+        await anyio.sleep(6)
+
+    def held_by_owners(self) -> int:
+        """Returns the slots that dispatchers count as held."""
+        queues = [vm.dispatcher.slot_owner.queue("bs-1") for vm in self.fleet.vms.values()]
+        return sum(queue.held for queue in queues if queue is not None)
+
+    async def _stream(self, vm: str, prompt: str) -> None:
+        asked_at_s = anyio.current_time()
+        while True:
+            try:
+                await self._attempt(vm, prompt)
+                return
+            except BriarvaleError as error:
+                assert error.not_run, error
+                self.refused_after_s.append(
+                    anyio.current_time() - max(asked_at_s, self.failed_at_s)
+                )
+            await anyio.sleep(0.1)
+            asked_at_s = anyio.current_time()
+
+    async def _attempt(self, vm: str, prompt: str) -> None:
+        async with self.clients[vm].hold(self.request()) as slot:
+            self.granted_at_s[prompt] = anyio.current_time()
+            completion = Completion(prompt, MODEL, prompt, TOKENS)
+            self.answers[prompt] = [t.text async for t in self.engine.complete(completion)]
+            slot.outcome = Outcome.FINISHED
+
+    def request(self) -> SlotRequest:
+        """Returns a new request for an online slot."""
+        deadline_ms = self.fleet.clock.now_ms() + 50_000
+        return SlotRequest(
+            new_request_id(), "bs-1", "cyweirio", WorkClass.ONLINE, 1, TOKENS, deadline_ms
+        )
+
+    async def _sample(self) -> None:
+        while True:
+            streams = self.engine.stream_count
+            self.peak_streams = max(self.peak_streams, streams)
+            self.owner_held.append((anyio.current_time(), self.held_by_owners()))
+            if anyio.current_time() > self.settled_at_s + 3:
+                self.late_streams = max(self.late_streams, streams)
+            await anyio.sleep(SAMPLE_S)
+
+    def replace_owner(self, status: VmStatus | None) -> None:
+        """Changes vm-1 in the VM lists, or takes it out."""
+        entries = [self.fleet._vm_entry(n) for n in range(3)]
+        first = [entries[0]._replace(status=status)] if status else []
+        self.fleet.vm_list.replace((*first, *entries[1:]))
+        self.fleet.first_list.replace((*first, *entries[1:]))
+
+
+def play(context: Context) -> SlotScene:
+    """Plays the scene once, in virtual time."""
+
+    async def run() -> SlotScene:
+        async with anyio.create_task_group() as tasks:
+            scene = SlotScene(tasks)
+            await scene.start()
+            if context.is_loaded:
+                scene.ask("vm-2", 8)
+                await anyio.sleep(1)
+            scene.failed_at_s = anyio.current_time()
+            await context.failure(scene)
+            scene.failure_ended_at_s = anyio.current_time()
+            await scene.finish()
+            tasks.cancel_scope.cancel()
+        return scene
+
+    if not hasattr(context, "scene"):
+        context.scene = run_virtual(run, seed=1)
+    return context.scene
+
+
+@given("one engine of 4 slots owned by vm-1, with 4 streams and 4 waiting requests of vm-2")
+def given_scene(context: Context) -> None:
+    context.is_loaded = True
+
+
+@when("the owner's VM is lost and leaves the VM list")
+def when_owner_lost(context: Context) -> None:
+    async def fail(scene: SlotScene) -> None:
+        scene.fleet.kill_vm("vm-1")
+        scene.replace_owner(None)
+
+    context.failure = fail
+
+
+@when("the VM list says that the owner's VM is leaving")
+def when_owner_leaves(context: Context) -> None:
+    async def fail(scene: SlotScene) -> None:
+        scene.replace_owner(VmStatus.LEAVING)
+
+    context.failure = fail
+
+
+@when("the {part} freezes for {seconds:d} s")
+def when_frozen(context: Context, part: str, seconds: int) -> None:
+    async def fail(scene: SlotScene) -> None:
+        host = scene.fleet.vms["vm-1" if part == "owner" else "vm-2"].settings.host
+        scene.fleet.network.frozen.add(host)
+        await anyio.sleep(seconds)
+        scene.fleet.network.frozen.discard(host)
+
+    context.failure = fail
+
+
+@when("messages from {source} to {target} are lost for {seconds:d} s")
+def when_cut(context: Context, source: str, target: str, seconds: int) -> None:
+    async def fail(scene: SlotScene) -> None:
+        hosts = {name: vm.settings.host for name, vm in scene.fleet.vms.items()}
+        hosts["the owner"] = hosts["vm-1"]
+        link = (hosts[source], hosts[target])
+        scene.fleet.network.cut.add(link)
+        await anyio.sleep(seconds)
+        scene.fleet.network.cut.discard(link)
+
+    context.failure = fail
+
+
+@when("the holder's VM is lost")
+def when_holder_lost(context: Context) -> None:
+    async def fail(scene: SlotScene) -> None:
+        scene.fleet.kill_vm("vm-2")
+        scene.fleet.network.frozen.add(scene.fleet.vms["vm-2"].settings.host)
+        scene.expected = 0
+
+    context.failure = fail
+
+
+@when("the connections of vm-2 to the owner break")
+def when_broken(context: Context) -> None:
+    async def fail(scene: SlotScene) -> None:
+        host = scene.fleet.vms["vm-2"].settings.host
+        for stream in [s for s in scene.fleet.network.streams if s.host == host]:
+            stream.close_now()
+
+    context.failure = fail
+
+
+@when("vm-1 alone does not learn that vm-2 owns the engine, while both VMs ask for 8 streams")
+def when_two_owners(context: Context) -> None:
+    async def fail(scene: SlotScene) -> None:
+        scene.fleet.vm_list.replace(tuple(scene.fleet._vm_entry(n) for n in (1, 2)))
+        await anyio.sleep(5)
+        scene.ask("vm-1", 8)
+        scene.ask("vm-2", 8)
+        await anyio.sleep(5)
+        scene.fleet.first_list.replace(tuple(scene.fleet._vm_entry(n) for n in (1, 2)))
+        scene.settled_at_s = anyio.current_time() + scene.fleet.first_list.lag_s + TOKENS * 0.025
+
+    context.is_loaded = False
+    context.failure = fail
+
+
+@when("{count:d} callers give up between 0 and 6 ms after asking")
+def when_given_up(context: Context, count: int) -> None:
+    async def ask(scene: SlotScene, patience_s: float) -> None:
+        with anyio.move_on_after(patience_s):
+            async with scene.clients["vm-2"].hold(scene.request()):
+                await anyio.sleep(0)
+
+    async def fail(scene: SlotScene) -> None:
+        for index in range(count):
+            await ask(scene, 0.006 * index / count)
+
+    context.is_loaded = False
+    context.failure = fail
+
+
+@then("all {count:d} answers are whole and no stream was started twice")
+def then_whole_once(context: Context, count: int) -> None:
+    scene = play(context)
+    assert len(scene.answers) == count, len(scene.answers)
+    for prompt, answer in scene.answers.items():
+        assert answer == [token_text(prompt, n) for n in range(TOKENS)], prompt
+    assert set(scene.engine.run_counts.values()) == {1}, scene.engine.run_counts
+
+
+@then("every answer is whole")
+def then_whole(context: Context) -> None:
+    scene = play(context)
+    assert len(scene.answers) == scene.expected == 16, len(scene.answers)
+    assert all(len(answer) == TOKENS for answer in scene.answers.values())
+
+
+@then("the engine never ran more than {count:d} streams")
+def then_peak(context: Context, count: int) -> None:
+    peak = play(context).peak_streams
+    assert 0 < peak <= count, peak
+
+
+@then("it ran at most {count:d} streams 3 s after vm-1 had learnt it")
+def then_settled(context: Context, count: int) -> None:
+    assert 0 < play(context).late_streams <= count, context.scene.late_streams
+
+
+@then("the next owner granted within {seconds:d} s")
+def then_granted(context: Context, seconds: int) -> None:
+    scene = play(context)
+    first_end_s = min(scene.granted_at_s.values()) + TOKENS * 0.0195
+    later = sorted(scene.granted_at_s.values())[SLOTS]
+    assert later <= max(first_end_s, scene.failed_at_s + 2) + seconds, (later, first_end_s)
+
+
+@then("waiting requests were told not_run within {seconds:d} s")
+def then_told(context: Context, seconds: int) -> None:
+    refused = play(context).refused_after_s
+    assert len(refused) >= 4 and max(refused) <= seconds, refused
+
+
+@then("no owner holds a slot in the end")
+def then_none_held(context: Context) -> None:
+    assert play(context).owner_held[-1][1] == 0, context.scene.owner_held[-1]
+
+
+@then("no owner holds a slot {seconds:g} s later")
+def then_none_held_after(context: Context, seconds: float) -> None:
+    scene = play(context)
+    held = [count for at, count in scene.owner_held if at > scene.failure_ended_at_s + seconds]
+    assert held and set(held) == {0}, set(held)
+
+
+@then("the owner takes its slots back after the lease, within {seconds:d} s")
+def then_expired(context: Context, seconds: int) -> None:
+    scene = play(context)
+    held = {at: count for at, count in scene.owner_held if at > scene.failed_at_s}
+    free_at_s = min(at for at, count in held.items() if count == 0)
+    assert 1 < free_at_s - scene.failed_at_s <= seconds, free_at_s - scene.failed_at_s
--- a/features/steps/slots_order.py
+++ b/features/steps/slots_order.py
@@ -7,6 +7,8 @@
 from behave.runner import Context
 
 from briarvale._generated.messages import (
+    HeldGrant,
+    HolderReport,
     Message,
     Outcome,
     SlotGrant,
@@ -18,8 +20,10 @@
 )
 from briarvale._generated.rules import Rules, Share
 from briarvale.clock import Clock
-from briarvale.config import BackendServer
+from briarvale.config import BackendServer, Config
+from briarvale.slot_owner import SlotOwner
 from briarvale.slots import SlotQueue
+from briarvale.standins.memory_fleet import FleetSettings, MemoryFleet
 from features.support.virtual import run_virtual
 
 SHARES = (Share("cyweirio", 60), Share("trust", 40))
@@ -78,6 +82,14 @@
             and self.requests[grant.request_id].work_class is work
         ]
 
+    def reported(self) -> tuple[HeldGrant, ...]:
+        """Returns all grants as their holder reports them."""
+        requests = [(grant, self.requests[grant.request_id]) for grant in self.told(SlotGrant)]
+        return tuple(
+            HeldGrant(grant.grant_id, "bs-1", request.member, request.work_class, 1, 100)
+            for grant, request in requests
+        )
+
     def release(self, grant_id: str, time_between_tokens_ms: int = 0) -> None:
         """Releases one grant."""
         self.released.add(grant_id)
@@ -450,3 +462,58 @@
             for row in bench.queue.usage
         ),
     )
+
+
+@when("a next owner takes over and {count:d} online requests of trust come before the report")
+def when_next_owner(context: Context, count: int) -> None:
+    async def step(bench: QueueBench) -> None:
+        held = bench.reported()
+        bench.queue = SlotQueue(bench.queue.server, bench.clock, bench.rules)
+        bench.holder.messages.clear()
+        for _ in range(count):
+            bench.ask("trust", WorkClass.ONLINE)
+        await bench.wait(0.2)
+        bench.queue.report(bench.holder, held)
+        await bench.wait(1)
+
+    add_step(context, step)
+
+
+@when("the holder connects again and reports {count:d} slot")
+def when_reconnected(context: Context, count: int) -> None:
+    async def step(bench: QueueBench) -> None:
+        held = bench.reported()
+        bench.queue.drop_holder(bench.holder)
+        bench.holder = RecordingHolder()
+        bench.queue.report(bench.holder, held[:count])
+
+    add_step(context, step)
+
+
+@when("the report reaches a dispatcher just before it becomes the owner")
+def when_early_report(context: Context) -> None:
+    async def step(bench: QueueBench) -> None:
+        fleet = MemoryFleet(FleetSettings(slots=context.slot_count))
+        owner = SlotOwner(bench.clock)
+        owner.handle(bench.holder, HolderReport(bench.reported()))
+        config = Config.from_texts(1, fleet.inventory_text(), fleet.rules_text())
+        owner.settle(config, {"bs-1"})
+        bench.queue = owner.queue("bs-1")
+
+    add_step(context, step)
+
+
+@then("all that is held is at most {count:d} slots and the reported ones are among them")
+def then_adopted(context: Context, count: int) -> None:
+    check(
+        context,
+        lambda bench: (
+            bench.queue.held <= count
+            and sum(row.online_slots for row in bench.queue.usage if row.member == "cyweirio") >= 3
+        ),
+    )
+
+
+@then("{count:d} slots are counted as held at once")
+def then_counted(context: Context, count: int) -> None:
+    check(context, lambda bench: bench.queue.held == count)
