--- a/briarvale/dispatcher.py
+++ b/briarvale/dispatcher.py
@@ -16,6 +16,7 @@
     SlotRelease,
     SlotRequest,
     SlotWithdraw,
+    StateFetch,
     SuspectNotice,
     View,
     ViewSubscribe,
@@ -61,6 +62,9 @@
         """Whether it has a configuration and knows the VMs."""
         return self.config_spread.config is not None and bool(self.membership.vms)
 
+    async def drain(self) -> None:
+        """Ends its work gracefully."""
+
     async def run(self) -> None:
         """Runs until cancelled."""
         self.membership.subscribe(self._take_rumor)
@@ -172,6 +176,8 @@
                 config = self.config_spread.config
                 if config is not None and config.revision > have_revision:
                     connection.notify(config.bundle)
+            case StateFetch():
+                connection.notify(self.membership.snapshot())
             case SuspectNotice():
                 self.membership.publish(message)
                 self._broadcast(message)
--- a/briarvale/metrics.py
+++ b/briarvale/metrics.py
@@ -27,11 +27,16 @@
 LEASES_EXPIRED = Counter("briarvale_slot_leases_expired_total", "Slots freed by expiry.")
 OWNER_LINKS_LOST = Counter("briarvale_owner_links_lost_total", "Connections to owners that broke.")
 PEER_BAD_FRAMES = Counter("briarvale_peer_bad_frames_total", "Connections closed for a bad frame.")
+BAD_DATAGRAMS = Counter(
+    "briarvale_bad_datagrams_total", "Datagrams dropped for a bad seal or form."
+)
+VMS = Gauge("briarvale_vms", "VMs of the VM list by health.")
 STORE_CALLS = Counter("briarvale_store_calls_total", "Object API calls by verb and result.")
 ITEMS = Counter("briarvale_items_total", "Batch items committed by result.")
 CONFIG_REVISION = Gauge("briarvale_config_revision", "Configuration revision in force.")
 
 __all__ = [
+    "BAD_DATAGRAMS",
     "CONFIG_REVISION",
     "FIRST_TOKEN_S",
     "ITEMS",
@@ -48,6 +53,7 @@
     "SLOT_REFUSALS",
     "SLOT_WAIT_S",
     "STORE_CALLS",
+    "VMS",
     "metrics_route",
 ]
 
