--- a/briarvale/_generated/messages.py
+++ b/briarvale/_generated/messages.py
@@ -149,6 +149,12 @@
     grants: tuple[HeldGrant, ...] = ()
 
 
+class SlotHeartbeat(NamedTuple):
+    """The peer message SlotHeartbeat."""
+
+    sequence: int = 0
+
+
 class VmState(NamedTuple):
     """The peer message VmState."""
 
@@ -304,6 +310,7 @@
     | Gossip
     | StateFetch
     | StateSnapshot
+    | SlotHeartbeat
 )
 
 
@@ -487,6 +494,16 @@
         _write_held_grant(grants[index], held_grant)
 
 
+def _read_slot_heartbeat(reader: Any) -> SlotHeartbeat:
+    return SlotHeartbeat(
+        reader.sequence,
+    )
+
+
+def _write_slot_heartbeat(builder: Any, message: SlotHeartbeat) -> None:
+    builder.sequence = message.sequence
+
+
 def _read_vm_state(reader: Any) -> VmState:
     return VmState(
         reader.vm,
@@ -774,6 +791,7 @@
     Gossip: ("gossip", _write_gossip),
     StateFetch: ("stateFetch", _write_state_fetch),
     StateSnapshot: ("stateSnapshot", _write_state_snapshot),
+    SlotHeartbeat: ("slotHeartbeat", _write_slot_heartbeat),
 }
 _READERS: dict[str, Any] = {
     "challenge": _read_challenge,
@@ -798,6 +816,7 @@
     "gossip": _read_gossip,
     "stateFetch": _read_state_fetch,
     "stateSnapshot": _read_state_snapshot,
+    "slotHeartbeat": _read_slot_heartbeat,
 }
 
 
--- a/briarvale/schema/messages.capnp
+++ b/briarvale/schema/messages.capnp
@@ -57,6 +57,7 @@
   fingerprint @6 :Text;
 }
 struct HolderReport { grants @0 :List(HeldGrant); }
+struct SlotHeartbeat { sequence @0 :UInt32; }
 
 struct VmState {
   vm @0 :Text;
@@ -148,5 +149,6 @@
     gossip @19 :Gossip;
     stateFetch @20 :StateFetch;
     stateSnapshot @21 :StateSnapshot;
+    slotHeartbeat @22 :SlotHeartbeat;
   }
 }
