--- a/briarvale/batch.py
+++ b/briarvale/batch.py
@@ -6,7 +6,6 @@
 from anyio.abc import TaskGroup
 
 from . import logs
-from ._generated.messages import VmHealth
 from .active_jobs import ActiveJobs, UploadKey
 from .completion import JobFinisher, read_seals
 from .due_dates import DueDates, RemainingWork
@@ -16,7 +15,7 @@
 from .item_runner import ItemRunner
 from .item_scheduler import ItemScheduler
 from .jobs import JobRecord, JobState, late_key
-from .ownership import rank_by_rendezvous
+from .ownership import batch_vms, rank_by_rendezvous
 from .retention import Retention
 from .routing import Router
 from .settings import Settings
@@ -112,7 +111,7 @@
         return bool(alive) and rank_by_rendezvous(key, alive)[0] == self._settings.vm
 
     def _alive_vms(self) -> tuple[str, ...]:
-        return tuple(sorted(vm.vm for vm in self.view.vms if vm.health is VmHealth.ALIVE))
+        return tuple(sorted(batch_vms(self.view.vms)))
 
     def _follow_vms(self) -> None:
         """Forgets which shards are this VM's when the VMs that are alive change."""
@@ -273,8 +272,7 @@
     def _items_at_once(self) -> int:
         """Returns this VM's part of all slots, and a little more so that some always wait."""
         slots = sum(server.slots for server in self.view.config.servers.values())
-        alive = sum(1 for vm in self.view.vms if vm.health is VmHealth.ALIVE)
-        return round(slots * QUEUE_FACTOR / max(1, alive))
+        return round(slots * QUEUE_FACTOR / max(1, len(self._alive_vms())))
 
 
 def _shard_name(key: ShardKey) -> str:
--- a/briarvale/dispatcher.py
+++ b/briarvale/dispatcher.py
@@ -12,9 +12,11 @@
     HolderReport,
     Message,
     ServerState,
+    SlotHeartbeat,
     SlotRelease,
     SlotRequest,
     SlotWithdraw,
+    StateFetch,
     SuspectNotice,
     View,
     ViewSubscribe,
@@ -149,6 +151,10 @@
             if connection.is_subscribed:
                 connection.notify(message)
 
+    def _note_batch(self) -> None:
+        subscribed = [c for c in self._connections if c.is_subscribed]
+        self.membership.set_runs_batch(any(c.identity.role == "batch" for c in subscribed))
+
     async def _serve_peer(self, stream: MessageStream, identity: PeerIdentity) -> None:
         connection = PeerConnection(stream, identity)
         self._connections.add(connection)
@@ -161,12 +167,13 @@
             log.debug("Lost {}: {}.", connection.name, errors.exceptions[0])
         finally:
             self._connections.discard(connection)
+            self._note_batch()
             connection.close()
             self.slot_owner.drop_holder(connection)
 
     def _handle(self, connection: PeerConnection, message: Message) -> None:
         match message:
-            case SlotRequest() | SlotWithdraw() | SlotRelease() | HolderReport():
+            case SlotRequest() | SlotWithdraw() | SlotRelease() | HolderReport() | SlotHeartbeat():
                 self.slot_owner.handle(connection, message)
             case ViewSubscribe():
                 self._subscribe(connection)
@@ -174,6 +181,8 @@
                 config = self.config_spread.config
                 if config is not None and config.revision > have_revision:
                     connection.notify(config.bundle)
+            case StateFetch():
+                connection.notify(self.membership.snapshot())
             case SuspectNotice():
                 self.membership.publish(message)
                 self._broadcast(message)
@@ -182,6 +191,7 @@
 
     def _subscribe(self, connection: PeerConnection) -> None:
         connection.is_subscribed = True
+        self._note_batch()
         if self.config_spread.config is not None:
             connection.notify(self.config_spread.config.bundle)
         connection.notify(self.view())
--- a/briarvale/shard_runner.py
+++ b/briarvale/shard_runner.py
@@ -10,6 +10,7 @@
 from .shard_log import ItemResult, ShardLog
 from .store_budget import StoreBudget
 
+FIRST_ENTRY_RESULTS = 25
 ENTRY_RESULTS = 250
 ENTRY_MAX_BYTES = 900_000
 ENTRY_MAX_AGE_S = 60.0
@@ -129,7 +130,7 @@
                 continue
             is_complete = len(shard_log.done) + len(shard.results) == len(shard.items)
             is_last = is_complete or running.is_cancelling
-            if is_last or running.is_stopping or self._is_entry_due(shard):
+            if is_last or running.is_stopping or self._is_entry_due(shard, shard_log):
                 is_ours = await self._commit(running, shard, shard_log, is_last)
                 if not is_ours or (running.is_stopping and not shard.results):
                     return
@@ -157,8 +158,10 @@
         self._budget.buffer(-shard.drop(shard_log.done))
         self._scheduler.wake()
 
-    def _is_entry_due(self, shard: OpenShard) -> bool:
-        wanted = ENTRY_RESULTS * self._budget.entry_factor
+    def _is_entry_due(self, shard: OpenShard, shard_log: ShardLog) -> bool:
+        """Whether to commit now: the first entry early, so that a second runner meets it soon."""
+        is_first = not shard_log.next_sequence
+        wanted = FIRST_ENTRY_RESULTS if is_first else ENTRY_RESULTS * self._budget.entry_factor
         if len(shard.results) >= wanted:
             return True
         if shard.result_bytes >= ENTRY_MAX_BYTES:
