--- a/briarvale/batch.py
+++ b/briarvale/batch.py
@@ -24,8 +24,10 @@
 from .store_budget import StoreBudget
 
 LOOK_INTERVAL_S = 1.0
+START_GRACE_S = 3.0
 FINISH_INTERVAL_S = 30.0
-YIELD_S = 30.0
+YIELD_START_S = 5.0
+YIELD_MAX_S = 60.0
 RETRY_S = 5.0
 NOT_MINE_GRACE_S = 5.0
 OPEN_SHARDS = 48
@@ -62,6 +64,7 @@
         self._running: dict[ShardKey, RunningShard] = {}
         self._sealed: dict[UploadKey, set[int]] = {}
         self._not_before_s: dict[ShardKey, float] = {}
+        self._yield_s: dict[ShardKey, float] = {}
         self._not_mine_since_s: dict[ShardKey, float] = {}
         self._mine: dict[UploadKey, list[int]] = {}
         self._seals_read: set[UploadKey] = set()
@@ -89,6 +92,7 @@
             tasks.start_soon(retention.run, self.jobs)
             tasks.start_soon(self._finish_jobs)
             tasks.start_soon(self._watch_due_dates, scheduler)
+            await anyio.sleep(START_GRACE_S)
             while True:
                 self._follow_vms()
                 self._follow_jobs()
@@ -198,7 +202,8 @@
                 self._sealed.setdefault(key[0], set()).add(key[1])
                 log.info("Finished shard {} of {}.", key[1], key[0].job_id)
             elif not running.is_stopping:
-                retry_s = YIELD_S
+                retry_s = self._yield_s.get(key, YIELD_START_S)
+                self._yield_s[key] = min(YIELD_MAX_S, 2 * retry_s)
         except BriarvaleError as error:
             log.warning("Shard {} of {}: {}.", key[1], key[0].job_id, error)
         finally:
@@ -238,6 +243,7 @@
         for key in [key for key in self._not_before_s if key[0] not in self.jobs.records]:
             del self._not_before_s[key]
             self._not_mine_since_s.pop(key, None)
+            self._yield_s.pop(key, None)
 
     def _forget(self, upload: UploadKey, job: JobRecord) -> None:
         self.jobs.forget(upload)
--- a/briarvale/shard_log.py
+++ b/briarvale/shard_log.py
@@ -63,6 +63,7 @@
         self.failed_count = 0
         self.next_sequence = 0
         self.is_sealed = False
+        self.has_appended = False
 
     async def replay(self) -> None:
         """Reads all entries that it has not read yet."""
@@ -84,12 +85,10 @@
         if self.is_sealed:
             raise ShardSealed(self._prefix)
         entry = LogEntry(self.next_sequence, secrets.token_hex(8), tuple(results), is_seal)
-        if await self._create(entry):
-            self._take(entry)
-            return True
-        standing = await self._read(entry.sequence)
+        standing = entry if await self._create(entry) else await self._read(entry.sequence)
         self._take(standing)
-        return standing.nonce == entry.nonce
+        self.has_appended = standing.nonce == entry.nonce
+        return self.has_appended
 
     async def _create(self, entry: LogEntry) -> bool:
         """Creates the entry; false if an object stands there, which may be this entry.
--- a/briarvale/shard_runner.py
+++ b/briarvale/shard_runner.py
@@ -90,18 +90,17 @@
         A runner that loses a sequence number to another gives the shard up, so that of two runners
         just one goes on. One that is told to stop commits what it has.
         """
+        job, index = running.job, running.shard_index
+        shard_log = ShardLog(self._store, self._budget, log_prefix(job, index))
         with running.scope:
-            job, index = running.job, running.shard_index
-            shard_log = ShardLog(self._store, self._budget, log_prefix(job, index))
             await shard_log.replay()
             if not shard_log.is_sealed:
                 await self._run_items(running, shard_log)
-            if shard_log.is_sealed:
-                done_count = len(shard_log.done) - shard_log.failed_count
-                seal = ShardSeal(index, done_count, shard_log.failed_count)
-                await self._finisher.mark_sealed(job, seal)
-            return shard_log.is_sealed
-        return False
+        if shard_log.is_sealed:
+            done_count = len(shard_log.done) - shard_log.failed_count
+            seal = ShardSeal(index, done_count, shard_log.failed_count)
+            await self._finisher.mark_sealed(job, seal)
+        return shard_log.is_sealed
 
     async def _run_items(self, running: RunningShard, shard_log: ShardLog) -> None:
         job = running.job
@@ -160,8 +159,8 @@
 
     def _is_entry_due(self, shard: OpenShard, shard_log: ShardLog) -> bool:
         """Whether to commit now: the first entry early, so that a second runner meets it soon."""
-        is_first = not shard_log.next_sequence
-        wanted = FIRST_ENTRY_RESULTS if is_first else ENTRY_RESULTS * self._budget.entry_factor
+        factor = self._budget.entry_factor
+        wanted = ENTRY_RESULTS * factor if shard_log.has_appended else FIRST_ENTRY_RESULTS
         if len(shard.results) >= wanted:
             return True
         if shard.result_bytes >= ENTRY_MAX_BYTES:
--- /dev/null
+++ b/features/batch/cancel.feature
@@ -0,0 +1,22 @@
+Feature: A cancelled job stops, with exact counts
+
+  Scenario Outline: A cancel while items run
+    When a running job is cancelled <times> times "<while>"
+    Then no item starts later than 5 s after the acknowledgement
+    And the job ends as cancelled with exact counts and nothing is appended later
+
+    Examples:
+      | times | while                        |
+      | 1     | all is well                  |
+      | 3     | all is well                  |
+      | 1     | a runner is killed           |
+      | 1     | answers of the store get lost |
+
+  Scenario: A cancel that races the completion ends in one state
+    When a job is cancelled at every moment around its completion
+    Then each job ends as completed or cancelled with exact counts
+
+  Scenario: A cancel while the store is away is refused as unknown, and works later
+    When a job is cancelled during an outage and again after it
+    Then the first cancel is answered with "cancel_unknown" and the second is acknowledged
+    And the job ends as cancelled with exact counts and nothing is appended later
--- /dev/null
+++ b/features/steps/batch_submission.py
@@ -0,0 +1,247 @@
+"""Steps of submission: wrong and resent jobs, failures while the job is recorded, retention."""
+
+from collections.abc import Awaitable, Callable
+from unittest.mock import patch
+
+import anyio
+from behave import given, then, when
+from behave.runner import Context
+
+from briarvale import retention
+from briarvale.errors import BriarvaleError, StoreThrottled, StoreUnavailable
+from briarvale.jobs import JobRecord, JobState
+from briarvale.object_store import StoredObject
+from briarvale.retention import Retention
+from briarvale.standins.memory_fleet import FleetSettings, MemoryFleet
+from briarvale.standins.object_api import StandinObjectApi
+from briarvale.submission import Acceptance
+from features.support.batch_jobs import MEMBER, check, play, submit, wait_final
+
+PLACES = ("inputs/", "active/", "logs/", "seals/", "late/")
+LATE_S = 60.0
+TWO_DAYS_S = 172_800.0
+
+_create, _get = StandinObjectApi.create, StandinObjectApi.get
+
+
+def _leftovers(fleet: MemoryFleet) -> list[str]:
+    return [key for place in PLACES for key in fleet.store.peek_keys(place)]
+
+
+async def _code_of(submission: Awaitable[JobRecord]) -> BriarvaleError | None:
+    try:
+        await submission
+    except BriarvaleError as error:
+        return error
+    return None
+
+
+def _play(context: Context, act: Callable[[MemoryFleet], Awaitable[None]]) -> None:
+    play(act, FleetSettings(rules=tuple(getattr(context, "rules", {}).items())))
+
+
+@given('rules with "{rule}" of {limit:d}')
+def given_rules(context: Context, rule: str, limit: int) -> None:
+    context.rules = {rule: limit}
+
+
+@when("a job is submitted whose line {line:d} is wrong")
+def when_wrong_line(context: Context, line: int) -> None:
+    async def act(fleet: MemoryFleet) -> None:
+        context.error = await _code_of(submit(fleet, 2_000, wrong_line=line))
+        context.leftovers = _leftovers(fleet)
+        context.record = fleet.store.peek(f"jobs/{MEMBER}/greeting")
+
+    _play(context, act)
+
+
+@when("a job of {items:d} items is submitted")
+def when_submitted(context: Context, items: int) -> None:
+    async def act(fleet: MemoryFleet) -> None:
+        context.error = await _code_of(submit(fleet, items))
+        context.leftovers = _leftovers(fleet)
+        context.record = fleet.store.peek(f"jobs/{MEMBER}/greeting")
+        await anyio.sleep(2 * LATE_S)
+        fleet.store.peek("")
+        value = fleet.store.peek(f"jobs/{MEMBER}/greeting")
+        context.later = JobRecord.decode(value).state if value else JobState.VOID
+        context.starts = sum(len(e.starts) for e in fleet.backends.engines.values())
+
+    with patch.object(StandinObjectApi, "create", getattr(context, "failing_create", _create)):
+        _play(context, act)
+
+
+@then('the job is refused with the code "{code}" that names "{text}"')
+@then('the job is refused with the code "{code}" that names ""')
+def then_refused(context: Context, code: str, text: str = "") -> None:
+    assert context.error is not None and context.error.code == code, context.error
+    assert text in str(context.error) and context.error.not_run, context.error
+
+
+@then("nothing of the submission is left in the store")
+def then_nothing(context: Context) -> None:
+    assert not context.leftovers, context.leftovers
+    assert context.record is None
+
+
+@when("the same job of {items:d} items is submitted by three gateways at once and once more later")
+def when_resent(context: Context, items: int) -> None:
+    async def act(fleet: MemoryFleet) -> None:
+        jobs: list[JobRecord] = []
+
+        async def send(vm: str) -> None:
+            jobs.append(await submit(fleet, items, vm=vm))
+
+        async with anyio.create_task_group() as tasks:
+            for vm in fleet.vms:
+                tasks.start_soon(send, vm)
+        await send("vm-2")
+        context.inputs = fleet.store.peek_keys("inputs/")
+        context.uploads = {job.upload_id for job in jobs}
+        await wait_final(fleet)
+        context.verdict = check(fleet, "greeting")
+        starts = [s for e in fleet.backends.engines.values() for s in e.starts]
+        runs = {(start.prompt, start.request_id) for start in starts}
+        context.extra_runs = len(runs) - len({start.prompt for start in starts})
+
+    _play(context, act)
+
+
+@then("all are told of the same job and its items ran once")
+def then_same(context: Context) -> None:
+    assert len(context.uploads) == 1
+    assert context.verdict.is_good and context.verdict.accepted == 2_500, context.verdict
+    assert context.extra_runs == 0, context.extra_runs
+
+
+@then("only the accepted upload's inputs are in the store")
+def then_inputs(context: Context) -> None:
+    assert len(context.inputs) == 3, context.inputs
+    assert all(next(iter(context.uploads)) in key for key in context.inputs)
+
+
+@when("a job is submitted and then its id with other content")
+def when_conflict(context: Context) -> None:
+    async def act(fleet: MemoryFleet) -> None:
+        await submit(fleet, 10)
+        context.error = await _code_of(submit(fleet, 11, vm="vm-2"))
+
+    _play(context, act)
+
+
+@when("a VM is lost right after it accepted a job")
+def when_lost(context: Context) -> None:
+    async def act(fleet: MemoryFleet) -> None:
+        await submit(fleet, 60)
+        fleet.kill_vm("vm-1")
+        context.job = await wait_final(fleet)
+        context.verdict = check(fleet, "greeting")
+
+    _play(context, act)
+
+
+@then("the job completes")
+def then_completes(context: Context) -> None:
+    assert context.job.state is JobState.COMPLETED and context.verdict.is_good, context.verdict
+
+
+def _is_acceptance(key: str, value: bytes) -> bool:
+    return key.startswith("jobs/") and JobRecord.decode(value).state is JobState.RUNNING
+
+
+def _failing_create(failure: str) -> Callable[..., Awaitable[int]]:
+    calls: list[float] = []
+
+    async def create(self: StandinObjectApi, key: str, value: bytes) -> int:
+        is_blocked = key.startswith("jobs/") and "everything" in failure
+        if not _is_acceptance(key, value) and not is_blocked:
+            return await _create(self, key, value)
+        calls.append(anyio.current_time())
+        match failure:
+            case "loses its answer once" if len(calls) == 1:
+                await _create(self, key, value)
+                raise StoreUnavailable("lost")
+            case "is throttled for a while" if calls[-1] - calls[0] < 3:
+                raise StoreThrottled("slow down")
+            case "lands late, the store answers meanwhile" if len(calls) == 1:
+                self._late_writes.append((anyio.current_time() + 1, key, value, None))
+                raise StoreUnavailable("late")
+            case "fails until it is given up":
+                raise StoreUnavailable("down")
+            case "lands after a void record" | "lands after an outage of everything":
+                self._late_writes.append((anyio.current_time() + LATE_S, key, value, None))
+                raise StoreUnavailable("late")
+        return await _create(self, key, value)
+
+    return create
+
+
+@given('a store whose record write "{failure}"')
+def given_failing(context: Context, failure: str) -> None:
+    context.failing_create = _failing_create(failure)
+
+
+@then('the caller is told "{answer}" and a late write does not change that')
+def then_told(context: Context, answer: str) -> None:
+    told = context.error.code if context.error else "accepted"
+    assert told == answer, told
+    if context.error is not None and context.error.not_run:
+        assert context.later is JobState.VOID and context.starts == 0
+    else:
+        assert context.later is JobState.COMPLETED
+
+
+@given("an upload whose gateway was lost before the acceptance")
+def given_upload(context: Context) -> None:
+    async def never(self: Acceptance, record: JobRecord, seen: StoredObject | None) -> None:
+        await anyio.sleep_forever()
+
+    async def submit_in_vain(fleet: MemoryFleet) -> None:
+        with patch.object(Acceptance, "settle", never), anyio.move_on_after(5):
+            await submit(fleet, 2_000)
+
+    context.first = submit_in_vain
+
+
+@when("its term of {seconds:d} s passes")
+def when_term(context: Context, seconds: int) -> None:
+    async def act(fleet: MemoryFleet) -> None:
+        await context.first(fleet)
+        assert _leftovers(fleet)
+        await anyio.sleep(seconds)
+        context.leftovers = _leftovers(fleet)
+        value = fleet.store.peek(f"jobs/{MEMBER}/greeting")
+        is_void = value is not None and JobRecord.decode(value).state is JobState.VOID
+        context.record = None if is_void else value
+
+    with patch.multiple(retention, UPLOAD_TERM_MS=seconds * 500, SWEEP_INTERVAL_S=seconds / 5):
+        _play(context, act)
+
+
+@when("a job has completed and two days pass")
+def when_days(context: Context) -> None:
+    async def act(fleet: MemoryFleet) -> None:
+        await submit(fleet, 60)
+        await wait_final(fleet)
+        await anyio.sleep(5)
+        batch = fleet.vms["vm-1"].batch
+        sweeper = Retention(batch._environment, batch.budget, batch.view, lambda key: True)
+        await sweeper.remove_expired()
+        assert _leftovers(fleet)
+        sweeper._clock = fleet.clock._replace(offset_ms=fleet.clock.offset_ms + TWO_DAYS_S * 1_000)
+        await sweeper.remove_expired()
+        context.leftovers = _leftovers(fleet) + fleet.store.peek_keys("expiring/")
+        context.record = fleet.store.peek(f"jobs/{MEMBER}/greeting")
+        context.again = await submit(fleet, 70)
+
+    _play(context, act)
+
+
+@then("nothing of the job is left in the store")
+def then_job_gone(context: Context) -> None:
+    then_nothing(context)
+
+
+@then("the same id is accepted again")
+def then_again(context: Context) -> None:
+    assert context.again.state is JobState.RUNNING and context.again.item_count == 70
--- /dev/null
+++ b/features/support/batch_jobs.py
@@ -0,0 +1,86 @@
+"""Jobs on a fleet in memory, for the batch features."""
+
+import json
+from collections.abc import AsyncIterator, Awaitable, Callable
+from typing import TypeVar
+
+import anyio
+
+from briarvale.errors import NotFound
+from briarvale.job_results import JobProgress, read_progress
+from briarvale.jobs import JobRecord, JobRequest, load_job
+from briarvale.standins.checker import CallerRecord, Verdict, check_run
+from briarvale.standins.memory_fleet import ENGINE_SERVICE, FleetSettings, MemoryFleet
+from features.support.virtual import run_virtual
+
+MEMBER = "trust"
+DUE_AFTER_MS = 600_000
+
+T = TypeVar("T")
+
+__all__ = ["MEMBER", "check", "item_lines", "play", "stopped", "submit", "wait_final"]
+
+
+def play(act: Callable[[MemoryFleet], Awaitable[T]], settings: FleetSettings, seed: int = 1) -> T:
+    """Runs an action on a fleet in virtual time."""
+
+    async def run() -> T:
+        fleet = MemoryFleet(settings)
+        async with anyio.create_task_group() as tasks:
+            await fleet.start(tasks)
+            result = await act(fleet)
+            tasks.cancel_scope.cancel()
+        return result
+
+    return run_virtual(run, seed=seed)
+
+
+async def item_lines(
+    items: int, tokens: int = 8, name: str = "greeting", wrong_line: int = 0
+) -> AsyncIterator[bytes]:
+    """Yields the lines of a job."""
+    for index in range(items):
+        max_tokens = 0 if index + 1 == wrong_line else tokens
+        yield json.dumps({"prompt": f"{name} {index}", "max_tokens": max_tokens}).encode()
+
+
+async def submit(
+    fleet: MemoryFleet,
+    items: int,
+    tokens: int = 8,
+    vm: str = "vm-1",
+    name: str = "greeting",
+    due_at_ms: int = 0,
+    wrong_line: int = 0,
+) -> JobRecord:
+    """Submits the job of this name through a VM's gateway."""
+    due_at_ms = due_at_ms or fleet.clock.now_ms() // 3_600_000 * 3_600_000 + DUE_AFTER_MS
+    request = JobRequest(MEMBER, name, ENGINE_SERVICE, due_at_ms)
+    lines = item_lines(items, tokens, name, wrong_line)
+    return await fleet.vms[vm].gateway.jobs.submit(request, lines)
+
+
+async def wait_final(
+    fleet: MemoryFleet, name: str = "greeting", give_up_s: float = 900
+) -> JobRecord:
+    """Waits until the job has ended."""
+    with anyio.fail_after(give_up_s):
+        while True:
+            try:
+                job, _ = await load_job(fleet.store, MEMBER, name)
+                if job.state.is_final:
+                    return job
+            except NotFound:
+                pass
+            await anyio.sleep(0.2)
+
+
+async def stopped(fleet: MemoryFleet, job: JobRecord) -> JobProgress:
+    """Reads how far a job is."""
+    return await read_progress(fleet.store, job)
+
+
+def check(fleet: MemoryFleet, *names: str, cancelled_at_s: float = 0.0) -> Verdict:
+    """Runs the checker over jobs that were accepted."""
+    callers = [CallerRecord(MEMBER, name, 1.0, False, cancelled_at_s) for name in names]
+    return check_run(fleet.store, fleet.backends.engines.values(), callers)
