Send datagrams one at a time, and drain a dispatcher before it ends

Cause: two tasks that send over one UDP socket at the same moment raise BusyResourceError, which ended the dispatcher; in a rolling restart that showed as refused requests and as exit codes 1 and -15. Ruled out: the signal handling (the handler was gone because the program was already ending); a late view of the fleet at a restarted gateway. Change: a lock around the send. A stopping dispatcher leaves the membership, lets owners move and waits for local programs, for no longer than a VM's shutdown may take.

--- a/briarvale/datagrams.py
+++ b/briarvale/datagrams.py
@@ -48,6 +48,7 @@
 
     def __init__(self) -> None:
         self._socket: UDPSocket | None = None
+        self._send_lock = anyio.Lock()
 
     async def serve(self, address: PeerAddress, handler: DatagramHandler) -> None:
         """Receives until cancelled."""
@@ -63,7 +64,8 @@
         if self._socket is None:
             return
         try:
-            await self._socket.sendto(data, address.host, address.port)
+            async with self._send_lock:
+                await self._socket.sendto(data, address.host, address.port)
         except OSError as error:
             log.debug("Could not send to {}: {}.", address.host, error)
 
--- a/briarvale/dispatcher.py
+++ b/briarvale/dispatcher.py
@@ -21,6 +21,7 @@
     View,
     ViewSubscribe,
 )
+from .clock import MS_PER_S
 from .config import BackendServer
 from .config_spread import ConfigSpread
 from .environment import Environment
@@ -34,6 +35,7 @@
 from .slot_owner import SlotOwner
 
 TICK_INTERVAL_S = 0.1
+SETTLE_MS = 2_000
 
 log = logs.part("dispatcher")
 
@@ -63,7 +65,20 @@
         return self.config_spread.config is not None and bool(self.membership.vms)
 
     async def drain(self) -> None:
-        """Ends its work gracefully."""
+        """Lets owners move and holders report to the next ones, then waits for local programs.
+
+        Local programs that stop too end their connections; one that goes on, since this dispatcher
+        alone is restarted, is waited for no longer than a VM's graceful shutdown may take.
+        """
+        now_ms = self._environment.clock.now_ms()
+        settled_at_ms = now_ms + SETTLE_MS
+        give_up_at_ms = settled_at_ms + self._settings.balancer_lag_s * MS_PER_S
+        await self.membership.leave()
+        self._settle()
+        await self._environment.clock.sleep_until(settled_at_ms)
+        while self._local_subscribers() and self._environment.clock.now_ms() < give_up_at_ms:
+            await anyio.sleep(TICK_INTERVAL_S)
+        log.info("Owns nothing any more.")
 
     async def run(self) -> None:
         """Runs until cancelled."""
@@ -147,13 +162,15 @@
         )
 
     def _broadcast(self, message: View | ConfigBundle | SuspectNotice) -> None:
-        for connection in self._connections:
-            if connection.is_subscribed:
-                connection.notify(message)
+        for connection in self._local_subscribers():
+            connection.notify(message)
+
+    def _local_subscribers(self) -> list[PeerConnection]:
+        return [connection for connection in self._connections if connection.is_subscribed]
 
     def _note_batch(self) -> None:
-        subscribed = [c for c in self._connections if c.is_subscribed]
-        self.membership.set_runs_batch(any(c.identity.role == "batch" for c in subscribed))
+        roles = {connection.identity.role for connection in self._local_subscribers()}
+        self.membership.set_runs_batch("batch" in roles)
 
     async def _serve_peer(self, stream: MessageStream, identity: PeerIdentity) -> None:
         connection = PeerConnection(stream, identity)
--- /dev/null
+++ b/features/frame/datagrams.feature
@@ -0,0 +1,5 @@
+Feature: Datagrams of one dispatcher don't get in each other's way
+
+  Scenario: Many tasks send at the same moment over UDP
+    When 50 tasks send a datagram each at the same moment over UDP
+    Then all 50 datagrams arrive
--- a/features/steps/process_survival.py
+++ b/features/steps/process_survival.py
@@ -27,6 +27,10 @@
 EXIT_CLEAN = 0
 
 
+class Refused(Exception):
+    """A request got a refusal in place of its answer."""
+
+
 @given("the demo's fleet of real processes")
 def given_processes(context: Context) -> None:
     context.folder = tempfile.TemporaryDirectory()
@@ -48,12 +52,19 @@
         for line in answer.iter_lines():
             data = line.removeprefix("data: ")
             if line and data != "[DONE]":
-                text += json.loads(data)["choices"][0]["text"]
+                text += token_of(data)
                 if started is not None:
                     started.set()
     return text
 
 
+def token_of(data: str) -> str:
+    row = json.loads(data)
+    if "choices" not in row:
+        raise Refused(data)
+    return str(row["choices"][0]["text"])
+
+
 def whole_text(tokens: int) -> str:
     return "".join(token_text(PROMPT, index) for index in range(tokens))
 
@@ -149,7 +160,7 @@
                 if text != whole_text(30):
                     context.failures.append(f"{vm}: {text}")
                 context.answered += 1
-            except (httpx.HTTPError, KeyError) as error:
+            except (httpx.HTTPError, Refused) as error:
                 context.failures.append(f"{vm}: {error!r}")
 
 
