--- a/briarvale/gateway_http.py
+++ b/briarvale/gateway_http.py
@@ -22,7 +22,6 @@
     InvalidKey,
     InvalidRequest,
     NotFound,
-    NotReady,
 )
 from .gateway import Gateway
 from .job_http import job_routes
@@ -30,6 +29,7 @@
 from .online import OnlineRequest
 from .operator_http import OperatorAuth, health_route
 from .plain_calls import PlainRequest
+from .request_count import RequestCountMiddleware
 from .service_client import ServiceCall
 from .slot_client import new_request_id
 from .traces import extract_context, tracer
@@ -62,6 +62,7 @@
         *job_routes(gateway, http.authenticated),
     ]
     app = Starlette(routes=routes, exception_handlers={BriarvaleError: _answer_error})
+    app.add_middleware(RequestCountMiddleware, count=gateway.requests)
     app.state.clock = gateway.environment.clock
     app.mount("/", OperatorAuth(Starlette(routes=[metrics_route()]), gateway.settings))
     return app
@@ -95,8 +96,6 @@
 
         async def handle(request: Request) -> Response:
             request.state.request_id = new_request_id()
-            if not self._gateway.is_ready:
-                raise NotReady("the gateway is not ready")
             member = self._member(request)
             context = extract_context(dict(request.headers))
             with tracer.start_as_current_span("gateway", context=context) as span:
