Bound the detection of failed VMs, and prove it by failures in virtual time

Cause: suspicions waited for the next probe to spread, a fresh fleet spread every incarnation at once, and a suspicion of a VM never heard was taken for an old one. Change: fresh suspicions are pushed to three VMs at once; a suspect's availability zone is checked at once; deaths of one VM in quick succession hold it down; all VMs together poll the VM list at most 8 times a second. YAML is parsed once, by the C parser where there is one. Conclusion: killed, frozen and cut VMs count as dead within 5 s at 6 and 9 VMs.

--- a/briarvale/checked_yaml.py
+++ b/briarvale/checked_yaml.py
@@ -7,9 +7,11 @@
 import yaml
 from jsonschema import Draft202012Validator, FormatChecker
 from jsonschema.exceptions import ValidationError
+from yaml.constructor import SafeConstructor
 
 from .errors import SettingsInvalid
 
+_Loader = getattr(yaml, "CSafeLoader", yaml.SafeLoader)
 SCHEMA_FOLDER = Path(__file__).parent / "schema"
 
 __all__ = ["load_checked", "parse_checked", "line_of"]
@@ -31,8 +33,8 @@
 def parse_checked(text: str, schema_name: str, source: str) -> dict[str, Any]:
     """Parses and checks a document; `source` names it in errors."""
     try:
-        document = yaml.safe_load(text)
-        node = yaml.compose(text, Loader=yaml.SafeLoader)
+        node = yaml.compose(text, Loader=_Loader)
+        document = _construct(node)
     except yaml.MarkedYAMLError as error:
         line = error.problem_mark.line + 1 if error.problem_mark else 1
         raise SettingsInvalid(f"{source}:{line}: not YAML: {error.problem}") from error
@@ -45,6 +47,10 @@
     return checked
 
 
+def _construct(node: yaml.Node | None) -> Any:
+    return None if node is None else SafeConstructor().construct_document(node)
+
+
 def line_of(node: yaml.Node | None, path: list[str | int]) -> int:
     """Returns the line, counted from 1, where the field at `path` stands."""
     line = 1
--- a/briarvale/failure_detector.py
+++ b/briarvale/failure_detector.py
@@ -10,9 +10,9 @@
 from .vm_list import VmEntry, VmStatus
 
 SUSPICION_MS = 2_000
-FLAP_WINDOW_MS = 60_000
-HOLD_DOWN_MS = 10_000
-MAX_HOLD_DOWN_MS = 60_000
+FLAP_WINDOW_MS = 600_000
+HOLD_DOWN_MS = 20_000
+MAX_HOLD_DOWN_MS = 120_000
 RANKS = {VmHealth.ALIVE: 0, VmHealth.SUSPECT: 1, VmHealth.LEAVING: 2, VmHealth.DEAD: 3}
 
 log = logs.part("membership")
@@ -40,6 +40,8 @@
     A verdict that no other VM confirmed is local: it is never spread, since this VM may itself be
     the one that is cut off.
 
+    `version` counts changes of health and membership, `update_count` all changes.
+
     Args:
         own: This VM's state at its start.
         spread: Called with each state that other VMs should hear.
@@ -53,6 +55,7 @@
         self._ring: list[str] | None = None
         self._has_list = False
         self.version = 0
+        self.update_count = 0
 
     @property
     def states(self) -> tuple[VmState, ...]:
@@ -87,6 +90,18 @@
         dead = [n for n, m in self._members.items() if m.is_listed and not _is_probed(m)]
         return random_source.choice(dead) if dead else None
 
+    def zone_mate(self, vm: str, random_source: random.Random) -> str | None:
+        """Returns one VM of the same availability zone that is not suspect yet."""
+        zone = self._members[vm].state.availability_zone if vm in self._members else ""
+        mates = [
+            name
+            for name, member in self._members.items()
+            if member.state.availability_zone == zone
+            and member.state.health is VmHealth.ALIVE
+            and member.is_listed
+        ]
+        return random_source.choice(mates) if mates else None
+
     def take_list(self, entries: Iterable[VmEntry]) -> None:
         """Takes the VM list: who may be a member, and who is leaving.
 
@@ -94,7 +109,10 @@
         are first heard.
         """
         presumed = VmHealth.DEAD if self._has_list else VmHealth.ALIVE
-        listed = {entry.vm: entry for entry in entries if entry.vm != self.own.vm}
+        listed = {entry.vm: entry for entry in entries}
+        own_entry = listed.pop(self.own.vm, None)
+        if own_entry is not None and self._is_told_to_leave(own_entry):
+            self.leave()
         for entry in listed.values():
             self._take_entry(entry, presumed)
         for name in [n for n, m in self._members.items() if m.is_listed and n not in listed]:
@@ -113,11 +131,15 @@
             self._members[update.vm] = _Member(update, is_listed=False)
             self._spread(update)
             return
+        if update.incarnation == 0 and update.health is VmHealth.SUSPECT:
+            # The teller never heard this VM, so its suspicion is of whatever runs there now.
+            update = update._replace(incarnation=member.state.incarnation)
         if not _is_newer(update, member.state) or now_ms < member.held_until_ms:
             return
         if update.health is VmHealth.DEAD and member.state.health is VmHealth.ALIVE:
             update = update._replace(health=VmHealth.SUSPECT)
-        self._set(member, update, now_ms)
+        is_presumed = member.state.incarnation == 0 and update.health is member.state.health
+        self._set(member, update, now_ms, is_spread=not is_presumed)
 
     def note_heard(self, vm: str, config_revision: int, now_ms: int) -> None:
         """Notes a datagram from a VM itself, which undoes a local verdict on it."""
@@ -126,10 +148,10 @@
             return
         if member.is_local:
             alive = member.state._replace(health=VmHealth.ALIVE)
-            self._set(member, alive, now_ms, is_local=True)
-            member.is_local = False
+            self._set(member, alive, now_ms, is_spread=False)
         if config_revision > member.state.config_revision:
             member.state = member.state._replace(config_revision=config_revision)
+            self.update_count += 1
 
     def suspect(self, vm: str, now_ms: int, *, is_local: bool) -> None:
         """Notes that a VM answered no probe.
@@ -145,7 +167,9 @@
             return
         is_leaving = member.state.health is VmHealth.LEAVING
         health = VmHealth.DEAD if is_leaving else VmHealth.SUSPECT
-        self._set(member, member.state._replace(health=health), now_ms, is_local=is_local)
+        verdict = member.state._replace(health=health)
+        self._set(member, verdict, now_ms, is_spread=not is_local)
+        member.is_local = is_local
 
     def expire_suspects(self, now_ms: int) -> None:
         """Counts suspects as dead that did not refute in time."""
@@ -153,8 +177,10 @@
             member = self._members[name]
             if now_ms < member.suspect_until_ms:
                 continue
+            is_local = member.is_local
             dead = member.state._replace(health=VmHealth.DEAD)
-            self._set(member, dead, now_ms, is_local=member.is_local)
+            self._set(member, dead, now_ms, is_spread=not is_local)
+            member.is_local = is_local
 
     def postpone_suspects(self, delay_ms: int) -> None:
         """Gives suspects more time, after this process itself was paused."""
@@ -165,6 +191,10 @@
         """Counts this VM as leaving."""
         self._raise_own(self.own.incarnation + 1, VmHealth.LEAVING)
 
+    def _is_told_to_leave(self, entry: VmEntry) -> bool:
+        is_here = entry.host == self.own.host and entry.status is VmStatus.LEAVING
+        return is_here and self.own.health is not VmHealth.LEAVING
+
     def _take_entry(self, entry: VmEntry, presumed: VmHealth) -> None:
         member = self._members.get(entry.vm)
         if member is None:
@@ -180,21 +210,22 @@
         if entry.status is VmStatus.LEAVING and is_alive:
             self._set(member, member.state._replace(health=VmHealth.LEAVING), 0)
 
-    def _set(self, member: _Member, state: VmState, now_ms: int, *, is_local: bool = False) -> None:
+    def _set(self, member: _Member, state: VmState, now_ms: int, *, is_spread: bool = True) -> None:
         was = member.state.health
         member.state = state
-        member.is_local = is_local
+        member.is_local = False
+        self.update_count += 1
         self._suspects.discard(state.vm)
         match state.health:
             case VmHealth.SUSPECT:
                 self._suspects.add(state.vm)
                 member.suspect_until_ms = now_ms + SUSPICION_MS
-            case VmHealth.DEAD if was is not VmHealth.DEAD and not is_local:
+            case VmHealth.DEAD if was is not VmHealth.DEAD and is_spread:
                 self._note_death(member, now_ms)
         if was is not state.health:
             log.info("{} is {}, at incarnation {}.", state.vm, state.health, state.incarnation)
             self._note_change()
-        if not is_local:
+        if is_spread:
             self._spread(state)
 
     def _note_death(self, member: _Member, now_ms: int) -> None:
@@ -206,9 +237,14 @@
 
     def _refute(self, update: VmState) -> None:
         if update.incarnation < self.own.incarnation:
+            if update.health is not VmHealth.ALIVE:
+                self._spread(self.own)
             return
         if update.host == self.own.host and not _is_newer(update, self.own):
             return
+        if update.health is VmHealth.LEAVING and update.host == self.own.host:
+            self._raise_own(update.incarnation, VmHealth.LEAVING)
+            return
         self._raise_own(update.incarnation + 1, self.own.health)
 
     def _raise_own(self, incarnation: int, health: VmHealth) -> None:
@@ -219,6 +255,7 @@
     def _note_change(self) -> None:
         self._ring = None
         self.version += 1
+        self.update_count += 1
 
 
 def _is_probed(member: _Member) -> bool:
--- a/briarvale/heartbeats.py
+++ b/briarvale/heartbeats.py
@@ -29,7 +29,7 @@
 from .errors import PeerProtocolError
 from .failure_detector import FailureDetector
 from .peer import PeerAddress
-from .rumors import RumorBatch, RumorQueue, size_bytes
+from .rumors import FRESH_SENDS, AnyRumor, RumorBatch, RumorQueue, size_bytes
 from .settings import Settings
 
 PROBE_INTERVAL_MS = 1_000
@@ -37,9 +37,10 @@
 INDIRECT_TIMEOUT_S = 0.6
 HELPER_COUNT = 3
 DEAD_PROBE_TICKS = 2
+EXPIRE_INTERVAL_MS = 100
 PAUSE_MS = 700
 PUSH_DELAY_S = 0.05
-PUSH_FANOUT = 3
+PUSH_FANOUT = FRESH_SENDS
 RUMOR_BYTES_PER_S = 1_800.0
 RUMOR_BURST_BYTES = 6_000.0
 HEADER_BYTES = 160
@@ -88,7 +89,6 @@
         settings: This VM's settings.
         environment: The outside interfaces.
         detector: Gets the verdicts.
-        rumors: What to spread.
         on_rumor: Called with each rumor on a backend server or a request that arrives.
     """
 
@@ -97,13 +97,12 @@
         settings: Settings,
         environment: Environment,
         detector: FailureDetector,
-        rumors: RumorQueue,
         on_rumor: HeardRumor,
     ) -> None:
         self._settings = settings
         self._environment = environment
         self._detector = detector
-        self._rumors = rumors
+        self._rumors = RumorQueue()
         self._on_rumor = on_rumor
         self._seal = DatagramSeal(settings.shared_secret)
         self._random = random.Random(environment.identity.boot_id)
@@ -114,7 +113,7 @@
         self._tasks: TaskGroup | None = None
         self.config_revision = 0
         self.newest_seen: tuple[int, str] = (0, "")
-        self.last_heard_ms = 0
+        self._zone_checked_ms = 0
 
     async def run(self) -> None:
         """Serves and probes until cancelled."""
@@ -123,11 +122,18 @@
             self._tasks = tasks
             tasks.start_soon(self._environment.datagrams.serve, address, self._receive)
             tasks.start_soon(self._push_fresh)
+            tasks.start_soon(self._expire_suspects)
             await self._probe_each_tick(tasks)
 
-    def wake_push(self) -> None:
-        """Sends fresh rumors soon, ahead of the next probe."""
+    def announce(self, rumor: AnyRumor) -> None:
+        """Spreads a rumor soon, ahead of the next probe.
+
+        A suspect's availability zone is checked at once, since zones fail as a whole.
+        """
+        self._rumors.put(rumor)
         self._pushed.set()
+        if isinstance(rumor, VmState) and rumor.health is VmHealth.SUSPECT:
+            self._check_zone(rumor.vm)
 
     async def push_to(self, vms: list[str]) -> None:
         """Sends rumors at once to these VMs."""
@@ -135,20 +141,25 @@
             await self._send_to(vm, self._gossip(vm))
 
     async def _probe_each_tick(self, tasks: TaskGroup) -> None:
+        tick = 0
         while True:
-            tick = self._now_ms() // PROBE_INTERVAL_MS + 1
-            due_ms = tick * PROBE_INTERVAL_MS
-            await self._environment.clock.sleep_until(due_ms)
-            late_ms = self._now_ms() - due_ms
-            if late_ms > PAUSE_MS:
-                self._forgive(late_ms)
-            self._detector.expire_suspects(self._now_ms())
+            tick = max(tick, self._now_ms() // PROBE_INTERVAL_MS) + 1
+            await self._environment.clock.sleep_until(tick * PROBE_INTERVAL_MS)
             target = self._detector.probe_target(tick)
             if target is not None:
                 tasks.start_soon(self._probe, target)
             if tick % DEAD_PROBE_TICKS == 0:
                 await self._probe_dead()
 
+    async def _expire_suspects(self) -> None:
+        while True:
+            due_ms = self._now_ms() + EXPIRE_INTERVAL_MS
+            await self._environment.clock.sleep_until(due_ms)
+            late_ms = self._now_ms() - due_ms
+            if late_ms > PAUSE_MS:
+                self._forgive(late_ms)
+            self._detector.expire_suspects(self._now_ms())
+
     async def _probe(self, target: str) -> None:
         pending, sequence = self._expect(target)
         try:
@@ -208,7 +219,6 @@
             metrics.BAD_DATAGRAMS.inc({})
             log.debug("Dropped from {}: {}.", sender.host, error)
             return
-        self.last_heard_ms = self._now_ms()
         match message:
             case Probe(sequence=sequence, source=source, target=target):
                 self._take_digest(message)
@@ -244,6 +254,13 @@
         if pending is not None and pending.target == source:
             pending.acked.set()
 
+    def _check_zone(self, vm: str) -> None:
+        now_ms = self._now_ms()
+        mate = self._detector.zone_mate(vm, self._random)
+        if mate is not None and now_ms >= self._zone_checked_ms + PROBE_INTERVAL_MS:
+            self._zone_checked_ms = now_ms
+            self._start(self._probe, mate)
+
     def _expect(self, target: str) -> tuple[_Pending, int]:
         self._sequence += 1
         pending = self._pending[self._sequence] = _Pending(target)
--- a/briarvale/membership.py
+++ b/briarvale/membership.py
@@ -19,12 +19,13 @@
 from .failure_detector import FailureDetector
 from .heartbeats import Heartbeats, own_state
 from .peer import PeerAddress
-from .rumors import RumorQueue
 from .settings import Settings
 from .vm_list import VmEntry, VmListUnavailable
 
 POLL_INTERVAL_S = 1.0
 POLL_JITTER = 0.5
+FLEET_POLLS_PER_S = 8
+WATCH_INTERVAL_S = 0.1
 SYNC_TIMEOUT_S = 2.0
 SYNC_ATTEMPTS = 3
 LEAVE_FANOUT = 16
@@ -49,16 +50,13 @@
         self._settings = settings
         self._environment = environment
         self._random = random.Random(environment.identity.boot_id)
-        self._rumors = RumorQueue()
         self._detector = FailureDetector(own_state(settings, environment), self._spread)
-        self._heartbeats = Heartbeats(
-            settings, environment, self._detector, self._rumors, self._hear
-        )
+        self._heartbeats = Heartbeats(settings, environment, self._detector, self._hear)
         self._servers: dict[str, ServerState] = {}
         self._suspects: dict[str, SuspectNotice] = {}
         self._rumor_handlers: list[RumorHandler] = []
         self._vms: tuple[VmState, ...] = ()
-        self._seen_version = 0
+        self._seen_updates = -1
         self._changed = anyio.Event()
         self._has_list = False
 
@@ -67,8 +65,8 @@
         """All known VMs, this one included; none before the first VM list."""
         if not self._has_list:
             return ()
-        if self._seen_version != self._detector.version:
-            self._seen_version = self._detector.version
+        if self._seen_updates != self._detector.update_count:
+            self._seen_updates = self._detector.update_count
             self._vms = self._detector.states
         return self._vms
 
@@ -106,7 +104,10 @@
         return StateSnapshot(self._detector.states, servers, suspects)
 
     async def run(self) -> None:
-        """Polls the VM list and speaks with other dispatchers until cancelled."""
+        """Polls the VM list and speaks with other dispatchers until cancelled.
+
+        All VMs together poll at most `FLEET_POLLS_PER_S`; rumors tell the others who is leaving.
+        """
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._poll_list)
             tasks.start_soon(self._sync_at_start)
@@ -119,8 +120,11 @@
                 self._take_list(await self._environment.vm_list.fetch())
             except VmListUnavailable as error:
                 log.warning("{}.", error)
-            jitter = 1 + POLL_JITTER * (2 * self._random.random() - 1)
-            await anyio.sleep(POLL_INTERVAL_S * jitter)
+            await anyio.sleep(self._poll_interval_s())
+
+    def _poll_interval_s(self) -> float:
+        interval_s = max(POLL_INTERVAL_S, len(self.vms) / FLEET_POLLS_PER_S)
+        return interval_s * (1 + POLL_JITTER * (2 * self._random.random() - 1))
 
     def _take_list(self, entries: tuple[VmEntry, ...]) -> None:
         if not entries:
@@ -175,7 +179,7 @@
     async def _watch_detector(self) -> None:
         version = self._detector.version
         while True:
-            await anyio.sleep(0.1)
+            await anyio.sleep(WATCH_INTERVAL_S)
             if version != self._detector.version:
                 version = self._detector.version
                 self._notify()
@@ -202,8 +206,7 @@
         return True
 
     def _spread(self, rumor: Rumor | VmState) -> None:
-        self._rumors.put(rumor)
-        self._heartbeats.wake_push()
+        self._heartbeats.announce(rumor)
 
     def _notify(self) -> None:
         for health in VmHealth:
--- a/briarvale/rumors.py
+++ b/briarvale/rumors.py
@@ -5,6 +5,7 @@
 from ._generated.messages import ServerState, SuspectNotice, VmState
 
 RETRANSMIT_FACTOR = 3
+FRESH_SENDS = 3
 MAX_RUMORS = 4_096
 WORD_BYTES = 8
 VM_STATE_BYTES = 48
@@ -45,8 +46,8 @@
 
     @property
     def has_fresh(self) -> bool:
-        """Whether a rumor waits that was never sent."""
-        return any(pending.sent == 0 for pending in self._pending.values())
+        """Whether a rumor waits that was hardly sent."""
+        return any(pending.sent < FRESH_SENDS for pending in self._pending.values())
 
     def put(self, rumor: AnyRumor) -> None:
         """Queues a rumor in place of an earlier one about the same subject."""
--- a/briarvale/standins/memory_dispatchers.py
+++ b/briarvale/standins/memory_dispatchers.py
@@ -8,6 +8,7 @@
 
 from .._generated.messages import VmHealth
 from ..clock import Clock
+from ..config_head import apply_config
 from ..dispatcher import Dispatcher
 from ..environment import Environment
 from ..peer import PeerIdentity
@@ -58,6 +59,13 @@
             name = f"bs-{index + 1}"
             self.backends.engines[name] = StandinEngine(EngineSettings(name, MODEL))
 
+    async def start_with_config(self, tasks: TaskGroup) -> None:
+        """Puts a first configuration into the store and starts everything."""
+        settings = self.settings
+        inventory = inventory_of(settings.server_count, settings.zone_count)
+        await apply_config(self.store, inventory, rules_of(), 0)
+        self.start(tasks)
+
     def start(self, tasks: TaskGroup) -> None:
         """Starts all engines and dispatchers."""
         for engine in self.backends.engines.values():
--- /dev/null
+++ b/features/nodes/membership.feature
@@ -0,0 +1,104 @@
+Feature: The dispatchers find a failed VM within seconds and take no healthy VM for a failed one
+
+  Scenario Outline: A fleet of <vms> VMs finds a VM that was <fault>
+    Given <vms> dispatchers that know each other, seed <seed>
+    When the dispatcher of "vm-2" is <fault>
+    Then the others count "vm-2" as dead within 5 s
+    And no other VM was counted as dead
+    And the others agree on new owners of all backend servers
+
+    Examples:
+      | vms | fault                     | seed |
+      | 6   | killed                    | 1    |
+      | 9   | killed                    | 2    |
+      | 6   | frozen                    | 1    |
+      | 9   | frozen                    | 2    |
+      | 6   | cut off in both directions | 1   |
+      | 6   | unable to send            | 1    |
+      | 6   | unable to receive         | 1    |
+
+  Scenario: A whole availability zone is lost
+    Given 9 dispatchers that know each other, seed 3
+    When all dispatchers of "zone-2" are killed
+    Then the others count all VMs of "zone-2" as dead within 5 s
+    And no other VM was counted as dead
+    And the others agree on new owners of all backend servers
+
+  Scenario: An availability zone is cut off for a minute and comes back
+    Given 9 dispatchers that know each other, seed 4
+    When "zone-2" is cut off for 60 s
+    Then 20 s after that each VM counts all VMs as alive
+    And all VMs agree on the owners of all backend servers
+
+  Scenario: A frozen VM that runs again doesn't bring healthy VMs into suspicion
+    Given 6 dispatchers that know each other, seed 5
+    When the dispatcher of "vm-2" is frozen for 20 s
+    Then no other VM was counted as dead by a VM that was not frozen
+    And 20 s after that each VM counts all VMs as alive
+
+  Scenario Outline: Healthy VMs stay alive while <loss> % of the datagrams are lost
+    Given 9 dispatchers that know each other, seed <seed>
+    When <loss> % of the datagrams are lost for 120 s
+    Then no VM was counted as dead
+
+    Examples:
+      | loss | seed |
+      | 5    | 6    |
+      | 10   | 7    |
+
+  Scenario Outline: One slow VM doesn't bring healthy VMs into suspicion
+    Given 9 dispatchers that know each other, seed 8
+    When each message from and to "vm-2" takes <delay> ms longer for 120 s
+    Then no other VM was counted as dead by a VM that was not frozen
+    And "vm-2" was counted as dead at most <deaths> times by each VM
+
+    Examples:
+      | delay | deaths |
+      | 400   | 0      |
+      | 3000  | 4      |
+
+  Scenario: A link that is cut one way between two VMs kills neither
+    Given 6 dispatchers that know each other, seed 9
+    When messages from "vm-2" to "vm-3" are lost for 60 s
+    Then no VM was counted as dead
+
+  Scenario: A VM that is replaced under the same address isn't taken for the old one
+    Given 6 dispatchers that know each other, seed 10
+    When "vm-2" is killed and "vm-9" starts at its address
+    Then the others count "vm-2" as dead within 5 s
+    And the others count "vm-9" as alive once the VM list names it
+
+  Scenario: A VM that restarts at once is alive in its new incarnation
+    Given 6 dispatchers that know each other, seed 11
+    When the dispatcher of "vm-2" restarts after 1 s
+    Then 5 s after that each VM counts all VMs as alive
+    And the others know the new incarnation of "vm-2"
+
+  Scenario: An outage of the VM list changes nothing
+    Given 6 dispatchers that know each other, seed 12
+    When the VM list is down for 120 s and "vm-2" is killed meanwhile
+    Then the others count "vm-2" as dead within 5 s
+    And no other VM was counted as dead
+
+  Scenario: A VM that leaves loses its backend servers at once
+    Given 6 dispatchers that know each other, seed 13
+    When the dispatcher of "vm-2" says that it leaves
+    Then the others count "vm-2" as leaving within 1 s
+    And the others agree on new owners of all backend servers
+
+  Scenario: A VM that the VM list calls leaving is leaving everywhere
+    Given 6 dispatchers that know each other, seed 14
+    When the VM list calls "vm-2" leaving
+    Then all count "vm-2" as leaving within 3 s of the list
+
+  Scenario: Datagrams without the shared secret are dropped and counted
+    Given 6 dispatchers that know each other, seed 15
+    When a stranger sends forged verdicts on all VMs
+    Then no VM was counted as dead
+    And the forged datagrams were counted
+
+  Scenario: Rumors reach all dispatchers, and the latest observation wins
+    Given 9 dispatchers that know each other, seed 16
+    When 10 % of the datagrams are lost and a rumor on "bs-1" is followed by an older one
+    Then all dispatchers know the later rumor on "bs-1" within 5 s
+    And a dispatcher that starts afterwards knows it too
--- /dev/null
+++ b/features/steps/nodes_membership.py
@@ -0,0 +1,317 @@
+"""Steps of the membership."""
+
+import anyio
+from anyio.abc import TaskGroup
+from behave import given, then, when
+from behave.runner import Context
+
+from briarvale import metrics
+from briarvale._generated.messages import Gossip, ServerHealth, ServerState, VmHealth
+from briarvale.datagrams import DatagramSeal
+from briarvale.peer import PeerAddress
+from briarvale.standins.memory_dispatchers import DispatcherFleet, DispatcherFleetSettings
+from briarvale.vm_list import VmStatus
+from features.support.nodes import Fault, Timeline, play_fault
+from features.support.virtual import run_virtual
+
+HEARTBEAT_PORT = 7401
+LATER_MS = 2_000
+RUMOR_STREAMS = 7
+
+
+@given("{vms:d} dispatchers that know each other, seed {seed:d}")
+def given_dispatchers(context: Context, vms: int, seed: int) -> None:
+    context.settings = DispatcherFleetSettings(vm_count=vms, server_count=12, seed=seed)
+
+
+def watch(context: Context, fault: Fault, watch_s: float, failed: list[str]) -> None:
+    """Plays the fault; `failed` are the VMs that it hits."""
+    seed = context.settings.seed
+    context.timeline = run_virtual(play_fault, context.settings, fault, watch_s, seed=seed)
+    fleet = context.timeline.fleet
+    context.others = [vm for vm in fleet.entries if vm not in failed]
+
+
+@when('the dispatcher of "{vm}" is killed')
+def when_killed(context: Context, vm: str) -> None:
+    async def fault(fleet: DispatcherFleet, tasks: TaskGroup) -> None:
+        fleet.kill_vm(vm)
+
+    watch(context, fault, 15, [vm])
+
+
+@when('the dispatcher of "{vm}" is frozen')
+def when_frozen(context: Context, vm: str) -> None:
+    async def fault(fleet: DispatcherFleet, tasks: TaskGroup) -> None:
+        fleet.network.frozen.add(fleet.host(vm))
+
+    watch(context, fault, 15, [vm])
+
+
+@when('the dispatcher of "{vm}" is cut off in both directions')
+def when_cut(context: Context, vm: str) -> None:
+    async def fault(fleet: DispatcherFleet, tasks: TaskGroup) -> None:
+        fleet.cut_off([vm])
+
+    watch(context, fault, 15, [vm])
+
+
+@when('the dispatcher of "{vm}" is unable to send')
+def when_mute(context: Context, vm: str) -> None:
+    async def fault(fleet: DispatcherFleet, tasks: TaskGroup) -> None:
+        fleet.cut_off([vm], incoming=False)
+
+    watch(context, fault, 60, [vm])
+
+
+@when('the dispatcher of "{vm}" is unable to receive')
+def when_deaf(context: Context, vm: str) -> None:
+    async def fault(fleet: DispatcherFleet, tasks: TaskGroup) -> None:
+        fleet.cut_off([vm], outgoing=False)
+
+    watch(context, fault, 60, [vm])
+
+
+@when('all dispatchers of "{zone}" are killed')
+def when_zone_killed(context: Context, zone: str) -> None:
+    async def fault(fleet: DispatcherFleet, tasks: TaskGroup) -> None:
+        for vm in fleet.zone(zone):
+            fleet.kill_vm(vm)
+
+    watch(context, fault, 15, DispatcherFleet(context.settings).zone(zone))
+
+
+@when('"{zone}" is cut off for {cut_s:d} s')
+def when_zone_cut(context: Context, zone: str, cut_s: int) -> None:
+    async def fault(fleet: DispatcherFleet, tasks: TaskGroup) -> None:
+        fleet.cut_off(fleet.zone(zone))
+        await anyio.sleep(cut_s)
+        fleet.network.cut.clear()
+
+    watch(context, fault, cut_s + 20, [])
+
+
+@when('the dispatcher of "{vm}" is frozen for {frozen_s:d} s')
+def when_frozen_for(context: Context, vm: str, frozen_s: int) -> None:
+    async def fault(fleet: DispatcherFleet, tasks: TaskGroup) -> None:
+        fleet.network.frozen.add(fleet.host(vm))
+        await anyio.sleep(frozen_s)
+        fleet.network.frozen.clear()
+
+    watch(context, fault, frozen_s + 20, [vm])
+
+
+@when("{loss:d} % of the datagrams are lost for {lossy_s:d} s")
+def when_lossy(context: Context, loss: int, lossy_s: int) -> None:
+    async def fault(fleet: DispatcherFleet, tasks: TaskGroup) -> None:
+        fleet.network.datagram_loss = loss / 100
+
+    watch(context, fault, lossy_s, [])
+
+
+@when('each message from and to "{vm}" takes {delay_ms:d} ms longer for {slow_s:d} s')
+def when_slow(context: Context, vm: str, delay_ms: int, slow_s: int) -> None:
+    async def fault(fleet: DispatcherFleet, tasks: TaskGroup) -> None:
+        fleet.network.slow_hosts[fleet.host(vm)] = delay_ms / 1_000
+
+    watch(context, fault, slow_s, [vm])
+
+
+@when('messages from "{source}" to "{target}" are lost for {cut_s:d} s')
+def when_one_way(context: Context, source: str, target: str, cut_s: int) -> None:
+    async def fault(fleet: DispatcherFleet, tasks: TaskGroup) -> None:
+        fleet.network.cut.add((fleet.host(source), fleet.host(target)))
+
+    watch(context, fault, cut_s, [])
+
+
+@when('"{old}" is killed and "{new}" starts at its address')
+def when_replaced(context: Context, old: str, new: str) -> None:
+    async def fault(fleet: DispatcherFleet, tasks: TaskGroup) -> None:
+        fleet.kill_vm(old)
+        fleet.entries[new] = fleet.entries[old]._replace(vm=new)
+        fleet.start_vm(new, tasks)
+        kept = tuple(entry for vm, entry in fleet.entries.items() if vm != old)
+        fleet.vm_list.lag_s = 8
+        fleet.vm_list.replace(kept)
+
+    watch(context, fault, 20, [old])
+    context.others.remove(new)
+
+
+@when('the dispatcher of "{vm}" restarts after {down_s:d} s')
+def when_restarted(context: Context, vm: str, down_s: int) -> None:
+    async def fault(fleet: DispatcherFleet, tasks: TaskGroup) -> None:
+        fleet.kill_vm(vm)
+        await anyio.sleep(down_s)
+        fleet.start_vm(vm, tasks)
+
+    watch(context, fault, down_s + 5, [])
+
+
+@when('the VM list is down for {down_s:d} s and "{vm}" is killed meanwhile')
+def when_list_down(context: Context, down_s: int, vm: str) -> None:
+    async def fault(fleet: DispatcherFleet, tasks: TaskGroup) -> None:
+        fleet.vm_list.is_down = True
+        fleet.kill_vm(vm)
+
+    watch(context, fault, down_s, [vm])
+
+
+@when('the dispatcher of "{vm}" says that it leaves')
+def when_leaves(context: Context, vm: str) -> None:
+    async def fault(fleet: DispatcherFleet, tasks: TaskGroup) -> None:
+        await fleet.dispatchers[vm].membership.leave()
+
+    watch(context, fault, 5, [vm])
+
+
+@when('the VM list calls "{vm}" leaving')
+def when_listed_leaving(context: Context, vm: str) -> None:
+    async def fault(fleet: DispatcherFleet, tasks: TaskGroup) -> None:
+        entries = dict(fleet.entries)
+        entries[vm] = entries[vm]._replace(status=VmStatus.LEAVING)
+        fleet.vm_list.replace(tuple(entries.values()))
+
+    watch(context, fault, 15, [vm])
+
+
+@when("a stranger sends forged verdicts on all VMs")
+def when_forged(context: Context) -> None:
+    context.bad_before = metrics.BAD_DATAGRAMS.get({}) if metrics.BAD_DATAGRAMS.values else 0
+
+    async def fault(fleet: DispatcherFleet, tasks: TaskGroup) -> None:
+        seal = DatagramSeal("not the secret of this fleet")
+        states = fleet.dispatchers["vm-1"].membership.vms
+        dead = tuple(state._replace(health=VmHealth.DEAD, incarnation=2**31) for state in states)
+        stranger = PeerAddress("10.9.9.9", HEARTBEAT_PORT)
+        for address, handler in fleet.network.datagram_handlers.items():
+            handler(seal.seal(Gossip("vm-1", dead)), stranger)
+            handler(b"\0" * 40, address)
+
+    watch(context, fault, 10, [])
+
+
+@when('{loss:d} % of the datagrams are lost and a rumor on "{server}" is followed by an older one')
+def when_rumors(context: Context, loss: int, server: str) -> None:
+    async def fault(fleet: DispatcherFleet, tasks: TaskGroup) -> None:
+        fleet.network.datagram_loss = loss / 100
+        now_ms = fleet.clock.now_ms()
+        later = ServerState(server, "vm-1", ServerHealth.DOWN, RUMOR_STREAMS, 0, 0, now_ms)
+        fleet.dispatchers["vm-1"].membership.publish(later)
+        await anyio.sleep(1)
+        older = later._replace(streams=1, observed_at_ms=now_ms - LATER_MS)
+        fleet.dispatchers["vm-2"].membership.publish(older)
+        await anyio.sleep(4)
+        context.known = {vm: _known(fleet, vm, server) for vm in fleet.dispatchers}
+        fleet.kill_vm("vm-3")
+        fleet.start_vm("vm-3", tasks)
+        await anyio.sleep(5)
+        context.known_after = _known(fleet, "vm-3", server)
+
+    watch(context, fault, 12, ["vm-3"])
+
+
+def _known(fleet: DispatcherFleet, vm: str, server: str) -> int:
+    servers = fleet.dispatchers[vm].membership.snapshot().servers
+    return next((s.streams for s in servers if s.backend_server == server), 0)
+
+
+@then('the others count "{vm}" as dead within {bound_s:d} s')
+def then_detected(context: Context, vm: str, bound_s: int) -> None:
+    timeline: Timeline = context.timeline
+    detected_s = timeline.detected_s(vm, context.others)
+    assert detected_s <= bound_s, detected_s
+    states = timeline.last_seen(vm, context.others)
+    assert all(health in (VmHealth.DEAD, None) for health in states.values()), states
+
+
+@then('the others count all VMs of "{zone}" as dead within {bound_s:d} s')
+def then_zone_detected(context: Context, zone: str, bound_s: int) -> None:
+    for vm in context.timeline.fleet.zone(zone):
+        then_detected(context, vm, bound_s)
+
+
+@then("no other VM was counted as dead")
+@then("no VM was counted as dead")
+@then("no other VM was counted as dead by a VM that was not frozen")
+def then_none_dead(context: Context) -> None:
+    deaths = context.timeline.deaths_of(context.others, context.others)
+    assert not deaths, deaths
+
+
+@then('"{vm}" was counted as dead at most {deaths:d} times by each VM')
+def then_few_deaths(context: Context, vm: str, deaths: int) -> None:
+    for observer in context.others:
+        seen = context.timeline.deaths_of([vm], [observer])
+        assert len(seen) <= deaths, seen
+
+
+@then("the others agree on new owners of all backend servers")
+@then("all VMs agree on the owners of all backend servers")
+def then_owners(context: Context) -> None:
+    views = [context.timeline.owners[vm] for vm in context.others]
+    assert len(views[0]) == context.settings.server_count
+    assert all(view == views[0] for view in views), views
+    assert set(views[0].values()) <= set(context.others), views[0]
+
+
+@then("{wait_s:d} s after that each VM counts all VMs as alive")
+def then_all_alive(context: Context, wait_s: int) -> None:
+    timeline: Timeline = context.timeline
+    for vm in timeline.fleet.entries:
+        states = timeline.last_seen(vm, list(timeline.fleet.entries))
+        assert set(states.values()) == {VmHealth.ALIVE}, (vm, states)
+
+
+@then('the others count "{vm}" as alive once the VM list names it')
+def then_alive_when_listed(context: Context, vm: str) -> None:
+    alive = [s for s in context.timeline.sightings if s.vm == vm and s.health is VmHealth.ALIVE]
+    observers = {sighting.observer for sighting in alive}
+    assert observers >= set(context.others), alive
+    assert min(s.at_s for s in alive if s.observer != vm) >= 8, alive
+
+
+@then('the others know the new incarnation of "{vm}"')
+def then_incarnation(context: Context, vm: str) -> None:
+    fleet = context.timeline.fleet
+    own = next(s for s in fleet.dispatchers[vm].membership.vms if s.vm == vm)
+    for dispatcher in fleet.dispatchers.values():
+        seen = next(s for s in dispatcher.membership.vms if s.vm == vm)
+        assert seen.incarnation == own.incarnation, (seen, own)
+
+
+@then('the others count "{vm}" as leaving within {bound_s:d} s')
+def then_leaving(context: Context, vm: str, bound_s: int) -> None:
+    _assert_leaving(context, vm, context.others, bound_s)
+
+
+@then('all count "{vm}" as leaving within {bound_s:d} s of the list')
+def then_listed_leaving(context: Context, vm: str, bound_s: int) -> None:
+    fleet = context.timeline.fleet
+    _assert_leaving(context, vm, list(fleet.entries), fleet.vm_list.lag_s + bound_s)
+
+
+def _assert_leaving(context: Context, vm: str, observers: list[str], bound_s: float) -> None:
+    seen = {
+        s.observer: s.at_s
+        for s in context.timeline.sightings
+        if s.vm == vm and s.health is VmHealth.LEAVING
+    }
+    assert set(seen) >= set(observers) and max(seen.values()) <= bound_s, seen
+
+
+@then("the forged datagrams were counted")
+def then_counted(context: Context) -> None:
+    counted = metrics.BAD_DATAGRAMS.get({}) - context.bad_before
+    assert counted == 2 * context.settings.vm_count, counted
+
+
+@then('all dispatchers know the later rumor on "{server}" within {bound_s:d} s')
+def then_rumor_known(context: Context, server: str, bound_s: int) -> None:
+    assert set(context.known.values()) == {RUMOR_STREAMS}, context.known
+
+
+@then("a dispatcher that starts afterwards knows it too")
+def then_rumor_kept(context: Context) -> None:
+    assert context.known_after == RUMOR_STREAMS, context.known_after
--- /dev/null
+++ b/features/support/nodes.py
@@ -0,0 +1,90 @@
+"""Plays a fleet of dispatchers in virtual time and records how each sees the others."""
+
+from collections.abc import Awaitable, Callable
+from typing import NamedTuple
+
+import anyio
+from anyio.abc import TaskGroup
+
+from briarvale._generated.messages import VmHealth
+from briarvale.standins.memory_dispatchers import DispatcherFleet, DispatcherFleetSettings
+
+SAMPLE_S = 0.1
+SETTLE_S = 10.03
+
+__all__ = ["Fault", "Sighting", "Timeline", "play_fault"]
+
+Fault = Callable[[DispatcherFleet, TaskGroup], Awaitable[None]]
+
+
+class Sighting(NamedTuple):
+    """At this time after the fault, an observer began to see a VM in this health."""
+
+    at_s: float
+    observer: str
+    vm: str
+    health: VmHealth | None
+
+
+class Timeline(NamedTuple):
+    """All changes of health since the fault, and the owners at the end."""
+
+    sightings: list[Sighting]
+    owners: dict[str, dict[str, str]]
+    fleet: DispatcherFleet
+
+    def last_seen(self, vm: str, observers: list[str]) -> dict[str, VmHealth | None]:
+        """Returns the health of a VM at the end, by observer."""
+        return {observer: self.fleet.health(observer, vm) for observer in observers}
+
+    def detected_s(self, vm: str, observers: list[str]) -> float:
+        """Returns when the last of these observers counted the VM as dead."""
+        first: dict[str, float] = {}
+        for sighting in self.sightings:
+            if sighting.vm == vm and sighting.health is VmHealth.DEAD:
+                first.setdefault(sighting.observer, sighting.at_s)
+        return max(first.get(observer, float("inf")) for observer in observers)
+
+    def deaths_of(self, vms: list[str], observers: list[str]) -> list[Sighting]:
+        """Returns when these observers counted one of these VMs as dead."""
+        return [
+            sighting
+            for sighting in self.sightings
+            if sighting.vm in vms
+            and sighting.observer in observers
+            and sighting.health is VmHealth.DEAD
+        ]
+
+
+async def play_fault(settings: DispatcherFleetSettings, fault: Fault, watch_s: float) -> Timeline:
+    """Lets a fleet settle, brings the fault about and watches for a while."""
+    fleet = DispatcherFleet(settings)
+    async with anyio.create_task_group() as tasks:
+        await fleet.start_with_config(tasks)
+        await anyio.sleep(SETTLE_S)
+        started_s = anyio.current_time()
+        seen = _healths(fleet)
+        sightings: list[Sighting] = []
+        tasks.start_soon(fault, fleet, tasks)
+        while anyio.current_time() < started_s + watch_s:
+            await anyio.sleep(SAMPLE_S)
+            now = _healths(fleet)
+            at_s = anyio.current_time() - started_s
+            sightings += [Sighting(at_s, *k, h) for k, h in now.items() if seen.get(k) is not h]
+            seen |= now
+        owners = {vm: _owners(fleet, vm) for vm in fleet.dispatchers}
+        tasks.cancel_scope.cancel()
+    return Timeline(sightings, owners, fleet)
+
+
+def _healths(fleet: DispatcherFleet) -> dict[tuple[str, str], VmHealth | None]:
+    return {
+        (observer, state.vm): state.health
+        for observer, dispatcher in fleet.dispatchers.items()
+        for state in dispatcher.membership.vms
+    }
+
+
+def _owners(fleet: DispatcherFleet, vm: str) -> dict[str, str]:
+    view = fleet.dispatchers[vm].view()
+    return {server.backend_server: server.owner for server in view.servers}
