--- a/briarvale/failure_detector.py
+++ b/briarvale/failure_detector.py
@@ -138,8 +138,7 @@
             return
         if update.health is VmHealth.DEAD and member.state.health is VmHealth.ALIVE:
             update = update._replace(health=VmHealth.SUSPECT)
-        is_presumed = member.state.incarnation == 0 and update.health is member.state.health
-        self._set(member, update, now_ms, is_spread=not is_presumed)
+        self._set(member, update, now_ms, is_spread=not _confirms(update, member.state))
 
     def note_heard(self, vm: str, config_revision: int, now_ms: int) -> None:
         """Notes a datagram from a VM itself, which undoes a local verdict on it."""
@@ -191,6 +190,12 @@
         """Counts this VM as leaving."""
         self._raise_own(self.own.incarnation + 1, VmHealth.LEAVING)
 
+    def set_runs_batch(self, runs_batch: bool) -> None:
+        """Tells other VMs whether a batch program is connected here."""
+        if runs_batch != self.own.runs_batch:
+            self.own = self.own._replace(runs_batch=runs_batch)
+            self._raise_own(self.own.incarnation + 1, self.own.health)
+
     def _is_told_to_leave(self, entry: VmEntry) -> bool:
         is_here = entry.host == self.own.host and entry.status is VmStatus.LEAVING
         return is_here and self.own.health is not VmHealth.LEAVING
@@ -211,7 +216,7 @@
             self._set(member, member.state._replace(health=VmHealth.LEAVING), 0)
 
     def _set(self, member: _Member, state: VmState, now_ms: int, *, is_spread: bool = True) -> None:
-        was = member.state.health
+        was, ran_batch = member.state.health, member.state.runs_batch
         member.state = state
         member.is_local = False
         self.update_count += 1
@@ -224,6 +229,7 @@
                 self._note_death(member, now_ms)
         if was is not state.health:
             log.info("{} is {}, at incarnation {}.", state.vm, state.health, state.incarnation)
+        if (was, ran_batch) != (state.health, state.runs_batch):
             self._note_change()
         if is_spread:
             self._spread(state)
@@ -262,6 +268,12 @@
     return member.is_listed and member.state.health is not VmHealth.DEAD
 
 
+def _confirms(update: VmState, current: VmState) -> bool:
+    """Whether an update only fills in the incarnation of a VM that the first list named."""
+    told = (update.health, update.runs_batch)
+    return current.incarnation == 0 and told == (current.health, current.runs_batch)
+
+
 def _is_newer(update: VmState, current: VmState) -> bool:
     return (update.incarnation, RANKS[update.health]) > (
         current.incarnation,
--- a/briarvale/schema/messages.capnp
+++ b/briarvale/schema/messages.capnp
@@ -57,6 +57,7 @@
   fingerprint @6 :Text;
 }
 struct HolderReport { grants @0 :List(HeldGrant); }
+struct SlotHeartbeat { sequence @0 :UInt32; }
 
 struct VmState {
   vm @0 :Text;
@@ -66,6 +67,7 @@
   health @4 :VmHealth;
   incarnation @5 :UInt32;
   configRevision @6 :UInt64;
+  runsBatch @7 :Bool;
 }
 struct ServerState {
   backendServer @0 :Text;
@@ -147,5 +149,6 @@
     gossip @19 :Gossip;
     stateFetch @20 :StateFetch;
     stateSnapshot @21 :StateSnapshot;
+    slotHeartbeat @22 :SlotHeartbeat;
   }
 }
