Spread the configuration by heartbeats, peers and a few watchers

Cause: every dispatcher read head and documents from the Object API and parsed them each second. Change: two watchers a region by rendezvous; heartbeats tell revisions; who is behind fetches a delta from the peer that told, else from others, else from the store. A fresh VM asks peers and store first. The head keeps the last 50 revisions by manifest; documents over 900 kB are stored in parts; apply whose answer was lost is recognised by its nonce or by its documents. Inventory and rules are checked against each other. Documents that did not change are not parsed again.

--- a/briarvale/_generated/messages.py
+++ b/briarvale/_generated/messages.py
@@ -213,6 +213,8 @@
 
     revision: int = 0
     documents: tuple[ConfigDocument, ...] = ()
+    base_revision: int = 0
+    removed: tuple[str, ...] = ()
 
 
 class SuspectNotice(NamedTuple):
@@ -606,6 +608,8 @@
     return ConfigBundle(
         reader.revision,
         tuple(_read_config_document(item) for item in reader.documents),
+        reader.baseRevision,
+        tuple(reader.removed),
     )
 
 
@@ -614,6 +618,8 @@
     documents = builder.init("documents", len(message.documents))
     for index, config_document in enumerate(message.documents):
         _write_config_document(documents[index], config_document)
+    builder.baseRevision = message.base_revision
+    builder.removed = list(message.removed)
 
 
 def _read_suspect_notice(reader: Any) -> SuspectNotice:
--- a/briarvale/checked_yaml.py
+++ b/briarvale/checked_yaml.py
@@ -1,8 +1,9 @@
 """YAML documents checked against a schema; errors name file, line and field."""
 
+from collections.abc import Mapping, Sequence
 from functools import cache
 from pathlib import Path
-from typing import Any
+from typing import Any, NamedTuple
 
 import yaml
 from jsonschema import Draft202012Validator, FormatChecker
@@ -14,7 +15,20 @@
 _Loader = getattr(yaml, "CSafeLoader", yaml.SafeLoader)
 SCHEMA_FOLDER = Path(__file__).parent / "schema"
 
-__all__ = ["load_checked", "parse_checked", "line_of"]
+__all__ = ["CheckedDocument", "line_of", "load_checked", "parse_checked", "parse_document"]
+
+
+class CheckedDocument(NamedTuple):
+    """A parsed document with its YAML nodes."""
+
+    source: str
+    data: dict[str, Any]
+    node: yaml.Node | None
+
+    def problem(self, path: Sequence[str | int], message: str) -> str:
+        """Returns an error line for a field: file, line, field and what is wrong."""
+        field = ".".join(str(step) for step in path)
+        return f"{self.source}:{line_of(self.node, path)}: {field}: {message}"
 
 
 def load_checked(path: Path, schema_name: str) -> dict[str, Any]:
@@ -32,26 +46,76 @@
 
 def parse_checked(text: str, schema_name: str, source: str) -> dict[str, Any]:
     """Parses and checks a document; `source` names it in errors."""
+    return parse_document(text, schema_name, source).data
+
+
+def parse_document(
+    text: str, schema_name: str, source: str, defaults: Mapping[str, Any] | None = None
+) -> CheckedDocument:
+    """Parses and checks a document, keeping what is needed to name lines later.
+
+    Args:
+        text: The YAML.
+        schema_name: Name of the schema.
+        source: Names the document in errors.
+        defaults: Fields taken as given where the document leaves them out.
+
+    Raises:
+        SettingsInvalid: Names each wrong field with its line.
+    """
     try:
         node = yaml.compose(text, Loader=_Loader)
-        document = _construct(node)
+        _refuse_bad_keys(node, source)
+        data = _construct(node)
     except yaml.MarkedYAMLError as error:
         line = error.problem_mark.line + 1 if error.problem_mark else 1
         raise SettingsInvalid(f"{source}:{line}: not YAML: {error.problem}") from error
-    except yaml.YAMLError as error:
+    except (yaml.YAMLError, ValueError, RecursionError) as error:
         raise SettingsInvalid(f"{source}:1: not YAML: {error}") from error
-    problems = sorted(_validator(schema_name).iter_errors(document), key=lambda e: list(e.path))
+    if isinstance(data, dict):
+        data = {**(defaults or {}), **data}
+    problems = sorted(_validator(schema_name).iter_errors(data), key=_path_of)
     if problems:
         raise SettingsInvalid("\n".join(_describe(source, node, error) for error in problems))
-    checked: dict[str, Any] = document
-    return checked
+    return CheckedDocument(source, data, node)
+
+
+def _path_of(error: ValidationError) -> list[str]:
+    return [str(step).rjust(8) for step in error.path]
+
+
+def _refuse_bad_keys(node: yaml.Node | None, source: str) -> None:
+    seen: set[int] = set()
+    pending = [node]
+    while pending:
+        current = pending.pop()
+        if current is None or id(current) in seen:
+            continue
+        seen.add(id(current))
+        match current:
+            case yaml.MappingNode():
+                _refuse_bad_keys_of(current, source)
+                pending += [value for _, value in current.value]
+            case yaml.SequenceNode():
+                pending += current.value
+
+
+def _refuse_bad_keys_of(node: yaml.MappingNode, source: str) -> None:
+    known: set[str] = set()
+    for key, _ in node.value:
+        line = key.start_mark.line + 1
+        if key.tag != "tag:yaml.org,2002:str":
+            raise SettingsInvalid(f"{source}:{line}: document: expected a name as key")
+        if key.value in known:
+            raise SettingsInvalid(f"{source}:{line}: {key.value}: stands twice")
+        known.add(key.value)
 
 
 def _construct(node: yaml.Node | None) -> Any:
     return None if node is None else SafeConstructor().construct_document(node)
 
 
-def line_of(node: yaml.Node | None, path: list[str | int]) -> int:
+def line_of(node: yaml.Node | None, path: Sequence[str | int]) -> int:
     """Returns the line, counted from 1, where the field at `path` stands."""
     line = 1
     for step in path:
--- a/briarvale/config.py
+++ b/briarvale/config.py
@@ -1,20 +1,26 @@
 """The configuration in force: a revision of the inventory and the rules, with look-ups."""
 
 import hashlib
+from collections.abc import Mapping, Sequence
 from functools import cached_property
 from typing import Any
 
 from ._generated.inventory import BackendServer, Inventory, Member, Model, Service
 from ._generated.messages import ConfigBundle, ConfigDocument
 from ._generated.rules import Rules, Share
-from .checked_yaml import parse_checked
+from .checked_yaml import CheckedDocument, parse_checked, parse_document
+from .errors import SettingsInvalid
+from .inventory import LISTS, check_inventory
+from .rules import check_rules
 
 INVENTORY_NAME = "inventory.yaml"
+INVENTORY_FOLDER = "inventory/"
 RULES_NAME = "rules.yaml"
 
 __all__ = [
     "BackendServer",
     "Config",
+    "INVENTORY_FOLDER",
     "INVENTORY_NAME",
     "Inventory",
     "Member",
@@ -23,7 +29,10 @@
     "Rules",
     "Service",
     "Share",
+    "check_documents",
     "document_digest",
+    "documents_of",
+    "is_inventory",
 ]
 
 
@@ -32,23 +41,35 @@
 
     Args:
         bundle: The documents as they stand in the Object API or came from a peer.
+        previous: An earlier revision; documents that didn't change aren't parsed again.
+
+    Raises:
+        SettingsInvalid: If a document breaks its schema; names file, line and field.
     """
 
-    def __init__(self, bundle: ConfigBundle) -> None:
+    def __init__(self, bundle: ConfigBundle, previous: "Config | None" = None) -> None:
         self.bundle = bundle
         self.revision = bundle.revision
-        self.inventory = Inventory.from_mapping(self._parse(INVENTORY_NAME, "inventory"))
-        self.rules = Rules.from_mapping(self._parse(RULES_NAME, "rules"))
+        known = previous._parsed if previous else {}
+        self._parsed: dict[str, Inventory | Rules] = {
+            document.digest: known.get(document.digest) or _parse(document)
+            for document in bundle.documents
+        }
+        parts = [self._parsed[d.digest] for d in bundle.documents if d.name != RULES_NAME]
+        self.inventory = _merge([part for part in parts if isinstance(part, Inventory)])
+        self.rules = self._only_rules()
 
     @classmethod
     def from_texts(cls, revision: int, inventory: str, rules: str) -> "Config":
         """Builds a configuration from the text of its two documents."""
         texts = {INVENTORY_NAME: inventory, RULES_NAME: rules}
-        documents = tuple(
-            ConfigDocument(name, document_digest(text.encode()), text.encode())
-            for name, text in texts.items()
-        )
-        return cls(ConfigBundle(revision, documents))
+        return cls(ConfigBundle(revision, documents_of(texts)))
+
+    def _only_rules(self) -> Rules:
+        for part in self._parsed.values():
+            if isinstance(part, Rules):
+                return part
+        raise SettingsInvalid(f"{RULES_NAME}:1: document: is missing")
 
     @cached_property
     def members(self) -> dict[str, Member]:
@@ -92,11 +113,66 @@
         """Returns the member that an API key belongs to."""
         return self._member_by_key_digest.get(hashlib.sha256(api_key.encode()).hexdigest())
 
-    def _parse(self, name: str, schema_name: str) -> dict[str, Any]:
-        body = next(d.body for d in self.bundle.documents if d.name == name)
-        return parse_checked(body.decode(), schema_name, name)
-
 
 def document_digest(body: bytes) -> str:
     """Returns the name of a document: the SHA-256 of its bytes."""
     return hashlib.sha256(body).hexdigest()
+
+
+def documents_of(texts: Mapping[str, str]) -> tuple[ConfigDocument, ...]:
+    """Returns the documents with these names and texts, in the order of their names."""
+    bodies = {name: text.encode() for name, text in sorted(texts.items())}
+    return tuple(ConfigDocument(name, document_digest(body), body) for name, body in bodies.items())
+
+
+def is_inventory(name: str) -> bool:
+    """Whether a document is the inventory or the part of it that a member keeps."""
+    return name == INVENTORY_NAME or name.startswith(INVENTORY_FOLDER)
+
+
+def check_documents(texts: Mapping[str, str], sources: Mapping[str, str] | None = None) -> None:
+    """Checks documents on their own and against each other.
+
+    Args:
+        texts: Text of each document by name.
+        sources: What errors call each document; its name by default.
+
+    Raises:
+        SettingsInvalid: Names the file, line and field of each fault.
+    """
+    named = sources or {}
+    parts = [
+        _parse_inventory(text, named.get(name, name), name)
+        for name, text in sorted(texts.items())
+        if is_inventory(name)
+    ]
+    rules_source = named.get(RULES_NAME, RULES_NAME)
+    rules = parse_document(texts.get(RULES_NAME, ""), "rules", rules_source)
+    members = {row["id"] for part in parts for row in part.data["members"]}
+    problems = [*check_inventory(parts), *check_rules(rules, members)]
+    if problems:
+        raise SettingsInvalid("\n".join(problems))
+
+
+def _parse(document: ConfigDocument) -> Inventory | Rules:
+    text = document.body.decode("utf-8", errors="replace")
+    if document.name == RULES_NAME:
+        return Rules.from_mapping(parse_checked(text, "rules", document.name))
+    return Inventory.from_mapping(_parse_inventory(text, document.name, document.name).data)
+
+
+def _parse_inventory(text: str, source: str, name: str) -> CheckedDocument:
+    is_part = name != INVENTORY_NAME
+    defaults: dict[str, Any] = {field: [] for field in LISTS} if is_part else {}
+    return parse_document(text, "inventory", source, defaults)
+
+
+def _merge(parts: Sequence[Inventory]) -> Inventory:
+    if len(parts) == 1:
+        return parts[0]
+    return Inventory(
+        members=tuple(row for part in parts for row in part.members),
+        models=tuple(row for part in parts for row in part.models),
+        services=tuple(row for part in parts for row in part.services),
+        backend_servers=tuple(row for part in parts for row in part.backend_servers),
+    )
--- a/briarvale/config_head.py
+++ b/briarvale/config_head.py
@@ -1,60 +1,286 @@
-"""The configuration in the Object API: documents by digest, one head by conditional update."""
+"""The configuration in the Object API: documents by digest, one head by conditional update.
+
+The head lists the last revisions, each with the digest of its manifest; a manifest names the
+documents and the parts that each is stored in. Only the head ever changes.
+"""
 
 import json
+import secrets
+from collections.abc import Awaitable, Callable, Mapping
+from typing import Any, NamedTuple, TypeVar
+
+import anyio
+from tenacity import (
+    AsyncRetrying,
+    retry_if_exception_type,
+    stop_after_attempt,
+    wait_random_exponential,
+)
 
 from ._generated.messages import ConfigBundle, ConfigDocument
-from .config import Config, document_digest
-from .errors import ConfigConflict, ObjectExists, ObjectNotFound, VersionConflict
+from .config import (
+    INVENTORY_NAME,
+    RULES_NAME,
+    Config,
+    check_documents,
+    document_digest,
+    documents_of,
+)
+from .config_bundle import diff_texts, texts_of
+from .errors import (
+    BriarvaleError,
+    ConfigConflict,
+    ConfigTooLarge,
+    NotFound,
+    ObjectExists,
+    ObjectNotFound,
+    StoreThrottled,
+    StoreUnavailable,
+    VersionConflict,
+)
 from .object_store import ObjectStore
 
 HEAD_KEY = "config/head"
+HISTORY_KEPT = 50
+PART_BYTES = 900_000
+MAX_CONFIG_BYTES = 3_500_000
+ATTEMPTS = 8
+MAX_RETRY_DELAY_S = 2.0
 
-__all__ = ["HEAD_KEY", "apply_config", "fetch_config"]
+T = TypeVar("T")
 
+__all__ = [
+    "HEAD_KEY",
+    "Head",
+    "Revision",
+    "apply_config",
+    "apply_documents",
+    "fetch_config",
+    "fetch_revision",
+    "read_head",
+    "rollback_config",
+]
+
+
+class Revision(NamedTuple):
+    """One accepted configuration."""
+
+    revision: int
+    manifest: str
+    nonce: str
+    applied_at_ms: int
+
+
+class Head(NamedTuple):
+    """The head object: the revision in force is the last of its history."""
+
+    history: tuple[Revision, ...]
+    version: int
+
+    @property
+    def revision(self) -> int:
+        """The revision in force."""
+        return self.history[-1].revision
+
+    def find(self, revision: int) -> Revision:
+        """Returns a revision that is kept; raises `NotFound`."""
+        for entry in self.history:
+            if entry.revision == revision:
+                return entry
+        raise NotFound(f"revision {revision} is not among the last {HISTORY_KEPT}")
+
+
+async def read_head(store: ObjectStore) -> Head:
+    """Reads the head; raises `ObjectNotFound` before the first configuration."""
+    stored = await store.get(HEAD_KEY)
+    rows = json.loads(stored.value)["history"]
+    return Head(tuple(Revision(**row) for row in rows), stored.version)
 
-async def fetch_config(store: ObjectStore) -> Config:
-    """Reads the configuration that the head names; raises `ObjectNotFound` if there is none."""
-    head = json.loads((await store.get(HEAD_KEY)).value)
-    documents = []
-    for name, digest in sorted(head["documents"].items()):
-        body = (await store.get(_document_key(digest))).value
-        documents.append(ConfigDocument(name, digest, body))
-    return Config(ConfigBundle(head["revision"], tuple(documents)))
 
+async def fetch_config(store: ObjectStore, known: Config | None = None) -> Config:
+    """Reads the configuration that the head names.
+
+    Args:
+        known: A revision at hand; only what it lacks is read.
+
+    Raises:
+        ObjectNotFound: If there is none.
+    """
+    head = await read_head(store)
+    if known is not None and known.revision >= head.revision:
+        return known
+    return Config(await _fetch_bundle(store, head.history[-1], known), known)
+
+
+async def fetch_revision(store: ObjectStore, revision: int) -> ConfigBundle:
+    """Reads a revision that the history keeps; raises `NotFound`."""
+    head = await read_head(store)
+    return await _fetch_bundle(store, head.find(revision), None)
 
-async def apply_config(store: ObjectStore, inventory: str, rules: str, seen_revision: int) -> int:
-    """Puts a new configuration in force and returns its revision.
+
+async def apply_config(
+    store: ObjectStore, inventory: str, rules: str, seen_revision: int, applied_at_ms: int = 0
+) -> int:
+    """Puts an inventory and rules in force and returns the revision; see `apply_documents`."""
+    texts = {INVENTORY_NAME: inventory, RULES_NAME: rules}
+    return await apply_documents(store, texts, seen_revision, applied_at_ms)
+
+
+async def apply_documents(
+    store: ObjectStore, texts: Mapping[str, str], seen_revision: int, applied_at_ms: int = 0
+) -> int:
+    """Puts documents in force and returns their revision.
+
+    A call whose answer was lost may be repeated: documents that are in force already make no new
+    revision.
 
     Args:
+        texts: Text of each document by name.
         seen_revision: The revision that the operator saw; 0 for none.
+        applied_at_ms: Unix time in milliseconds, for the history.
 
     Raises:
-        ConfigConflict: If another operator changed the head since.
+        ConfigConflict: If another operator changed the head since; holds the difference.
+        ConfigTooLarge: If the documents are together over `MAX_CONFIG_BYTES`.
         SettingsInvalid: If a document is wrong.
     """
-    config = Config.from_texts(seen_revision + 1, inventory, rules)
-    for document in config.bundle.documents:
-        await _create_document(store, document)
-    documents = {document.name: document.digest for document in config.bundle.documents}
-    head = json.dumps({"revision": config.revision, "documents": documents}).encode()
+    check_documents(texts)
+    documents = documents_of(texts)
+    _refuse_too_large(documents)
+    head = await _retry(_read_head_or_none, store)
+    if head is not None and await _is_in_force(store, head, documents):
+        return head.revision
+    if (head.revision if head else 0) != seen_revision:
+        raise await _conflict(store, seen_revision)
+    manifest = await _write_documents(store, documents)
+    entry = Revision(seen_revision + 1, manifest, secrets.token_hex(8), applied_at_ms)
+    await _retry(_put_head, store, head, entry)
+    await _forget_old(store, head)
+    return entry.revision
+
+
+async def rollback_config(store: ObjectStore, revision: int, applied_at_ms: int = 0) -> int:
+    """Puts an earlier revision's documents in force as a new revision, and returns that."""
+    bundle = await fetch_revision(store, revision)
+    seen_revision = (await read_head(store)).revision
+    return await apply_documents(store, texts_of(bundle.documents), seen_revision, applied_at_ms)
+
+
+async def _put_head(store: ObjectStore, seen: Head | None, entry: Revision) -> None:
+    kept = seen.history[-HISTORY_KEPT + 1 :] if seen else ()
+    rows = [revision._asdict() for revision in (*kept, entry)]
+    value = json.dumps({"history": rows}).encode()
     try:
-        if seen_revision == 0:
-            await store.create(HEAD_KEY, head)
+        if seen is None:
+            await store.create(HEAD_KEY, value)
         else:
-            current = await store.get(HEAD_KEY)
-            if json.loads(current.value)["revision"] != seen_revision:
-                raise ConfigConflict("the configuration has changed since")
-            await store.update(HEAD_KEY, head, current.version)
-    except (ObjectExists, ObjectNotFound, VersionConflict) as error:
-        raise ConfigConflict("the configuration has changed since") from error
-    return config.revision
+            await store.update(HEAD_KEY, value, seen.version)
+    except (ObjectExists, VersionConflict) as error:
+        current = await read_head(store)
+        # An earlier try of ours may have taken effect although its answer was lost.
+        if any(revision.nonce == entry.nonce for revision in current.history):
+            return
+        raise await _conflict(store, entry.revision - 1) from error
+
+
+async def _conflict(store: ObjectStore, seen_revision: int) -> ConfigConflict:
+    head = await read_head(store)
+    message = f"revision {head.revision} is in force, you saw {seen_revision}"
+    try:
+        seen = texts_of((await _fetch_bundle(store, head.find(seen_revision), None)).documents)
+    except BriarvaleError:
+        return ConfigConflict(message)
+    current = texts_of((await _fetch_bundle(store, head.history[-1], None)).documents)
+    return ConfigConflict(f"{message}; since then:\n{diff_texts(seen, current)}")
+
+
+async def _is_in_force(
+    store: ObjectStore, head: Head, documents: tuple[ConfigDocument, ...]
+) -> bool:
+    manifest = await _retry(_read_manifest, store, head.history[-1].manifest)
+    in_force = {name: row["digest"] for name, row in manifest.items()}
+    return in_force == {document.name: document.digest for document in documents}
+
+
+async def _write_documents(store: ObjectStore, documents: tuple[ConfigDocument, ...]) -> str:
+    rows = {}
+    for document in documents:
+        parts = _split(document.body)
+        digests = [await _create_document(store, part) for part in parts]
+        rows[document.name] = {"digest": document.digest, "parts": digests}
+    manifest = json.dumps({"nonce": secrets.token_hex(8), "documents": rows}).encode()
+    return await _create_document(store, manifest)
+
+
+async def _create_document(store: ObjectStore, body: bytes) -> str:
+    digest = document_digest(body)
+
+    async def create() -> None:
+        try:
+            await store.create(_document_key(digest), body)
+        except ObjectExists:
+            return
+
+    await _retry(create)
+    return digest
 
 
-async def _create_document(store: ObjectStore, document: ConfigDocument) -> None:
+async def _fetch_bundle(
+    store: ObjectStore, revision: Revision, known: Config | None
+) -> ConfigBundle:
+    bodies = {d.digest: d.body for d in known.bundle.documents} if known else {}
+    documents = []
+    for name, row in sorted((await _read_manifest(store, revision.manifest)).items()):
+        body = bodies.get(row["digest"])
+        if body is None:
+            parts = [(await store.get(_document_key(digest))).value for digest in row["parts"]]
+            body = b"".join(parts)
+        documents.append(ConfigDocument(name, row["digest"], body))
+    return ConfigBundle(revision.revision, tuple(documents))
+
+
+async def _read_manifest(store: ObjectStore, digest: str) -> dict[str, Any]:
+    body = (await store.get(_document_key(digest))).value
+    documents: dict[str, Any] = json.loads(body)["documents"]
+    return documents
+
+
+async def _read_head_or_none(store: ObjectStore) -> Head | None:
     try:
-        await store.create(_document_key(document_digest(document.body)), document.body)
-    except ObjectExists:
-        return
+        return await read_head(store)
+    except ObjectNotFound:
+        return None
+
+
+async def _forget_old(store: ObjectStore, seen: Head | None) -> None:
+    for entry in seen.history[: -HISTORY_KEPT + 1] if seen else ():
+        try:
+            await store.delete(_document_key(entry.manifest))
+        except BriarvaleError:
+            return
+
+
+async def _retry(action: Callable[..., Awaitable[T]], *args: object) -> T:
+    retrying = AsyncRetrying(
+        retry=retry_if_exception_type((StoreUnavailable, StoreThrottled)),
+        wait=wait_random_exponential(multiplier=0.1, max=MAX_RETRY_DELAY_S),
+        stop=stop_after_attempt(ATTEMPTS),
+        sleep=anyio.sleep,
+        reraise=True,
+    )
+    result: T = await retrying(action, *args)
+    return result
+
+
+def _refuse_too_large(documents: tuple[ConfigDocument, ...]) -> None:
+    size = sum(len(document.body) for document in documents)
+    if size > MAX_CONFIG_BYTES:
+        raise ConfigTooLarge(f"the documents take {size} bytes of {MAX_CONFIG_BYTES} allowed")
+
+
+def _split(body: bytes) -> list[bytes]:
+    starts = range(0, max(1, len(body)), PART_BYTES)
+    return [body[start : start + PART_BYTES] for start in starts]
 
 
 def _document_key(digest: str) -> str:
--- a/briarvale/config_spread.py
+++ b/briarvale/config_spread.py
@@ -1,15 +1,41 @@
-"""The configuration in force on one VM: fetched from the store, only ever moving up."""
+"""The configuration in force on one VM: watched by a few VMs, spread by heartbeats and peers.
+
+A VM only ever moves to a higher revision. One that starts is ready once it has asked peers and the
+store and holds the highest revision that either knows.
+"""
+
+import random
 
 import anyio
 
 from . import logs, metrics
-from ._generated.messages import ConfigBundle
+from ._generated.messages import ConfigBundle, ConfigFetch, VmHealth
 from .config import Config
-from .config_head import fetch_config
+from .config_bundle import apply_delta, delta_since
+from .config_head import HEAD_KEY, fetch_config
 from .environment import Environment
-from .errors import BriarvaleError, ObjectNotFound
+from .errors import (
+    BriarvaleError,
+    ObjectNotFound,
+    OwnerUnreachable,
+    PeerClosed,
+    PeerProtocolError,
+    SettingsInvalid,
+)
+from .membership import Membership
+from .ownership import rank_by_rendezvous
+from .peer import PeerAddress
+from .settings import Settings
 
-POLL_INTERVAL_S = 1.0
+WATCHERS_PER_REGION = 2
+WATCH_TIMEOUT_S = 25.0
+WATCH_RETRY_S = 1.0
+POLL_INTERVAL_S = 90.0
+POLL_JITTER = 0.3
+ROLE_CHECK_S = 1.0
+PEERS_ASKED = 3
+PEER_TIMEOUT_S = 2.0
+BUNDLES_KEPT = 8
 
 log = logs.part("config")
 
@@ -20,13 +46,22 @@
     """Follows the configuration's head.
 
     Args:
+        settings: This VM's settings.
         environment: The outside interfaces.
+        membership: Tells and hears revisions with the heartbeats.
     """
 
-    def __init__(self, environment: Environment) -> None:
+    def __init__(
+        self, settings: Settings, environment: Environment, membership: Membership
+    ) -> None:
+        self._settings = settings
         self._environment = environment
+        self._membership = membership
+        self._random = random.Random(environment.identity.boot_id)
         self._config: Config | None = None
+        self._recent: dict[int, ConfigBundle] = {}
         self._changed = anyio.Event()
+        self._has_asked = False
 
     @property
     def config(self) -> Config | None:
@@ -38,27 +73,164 @@
         """The revision in force; 0 before the first."""
         return self._config.revision if self._config else 0
 
+    @property
+    def is_ready(self) -> bool:
+        """Whether peers and store were asked, and none of them told of a higher revision."""
+        newest, _ = self._membership.newest_revision
+        return self._has_asked and self._config is not None and self.revision >= newest
+
     async def wait_changed(self) -> None:
         """Waits for the next revision."""
         await self._changed.wait()
 
     def take(self, bundle: ConfigBundle) -> None:
-        """Puts a bundle in force unless it is old."""
+        """Puts a bundle in force unless it is old; a delta must stand on the revision in force."""
         if bundle.revision <= self.revision:
             return
-        self._config = Config(bundle)
-        metrics.CONFIG_REVISION.set({}, bundle.revision)
-        log.info("Configuration {} is in force.", bundle.revision)
-        self._changed.set()
-        self._changed = anyio.Event()
+        whole = apply_delta(self._config.bundle if self._config else None, bundle)
+        if whole is None:
+            log.info("Revision {} came as a delta on another revision.", bundle.revision)
+            return
+        try:
+            self._put_in_force(Config(whole, self._config))
+        except SettingsInvalid as error:
+            metrics.CONFIG_REFUSED.inc({})
+            log.error("Revision {} can't be used: {}.", bundle.revision, error)
+
+    def bundle_for(self, have_revision: int) -> ConfigBundle | None:
+        """Returns what a peer with this revision lacks, as a delta where its base is kept."""
+        if self._config is None or self.revision <= have_revision:
+            return None
+        base = self._recent.get(have_revision)
+        return delta_since(base, self._config.bundle) if base else self._config.bundle
 
     async def run(self) -> None:
-        """Polls the store until cancelled."""
+        """Follows peers and store until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._follow_heartbeats)
+            tasks.start_soon(self._follow_store)
+            tasks.start_soon(self._announce)
+            await self._ask_at_start()
+            await self._poll_rarely()
+
+    async def _ask_at_start(self) -> None:
+        while not self._membership.vms:
+            await self._membership.wait_changed()
+        while not self._has_asked:
+            has_store = await self._fetch_from_store()
+            peers = self._membership.random_peers(PEERS_ASKED)
+            answers = [await self._fetch_from_peer(peer) for peer in peers]
+            self._has_asked = self._config is not None and (has_store or any(answers))
+            if not self._has_asked:
+                await anyio.sleep(WATCH_RETRY_S)
+        self._notify()
+
+    async def _follow_heartbeats(self) -> None:
+        while True:
+            newest, vm = self._membership.newest_revision
+            if newest <= self.revision:
+                await self._membership.wait_revision()
+                continue
+            await self._fetch_from_peer(vm)
+            if self.revision < newest:
+                await self._fetch_elsewhere()
+            if self.revision < newest:
+                await anyio.sleep(WATCH_RETRY_S)
+
+    async def _fetch_elsewhere(self) -> None:
+        ahead = [vm.vm for vm in self._membership.vms if vm.config_revision > self.revision]
+        for peer in self._random.sample(ahead, min(PEERS_ASKED, len(ahead))):
+            if await self._fetch_from_peer(peer):
+                return
+        await self._fetch_from_store()
+
+    async def _follow_store(self) -> None:
+        version = 0
         while True:
+            if not self._is_watcher():
+                await anyio.sleep(ROLE_CHECK_S)
+                continue
             try:
-                self.take((await fetch_config(self._environment.store)).bundle)
+                watch = self._environment.store.watch(HEAD_KEY, version, WATCH_TIMEOUT_S)
+                result = await watch
+                if result.keys or version == 0:
+                    self._take_config(await fetch_config(self._environment.store, self._config))
+                version = result.version
             except ObjectNotFound:
-                log.debug("No configuration yet.")
+                await anyio.sleep(WATCH_RETRY_S)
             except BriarvaleError as error:
                 log.warning("No configuration from the store: {}.", error)
-            await anyio.sleep(POLL_INTERVAL_S)
+                await anyio.sleep(WATCH_RETRY_S * (0.5 + self._random.random()))
+
+    async def _poll_rarely(self) -> None:
+        while True:
+            jitter = 1 + POLL_JITTER * (2 * self._random.random() - 1)
+            await anyio.sleep(POLL_INTERVAL_S * jitter)
+            if not self._is_watcher():
+                await self._fetch_from_store()
+
+    async def _announce(self) -> None:
+        told = 0
+        while True:
+            if told < self.revision:
+                told = self.revision
+                await self._membership.announce_revision(told)
+            else:
+                await self._changed.wait()
+
+    async def _fetch_from_store(self) -> bool:
+        try:
+            self._take_config(await fetch_config(self._environment.store, self._config))
+        except BriarvaleError as error:
+            log.info("No configuration from the store: {}.", error)
+            return isinstance(error, ObjectNotFound)
+        return True
+
+    async def _fetch_from_peer(self, vm: str) -> bool:
+        address = self._membership.peer_address(vm)
+        if address is None or vm == self._settings.vm:
+            return False
+        try:
+            with anyio.fail_after(PEER_TIMEOUT_S):
+                bundle = await self._ask_peer(address)
+        except (OwnerUnreachable, PeerClosed, PeerProtocolError, TimeoutError) as error:
+            log.info("No configuration from {}: {}.", vm, error)
+            return False
+        self.take(bundle)
+        return True
+
+    async def _ask_peer(self, address: PeerAddress) -> ConfigBundle:
+        stream = await self._environment.transport.connect(address)
+        try:
+            await stream.send(ConfigFetch(self.revision))
+            while True:
+                message = await stream.receive()
+                if isinstance(message, ConfigBundle):
+                    return message
+        finally:
+            await stream.aclose()
+
+    def _is_watcher(self) -> bool:
+        region = [
+            vm.vm
+            for vm in self._membership.vms
+            if vm.region == self._settings.region and vm.health is VmHealth.ALIVE
+        ]
+        return self._settings.vm in rank_by_rendezvous(HEAD_KEY, region)[:WATCHERS_PER_REGION]
+
+    def _take_config(self, config: Config) -> None:
+        if config.revision > self.revision:
+            self._put_in_force(config)
+
+    def _put_in_force(self, config: Config) -> None:
+        self._config = config
+        self._recent[config.revision] = config.bundle
+        for revision in list(self._recent)[:-BUNDLES_KEPT]:
+            del self._recent[revision]
+        metrics.CONFIG_REVISION.set({}, config.revision)
+        log.info("Configuration {} is in force.", config.revision)
+        self._notify()
+
+    def _notify(self) -> None:
+        self._changed.set()
+        self._changed = anyio.Event()
--- a/briarvale/dispatcher.py
+++ b/briarvale/dispatcher.py
@@ -52,7 +52,7 @@
         self._settings = settings
         self._environment = environment
         self.membership = Membership(settings, environment)
-        self.config_spread = ConfigSpread(environment)
+        self.config_spread = ConfigSpread(settings, environment, self.membership)
         self.slot_owner = SlotOwner(environment.clock)
         self.server_health = ServerHealthMonitor(environment, self.owned_servers)
         self._connections: set[PeerConnection] = set()
@@ -60,7 +60,7 @@
     @property
     def is_ready(self) -> bool:
         """Whether it has a configuration and knows the VMs."""
-        return self.config_spread.config is not None and bool(self.membership.vms)
+        return self.config_spread.is_ready and bool(self.membership.vms)
 
     async def drain(self) -> None:
         """Ends its work gracefully."""
@@ -178,9 +178,8 @@
             case ViewSubscribe():
                 self._subscribe(connection)
             case ConfigFetch(have_revision):
-                config = self.config_spread.config
-                if config is not None and config.revision > have_revision:
-                    connection.notify(config.bundle)
+                bundle = self.config_spread.bundle_for(have_revision)
+                connection.notify(bundle or ConfigBundle())
             case StateFetch():
                 connection.notify(self.membership.snapshot())
             case SuspectNotice():
--- a/briarvale/errors.py
+++ b/briarvale/errors.py
@@ -212,6 +212,12 @@
     code, http_status, not_run = "settings_invalid", 422, True
 
 
+class ConfigTooLarge(BriarvaleError):
+    """The documents of the configuration are together over the limit."""
+
+    code, http_status, not_run = "config_too_large", 413, True
+
+
 class ConfigConflict(BriarvaleError):
     """Another operator changed the configuration first."""
 
--- a/briarvale/failure_detector.py
+++ b/briarvale/failure_detector.py
@@ -121,15 +121,16 @@
             self._note_change()
         self._has_list = True
 
-    def take_update(self, update: VmState, now_ms: int) -> None:
-        """Merges what another VM tells of a VM."""
+    def take_update(self, update: VmState, now_ms: int, *, is_spread: bool = True) -> None:
+        """Merges what another VM tells of a VM, and spreads it on if it is new and `is_spread`."""
         if update.vm == self.own.vm:
             self._refute(update)
             return
         member = self._members.get(update.vm)
         if member is None:
             self._members[update.vm] = _Member(update, is_listed=False)
-            self._spread(update)
+            if is_spread:
+                self._spread(update)
             return
         if update.incarnation == 0 and update.health is VmHealth.SUSPECT:
             # The teller never heard this VM, so its suspicion is of whatever runs there now.
@@ -138,7 +139,8 @@
             return
         if update.health is VmHealth.DEAD and member.state.health is VmHealth.ALIVE:
             update = update._replace(health=VmHealth.SUSPECT)
-        self._set(member, update, now_ms, is_spread=not _confirms(update, member.state))
+        is_spread = is_spread and not _confirms(update, member.state)
+        self._set(member, update, now_ms, is_spread=is_spread)
 
     def note_heard(self, vm: str, config_revision: int, now_ms: int) -> None:
         """Notes a datagram from a VM itself, which undoes a local verdict on it."""
--- a/briarvale/heartbeats.py
+++ b/briarvale/heartbeats.py
@@ -112,6 +112,7 @@
         self._pushed = anyio.Event()
         self._tasks: TaskGroup | None = None
         self.config_revision = 0
+        self.revision_heard = anyio.Event()
         self.newest_seen: tuple[int, str] = (0, "")
         self._zone_checked_ms = 0
 
@@ -135,6 +136,11 @@
         if isinstance(rumor, VmState) and rumor.health is VmHealth.SUSPECT:
             self._check_zone(rumor.vm)
 
+    async def announce_revision(self, revision: int) -> None:
+        """Tells some VMs at once which revision is in force here; heartbeats tell the others."""
+        self.config_revision = revision
+        await self.push_to(self._random_peers(PUSH_FANOUT))
+
     async def push_to(self, vms: list[str]) -> None:
         """Sends rumors at once to these VMs."""
         for vm in vms:
@@ -244,6 +250,8 @@
         self._detector.note_heard(message.source, message.config_revision, now_ms)
         if message.config_revision > self.newest_seen[0]:
             self.newest_seen = (message.config_revision, message.source)
+            self.revision_heard.set()
+            self.revision_heard = anyio.Event()
         for server in message.servers:
             self._on_rumor(server)
         for suspect in message.suspects:
--- /dev/null
+++ b/briarvale/inventory.py
@@ -0,0 +1,71 @@
+"""Checks of the inventory that a schema can't state: ids stand once and references exist."""
+
+from collections.abc import Iterator, Sequence
+
+from .checked_yaml import CheckedDocument
+
+LISTS = ("members", "models", "services", "backend_servers")
+
+__all__ = ["LISTS", "check_inventory"]
+
+
+def check_inventory(documents: Sequence[CheckedDocument]) -> list[str]:
+    """Returns what is wrong across the documents of an inventory, each with file, line and field.
+
+    Args:
+        documents: The parts of the inventory, each in the form of the schema.
+    """
+    problems: list[str] = []
+    for name in LISTS:
+        problems += _duplicates(documents, name)
+    problems += _repeated_keys(documents)
+    models = {row["id"] for _, _, row in _rows(documents, "models")}
+    services = {row["id"]: row for _, _, row in _rows(documents, "services")}
+    for document, index, service in _rows(documents, "services"):
+        problems += _check_service(document, index, service, models)
+    for document, index, server in _rows(documents, "backend_servers"):
+        if server["service"] not in services:
+            path = ["backend_servers", index, "service"]
+            problems.append(document.problem(path, f"no service {server['service']!r}"))
+    return problems
+
+
+def _rows(documents: Sequence[CheckedDocument], name: str) -> Iterator[tuple]:
+    for document in documents:
+        for index, row in enumerate(document.data[name]):
+            yield document, index, row
+
+
+def _duplicates(documents: Sequence[CheckedDocument], name: str) -> list[str]:
+    seen: set[str] = set()
+    problems = []
+    for document, index, row in _rows(documents, name):
+        if row["id"] in seen:
+            problems.append(document.problem([name, index, "id"], f"{row['id']!r} stands twice"))
+        seen.add(row["id"])
+    return problems
+
+
+def _repeated_keys(documents: Sequence[CheckedDocument]) -> list[str]:
+    owners: dict[str, str] = {}
+    problems = []
+    for document, index, member in _rows(documents, "members"):
+        for number, digest in enumerate(member["api_key_sha256"]):
+            owner = owners.setdefault(digest, member["id"])
+            if owner != member["id"]:
+                path = ["members", index, "api_key_sha256", number]
+                problems.append(document.problem(path, f"is a key of {owner!r} already"))
+    return problems
+
+
+def _check_service(
+    document: CheckedDocument, index: int, service: dict, models: set[str]
+) -> list[str]:
+    model = service.get("model", "")
+    if service["kind"] == "plain":
+        return []
+    if not model:
+        return [document.problem(["services", index], "a service of kind model needs a model")]
+    if model not in models:
+        return [document.problem(["services", index, "model"], f"no model {model!r}")]
+    return []
--- a/briarvale/membership.py
+++ b/briarvale/membership.py
@@ -71,13 +71,27 @@
         return self._vms
 
     @property
-    def config_revision(self) -> int:
-        """The revision in force here, which heartbeats tell the other VMs."""
-        return self._heartbeats.config_revision
+    def newest_revision(self) -> tuple[int, str]:
+        """The highest configuration revision that heartbeats told, and the VM that has it."""
+        return self._heartbeats.newest_seen
 
-    @config_revision.setter
-    def config_revision(self, revision: int) -> None:
-        self._heartbeats.config_revision = revision
+    async def wait_revision(self) -> None:
+        """Waits until a heartbeat tells a higher revision than any before."""
+        await self._heartbeats.revision_heard.wait()
+
+    async def announce_revision(self, revision: int) -> None:
+        """Tells other VMs which configuration revision is in force here."""
+        await self._heartbeats.announce_revision(revision)
+
+    def peer_address(self, vm: str) -> PeerAddress | None:
+        """Returns where the dispatcher of a listed VM listens for peers."""
+        state = self._detector.state(vm)
+        return PeerAddress(state.host, self._settings.peer_port) if state else None
+
+    def random_peers(self, count: int) -> list[str]:
+        """Returns some VMs that are not dead, without this one."""
+        peers = [vm for vm in self._detector.candidates() if vm != self._settings.vm]
+        return self._random.sample(peers, min(count, len(peers)))
 
     async def wait_changed(self) -> None:
         """Waits for the next change."""
@@ -142,16 +156,14 @@
     async def _sync_at_start(self) -> None:
         while not self._has_list:
             await self._changed.wait()
-        for _ in range(SYNC_ATTEMPTS):
-            peers = [vm for vm in self._detector.candidates() if vm != self._settings.vm]
-            if not peers or await self._sync_with(self._random.choice(peers)):
+        for peer in self.random_peers(SYNC_ATTEMPTS):
+            if await self._sync_with(peer):
                 return
 
     async def _sync_with(self, vm: str) -> bool:
-        state = self._detector.state(vm)
-        if state is None:
+        address = self.peer_address(vm)
+        if address is None:
             return False
-        address = PeerAddress(state.host, self._settings.peer_port)
         try:
             with anyio.fail_after(SYNC_TIMEOUT_S):
                 self._take_snapshot(await self._fetch_snapshot(address))
@@ -174,11 +186,11 @@
     def _take_snapshot(self, snapshot: StateSnapshot) -> None:
         now_ms = self._environment.clock.now_ms()
         for vm in snapshot.vms:
-            self._detector.take_update(vm, now_ms)
+            self._detector.take_update(vm, now_ms, is_spread=False)
         for server in snapshot.servers:
-            self._hear(server)
+            self._hear(server, is_spread=False)
         for suspect in snapshot.suspects:
-            self._hear(suspect)
+            self._hear(suspect, is_spread=False)
 
     async def _watch_detector(self) -> None:
         version = self._detector.version
@@ -188,10 +200,11 @@
                 version = self._detector.version
                 self._notify()
 
-    def _hear(self, rumor: Rumor) -> None:
+    def _hear(self, rumor: Rumor, *, is_spread: bool = True) -> None:
         if not self._remember(rumor):
             return
-        self._spread(rumor)
+        if is_spread:
+            self._spread(rumor)
         for handler in self._rumor_handlers:
             handler(rumor)
 
--- a/briarvale/metrics.py
+++ b/briarvale/metrics.py
@@ -34,8 +34,10 @@
 STORE_CALLS = Counter("briarvale_store_calls_total", "Object API calls by verb and result.")
 ITEMS = Counter("briarvale_items_total", "Batch items committed by result.")
 CONFIG_REVISION = Gauge("briarvale_config_revision", "Configuration revision in force.")
+CONFIG_REFUSED = Counter("briarvale_config_refused_total", "Revisions that this VM can't use.")
 
 __all__ = [
+    "CONFIG_REFUSED",
     "BAD_DATAGRAMS",
     "CONFIG_REVISION",
     "FIRST_TOKEN_S",
--- a/briarvale/schema/messages.capnp
+++ b/briarvale/schema/messages.capnp
@@ -83,7 +83,12 @@
 
 struct ConfigFetch { haveRevision @0 :UInt64; }
 struct ConfigDocument { name @0 :Text; digest @1 :Text; body @2 :Data; }
-struct ConfigBundle { revision @0 :UInt64; documents @1 :List(ConfigDocument); }
+struct ConfigBundle {
+  revision @0 :UInt64;
+  documents @1 :List(ConfigDocument);
+  baseRevision @2 :UInt64;
+  removed @3 :List(Text);
+}
 
 struct SuspectNotice {
   fingerprint @0 :Text;
