--- a/briarvale/_generated/messages.py
+++ b/briarvale/_generated/messages.py
@@ -216,6 +216,8 @@
 
     revision: int = 0
     documents: tuple[ConfigDocument, ...] = ()
+    base_revision: int = 0
+    removed: tuple[str, ...] = ()
 
 
 class CrashSite(NamedTuple):
@@ -624,6 +626,8 @@
     return ConfigBundle(
         reader.revision,
         tuple(_read_config_document(item) for item in reader.documents),
+        reader.baseRevision,
+        tuple(reader.removed),
     )
 
 
@@ -632,6 +636,8 @@
     documents = builder.init("documents", len(message.documents))
     for index, config_document in enumerate(message.documents):
         _write_config_document(documents[index], config_document)
+    builder.baseRevision = message.base_revision
+    builder.removed = list(message.removed)
 
 
 def _read_crash_site(reader: Any) -> CrashSite:
--- a/briarvale/membership.py
+++ b/briarvale/membership.py
@@ -19,12 +19,13 @@
 from .failure_detector import FailureDetector
 from .heartbeats import Heartbeats, own_state
 from .peer import PeerAddress
-from .rumors import RumorQueue
 from .settings import Settings
 from .vm_list import VmEntry, VmListUnavailable, VmStatus
 
 POLL_INTERVAL_S = 1.0
 POLL_JITTER = 0.5
+FLEET_POLLS_PER_S = 8
+WATCH_INTERVAL_S = 0.1
 SYNC_TIMEOUT_S = 2.0
 SYNC_ATTEMPTS = 3
 LEAVE_FANOUT = 16
@@ -49,16 +50,13 @@
         self._settings = settings
         self._environment = environment
         self._random = random.Random(environment.identity.boot_id)
-        self._rumors = RumorQueue()
         self._detector = FailureDetector(own_state(settings, environment), self._spread)
-        self._heartbeats = Heartbeats(
-            settings, environment, self._detector, self._rumors, self._hear
-        )
+        self._heartbeats = Heartbeats(settings, environment, self._detector, self._hear)
         self._servers: dict[str, ServerState] = {}
         self._suspects: dict[str, SuspectNotice] = {}
         self._rumor_handlers: list[RumorHandler] = []
         self._vms: tuple[VmState, ...] = ()
-        self._seen_version = 0
+        self._seen_updates = -1
         self._changed = anyio.Event()
         self._has_list = False
         self.leaving_vms: frozenset[str] = frozenset()
@@ -68,19 +66,33 @@
         """All known VMs, this one included; none before the first VM list."""
         if not self._has_list:
             return ()
-        if self._seen_version != self._detector.version:
-            self._seen_version = self._detector.version
+        if self._seen_updates != self._detector.update_count:
+            self._seen_updates = self._detector.update_count
             self._vms = self._detector.states
         return self._vms
 
     @property
-    def config_revision(self) -> int:
-        """The revision in force here, which heartbeats tell the other VMs."""
-        return self._heartbeats.config_revision
+    def newest_revision(self) -> tuple[int, str]:
+        """The highest configuration revision that heartbeats told, and the VM that has it."""
+        return self._heartbeats.newest_seen
 
-    @config_revision.setter
-    def config_revision(self, revision: int) -> None:
-        self._heartbeats.config_revision = revision
+    async def wait_revision(self) -> None:
+        """Waits until a heartbeat tells a higher revision than any before."""
+        await self._heartbeats.revision_heard.wait()
+
+    async def announce_revision(self, revision: int) -> None:
+        """Tells other VMs which configuration revision is in force here."""
+        await self._heartbeats.announce_revision(revision)
+
+    def peer_address(self, vm: str) -> PeerAddress | None:
+        """Returns where the dispatcher of a listed VM listens for peers."""
+        state = self._detector.state(vm)
+        return PeerAddress(state.host, self._settings.peer_port) if state else None
+
+    def random_peers(self, count: int) -> list[str]:
+        """Returns some VMs that are not dead, without this one."""
+        peers = [vm for vm in self._detector.candidates() if vm != self._settings.vm]
+        return self._random.sample(peers, min(count, len(peers)))
 
     async def wait_changed(self) -> None:
         """Waits for the next change."""
@@ -111,7 +123,10 @@
         return StateSnapshot(self._detector.states, servers, suspects)
 
     async def run(self) -> None:
-        """Polls the VM list and speaks with other dispatchers until cancelled."""
+        """Polls the VM list and speaks with other dispatchers until cancelled.
+
+        All VMs together poll at most `FLEET_POLLS_PER_S`; rumors tell the others who is leaving.
+        """
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._poll_list)
             tasks.start_soon(self._sync_at_start)
@@ -124,8 +139,11 @@
                 self._take_list(await self._environment.vm_list.fetch())
             except VmListUnavailable as error:
                 log.warning("{}.", error)
-            jitter = 1 + POLL_JITTER * (2 * self._random.random() - 1)
-            await anyio.sleep(POLL_INTERVAL_S * jitter)
+            await anyio.sleep(self._poll_interval_s())
+
+    def _poll_interval_s(self) -> float:
+        interval_s = max(POLL_INTERVAL_S, len(self.vms) / FLEET_POLLS_PER_S)
+        return interval_s * (1 + POLL_JITTER * (2 * self._random.random() - 1))
 
     def _take_list(self, entries: tuple[VmEntry, ...]) -> None:
         if not entries:
@@ -141,16 +159,14 @@
     async def _sync_at_start(self) -> None:
         while not self._has_list:
             await self._changed.wait()
-        for _ in range(SYNC_ATTEMPTS):
-            peers = [vm for vm in self._detector.candidates() if vm != self._settings.vm]
-            if not peers or await self._sync_with(self._random.choice(peers)):
+        for peer in self.random_peers(SYNC_ATTEMPTS):
+            if await self._sync_with(peer):
                 return
 
     async def _sync_with(self, vm: str) -> bool:
-        state = self._detector.state(vm)
-        if state is None:
+        address = self.peer_address(vm)
+        if address is None:
             return False
-        address = PeerAddress(state.host, self._settings.peer_port)
         try:
             with anyio.fail_after(SYNC_TIMEOUT_S):
                 self._take_snapshot(await self._fetch_snapshot(address))
@@ -173,24 +189,25 @@
     def _take_snapshot(self, snapshot: StateSnapshot) -> None:
         now_ms = self._environment.clock.now_ms()
         for vm in snapshot.vms:
-            self._detector.take_update(vm, now_ms)
+            self._detector.take_update(vm, now_ms, is_spread=False)
         for server in snapshot.servers:
-            self._hear(server)
+            self._hear(server, is_spread=False)
         for suspect in snapshot.suspects:
-            self._hear(suspect)
+            self._hear(suspect, is_spread=False)
 
     async def _watch_detector(self) -> None:
         version = self._detector.version
         while True:
-            await anyio.sleep(0.1)
+            await anyio.sleep(WATCH_INTERVAL_S)
             if version != self._detector.version:
                 version = self._detector.version
                 self._notify()
 
-    def _hear(self, rumor: Rumor) -> None:
+    def _hear(self, rumor: Rumor, *, is_spread: bool = True) -> None:
         if not self._remember(rumor):
             return
-        self._spread(rumor)
+        if is_spread:
+            self._spread(rumor)
         for handler in self._rumor_handlers:
             handler(rumor)
 
@@ -209,8 +226,7 @@
         return True
 
     def _spread(self, rumor: Rumor | VmState) -> None:
-        self._rumors.put(rumor)
-        self._heartbeats.wake_push()
+        self._heartbeats.announce(rumor)
 
     def _notify(self) -> None:
         for health in VmHealth:
