Run a plain service's non-idempotent call at most once

Cause: a plain call was one attempt with no record, so a resend through any gateway ran it again, and a resend after completion had no answer.

Ruled out: a second write before sending (a third write on each call, and it can be late in its turn); asking the gateway that a claim names (useless once it is gone).

Change: a call with a key is claimed in the Object API before the first byte (nonce, digest of the request), and its outcome is added by conditional update, in the background if the store is away. A claim whose create may land after the refusal is written over, so that it neither makes the refusal untrue nor blocks the key. Calls that may not be repeated go over a fresh connection; idempotent ones try three servers. The query of a plain call was dropped on the way; it is passed on now. A gateway that drains writes its outcomes first.

--- /dev/null
+++ b/briarvale/claims.py
@@ -0,0 +1,380 @@
+"""Claims: records in the Object API that let a call with an idempotency key run at most once.
+
+A claim is created before the first byte is sent, with a nonce that tells its maker's write from
+others', and the outcome is added afterwards. specs/claims.pml is its specification.
+"""
+
+import hashlib
+import json
+import secrets
+from collections.abc import Awaitable, Callable
+from typing import NamedTuple, TypeVar
+
+import anyio
+from anyio.abc import TaskGroup
+from tenacity import AsyncRetrying, RetryError, retry_if_result, stop_after_attempt
+from tenacity.wait import wait_random_exponential
+
+from . import logs, metrics
+from .clock import Clock
+from .errors import (
+    RETRY_LATER_MS,
+    RETRY_SOON_MS,
+    AcceptanceRefused,
+    IdempotencyKeyReused,
+    InProgress,
+    ObjectExists,
+    ObjectNotFound,
+    OutcomeUnknown,
+    StoreThrottled,
+    StoreUnavailable,
+    VersionConflict,
+)
+from .object_store import ObjectStore
+from .service_client import ServiceAnswer, ServiceCall
+
+CLAIM_TIMEOUT_S = 3.0
+RECORD_WAIT_S = 1.0
+MAX_ANSWER_BYTES = 512 * 1024
+MAX_UNWRITTEN_BYTES = 16 * 1024 * 1024
+NONCE_BYTES = 12
+
+T = TypeVar("T")
+
+log = logs.part("claims")
+
+__all__ = [
+    "AnswerLost",
+    "Answered",
+    "Claim",
+    "ClaimBook",
+    "HeldClaim",
+    "NotRun",
+    "Progress",
+    "Running",
+    "call_digest",
+    "claim_key",
+]
+
+
+class Running(NamedTuple):
+    """The call may run until the instant; after it, the maker is taken for lost."""
+
+    expires_at_ms: int
+
+
+class NotRun(NamedTuple):
+    """No byte of the call was sent; another request may claim the key."""
+
+
+class Answered(NamedTuple):
+    """The call ran and this is its whole answer."""
+
+    answer: ServiceAnswer
+
+
+class AnswerLost(NamedTuple):
+    """The call may have run, and there is no answer to give."""
+
+    reason: str
+
+
+Progress = Running | NotRun | Answered | AnswerLost
+
+
+class Claim(NamedTuple):
+    """What stands under an idempotency key."""
+
+    nonce: str
+    request_digest: str
+    progress: Progress
+
+    def encode(self) -> bytes:
+        """Returns one line of JSON, then the answer's body."""
+        head: dict[str, object] = {"nonce": self.nonce, "request_digest": self.request_digest}
+        body = b""
+        match self.progress:
+            case Running(expires_at_ms):
+                head |= {"state": "running", "expires_at_ms": expires_at_ms}
+            case NotRun():
+                head |= {"state": "not_run"}
+            case Answered(answer):
+                head |= {"state": "answered", "status": answer.status}
+                head |= {"content_type": answer.content_type}
+                body = answer.body
+            case AnswerLost(reason):
+                head |= {"state": "answer_lost", "reason": reason}
+        return json.dumps(head).encode() + b"\n" + body
+
+    @classmethod
+    def decode(cls, value: bytes) -> "Claim":
+        """Reads what `encode` wrote."""
+        line, _, body = value.partition(b"\n")
+        head = json.loads(line)
+        progress: Progress
+        match head["state"]:
+            case "running":
+                progress = Running(head["expires_at_ms"])
+            case "not_run":
+                progress = NotRun()
+            case "answered":
+                progress = Answered(ServiceAnswer(head["status"], body, head["content_type"]))
+            case _:
+                progress = AnswerLost(head.get("reason", ""))
+        return cls(head["nonce"], head["request_digest"], progress)
+
+
+class _Backoff(NamedTuple):
+    attempts: int
+    first_s: float
+    max_s: float
+
+
+# A caller waits for the claim; the writes that settle one outlast a long outage of the store.
+CLAIM_BACKOFF = _Backoff(attempts=6, first_s=0.05, max_s=0.5)
+SETTLE_BACKOFF = _Backoff(attempts=150, first_s=0.2, max_s=60.0)
+
+
+class HeldClaim(NamedTuple):
+    """A claim known to stand with this process's nonce: the right to send the call once."""
+
+    key: str
+    claim: Claim
+    version: int
+
+
+def claim_key(member: str, idempotency_key: str) -> str:
+    """Returns the key of the claim's object."""
+    return f"claims/{member}/{hashlib.sha256(idempotency_key.encode()).hexdigest()}"
+
+
+def call_digest(service: str, call: ServiceCall) -> str:
+    """Returns a digest that tells one call from another under the same key."""
+    digest = hashlib.sha256()
+    for part in (service.encode(), call.verb.encode(), call.path.encode(), call.body):
+        digest.update(len(part).to_bytes(8, "big") + part)
+    return digest.hexdigest()
+
+
+class ClaimBook:
+    """Makes claims, settles them and tells resends what became of theirs.
+
+    Args:
+        store: The Object API.
+        clock: Gives the instants in claims and refusals.
+        tasks: Runs the writes that outlast their request.
+    """
+
+    def __init__(self, store: ObjectStore, clock: Clock, tasks: TaskGroup) -> None:
+        self._store = store
+        self._clock = clock
+        self._tasks = tasks
+        self._unwritten_bytes = 0
+        self._unwritten_count = 0
+        self._all_written = anyio.Event()
+
+    async def claim(
+        self, key: str, request_digest: str, expires_at_ms: int
+    ) -> HeldClaim | ServiceAnswer:
+        """Claims the key, or returns the stored answer of the call that ran under it.
+
+        Carries out the rules Claim and ResendReads of specs/claims.pml. A write whose answer was
+        lost is settled by reading: the nonce tells whose claim stands.
+
+        Raises:
+            InProgress: If the call runs now.
+            OutcomeUnknown: If it may have run and its answer is lost.
+            IdempotencyKeyReused: If the key was used for another call.
+            AcceptanceRefused: If the store did not confirm the claim; the call is never sent.
+        """
+        nonce = secrets.token_hex(NONCE_BYTES)
+        mine = Claim(nonce, request_digest, Running(expires_at_ms))
+        attempt = _ClaimAttempt(self._store, key, mine)
+        found = None
+        with anyio.move_on_after(CLAIM_TIMEOUT_S):
+            found = await _until_found(attempt.take, CLAIM_BACKOFF)
+        if found is None:
+            if attempt.may_be_late:
+                self._start(self._release, key, mine)
+            retry_at_ms = self._clock.now_ms() + RETRY_LATER_MS
+            metrics.CLAIMS.inc({"result": "refused"})
+            raise AcceptanceRefused("the claim could not be recorded", retry_at_ms=retry_at_ms)
+        if found.claim.nonce == nonce:
+            return found
+        return self._answer_of(found.claim, request_digest)
+
+    async def mark_not_run(self, held: HeldClaim) -> None:
+        """Frees the key of a call of which no byte was sent, now or in the background.
+
+        Carries out the rule MarkNotRun of specs/claims.pml.
+        """
+        freed = Claim(held.claim.nonce, held.claim.request_digest, NotRun())
+        metrics.CLAIMS.inc({"result": "not_run"})
+        try:
+            await self._store.update(held.key, freed.encode(), held.version)
+        except (StoreUnavailable, StoreThrottled, VersionConflict):
+            self._start(self._release, held.key, held.claim)
+
+    async def record(self, held: HeldClaim, progress: Answered | AnswerLost) -> None:
+        """Adds the outcome; returns when it is written or after `RECORD_WAIT_S`.
+
+        The write goes on in the background, within a bound on attempts and memory. Carries out
+        the rule RecordOutcome of specs/claims.pml.
+        """
+        outcome = Claim(held.claim.nonce, held.claim.request_digest, _bounded(progress))
+        value = outcome.encode()
+        if self._unwritten_bytes + len(value) > MAX_UNWRITTEN_BYTES:
+            metrics.CLAIMS.inc({"result": "outcome_dropped"})
+            log.warning("Dropped an outcome: too many wait for the store.")
+            return
+        written = anyio.Event()
+        self._start(self._record, held, value, written)
+        with anyio.move_on_after(RECORD_WAIT_S):
+            await written.wait()
+
+    async def finish(self) -> None:
+        """Waits until no write is left in the background."""
+        while self._unwritten_count:
+            await self._all_written.wait()
+
+    def _answer_of(self, claim: Claim, request_digest: str) -> ServiceAnswer:
+        if claim.request_digest != request_digest:
+            raise IdempotencyKeyReused("the idempotency key was used for another call")
+        now_ms = self._clock.now_ms()
+        match claim.progress:
+            case Answered(answer):
+                metrics.CLAIMS.inc({"result": "resent_answered"})
+                return answer
+            case Running(expires_at_ms) if now_ms < expires_at_ms:
+                metrics.CLAIMS.inc({"result": "resent_in_progress"})
+                raise InProgress("the call runs now", retry_at_ms=now_ms + RETRY_SOON_MS)
+            case AnswerLost(reason):
+                metrics.CLAIMS.inc({"result": "resent_unknown"})
+                raise OutcomeUnknown(f"the call may have run: {reason}")
+            case _:
+                metrics.CLAIMS.inc({"result": "resent_unknown"})
+                raise OutcomeUnknown("the call may have run: its gateway was lost")
+
+    def _start(self, write: Callable[..., Awaitable[None]], *args: object) -> None:
+        async def run() -> None:
+            await write(*args)
+            self._unwritten_count -= 1
+            if self._unwritten_count == 0:
+                self._all_written.set()
+
+        if self._unwritten_count == 0:
+            self._all_written = anyio.Event()
+        self._unwritten_count += 1
+        self._tasks.start_soon(run)
+
+    async def _record(self, held: HeldClaim, value: bytes, written: anyio.Event) -> None:
+        async def write() -> bool | None:
+            try:
+                await self._store.update(held.key, value, held.version)
+            except (StoreUnavailable, StoreThrottled):
+                return None
+            except (VersionConflict, ObjectNotFound):
+                # Only this process writes to its running claim: an earlier try took effect.
+                return True
+            return True
+
+        self._unwritten_bytes += len(value)
+        is_written = await _until_found(write, SETTLE_BACKOFF)
+        self._unwritten_bytes -= len(value)
+        written.set()
+        metrics.CLAIMS.inc({"result": "recorded" if is_written else "outcome_dropped"})
+
+    async def _release(self, key: str, mine: Claim) -> None:
+        """Makes sure that a claim that is not used does not block its key, however late it lands.
+
+        Writing over the place where the late write would land makes that write fail.
+        """
+        freed = Claim(mine.nonce, mine.request_digest, NotRun()).encode()
+
+        async def write() -> bool | None:
+            try:
+                return await self._free(key, mine.nonce, freed)
+            except (StoreUnavailable, StoreThrottled, ObjectExists, VersionConflict):
+                return None
+
+        if await _until_found(write, SETTLE_BACKOFF) is None:
+            log.warning("Left a claim that was not used; its key is blocked if it lands.")
+
+    async def _free(self, key: str, nonce: str, freed: bytes) -> bool:
+        try:
+            stored = await self._store.get(key)
+        except ObjectNotFound:
+            await self._store.create(key, freed)
+            return True
+        found = Claim.decode(stored.value)
+        match found.progress:
+            case Running() if found.nonce == nonce:
+                await self._store.update(key, freed, stored.version)
+            case NotRun() if found.nonce != nonce:
+                await self._store.update(key, freed, stored.version)
+        return True
+
+
+class _ClaimAttempt:
+    """Tries to put one claim in place; `may_be_late` if a write of it may still land."""
+
+    def __init__(self, store: ObjectStore, key: str, mine: Claim) -> None:
+        self.may_be_late = False
+        self._store = store
+        self._key = key
+        self._mine = mine
+        self._value = mine.encode()
+
+    async def take(self) -> HeldClaim | None:
+        """Returns the claim that stands, this one or another's; none if that isn't known."""
+        try:
+            return await self._write(self._store.create(self._key, self._value))
+        except StoreThrottled:
+            return None
+        except (ObjectExists, StoreUnavailable):
+            return await self._settle()
+
+    async def _settle(self) -> HeldClaim | None:
+        try:
+            stored = await self._store.get(self._key)
+            found = HeldClaim(stored.key, Claim.decode(stored.value), stored.version)
+            if not _is_free(found.claim, self._mine):
+                return found
+            update = self._store.update(self._key, self._value, stored.version)
+            return await self._write(update)
+        except (ObjectNotFound, StoreThrottled, StoreUnavailable, VersionConflict):
+            return None
+
+    async def _write(self, write: Awaitable[int]) -> HeldClaim:
+        was_late, self.may_be_late = self.may_be_late, True
+        try:
+            return HeldClaim(self._key, self._mine, await write)
+        except (ObjectExists, VersionConflict, StoreThrottled):
+            self.may_be_late = was_late
+            raise
+
+
+def _is_free(found: Claim, mine: Claim) -> bool:
+    is_same_call = found.request_digest == mine.request_digest
+    return isinstance(found.progress, NotRun) and is_same_call
+
+
+def _bounded(progress: Answered | AnswerLost) -> Answered | AnswerLost:
+    match progress:
+        case Answered(answer) if len(answer.body) > MAX_ANSWER_BYTES:
+            return AnswerLost(f"it ran, and its answer was over {MAX_ANSWER_BYTES} bytes")
+    return progress
+
+
+async def _until_found(function: Callable[[], Awaitable[T | None]], backoff: _Backoff) -> T | None:
+    """Calls the function with jittered back-off until it returns something."""
+    retrying = AsyncRetrying(
+        sleep=anyio.sleep,
+        stop=stop_after_attempt(backoff.attempts),
+        wait=wait_random_exponential(backoff.first_s, backoff.max_s),
+        retry=retry_if_result(lambda result: result is None),
+    )
+    try:
+        return await retrying(function)
+    except RetryError:
+        return None
--- a/briarvale/environment.py
+++ b/briarvale/environment.py
@@ -48,10 +48,12 @@
 
     Args:
         client: HTTP client; closed by its maker.
+        fresh_client: HTTP client that keeps no connection, for calls that are not repeatable.
     """
 
-    def __init__(self, client: httpx.AsyncClient) -> None:
+    def __init__(self, client: httpx.AsyncClient, fresh_client: httpx.AsyncClient) -> None:
         self._client = client
+        self._fresh_client = fresh_client
 
     def engine(self, server: BackendServer) -> Engine:
         """Returns the client of a model engine."""
@@ -59,7 +61,7 @@
 
     def plain_service(self, server: BackendServer) -> PlainService:
         """Returns the client of a plain service."""
-        return HttpPlainService(server.url, self._client)
+        return HttpPlainService(server.url, self._client, self._fresh_client)
 
 
 async def open_environment(
@@ -72,12 +74,14 @@
         keepalive_expiry=KEEPALIVE_EXPIRY_S,
     )
     backend_client = await stack.enter_async_context(_client(limits))
+    fresh_limits = httpx.Limits(max_connections=MAX_CONNECTIONS, max_keepalive_connections=0)
+    fresh_client = await stack.enter_async_context(_client(fresh_limits))
     platform_client = await stack.enter_async_context(_client(limits))
     return Environment(
         clock=Clock.from_system(),
         store=HttpObjectStore(settings.object_api_url, platform_client),
         vm_list=HttpVmList(settings.vm_list_url, platform_client),
-        backends=HttpBackendClients(backend_client),
+        backends=HttpBackendClients(backend_client, fresh_client),
         transport=TcpTransport(identity, settings.shared_secret),
         datagrams=UdpDatagrams(),
         identity=identity,
--- a/briarvale/errors.py
+++ b/briarvale/errors.py
@@ -182,6 +182,12 @@
     code, http_status = "outcome_unknown", 502
 
 
+class IdempotencyKeyReused(BriarvaleError):
+    """The idempotency key was used before for another call."""
+
+    code, http_status, not_run = "idempotency_key_reused", 422, True
+
+
 class StaleOrder(BriarvaleError):
     """The engine refused an order that carries an old fencing number."""
 
--- a/briarvale/gateway.py
+++ b/briarvale/gateway.py
@@ -14,6 +14,8 @@
 from .settings import Settings
 from .slot_client import SlotClient
 
+OUTCOMES_TIMEOUT_S = 30.0
+
 log = logs.part("gateway")
 
 __all__ = ["Gateway"]
@@ -38,7 +40,7 @@
         slots = SlotClient(environment, self.view, self._tasks)
         router = Router(self.view)
         self.online = OnlineService(environment, self.view, router, slots)
-        self.plain_calls = PlainCalls(environment, self.view, router, slots)
+        self.plain_calls = PlainCalls(environment, self.view, router, slots, self._tasks)
 
     @property
     def is_ready(self) -> bool:
@@ -58,3 +60,5 @@
         await self.environment.clock.sleep_until(noticed_at_ms)
         await self.requests.wait_idle()
         log.info("The last request has ended.")
+        with anyio.move_on_after(OUTCOMES_TIMEOUT_S):
+            await self.plain_calls.finish()
--- a/briarvale/gateway_http.py
+++ b/briarvale/gateway_http.py
@@ -98,7 +98,7 @@
         self._check_service(service, "plain")
         call = ServiceCall(
             verb=request.method,
-            path=request.path_params["path"],
+            path=_path_and_query(request),
             body=await self._body(request),
             content_type=request.headers.get("content-type", "application/octet-stream"),
             idempotency_key=request.headers.get("idempotency-key", ""),
@@ -195,6 +195,11 @@
     return JSONResponse(error.body(), error.http_status, headers=headers)
 
 
+def _path_and_query(request: Request) -> str:
+    path: str = request.path_params["path"]
+    return f"{path}?{request.url.query}" if request.url.query else path
+
+
 def _required_text(body: dict[str, Any], name: str) -> str:
     value = body.get(name)
     if not isinstance(value, str) or not value:
--- a/briarvale/metrics.py
+++ b/briarvale/metrics.py
@@ -23,9 +23,11 @@
 PEER_BAD_FRAMES = Counter("briarvale_peer_bad_frames_total", "Connections closed for a bad frame.")
 STORE_CALLS = Counter("briarvale_store_calls_total", "Object API calls by verb and result.")
 ITEMS = Counter("briarvale_items_total", "Batch items committed by result.")
+CLAIMS = Counter("briarvale_claims_total", "Claims of idempotency keys by result.")
 CONFIG_REVISION = Gauge("briarvale_config_revision", "Configuration revision in force.")
 
 __all__ = [
+    "CLAIMS",
     "CONFIG_REVISION",
     "FIRST_TOKEN_S",
     "ITEMS",
--- a/briarvale/plain_calls.py
+++ b/briarvale/plain_calls.py
@@ -1,14 +1,37 @@
 """Calls to plain services; one that may not be repeated runs at most once."""
 
+from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
+import anyio
+from anyio.abc import TaskGroup
+
+from . import logs
 from ._generated.messages import Outcome, SlotRequest, WorkClass
+from .claims import Answered, AnswerLost, ClaimBook, HeldClaim, call_digest, claim_key
+from .clock import MS_PER_S
+from .config import BackendServer
 from .environment import Environment
+from .errors import (
+    RETRY_SOON_MS,
+    BriarvaleError,
+    InProgress,
+    OutcomeUnknown,
+    Overloaded,
+    ServerConnectFailed,
+    ServerLost,
+)
 from .fleet_view import FleetView
 from .routing import Router, RouteRequest
-from .service_client import ServiceAnswer, ServiceCall
+from .service_client import READ_TIMEOUT_S, ServiceAnswer, ServiceCall
 from .slot_client import SlotClient, new_request_id
 
+MAX_SERVERS = 3
+REFUSAL_GRACE_S = 0.25
+CLAIM_EXPIRY_MARGIN_S = 10.0
+
+log = logs.part("plain calls")
+
 __all__ = ["PlainCalls", "PlainRequest"]
 
 
@@ -21,6 +44,24 @@
     deadline_ms: int
 
 
+class _Result:
+    """What became of a call that runs in a task of its own."""
+
+    def __init__(self) -> None:
+        self.is_known = anyio.Event()
+        self.answer: ServiceAnswer | None = None
+        self.error: Exception | None = None
+
+
+class _Attempt:
+    """Sends one call; `may_have_run` from just before the first byte may leave."""
+
+    def __init__(self, request: PlainRequest) -> None:
+        self.request = request
+        self.may_have_run = False
+        self.excluded: set[str] = set()
+
+
 class PlainCalls:
     """Makes calls to plain services of the fleet.
 
@@ -29,20 +70,166 @@
         view: The fleet as last told.
         router: Chooses backend servers.
         slots: Asks their owners for slots.
+        tasks: Runs calls to their end, also when their caller has gone.
     """
 
     def __init__(
-        self, environment: Environment, view: FleetView, router: Router, slots: SlotClient
+        self,
+        environment: Environment,
+        view: FleetView,
+        router: Router,
+        slots: SlotClient,
+        tasks: TaskGroup,
     ) -> None:
         self._environment = environment
         self._view = view
         self._router = router
         self._slots = slots
+        self._tasks = tasks
+        self._claims = ClaimBook(environment.store, environment.clock, tasks)
 
     async def call(self, request: PlainRequest) -> ServiceAnswer:
-        """Makes the call in one attempt."""
-        server = self._router.choose(RouteRequest(request.service))
-        slot_request = SlotRequest(
+        """Makes the call, or returns the answer kept under its idempotency key.
+
+        Raises:
+            InProgress: If the call with this key runs now, or runs on past the deadline.
+            OutcomeUnknown: If it may have run and its answer is lost.
+            BriarvaleError: If it was refused; `not_run` is true only if no byte was sent.
+        """
+        if self._view.config.services[request.service].idempotent:
+            call = request.call._replace(is_repeatable=True)
+            return await self._repeat(request._replace(call=call))
+        if not request.call.idempotency_key:
+            late = OutcomeUnknown("no answer before the deadline; the call may have run")
+            return await self._run_apart(request, self._send_once, late)
+        late_keyed = InProgress(
+            "no answer before the deadline; send it again with its key",
+            retry_at_ms=max(request.deadline_ms, self._environment.clock.now_ms()) + RETRY_SOON_MS,
+        )
+        return await self._run_apart(request, self._send_claimed, late_keyed)
+
+    async def finish(self) -> None:
+        """Waits until outcomes in memory have been written."""
+        await self._claims.finish()
+
+    async def _run_apart(
+        self,
+        request: PlainRequest,
+        function: Callable[[PlainRequest], Awaitable[ServiceAnswer]],
+        late: BriarvaleError,
+    ) -> ServiceAnswer:
+        """Runs the function in its own task, so that a caller who leaves does not cut it."""
+        result = _Result()
+        self._tasks.start_soon(self._note_result, request, function, result)
+        with anyio.move_on_after(self._seconds_left(request) + REFUSAL_GRACE_S):
+            await result.is_known.wait()
+        if result.error is not None:
+            raise result.error
+        if result.answer is None:
+            raise late
+        return result.answer
+
+    async def _note_result(
+        self,
+        request: PlainRequest,
+        function: Callable[[PlainRequest], Awaitable[ServiceAnswer]],
+        result: _Result,
+    ) -> None:
+        try:
+            result.answer = await function(request)
+        except BriarvaleError as error:
+            result.error = self._with_retry(error)
+        except Exception as error:
+            log.exception("A call to {} failed.", request.service)
+            result.error = error
+        result.is_known.set()
+
+    async def _send_once(self, request: PlainRequest) -> ServiceAnswer:
+        return await self._send(_Attempt(request))
+
+    async def _send_claimed(self, request: PlainRequest) -> ServiceAnswer:
+        """Claims the key, sends, and adds the outcome.
+
+        Carries out the rule SendAfterClaim of specs/claims.pml.
+        """
+        key = claim_key(request.member, request.call.idempotency_key)
+        lasting_s = READ_TIMEOUT_S + CLAIM_EXPIRY_MARGIN_S
+        expires_at_ms = request.deadline_ms + int(lasting_s * MS_PER_S)
+        digest = call_digest(request.service, request.call)
+        match await self._claims.claim(key, digest, expires_at_ms):
+            case ServiceAnswer() as answer:
+                return answer
+            case HeldClaim() as held:
+                return await self._send_held(request, held)
+
+    async def _send_held(self, request: PlainRequest, held: HeldClaim) -> ServiceAnswer:
+        attempt = _Attempt(request)
+        try:
+            answer = await self._send(attempt)
+        except Exception as error:
+            if not attempt.may_have_run:
+                await self._claims.mark_not_run(held)
+                raise
+            await self._claims.record(held, AnswerLost("the answer was lost"))
+            raise OutcomeUnknown(f"the call may have run: {error}") from error
+        await self._claims.record(held, Answered(answer))
+        return answer
+
+    async def _send(self, attempt: _Attempt) -> ServiceAnswer:
+        """Sends the call; tries another server only where no byte was sent."""
+        while True:
+            try:
+                return await self._send_to_one(attempt)
+            except ServerConnectFailed:
+                if len(attempt.excluded) == MAX_SERVERS:
+                    raise
+
+    async def _repeat(self, request: PlainRequest) -> ServiceAnswer:
+        """Sends a call that may be repeated, to another server after each loss."""
+        attempt = _Attempt(request)
+        while True:
+            try:
+                return await self._send_to_one(attempt)
+            except (ServerConnectFailed, ServerLost) as error:
+                if len(attempt.excluded) == MAX_SERVERS:
+                    raise self._refusal_of(attempt, error) from error
+            except BriarvaleError as error:
+                raise self._refusal_of(attempt, error) from error
+
+    async def _send_to_one(self, attempt: _Attempt) -> ServiceAnswer:
+        request = attempt.request
+        server = self._router.choose(RouteRequest(request.service), attempt.excluded)
+        attempt.excluded.add(server.id)
+        async with self._slots.hold(self._slot_request(request, server)) as slot:
+            if self._seconds_left(request) <= 0:
+                raise Overloaded("the deadline has passed")
+            had_run, attempt.may_have_run = attempt.may_have_run, True
+            try:
+                answer = await self._environment.backends.plain_service(server).call(request.call)
+            except ServerConnectFailed:
+                attempt.may_have_run = had_run
+                raise
+            except ServerLost:
+                slot.outcome = Outcome.CRASHED
+                raise
+            slot.outcome = Outcome.FINISHED
+            return answer
+
+    def _refusal_of(self, attempt: _Attempt, error: BriarvaleError) -> BriarvaleError:
+        if attempt.may_have_run and error.not_run:
+            return ServerLost(f"an earlier attempt lost its answer; then: {error}")
+        return self._with_retry(error)
+
+    def _with_retry(self, error: BriarvaleError) -> BriarvaleError:
+        if error.not_run and error.retry_at_ms is None and error.http_status >= 500:
+            error.retry_at_ms = self._environment.clock.now_ms() + RETRY_SOON_MS
+        return error
+
+    def _seconds_left(self, request: PlainRequest) -> float:
+        return max(0.0, (request.deadline_ms - self._environment.clock.now_ms()) / MS_PER_S)
+
+    def _slot_request(self, request: PlainRequest, server: BackendServer) -> SlotRequest:
+        return SlotRequest(
             request_id=new_request_id(),
             backend_server=server.id,
             member=request.member,
@@ -51,7 +238,3 @@
             cost_tokens=1,
             deadline_ms=request.deadline_ms,
         )
-        async with self._slots.hold(slot_request) as slot:
-            answer = await self._environment.backends.plain_service(server).call(request.call)
-            slot.outcome = Outcome.FINISHED
-            return answer
--- a/briarvale/service_client.py
+++ b/briarvale/service_client.py
@@ -14,13 +14,17 @@
 
 
 class ServiceCall(NamedTuple):
-    """One call to a plain service."""
+    """One call to a plain service; `path` includes the query.
+
+    A call that is not repeatable goes over a fresh connection.
+    """
 
     verb: str
     path: str
     body: bytes
     content_type: str
     idempotency_key: str = ""
+    is_repeatable: bool = False
 
 
 class ServiceAnswer(NamedTuple):
@@ -44,19 +48,24 @@
     Args:
         base_url: Its URL, by IP number.
         client: HTTP client without retries; closed by its maker.
+        fresh_client: HTTP client that keeps no connection, for calls that are not repeatable.
     """
 
-    def __init__(self, base_url: str, client: httpx.AsyncClient) -> None:
+    def __init__(
+        self, base_url: str, client: httpx.AsyncClient, fresh_client: httpx.AsyncClient
+    ) -> None:
         self._base_url = base_url.rstrip("/")
         self._client = client
+        self._fresh_client = fresh_client
 
     async def call(self, call: ServiceCall) -> ServiceAnswer:
         """Makes the call once."""
         headers = {"content-type": call.content_type}
         if call.idempotency_key:
             headers["idempotency-key"] = call.idempotency_key
+        client = self._client if call.is_repeatable else self._fresh_client
         try:
-            response = await self._client.request(
+            response = await client.request(
                 call.verb,
                 f"{self._base_url}/{call.path}",
                 content=call.body,
--- a/briarvale/standins/plain_service.py
+++ b/briarvale/standins/plain_service.py
@@ -17,6 +17,7 @@
     idempotency_key: str
     path: str
     body_sha256: str
+    content_type: str = ""
 
 
 class ServiceFaults:
@@ -45,7 +46,7 @@
         if self.faults.lose_before_run:
             raise ServerLost(f"{self.name} went away")
         digest = hashlib.sha256(call.body).hexdigest()
-        self.runs.append(ServiceRun(call.idempotency_key, call.path, digest))
+        self.runs.append(ServiceRun(call.idempotency_key, call.path, digest, call.content_type))
         run_number = len(self.runs)
         while self.faults.is_stuck:
             await anyio.sleep(0.1)
--- /dev/null
+++ b/features/steps/claims_connections.py
@@ -0,0 +1,85 @@
+"""Steps of plain calls over HTTP: from callers, and to services over loopback."""
+
+from contextlib import suppress
+
+import anyio
+import httpx
+from anyio.abc import SocketAttribute, SocketStream
+from behave import given, then, when
+from behave.runner import Context
+
+from briarvale.gateway_http import gateway_app
+from briarvale.service_client import HttpPlainService, ServiceAnswer, ServiceCall
+from briarvale.standins.memory_fleet import PLAIN_SERVICE, FleetSettings, MemoryFleet
+from features.support.virtual import run_virtual
+
+ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: keep-alive\r\n\r\nok"
+
+
+@given("a plain service that breaks every connection that is used again")
+def given_breaking_service(context: Context) -> None:
+    context.connection_count = 0
+
+
+@when("{calls:d} calls that may not be repeated are made over HTTP")
+def when_http_calls(context: Context, calls: int) -> None:
+    async def serve(stream: SocketStream) -> None:
+        context.connection_count += 1
+        async with stream:
+            with suppress(anyio.EndOfStream):
+                await stream.receive()
+                await stream.send(ANSWER)
+                await stream.receive()
+
+    async def run() -> list[ServiceAnswer]:
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        port = listener.extra(SocketAttribute.local_port)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(listener.serve, serve)
+            fresh = httpx.Limits(max_keepalive_connections=0)
+            async with (
+                httpx.AsyncClient(trust_env=False) as pooled_client,
+                httpx.AsyncClient(limits=fresh, trust_env=False) as fresh_client,
+            ):
+                url = f"http://127.0.0.1:{port}"
+                service = HttpPlainService(url, pooled_client, fresh_client)
+                call = ServiceCall("POST", "lookup", b"{}", "application/json")
+                answers = [await service.call(call) for _ in range(calls)]
+            tasks.cancel_scope.cancel()
+        return answers
+
+    context.http_answers = anyio.run(run)
+
+
+@then("each got its answer, over a connection of its own")
+def then_own_connection(context: Context) -> None:
+    assert [answer.body for answer in context.http_answers] == [b"ok"] * context.connection_count
+    assert context.connection_count == 3
+
+
+@when('a till looks up "{path}" with a key over HTTP, through two VMs in turn')
+def when_till(context: Context, path: str) -> None:
+    headers = {"authorization": "Bearer key-trust", "idempotency-key": "till-7"}
+
+    async def run() -> None:
+        fleet = MemoryFleet(FleetSettings(vm_count=2))
+        async with anyio.create_task_group() as tasks:
+            await fleet.start(tasks)
+            for vm in fleet.vms.values():
+                transport = httpx.ASGITransport(gateway_app(vm.gateway))
+                url = f"http://gateway/v1/services/{PLAIN_SERVICE}/{path}"
+                async with httpx.AsyncClient(transport=transport) as client:
+                    context.till_answers.append(await client.post(url, headers=headers))
+            tasks.cancel_scope.cancel()
+        context.till_runs = fleet.backends.plain_services["bs-plain-1"].runs
+
+    context.till_answers = []
+    run_virtual(run)
+
+
+@then('both got the same answer, and the service ran "{path}" once')
+def then_till(context: Context, path: str) -> None:
+    first, second = context.till_answers
+    assert first.status_code == second.status_code == 200, (first.text, second.text)
+    assert first.content == second.content
+    assert [run.path for run in context.till_runs] == [path]
