Check claims and the shard log with spin, and broken variants of both

Cause: the claims' and the log's rules were argued, not checked.

Four broken variants of each must be rejected.

A gateway writes over a mark only at the version that its own unanswered update was to replace; the same change is made in claims.py.

--- a/briarvale/claims.py
+++ b/briarvale/claims.py
@@ -195,7 +195,7 @@
             found = await _until_found(attempt.take, CLAIM_BACKOFF)
         if found is None:
             if attempt.may_be_late:
-                self._start(self._release, key, mine)
+                self._start(self._release, key, mine, attempt.late_version)
             retry_at_ms = self._clock.now_ms() + RETRY_LATER_MS
             metrics.CLAIMS.inc({"result": "refused"})
             raise AcceptanceRefused("the claim could not be recorded", retry_at_ms=retry_at_ms)
@@ -213,7 +213,7 @@
         try:
             await self._store.update(held.key, freed.encode(), held.version)
         except (StoreUnavailable, StoreThrottled, VersionConflict):
-            self._start(self._release, held.key, held.claim)
+            self._start(self._release, held.key, held.claim, 0)
 
     async def record(self, held: HeldClaim, progress: Answered | AnswerLost) -> None:
         """Adds the outcome; returns when it is written or after `RECORD_WAIT_S`.
@@ -284,23 +284,24 @@
         written.set()
         metrics.CLAIMS.inc({"result": "recorded" if is_written else "outcome_dropped"})
 
-    async def _release(self, key: str, mine: Claim) -> None:
+    async def _release(self, key: str, mine: Claim, late_version: int) -> None:
         """Makes sure that a claim that is not used does not block its key, however late it lands.
 
         Writing over the place where the late write would land makes that write fail.
+        `late_version` is the version that an update without an answer was to replace.
         """
         freed = Claim(mine.nonce, mine.request_digest, NotRun()).encode()
 
         async def write() -> bool | None:
             try:
-                return await self._free(key, mine.nonce, freed)
+                return await self._free(key, mine.nonce, freed, late_version)
             except (StoreUnavailable, StoreThrottled, ObjectExists, VersionConflict):
                 return None
 
         if await _until_found(write, SETTLE_BACKOFF) is None:
             log.warning("Left a claim that was not used; its key is blocked if it lands.")
 
-    async def _free(self, key: str, nonce: str, freed: bytes) -> bool:
+    async def _free(self, key: str, nonce: str, freed: bytes, late_version: int) -> bool:
         try:
             stored = await self._store.get(key)
         except ObjectNotFound:
@@ -310,16 +311,20 @@
         match found.progress:
             case Running() if found.nonce == nonce:
                 await self._store.update(key, freed, stored.version)
-            case NotRun() if found.nonce != nonce:
+            case NotRun() if stored.version == late_version:
                 await self._store.update(key, freed, stored.version)
         return True
 
 
 class _ClaimAttempt:
-    """Tries to put one claim in place; `may_be_late` if a write of it may still land."""
+    """Tries to put one claim in place; `may_be_late` if a write of it may still land.
+
+    `late_version` is the last version that such a write was to replace, 0 for a create.
+    """
 
     def __init__(self, store: ObjectStore, key: str, mine: Claim) -> None:
         self.may_be_late = False
+        self.late_version = 0
         self._store = store
         self._key = key
         self._mine = mine
@@ -340,6 +345,7 @@
             found = HeldClaim(stored.key, Claim.decode(stored.value), stored.version)
             if not _is_free(found.claim, self._mine):
                 return found
+            self.late_version = stored.version
             update = self._store.update(self._key, self._value, stored.version)
             return await self._write(update)
         except (ObjectNotFound, StoreThrottled, StoreUnavailable, VersionConflict):
--- /dev/null
+++ b/specs/claims.pml
@@ -0,0 +1,208 @@
+/*
+ * At-most-once calls by claims in the Object API.
+ *
+ * Two attempts under one idempotency key run through gateways that may crash after any write or
+ * send; being frozen is not being scheduled. The Object API may lose an answer, lose a write, or let a write
+ * take effect late. Rules: Claim, SendAfterClaim, RecordOutcome, ResendReads, MarkNotRun.
+ *
+ * Broken variants, each of which must be rejected:
+ *   NO_CONDITIONAL_CREATE  the create overwrites what stands there
+ *   SEND_BEFORE_CLAIM      the call is sent first and claimed afterwards
+ *   NONCE_IGNORED          any running claim that is found counts as one's own
+ *   NO_RELEASE             a claim that may land late is left alone
+ */
+
+#define ATTEMPTS 2
+#define ABSENT 0
+#define CLAIM_RETRIES 1
+
+mtype = { none, running, not_run, answered, answer_lost };
+mtype = { done, conflict, unavailable };
+
+/* The object under the key. Version 0 stands for an absent object. */
+byte version = ABSENT;
+byte nonce;
+mtype state = none;
+
+/* Writes on their way: nonce, state, expected version. */
+chan late = [2] of { byte, mtype, byte };
+
+byte runs = 0;
+bool ran[ATTEMPTS + 1];
+bool told_not_run[ATTEMPTS + 1];
+bool has_crashed = false;
+
+inline may_crash() {
+    if
+    :: true -> skip
+    :: has_crashed = true; goto crashed
+    fi
+}
+
+inline apply(writer, new_state, expected, result) {
+    if
+    :: version == expected ->
+        version++; nonce = writer; state = new_state; result = done;
+        assert(state != not_run || !ran[nonce]);
+        assert(state != answered || ran[nonce])
+    :: else ->
+        result = conflict
+    fi
+}
+
+inline write(writer, new_state, expected, result) {
+    atomic {
+        if
+        :: true -> apply(writer, new_state, expected, result)
+        :: true -> apply(writer, new_state, expected, result); result = unavailable
+        :: result = unavailable
+        :: nfull(late) && !(late??[eval(writer), eval(new_state), eval(expected)]) ->
+            late!!writer, new_state, expected; result = unavailable
+        fi;
+        may_crash()
+    }
+}
+
+inline create(writer, new_state, result) {
+#ifdef NO_CONDITIONAL_CREATE
+    write(writer, new_state, version, result)
+#else
+    write(writer, new_state, ABSENT, result)
+#endif
+}
+
+inline read(seen_version, seen_nonce, seen_state) {
+    atomic { seen_version = version; seen_nonce = nonce; seen_state = state }
+}
+
+/* The service: runs the call, and may lose its answer or refuse the connection. */
+inline send(me, result) {
+    atomic {
+        if
+        :: true -> runs++; ran[me] = true; assert(runs <= 1); assert(!told_not_run[me]); result = done
+        :: true -> runs++; ran[me] = true; assert(runs <= 1); assert(!told_not_run[me]); result = unavailable
+        :: result = conflict
+        fi;
+        may_crash()
+    }
+}
+
+active proctype store() {
+    byte writer, expected;
+    mtype new_state, result;
+end:
+    do
+    :: atomic {
+        late??writer, new_state, expected -> apply(writer, new_state, expected, result);
+        writer = 0; new_state = 0; expected = 0; result = 0
+    }
+    od
+}
+
+proctype attempt(byte me) {
+    byte mine, seen_version, seen_nonce, late_version, tries;
+    bool may_be_late = false;
+    mtype seen_state, result;
+
+#ifdef SEND_BEFORE_CLAIM
+    send(me, result);
+#endif
+
+claim: /* Claim */
+    create(me, running, result);
+    if
+    :: result == done -> mine = 1; goto claimed
+    :: result == unavailable -> may_be_late = true
+    :: else
+    fi;
+
+resend_reads: /* ResendReads: the nonce tells whose claim stands. */
+    read(seen_version, seen_nonce, seen_state);
+    if
+    :: seen_version == ABSENT ->
+        if
+        :: tries < CLAIM_RETRIES -> tries++; goto claim
+        :: else -> goto refused
+        fi
+    :: seen_version != ABSENT && seen_nonce == me && seen_state == running ->
+        mine = seen_version; goto claimed
+#ifdef NONCE_IGNORED
+    :: seen_version != ABSENT && seen_nonce != me && seen_state == running ->
+        mine = seen_version; goto claimed
+#endif
+    :: seen_version != ABSENT && seen_nonce != me && seen_state == not_run ->
+        write(me, running, seen_version, result);
+        if
+        :: result == done -> mine = seen_version + 1; goto claimed
+        :: else ->
+            if
+            :: result == unavailable -> may_be_late = true; late_version = seen_version
+            :: else
+            fi;
+            if
+            :: tries < CLAIM_RETRIES -> tries++; goto resend_reads
+            :: else -> goto refused
+            fi
+        fi
+    :: else ->
+        assert(seen_state != answered || runs == 1);
+        goto finished
+    fi;
+
+claimed: /* SendAfterClaim */
+#ifndef SEND_BEFORE_CLAIM
+    send(me, result);
+#endif
+    if
+    :: result == conflict -> told_not_run[me] = true; goto release
+    :: result == done -> seen_state = answered
+    :: result == unavailable -> seen_state = answer_lost
+    fi;
+    do /* RecordOutcome: an earlier try may have taken effect; then the version has moved on. */
+    :: write(me, seen_state, mine, result);
+        if
+        :: result == unavailable -> skip
+        :: else -> goto finished
+        fi
+    od;
+
+refused:
+    told_not_run[me] = true;
+    assert(!ran[me]);
+#ifdef NO_RELEASE
+    goto finished;
+#endif
+    if
+    :: !may_be_late -> goto finished
+    :: else
+    fi;
+
+release: /* MarkNotRun: writes over the place where a late claim would land. */
+    read(seen_version, seen_nonce, seen_state);
+    if
+    :: seen_version == ABSENT ->
+        create(me, not_run, result)
+    :: seen_version != ABSENT && seen_state == running && seen_nonce == me ->
+        write(me, not_run, seen_version, result)
+    :: seen_version != ABSENT && seen_state == not_run && seen_version == late_version ->
+        write(me, not_run, seen_version, result)
+    :: else -> goto finished
+    fi;
+    if
+    :: result == done -> goto finished
+    :: else -> goto release
+    fi;
+
+crashed:
+finished:
+    skip
+}
+
+/* Once nothing moves any more, only a crash may have left the key blocked. */
+active proctype monitor() {
+    timeout -> assert(has_crashed || state != running)
+}
+
+init {
+    atomic { run attempt(1); run attempt(2) }
+}
--- /dev/null
+++ b/specs/shard_log.pml
@@ -0,0 +1,163 @@
+/*
+ * The log of one shard's results: entry n is created if absent, and creating it is the commit.
+ *
+ * Two runners work on the same items. One may crash after any write and start anew; being frozen is
+ * not being scheduled. The Object API may lose an answer, lose a write, or let a write take effect
+ * late. Rules: Append, SettleByReading, RetrySameBytes, Seal, NoAppendAfterSeal, Cancel.
+ *
+ * Broken variants, each of which must be rejected:
+ *   NO_CONDITIONAL_CREATE  an append overwrites what stands there
+ *   RETRY_OTHER_BYTES      a retry of the same number carries other items
+ *   APPEND_AFTER_SEAL      a runner goes on after it has read a seal
+ *   NO_SETTLING            an append without an answer counts as done
+ */
+
+#define ALL_ITEMS 3
+#define ENTRIES 4
+
+mtype = { done, conflict, unavailable };
+
+/* The entries; nonce 0 stands for an absent one, no items for a seal. */
+byte nonces[ENTRIES];
+byte items[ENTRIES];
+
+/* Writes on their way: sequence number, nonce, items. */
+chan late = [2] of { byte, byte, byte };
+
+bool is_cancelling = false;
+bool has_restarted = false;
+
+#define is_present(n) (nonces[n] != 0)
+#define is_seal(n) (is_present(n) && items[n] == 0)
+
+inline check_log() {
+    assert((items[0] & items[1]) == 0 && (items[0] & items[2]) == 0 && (items[1] & items[2]) == 0);
+    assert(!is_present(1) || (is_present(0) && !is_seal(0)));
+    assert(!is_present(2) || (is_present(1) && !is_seal(1)));
+    assert(!is_present(3))
+}
+
+inline check_complete() {
+    assert(is_cancelling || (items[0] | items[1] | items[2]) == ALL_ITEMS)
+}
+
+inline apply(n, writer, batch, result) {
+    if
+#ifdef NO_CONDITIONAL_CREATE
+    :: true ->
+#else
+    :: !is_present(n) ->
+#endif
+        nonces[n] = writer; items[n] = batch; result = done; check_log();
+        if
+        :: is_seal(n) -> check_complete()
+        :: else
+        fi
+    :: is_present(n) ->
+        result = conflict
+    fi
+}
+
+inline create(n, writer, batch, result) {
+    atomic {
+        if
+        :: true -> apply(n, writer, batch, result)
+        :: true -> apply(n, writer, batch, result); result = unavailable
+        :: result = unavailable
+        :: nfull(late) && !(late??[eval(n), eval(writer), eval(batch)]) ->
+            late!!n, writer, batch; result = unavailable
+        fi;
+        if
+        :: true -> skip
+        :: !has_restarted -> has_restarted = true; writer = writer + 2; goto start
+        fi
+    }
+}
+
+/* Some of the items that the log is not known to hold. */
+inline choose(batch, known) {
+    if
+    :: !(known & 1) -> batch = 1
+    :: !(known & 2) -> batch = 2
+    :: known == 0 -> batch = 3
+    fi
+}
+
+active proctype store() {
+    byte n, writer, batch;
+    mtype result;
+end:
+    do
+    :: atomic {
+        late??n, writer, batch -> apply(n, writer, batch, result);
+        n = 0; writer = 0; batch = 0; result = 0
+    }
+    od
+}
+
+/* Cancel: the job's record says so; runners see it before their next append. */
+active proctype caller() {
+    is_cancelling = true
+}
+
+proctype runner(byte writer) {
+    byte n, known, batch;
+    mtype result;
+
+start:
+    atomic { n = 0; known = 0; batch = 0 }
+
+next_entry:
+    atomic {
+        if
+        :: is_cancelling || known == ALL_ITEMS -> batch = 0 /* Seal */
+        :: !is_cancelling && known != ALL_ITEMS -> choose(batch, known)
+        fi
+    }
+
+append: /* Append */
+    create(n, writer, batch, result);
+#ifdef NO_SETTLING
+    if
+    :: result == unavailable && n + 1 < ENTRIES ->
+        atomic { known = known | batch; n++; goto next_entry }
+    :: else
+    fi;
+#endif
+    /* SettleByReading: the number is settled only by an object that stands there. */
+    atomic {
+        if
+        :: !is_present(n) ->
+#ifdef RETRY_OTHER_BYTES
+            if
+            :: batch != 0 -> choose(batch, known)
+            :: else
+            fi;
+#endif
+            goto append /* RetrySameBytes */
+        :: is_present(n) && nonces[n] == writer -> known = known | batch
+        :: is_present(n) && nonces[n] != writer -> known = known | items[n]
+        fi;
+        if
+        :: is_seal(n) ->
+#ifdef APPEND_AFTER_SEAL
+            if
+            :: known != ALL_ITEMS && n + 1 < ENTRIES -> n++; choose(batch, known); goto append
+            :: else -> goto finished
+            fi
+#else
+            goto finished /* NoAppendAfterSeal */
+#endif
+        :: !is_seal(n) && n + 1 < ENTRIES -> n++; batch = 0; result = 0
+        :: !is_seal(n) && n + 1 == ENTRIES -> assert(false)
+        fi
+    }
+    goto next_entry;
+
+finished:
+    skip
+}
+
+init {
+    atomic { run runner(1); run runner(2) }
+}
--- a/tools/check.py
+++ b/tools/check.py
@@ -30,6 +30,7 @@
     Check("linter", (str(BIN / "ruff"), "check", "--quiet", ".")),
     Check("types", (str(BIN / "mypy"),)),
     Check("generated code", (PYTHON, "tools/generate.py", "--check")),
+    Check("model checking", (PYTHON, "tools/check_model.py")),
 )
 BEHAVE = (str(BIN / "behave"), "--format", "progress", "--no-color", "features")
 
--- /dev/null
+++ b/tools/check_model.py
@@ -0,0 +1,117 @@
+"""`make check-model`: checks the specifications in specs/ with spin, broken variants included.
+
+A specification must hold, and each of its broken variants must be rejected, which shows that the
+check can fail. Everything is built in a temporary folder. The last line reads
+`N passed, N failed`.
+"""
+
+import re
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+from typing import NamedTuple
+
+ROOT = Path(__file__).resolve().parent.parent
+SPECS = ROOT / "specs"
+MAX_DEPTH = 1_000_000
+MEMORY_MB = 2_048
+TIMEOUT_S = 300
+STATES = re.compile(r"^\s*([\d.e+]+) states, stored", re.MULTILINE)
+ERRORS = re.compile(r"errors: (\d+)")
+VIOLATION = re.compile(r"^pan:\d+: (.*?)(?: \(at depth \d+\))?$", re.MULTILINE)
+
+
+class Variant(NamedTuple):
+    """One specification, as written or with a macro that breaks it."""
+
+    spec: str
+    macro: str = ""
+
+    @property
+    def title(self) -> str:
+        """How it is named in the output."""
+        return f"{self.spec} with {self.macro}" if self.macro else self.spec
+
+
+class Verdict(NamedTuple):
+    """What the checker found."""
+
+    errors: int
+    states: int
+    violation: str
+    is_complete: bool
+
+
+VARIANTS = (
+    Variant("claims"),
+    Variant("claims", "NO_CONDITIONAL_CREATE"),
+    Variant("claims", "SEND_BEFORE_CLAIM"),
+    Variant("claims", "NONCE_IGNORED"),
+    Variant("claims", "NO_RELEASE"),
+    Variant("shard_log"),
+    Variant("shard_log", "NO_CONDITIONAL_CREATE"),
+    Variant("shard_log", "RETRY_OTHER_BYTES"),
+    Variant("shard_log", "APPEND_AFTER_SEAL"),
+    Variant("shard_log", "NO_SETTLING"),
+)
+
+
+def run(command: list[str], folder: Path) -> str:
+    """Runs a command in the folder and returns what it printed."""
+    result = subprocess.run(
+        command, cwd=folder, capture_output=True, text=True, timeout=TIMEOUT_S, check=False
+    )
+    if result.returncode != 0:
+        print(result.stdout + result.stderr)
+        sys.exit(f"{command[0]} failed")
+    return result.stdout
+
+
+def check(variant: Variant, folder: Path) -> Verdict:
+    """Searches all states of a variant up to the first violation."""
+    macros = [f"-D{variant.macro}"] if variant.macro else []
+    run(["spin", *macros, "-a", str(SPECS / f"{variant.spec}.pml")], folder)
+    options = ["-DSAFETY", f"-DMEMLIM={MEMORY_MB}"]
+    run(["gcc", "-O2", "-w", *options, "-o", "pan", "pan.c"], folder)
+    output = run(["./pan", f"-m{MAX_DEPTH}"], folder)
+    errors, states, violation = (
+        ERRORS.search(output),
+        STATES.search(output),
+        VIOLATION.search(output),
+    )
+    is_complete = "Search not completed" not in output and "max search depth" not in output
+    return Verdict(
+        errors=int(errors[1]) if errors else 1,
+        states=int(float(states[1])) if states else 0,
+        violation=violation[1] if violation else "",
+        is_complete=errors is not None and is_complete,
+    )
+
+
+def passes(variant: Variant, verdict: Verdict) -> bool:
+    """Whether the checker said of the variant what it must say; prints it."""
+    if variant.macro:
+        is_rejected = verdict.errors > 0 and "assertion violated" in verdict.violation
+        found = f"rejected: {verdict.violation}" if is_rejected else "NOT REJECTED"
+        print(f"{variant.title}: {found}, {verdict.states:,} states")
+        return is_rejected
+    holds = verdict.errors == 0 and verdict.is_complete
+    found = "holds" if holds else f"FAILS: {verdict.violation or 'search not completed'}"
+    print(f"{variant.title}: {found}, {verdict.states:,} states")
+    return holds
+
+
+def main() -> None:
+    """Checks all variants; exits 1 if one is not as it must be."""
+    failed = 0
+    for variant in VARIANTS:
+        with tempfile.TemporaryDirectory() as folder:
+            if not passes(variant, check(variant, Path(folder))):
+                failed += 1
+    print(f"{len(VARIANTS) - failed} passed, {failed} failed")
+    sys.exit(1 if failed else 0)
+
+
+if __name__ == "__main__":
+    main()
