Revoke batch prefill ahead of online prompts and spread returns of refused work

Cause: an engine prefills in order of admission, so a batch prompt of 60,000 tokens held up online prompts for seconds; refused batch items all came back at the same instant.

--- a/briarvale/_generated/messages.py
+++ b/briarvale/_generated/messages.py
@@ -82,6 +82,7 @@
     deadline_ms: int = 0
     fingerprint: str = ""
     start_by_ms: int = 0
+    prompt_tokens: int = 0
 
 
 class SlotGrant(NamedTuple):
@@ -360,6 +361,7 @@
         reader.deadlineMs,
         reader.fingerprint,
         reader.startByMs,
+        reader.promptTokens,
     )
 
 
@@ -373,6 +375,7 @@
     builder.deadlineMs = message.deadline_ms
     builder.fingerprint = message.fingerprint
     builder.startByMs = message.start_by_ms
+    builder.promptTokens = message.prompt_tokens
 
 
 def _read_slot_grant(reader: Any) -> SlotGrant:
--- a/briarvale/grants.py
+++ b/briarvale/grants.py
@@ -19,6 +19,7 @@
     granted_at_ms: int
     expires_at_ms: int
     start_by_ms: int = 0
+    prefilled_at_ms: float = 0.0
     is_orphan: bool = False
 
 
--- a/briarvale/headroom.py
+++ b/briarvale/headroom.py
@@ -8,8 +8,9 @@
 
 PEAK_WINDOW_MS = 5_000
 MIN_RESERVE_PART = 0.25
+PREFILL_TOKENS_PER_MS = 8.0
 
-__all__ = ["BatchPacer", "PeakDemand", "YieldPolicy", "burst_reserve"]
+__all__ = ["BatchPacer", "PeakDemand", "YieldPolicy", "burst_reserve", "prefill_ms"]
 
 
 class YieldPolicy(NamedTuple):
@@ -22,6 +23,7 @@
     slope: float
     start_interval_ms: float
     prefill_window_ms: float
+    max_prefill_ahead_ms: float
 
     @classmethod
     def from_harm_weight(cls, harm_weight: float) -> "YieldPolicy":
@@ -31,6 +33,7 @@
             slope=1.0,
             start_interval_ms=400.0 * harm_weight**2,
             prefill_window_ms=100.0 * harm_weight,
+            max_prefill_ahead_ms=400.0 - 350.0 * harm_weight,
         )
 
     def batch_limit(self, slots: int, online_streams: int) -> int:
@@ -110,3 +113,8 @@
         wanted = max(peaks.get(other, 0), math.ceil(share_slots * MIN_RESERVE_PART))
         reserve += max(0, min(math.floor(share_slots), wanted) - held.get(other, 0))
     return reserve
+
+
+def prefill_ms(prompt_tokens: int) -> float:
+    """Returns how long an engine takes at most to prefill a prompt that it has not cached."""
+    return prompt_tokens / PREFILL_TOKENS_PER_MS
--- a/briarvale/schema/messages.capnp
+++ b/briarvale/schema/messages.capnp
@@ -20,6 +20,7 @@
   deadlineMs @6 :UInt64;
   fingerprint @7 :Text;
   startByMs @8 :UInt64;
+  promptTokens @9 :UInt32;
 }
 struct SlotGrant {
   requestId @0 :Text;
--- a/briarvale/slots.py
+++ b/briarvale/slots.py
@@ -5,6 +5,8 @@
 from collections import Counter
 from typing import NamedTuple
 
+import xxhash
+
 from . import logs, metrics
 from ._generated.messages import (
     HeldGrant,
@@ -21,7 +23,7 @@
 from .errors import NotOwner, Overloaded
 from .fairness import FairQueue, Shares, Waiter
 from .grants import Grant, GrantTable
-from .headroom import BatchPacer, PeakDemand, YieldPolicy, burst_reserve
+from .headroom import BatchPacer, PeakDemand, YieldPolicy, burst_reserve, prefill_ms
 from .holder import Holder
 from .limits import SlotLimit
 from .wait_estimate import WaitEstimate
@@ -32,6 +34,7 @@
 MAX_QUEUED_ONLINE = 256
 MAX_QUEUED_BATCH = 256
 RETRY_DELAY_MS = 1_000
+RETRY_JITTER_MS = 2_000
 BURST_FACTOR = 2
 
 log = logs.part("dispatcher")
@@ -121,13 +124,15 @@
         now_ms = self._clock.now_ms()
         queue = self._waiting[request.work_class]
         if queue.is_full(request.member):
-            wait_ms = max(RETRY_DELAY_MS, self._predicted_wait_ms(request))
+            wait_ms = max(_retry_delay_ms(request), self._predicted_wait_ms(request))
             self._refuse(request, holder, now_ms + wait_ms)
             return
         self._sequence += 1
         waiter = Waiter(request, holder, now_ms, self._sequence)
         queue.push(waiter)
         self._observe_demand(now_ms)
+        if request.work_class is WorkClass.ONLINE:
+            self._revoke_prefill(now_ms)
         self.pump()
         wait_ms = self._predicted_wait_ms(request)
         if now_ms + wait_ms > request.deadline_ms and waiter in list(queue):
@@ -207,7 +212,9 @@
         for queue in self._waiting.values():
             for waiter in [w for w in queue if w.request.deadline_ms <= now_ms]:
                 queue.remove(waiter)
-                self._refuse(waiter.request, waiter.holder, now_ms + RETRY_DELAY_MS)
+                self._refuse(
+                    waiter.request, waiter.holder, now_ms + _retry_delay_ms(waiter.request)
+                )
         self._observe_demand(now_ms)
         self.pump()
         self._publish()
@@ -279,6 +286,13 @@
         for grant in self._by_yield_order()[: max(0, excess)]:
             self._revoke(grant, "online")
 
+    def _revoke_prefill(self, now_ms: int) -> None:
+        """Revokes batch whose prompt would be prefilled long ahead of an online prompt."""
+        latest_ms = now_ms + self._policy.max_prefill_ahead_ms
+        for grant in self._grants.revocable():
+            if grant.prefilled_at_ms > latest_ms:
+                self._revoke(grant, "prefill")
+
     def _by_yield_order(self) -> list[Grant]:
         """Batch grants, first those of members furthest above their share, then the newest."""
         held = self._grants.held[WorkClass.BATCH]
@@ -339,7 +353,13 @@
         expires_at_ms = now_ms + GRANT_TERM_MS
         self._grants.add(
             Grant(
-                held, waiter.holder, request.request_id, now_ms, expires_at_ms, request.start_by_ms
+                held=held,
+                holder=waiter.holder,
+                request_id=request.request_id,
+                granted_at_ms=now_ms,
+                expires_at_ms=expires_at_ms,
+                start_by_ms=request.start_by_ms,
+                prefilled_at_ms=now_ms + prefill_ms(request.prompt_tokens or request.cost_tokens),
             )
         )
         labels = {"work_class": request.work_class.value}
@@ -404,3 +424,8 @@
             metrics.SLOTS_QUEUED.set(labels, len(queue))
         for row in self.usage:
             metrics.SLOTS_BORROWED.set(server | {"member": row.member}, row.borrowed_slots)
+
+
+def _retry_delay_ms(request: SlotRequest) -> int:
+    """Returns when a refused request may come back, spread so that they don't come at once."""
+    return RETRY_DELAY_MS + xxhash.xxh32_intdigest(request.request_id.encode()) % RETRY_JITTER_MS
