Keep a restarted VM from taking up its earlier life's leaving

Cause: a VM took any leaving told of its own address as true. After a restart its old leaving came back with a higher incarnation, since incarnations started at whole seconds and each loss of a batch program raised them; the VM then owned nothing for good, and requests got 'no owner'. Ruled out: the drain itself (peers saw it end); the gateway's view (it repeated its dispatcher's). Change: incarnations start at the milliseconds of the clock, and only a leaving told of this very incarnation is taken up. Conclusion: leaving belongs to one life of a VM.

--- a/briarvale/failure_detector.py
+++ b/briarvale/failure_detector.py
@@ -250,7 +250,8 @@
             return
         if update.host == self.own.host and not _is_newer(update, self.own):
             return
-        if update.health is VmHealth.LEAVING and update.host == self.own.host:
+        is_of_this_life = update.incarnation == self.own.incarnation
+        if update.health is VmHealth.LEAVING and is_of_this_life:
             self._raise_own(update.incarnation, VmHealth.LEAVING)
             return
         self._raise_own(update.incarnation + 1, self.own.health)
--- a/briarvale/heartbeats.py
+++ b/briarvale/heartbeats.py
@@ -23,7 +23,6 @@
     VmHealth,
     VmState,
 )
-from .clock import MS_PER_S
 from .datagrams import MAX_DATAGRAM_BYTES, SEAL_BYTES, DatagramSeal
 from .environment import Environment
 from .errors import PeerProtocolError
@@ -327,7 +326,7 @@
 
 def first_incarnation(environment: Environment) -> int:
     """Returns the incarnation of a process that starts now: higher than any earlier one's."""
-    return environment.clock.now_ms() // MS_PER_S
+    return environment.clock.now_ms()
 
 
 def own_state(settings: Settings, environment: Environment) -> VmState:
--- a/briarvale/schema/messages.capnp
+++ b/briarvale/schema/messages.capnp
@@ -68,7 +68,7 @@
   region @2 :Text;
   availabilityZone @3 :Text;
   health @4 :VmHealth;
-  incarnation @5 :UInt32;
+  incarnation @5 :UInt64;
   configRevision @6 :UInt64;
   runsBatch @7 :Bool;
 }
--- a/features/nodes/membership.feature
+++ b/features/nodes/membership.feature
@@ -74,6 +74,18 @@
     Then 5 s after that each VM counts all VMs as alive
     And the others know the new incarnation of "vm-2"
 
+  Scenario Outline: A VM that left and starts again at once doesn't take up its old leaving
+    Given <vms> dispatchers that know each other, seed 17
+    When the dispatcher of "vm-2" loses its batch program 20 times, drains, is down for <down> ms and starts again
+    Then 5 s after that each VM counts all VMs as alive
+
+    Examples:
+      | vms | down |
+      | 2   | 0    |
+      | 2   | 1000 |
+      | 6   | 0    |
+      | 6   | 500  |
+
   Scenario: An outage of the VM list changes nothing
     Given 6 dispatchers that know each other, seed 12
     When the VM list is down for 120 s and "vm-2" is killed meanwhile
--- a/features/steps/nodes_membership.py
+++ b/features/steps/nodes_membership.py
@@ -149,6 +149,23 @@
     watch(context, fault, down_s + 5, [])
 
 
+@when(
+    'the dispatcher of "{vm}" loses its batch program {losses:d} times, drains,'
+    " is down for {down_ms:d} ms and starts again"
+)
+def when_drained_and_restarted(context: Context, vm: str, losses: int, down_ms: int) -> None:
+    async def fault(fleet: DispatcherFleet, tasks: TaskGroup) -> None:
+        for _ in range(losses):
+            fleet.dispatchers[vm].membership.set_runs_batch(True)
+            fleet.dispatchers[vm].membership.set_runs_batch(False)
+        await fleet.dispatchers[vm].drain()
+        fleet.kill_vm(vm)
+        await anyio.sleep(down_ms / 1_000)
+        fleet.start_vm(vm, tasks)
+
+    watch(context, fault, 10, [])
+
+
 @when('the VM list is down for {down_s:d} s and "{vm}" is killed meanwhile')
 def when_list_down(context: Context, down_s: int, vm: str) -> None:
     async def fault(fleet: DispatcherFleet, tasks: TaskGroup) -> None:
