Fix the hash seed in checks, so that virtual runs repeat

Cause: sets of strings iterate in another order in each process, so a seed gave other schedules. Change: PYTHONHASHSEED=0 in make and in tools/check.py.

--- a/Makefile
+++ b/Makefile
@@ -4,6 +4,7 @@
 STAMP := $(VENV)/installed
 SEEDS ?= 200
 FIRST_SEED ?= 1
+export PYTHONHASHSEED := 0
 
 .PHONY: help install demo test format lint types generate check-generated check-model bench bench-control chaos processes clean
 
--- a/tools/check.py
+++ b/tools/check.py
@@ -4,6 +4,7 @@
 yet; these are printed and passed over. The last line reads `N passed, N failed`.
 """
 
+import os
 import re
 import subprocess
 import sys
@@ -16,6 +17,8 @@
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 PYTHON = sys.executable
 CHECKS_AT_ONCE = 4
+# Sets iterate in the same order in each run, so that a seed gives the same schedule.
+ENVIRONMENT = os.environ | {"PYTHONHASHSEED": "0"}
 SCENARIOS = re.compile(
     r"^(\d+) scenarios? passed, (\d+) failed(?:, (\d+) error)?, (\d+) skipped", re.MULTILINE
 )
@@ -62,7 +65,9 @@
 
 def run_check(check: Check, red: list[str]) -> Verdict:
     """Runs one check to its end."""
-    result = subprocess.run(check.command, cwd=ROOT, capture_output=True, text=True)
+    result = subprocess.run(
+        check.command, cwd=ROOT, capture_output=True, text=True, env=ENVIRONMENT
+    )
     output = result.stdout + result.stderr
     if check.name in (FEATURES, PROCESSES):
         return judge_features(result.returncode, output, red)
