Write the operators' page, and a reference that can't go stale

Cause: settings, rules, codes, metrics and verbs were documented nowhere. Ruled out: tables kept by hand, which drift from the code. Conclusion: the page is checked as generated code is.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 FIRST_SEED ?= 1
 export PYTHONHASHSEED := 0
 
-.PHONY: help install demo test format lint types generate check-generated check-model bench bench-control chaos processes clean
+.PHONY: help install demo test format lint types generate reference check-generated check-model bench bench-control chaos processes clean
 
 help:
 	@echo "make demo            run stand-ins and two VMs on loopback, end to end"
@@ -14,6 +14,7 @@
 	@echo "make format          format the code"
 	@echo "make lint types      linter and type check"
 	@echo "make generate        write briarvale/_generated anew from the schema"
+	@echo "make reference       write docs/operators/reference.md anew"
 	@echo "make check-model     check the specifications with spin"
 	@echo "make bench           online and batch policy benchmarks, with bounds"
 	@echo "make bench-control   control cost by node count, with bounds"
@@ -48,6 +49,9 @@
 generate: install
 	$(BIN)/python tools/generate.py
 
+reference: install
+	$(BIN)/python -m tools.reference
+
 check-generated: install
 	$(BIN)/python tools/generate.py --check
 
--- a/tools/check.py
+++ b/tools/check.py
@@ -51,6 +51,7 @@
     Check("linter", (str(BIN / "ruff"), "check", "--quiet", ".")),
     Check("types", (str(BIN / "mypy"),)),
     Check("generated code", (PYTHON, "tools/generate.py", "--check")),
+    Check("reference page", (PYTHON, "-m", "tools.reference", "--check")),
     Check("model checking", (PYTHON, "tools/check_model.py")),
 )
 
