--- a/briarvale/schema/messages.capnp
+++ b/briarvale/schema/messages.capnp
@@ -20,6 +20,7 @@
   deadlineMs @6 :UInt64;
   fingerprint @7 :Text;
   startByMs @8 :UInt64;
+  promptTokens @9 :UInt32;
 }
 struct SlotGrant {
   requestId @0 :Text;
@@ -46,6 +47,8 @@
   outcome @1 :Outcome;
   tokens @2 :UInt32;
   timeBetweenTokensMs @3 :UInt32;
+  backendServer @4 :Text;
+  fingerprint @5 :Text;
 }
 struct HeldGrant {
   grantId @0 :Text;
@@ -65,7 +68,7 @@
   region @2 :Text;
   availabilityZone @3 :Text;
   health @4 :VmHealth;
-  incarnation @5 :UInt32;
+  incarnation @5 :UInt64;
   configRevision @6 :UInt64;
   runsBatch @7 :Bool;
 }
@@ -77,19 +80,28 @@
   queued @4 :UInt32;
   limit @5 :UInt32;
   observedAtMs @6 :UInt64;
+  adapters @7 :List(Text);
 }
 struct ViewSubscribe { role @0 :Text; }
 struct View { vms @0 :List(VmState); servers @1 :List(ServerState); configRevision @2 :UInt64; }
 
 struct ConfigFetch { haveRevision @0 :UInt64; }
 struct ConfigDocument { name @0 :Text; digest @1 :Text; body @2 :Data; }
-struct ConfigBundle { revision @0 :UInt64; documents @1 :List(ConfigDocument); }
+struct ConfigBundle {
+  revision @0 :UInt64;
+  documents @1 :List(ConfigDocument);
+  baseRevision @2 :UInt64;
+  removed @3 :List(Text);
+}
 
+struct CrashSite { backendServer @0 :Text; atMs @1 :UInt64; }
 struct SuspectNotice {
   fingerprint @0 :Text;
   crashes @1 :UInt16;
   quarantined @2 :Bool;
   expiresAtMs @3 :UInt64;
+  sites @4 :List(CrashSite);
+  clearedAtMs @5 :UInt64;
 }
 
 struct Probe {
