Let running items end before a shard moves, at a planned stop and at a return

Cause: a draining batch program cancelled its items, and a VM that came back took its shards while the VM that had run them in between was still at it; both ran the same items. Ruled out: a lease a shard, which costs writes and decides nothing; keeping a leaving VM out of the shards at once, since then others run its items beside it. Change: a draining or leaving batch program lets its items end and commits them before it says that it is drained; a VM that wins a shard waits 15 s if the VM that had it still runs (handover.py). Failed try: fresh processes that took every other VM as the earlier runner waited 15 s at the start of a whole fleet; now only VMs that started well before count.

--- a/briarvale/batch.py
+++ b/briarvale/batch.py
@@ -6,12 +6,14 @@
 from anyio.abc import TaskGroup
 
 from . import logs
+from ._generated.messages import VmHealth
 from .active_jobs import ActiveJobs, UploadKey
 from .completion import JobFinisher, read_seals
 from .due_dates import DueDates, RemainingWork
 from .environment import Environment
 from .errors import BriarvaleError, ObjectExists
-from .fleet_view import FleetView
+from .fleet_view import BATCH_ROLE, DRAINED_ROLE, FleetView
+from .handover import Handover
 from .item_runner import ItemRunner
 from .item_scheduler import ItemScheduler
 from .jobs import JobRecord, JobState, late_key
@@ -27,10 +29,11 @@
 FINISH_INTERVAL_S = 30.0
 YIELD_S = 30.0
 RETRY_S = 5.0
-NOT_MINE_GRACE_S = 5.0
+NOT_MINE_GRACE_S = 2.0
 OPEN_SHARDS = 48
 OPEN_SHARDS_PER_MEMBER = 6
 QUEUE_FACTOR = 1.25
+DRAIN_TIMEOUT_S = 60.0
 STOP_TIMEOUT_S = 10.0
 
 log = logs.part("batch")
@@ -66,14 +69,23 @@
         self._mine: dict[UploadKey, list[int]] = {}
         self._seals_read: set[UploadKey] = set()
         self._alive: tuple[str, ...] = ()
+        self._handover = Handover(settings.vm)
         self._pauses_seen = 0
-        self._is_stopping = False
+        self._scheduler: ItemScheduler | None = None
+        self._is_draining = False
+        self._is_leaving = False
+        self._is_drained = False
 
     @property
     def is_ready(self) -> bool:
         """Whether it knows the fleet."""
         return self.view.is_ready
 
+    @property
+    def started_count(self) -> int:
+        """Items started since the program began, those started again included."""
+        return self._scheduler.started_count if self._scheduler else 0
+
     async def run(self) -> None:
         """Runs until cancelled."""
         async with anyio.create_task_group() as tasks:
@@ -82,6 +94,7 @@
             slots = SlotClient(self._environment, self.view, tasks)
             items = ItemRunner(self._environment, self.view, Router(self.view), slots)
             scheduler = ItemScheduler(items, self.due_dates, self.budget, self._items_at_once)
+            self._scheduler = scheduler
             runner = ShardRunner(self._environment, self.budget, scheduler, self.finisher)
             retention = Retention(self._environment, self.budget, self.view, self.is_mine)
             tasks.start_soon(scheduler.run)
@@ -91,19 +104,46 @@
             tasks.start_soon(self._watch_due_dates, scheduler)
             while True:
                 self._follow_vms()
+                await self._follow_own_vm()
                 self._follow_jobs()
                 self._start_shards(runner, tasks)
                 with anyio.move_on_after(LOOK_INTERVAL_S):
                     await self.jobs.wait_changed()
 
     async def drain(self) -> None:
-        """Starts no further item, commits the results that it has, and returns."""
-        self._is_stopping = True
+        """Starts no further item, lets running ones end, commits their results, and returns.
+
+        Items that run for longer than a planned stop may take are stopped and run again elsewhere.
+        """
+        self._is_draining = True
+        self._finish_shards()
+        with anyio.move_on_after(DRAIN_TIMEOUT_S):
+            await self._wait_drained()
         for running in self._running.values():
             running.stop()
         with anyio.move_on_after(STOP_TIMEOUT_S):
-            while self._running:
-                await anyio.sleep(0.1)
+            await self._wait_drained()
+
+    async def _wait_drained(self) -> None:
+        while self._running:
+            await anyio.sleep(0.1)
+
+    def _finish_shards(self) -> None:
+        for running in self._running.values():
+            running.finish()
+
+    async def _follow_own_vm(self) -> None:
+        """Ends its items while the VM leaves, and takes part again if it is back."""
+        health = {vm.vm: vm.health for vm in self.view.vms}.get(self._settings.vm)
+        was_leaving, self._is_leaving = self._is_leaving, health is VmHealth.LEAVING
+        if self._is_leaving:
+            self._finish_shards()
+        is_drained = self._is_leaving and not self._running
+        if is_drained and not self._is_drained:
+            await self.view.announce(DRAINED_ROLE)
+        if was_leaving and not self._is_leaving:
+            await self.view.announce(BATCH_ROLE)
+        self._is_drained = is_drained
 
     def is_mine(self, key: str) -> bool:
         """Whether this VM is the one that should see to what the key names."""
@@ -117,6 +157,7 @@
         """Forgets which shards are this VM's when the VMs that are alive change."""
         alive = self._alive_vms()
         if alive != self._alive:
+            self._handover.note_change(self.view.vms)
             self._alive = alive
             self._mine.clear()
             self._seals_read.clear()
@@ -135,7 +176,7 @@
             if must_replay:
                 running.replay()
             if self._is_lost(key):
-                running.stop()
+                running.finish()
 
     def _is_lost(self, key: ShardKey) -> bool:
         """Whether the shard has belonged to another VM for a while."""
@@ -147,7 +188,7 @@
 
     def _start_shards(self, runner: ShardRunner, tasks: TaskGroup) -> None:
         """Opens shards, the least slack first, up to the limits."""
-        if self._is_stopping:
+        if self._is_draining or self._is_leaving:
             return
         by_slack = sorted(
             self.jobs.records.items(), key=lambda row: (self.due_dates.start_by_ms(row[1]), row[0])
@@ -182,6 +223,7 @@
             for index in self._my_indexes(upload, job)
             if index not in sealed
             and (upload, index) not in self._running
+            and self._handover.is_over(_shard_name((upload, index)))
             and self._not_before_s.get((upload, index), 0.0) <= now_s
         ]
 
--- a/briarvale/dispatcher.py
+++ b/briarvale/dispatcher.py
@@ -27,6 +27,7 @@
 from .config_spread import ConfigSpread
 from .environment import Environment
 from .errors import BriarvaleError, ServerNotReady
+from .fleet_view import BATCH_ROLE
 from .membership import Membership, Rumor
 from .ownership import owner_of
 from .peer import MessageStream, PeerAddress, PeerIdentity
@@ -182,11 +183,11 @@
             connection.notify(message)
 
     def _local_subscribers(self) -> list[PeerConnection]:
-        return [connection for connection in self._connections if connection.is_subscribed]
+        return [connection for connection in self._connections if connection.subscribed_role]
 
     def _note_batch(self) -> None:
-        roles = {connection.identity.role for connection in self._local_subscribers()}
-        self.membership.set_runs_batch("batch" in roles)
+        roles = {connection.subscribed_role for connection in self._local_subscribers()}
+        self.membership.set_runs_batch(BATCH_ROLE in roles)
 
     async def _serve_peer(self, stream: MessageStream, identity: PeerIdentity) -> None:
         connection = PeerConnection(stream, identity)
@@ -214,8 +215,8 @@
                 self.server_health.note_release(message)
             case SlotRequest() | SlotWithdraw() | HolderReport() | SlotHeartbeat():
                 self.slot_owner.handle(connection, message)
-            case ViewSubscribe():
-                self._subscribe(connection)
+            case ViewSubscribe(role):
+                self._subscribe(connection, role)
             case ConfigFetch(have_revision):
                 bundle = self.config_spread.bundle_for(have_revision)
                 connection.notify(bundle or ConfigBundle())
@@ -227,8 +228,8 @@
             case _:
                 log.warning("Unexpected {} from {}.", type(message).__name__, connection.name)
 
-    def _subscribe(self, connection: PeerConnection) -> None:
-        connection.is_subscribed = True
+    def _subscribe(self, connection: PeerConnection, role: str) -> None:
+        connection.subscribed_role = role
         self._note_batch()
         if self.config_spread.config is not None:
             connection.notify(self.config_spread.config.bundle)
--- a/briarvale/fleet_view.py
+++ b/briarvale/fleet_view.py
@@ -22,10 +22,12 @@
 from .settings import Settings
 
 RECONNECT_DELAY_S = 0.2
+BATCH_ROLE = "batch"
+DRAINED_ROLE = "drained batch"
 
 log = logs.part("view")
 
-__all__ = ["FleetView", "SuspectHandler"]
+__all__ = ["BATCH_ROLE", "DRAINED_ROLE", "FleetView", "SuspectHandler"]
 
 SuspectHandler = Callable[[SuspectNotice], None]
 
@@ -46,6 +48,7 @@
         self._vms: dict[str, VmState] = {}
         self._changed = anyio.Event()
         self._stream: MessageStream | None = None
+        self._role = environment.identity.role
         self._suspect_handlers: list[SuspectHandler] = []
 
     @property
@@ -93,6 +96,14 @@
         """Calls the handler with each notice of a request that crashed backend servers."""
         self._suspect_handlers.append(handler)
 
+    async def announce(self, role: str) -> None:
+        """Tells the dispatcher as what this process takes part from now on."""
+        self._role = role
+        if self._stream is None:
+            return
+        with suppress(PeerClosed):
+            await self._stream.send(ViewSubscribe(role))
+
     async def report(self, notice: SuspectNotice) -> None:
         """Tells the dispatcher, which spreads it; lost silently while there is none."""
         if self._stream is None:
@@ -113,7 +124,7 @@
     async def _follow(self, address: PeerAddress) -> None:
         stream = await self._environment.transport.connect(address)
         try:
-            await stream.send(ViewSubscribe(self._environment.identity.role))
+            await stream.send(ViewSubscribe(self._role))
             self._stream = stream
             while True:
                 match await stream.receive():
--- /dev/null
+++ b/briarvale/handover.py
@@ -0,0 +1,55 @@
+"""The pause in which a VM that lost a shard ends its items, before the VM that won it starts."""
+
+import math
+from collections.abc import Sequence
+
+import anyio
+
+from ._generated.messages import VmState
+from .ownership import batch_vms, rank_by_rendezvous
+
+HANDOVER_S = 15.0
+SAME_START_MS = 10_000
+
+__all__ = ["Handover"]
+
+
+class Handover:
+    """Knows whether a shard's last VM may still run it. It saves work; truth rests on the log.
+
+    Args:
+        vm: This VM.
+    """
+
+    def __init__(self, vm: str) -> None:
+        self._vm = vm
+        self._alive: tuple[str, ...] = ()
+        self._before: tuple[str, ...] = ()
+        self._fresh_until_s = math.inf
+        self._over_at_s = -math.inf
+
+    def note_change(self, vms: Sequence[VmState]) -> None:
+        """Notes which VMs run shards now."""
+        now_s = anyio.current_time()
+        alive = tuple(batch_vms(vms))
+        if self._fresh_until_s == math.inf:
+            self._fresh_until_s = now_s + HANDOVER_S
+        if now_s < self._fresh_until_s:
+            self._before = self._earlier_vms(vms)
+        elif now_s >= self._over_at_s:
+            self._before = self._alive
+        self._before = tuple(vm for vm in self._before if vm in alive)
+        self._alive = alive
+        self._over_at_s = now_s + HANDOVER_S
+
+    def is_over(self, shard: str) -> bool:
+        """Whether no other VM that still runs had this shard before the last change."""
+        if not self._before or anyio.current_time() >= self._over_at_s:
+            return True
+        return rank_by_rendezvous(shard, self._before)[0] == self._vm
+
+    def _earlier_vms(self, vms: Sequence[VmState]) -> tuple[str, ...]:
+        """Returns the VMs that started well before this one; incarnations start as instants."""
+        own = next((vm.incarnation for vm in vms if vm.vm == self._vm), 0)
+        earlier = [vm for vm in vms if vm.incarnation < own - SAME_START_MS]
+        return tuple(batch_vms(earlier))
--- a/briarvale/item_scheduler.py
+++ b/briarvale/item_scheduler.py
@@ -79,6 +79,11 @@
         self.result_bytes -= dropped_bytes
         return dropped_bytes
 
+    def finish(self) -> None:
+        """Starts no further item and lets those that run end."""
+        self.pending.clear()
+        self.notify()
+
     def stop(self) -> None:
         """Stops all items; their results so far stay."""
         self.pending.clear()
@@ -108,6 +113,7 @@
         self._budget = budget
         self._items_at_once = items_at_once
         self.shards: list[OpenShard] = []
+        self.started_count = 0
         self._wake = anyio.Event()
 
     @property
@@ -154,6 +160,7 @@
             index = shard.pending.popleft()
             scope = anyio.CancelScope()
             shard.running[index] = scope
+            self.started_count += 1
             tasks.start_soon(self._run_item, shard, index, scope)
             room -= 1
 
--- a/briarvale/ownership.py
+++ b/briarvale/ownership.py
@@ -18,9 +18,12 @@
 
 
 def batch_vms(vms: Iterable[VmState]) -> list[str]:
-    """Returns the VMs whose batch program runs, by name."""
-    running = (vm for vm in vms if vm.runs_batch)
-    return sorted(vm.vm for vm in running if vm.health in (VmHealth.ALIVE, VmHealth.SUSPECT))
+    """Returns the VMs whose batch program runs, by name.
+
+    A VM that leaves counts until its batch program has ended its items, so that no other VM runs
+    them again.
+    """
+    return sorted(vm.vm for vm in vms if vm.runs_batch and vm.health is not VmHealth.DEAD)
 
 
 def owner_of(server: BackendServer, vms: Sequence[VmState]) -> VmState | None:
--- a/briarvale/peer_connection.py
+++ b/briarvale/peer_connection.py
@@ -24,7 +24,7 @@
     def __init__(self, stream: MessageStream, identity: PeerIdentity) -> None:
         self.stream = stream
         self.identity = identity
-        self.is_subscribed = False
+        self.subscribed_role = ""
         self._outbox, self._queue = anyio.create_memory_object_stream[Message](OUTBOX_MESSAGES)
 
     @property
--- a/briarvale/shard_runner.py
+++ b/briarvale/shard_runner.py
@@ -49,6 +49,13 @@
         self.is_stopping = True
         self._hold()
 
+    def finish(self) -> None:
+        """Lets running items end, commits what is done and closes the shard."""
+        self.is_stopping = True
+        if self.open_shard is not None:
+            self.open_shard.is_held = True
+            self.open_shard.finish()
+
     def replay(self) -> None:
         """Reads the log again before further items start."""
         self.must_replay = True
@@ -109,7 +116,7 @@
         shard = OpenShard(job, running.shard_index, items, shard_log.done)
         running.open_shard = shard
         if running.is_cancelling or running.is_stopping:
-            shard.stop()
+            shard.finish()
         self._scheduler.open(shard)
         try:
             await self._commit_until_sealed(running, shard, shard_log)
@@ -130,9 +137,10 @@
                 continue
             is_complete = len(shard_log.done) + len(shard.results) == len(shard.items)
             is_last = is_complete or running.is_cancelling
-            if is_last or running.is_stopping or self._is_entry_due(shard, shard_log):
+            is_ending = running.is_stopping and not shard.running
+            if is_last or is_ending or self._is_entry_due(shard, shard_log):
                 is_ours = await self._commit(running, shard, shard_log, is_last)
-                if not is_ours or (running.is_stopping and not shard.results):
+                if not is_ours or (is_ending and not shard.results):
                     return
             else:
                 await shard.wait_changed(ENTRY_MAX_AGE_S)
--- a/briarvale/standins/engine.py
+++ b/briarvale/standins/engine.py
@@ -6,7 +6,7 @@
 
 import hashlib
 import math
-from collections import OrderedDict
+from collections import Counter, OrderedDict
 from collections.abc import AsyncIterator
 from typing import NamedTuple
 
@@ -93,6 +93,7 @@
         self.settings = settings
         self.faults = EngineFaults()
         self.run_counts: dict[str, int] = {}
+        self.first_tokens: Counter[str] = Counter()
         self.starts: list[EngineStart] = []
         self.crashes = 0
         self.tokens_generated = 0
@@ -244,6 +245,8 @@
             except (anyio.BrokenResourceError, anyio.ClosedResourceError):
                 self._streams.pop(completion.request_id, None)
                 return
+            if stream.next_index == 0:
+                self.first_tokens[completion.prompt] += 1
             stream.next_index += 1
             self.tokens_generated += 1
         if stream.next_index >= completion.max_tokens:
--- a/tools/check.py
+++ b/tools/check.py
@@ -16,7 +16,7 @@
 BIN = Path(sys.executable).parent
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 PYTHON = sys.executable
-CHECKS_AT_ONCE = 4
+CHECKS_AT_ONCE = 6
 # Sets iterate in the same order in each run, so that a seed gives the same schedule.
 ENVIRONMENT = os.environ | {"PYTHONHASHSEED": "0"}
 SCENARIOS = re.compile(
@@ -42,11 +42,13 @@
 
 
 BEHAVE = (PYTHON, "-m", "behave", "--format", "progress", "--no-color")
-FEATURES = "features"
-PROCESSES = "features in real processes"
+FEATURES = tuple(
+    Check(str(path.relative_to(ROOT)), (*BEHAVE, str(path.relative_to(ROOT))))
+    for path in sorted((ROOT / "features").iterdir())
+    if path.suffix == ".feature" or any(path.glob("*.feature"))
+)
 CHECKS = (
-    Check(PROCESSES, (*BEHAVE, "features/processes")),
-    Check(FEATURES, (*BEHAVE, "--exclude", "processes", "features")),
+    *FEATURES,
     Check("formatter", (str(BIN / "black"), "--check", "--quiet", ".")),
     Check("linter", (str(BIN / "ruff"), "check", "--quiet", ".")),
     Check("types", (str(BIN / "mypy"),)),
@@ -70,7 +72,7 @@
         check.command, cwd=ROOT, capture_output=True, text=True, env=ENVIRONMENT
     )
     output = result.stdout + result.stderr
-    if check.name in (FEATURES, PROCESSES):
+    if check in FEATURES:
         return judge_features(result.returncode, output, red)
     if result.returncode == 0:
         return Verdict(1, 0, (), "\n".join(result.stdout.strip().splitlines()[-1:]))
