--- a/briarvale/checked_yaml.py
+++ b/briarvale/checked_yaml.py
@@ -1,6 +1,6 @@
 """YAML documents checked against a schema; errors name file, line and field."""
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterator, Mapping, Sequence
 from functools import cache
 from pathlib import Path
 from typing import Any, NamedTuple
@@ -145,10 +145,22 @@
 
 def _describe(source: str, node: yaml.Node | None, error: ValidationError) -> str:
     path = list(error.absolute_path)
+    if error.validator == "additionalProperties":
+        return "\n".join(_describe_unknown(source, node, path, error))
     field = ".".join(str(step) for step in path) or "document"
     return f"{source}:{line_of(node, path)}: {field}: {_expected(error)}"
 
 
+def _describe_unknown(
+    source: str, node: yaml.Node | None, path: list[str | int], error: ValidationError
+) -> Iterator[str]:
+    known: Any = error.schema
+    found: Any = error.instance
+    for name in sorted(found.keys() - known["properties"].keys()):
+        field = ".".join(str(step) for step in (*path, name))
+        yield f"{source}:{line_of(node, [*path, name])}: {field}: is no known field"
+
+
 def _expected(error: ValidationError) -> str:
     match error.validator:
         case "type":
--- a/briarvale/commands/_common.py
+++ b/briarvale/commands/_common.py
@@ -3,6 +3,7 @@
 import sys
 from collections.abc import Awaitable, Callable
 from contextlib import AsyncExitStack
+from datetime import datetime
 from pathlib import Path
 from typing import Annotated, TypeVar
 
@@ -11,9 +12,12 @@
 import typer
 from rich.console import Console
 
+from ..clock import MS_PER_S
 from ..errors import BriarvaleError, SettingsInvalid
+from ..fleet_status import HttpReports, Reports
 from ..object_store import HttpObjectStore, ObjectStore
 from ..settings import load_settings
+from ..vm_list import HttpVmList, VmList
 
 EXIT_FAILED = 1
 EXIT_INVALID = 2
@@ -22,7 +26,15 @@
 SettingsOption = Annotated[Path, typer.Option("--settings", help="Settings file of a VM.")]
 console = Console()
 
-__all__ = ["SettingsOption", "console", "or_exit", "with_store"]
+__all__ = [
+    "EXIT_FAILED",
+    "SettingsOption",
+    "console",
+    "local_time",
+    "or_exit",
+    "with_fleet",
+    "with_store",
+]
 
 
 def with_store(settings_path: Path, action: Callable[[ObjectStore], Awaitable[T]]) -> T:
@@ -37,6 +49,23 @@
     return anyio.run(run)
 
 
+def with_fleet(settings_path: Path, action: Callable[[VmList, Reports], Awaitable[T]]) -> T:
+    """Runs an async action on the VM list and the VMs' reports."""
+
+    async def run() -> T:
+        settings = load_settings(settings_path)
+        async with httpx.AsyncClient(trust_env=False) as client:
+            vm_list = HttpVmList(settings.vm_list_url, client)
+            return await action(vm_list, HttpReports(settings, client))
+
+    return anyio.run(run)
+
+
+def local_time(instant_ms: int) -> str:
+    """Returns an instant for a person to read."""
+    return datetime.fromtimestamp(instant_ms / MS_PER_S).isoformat(" ", "seconds")
+
+
 def or_exit(action: Callable[[], T]) -> T:
     """Runs an action; a failure is printed with its code and ends the program.
 
--- a/briarvale/dispatcher.py
+++ b/briarvale/dispatcher.py
@@ -57,6 +57,11 @@
         self.server_health = ServerHealthMonitor(environment, self.owned_servers)
         self._connections: set[PeerConnection] = set()
 
+    @property
+    def vm(self) -> str:
+        """Name of its VM."""
+        return self._settings.vm
+
     @property
     def is_ready(self) -> bool:
         """Whether it has a configuration and knows the VMs."""
--- a/briarvale/programs/_run.py
+++ b/briarvale/programs/_run.py
@@ -11,6 +11,7 @@
 
 import anyio
 import typer
+from starlette.routing import Route
 
 from .. import logs, traces
 from ..environment import Environment, open_environment
@@ -73,14 +74,16 @@
     return app
 
 
-async def serve_part(settings: Settings, part: Part, port: int, shutdown: Shutdown) -> None:
-    """Runs a part beside its operator port; at shutdown drains it first."""
+async def serve_part(
+    settings: Settings, part: Part, port: int, shutdown: Shutdown, *routes: Route
+) -> None:
+    """Runs a part beside its operator port with these routes; at shutdown drains it first."""
 
     async def drained() -> None:
         await shutdown()
         await part.drain()
 
-    operators = operator_app(settings, lambda: part.is_ready, [])
+    operators = operator_app(settings, lambda: part.is_ready, list(routes))
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(part.run)
         await serve_app(operators, settings.host, port, drained)
--- /dev/null
+++ b/features/nodes/configuration.feature
@@ -0,0 +1,116 @@
+Feature: An accepted configuration is in force everywhere within seconds and never reverts
+
+  Scenario Outline: A new revision is in force on <vms> VMs within 5 s
+    Given a fleet of <vms> dispatchers under revision 1, seed <seed>
+    And <loss> % lost datagrams
+    When an operator applies a new share
+    Then revision 2 is in force on all VMs within 5 s
+
+    Examples:
+      | vms | loss | seed |
+      | 6   | 0    | 1    |
+      | 9   | 10   | 2    |
+
+  Scenario: A VM that heartbeats can't reach gets the revision from the store
+    Given a fleet of 6 dispatchers under revision 1, seed 3
+    When "zone-2" is cut off and an operator applies a new share
+    Then revision 2 is in force on all VMs within 5 s
+
+  Scenario: An idle fleet hardly calls the Object API
+    Given a fleet of 9 dispatchers under revision 1, seed 4
+    When nothing happens for 120 s
+    Then the dispatchers made at most 1 Object API call a second and VM
+
+  Scenario: A VM that starts during an outage of the store gets the configuration from peers
+    Given a fleet of 6 dispatchers under revision 1, seed 5
+    When an operator applies a new share
+    And the store goes down and "vm-2" restarts
+    Then "vm-2" is ready within 5 s, and never with less than revision 2
+
+  Scenario: A VM that starts while neither store nor peers answer isn't ready
+    Given a fleet of 6 dispatchers under revision 1, seed 6
+    When the store goes down and "vm-2" restarts, cut off from all others
+    Then "vm-2" isn't ready for 30 s
+
+  Scenario: A VM that starts beside peers that are behind takes the store's revision
+    Given a fleet of 3 dispatchers under revision 1, seed 7
+    When the peers miss a new share and "vm-2" restarts
+    Then "vm-2" is ready within 5 s, and never with less than revision 2
+
+  Scenario: Restarts, an outage and a cut zone never make a VM go back
+    Given a fleet of 6 dispatchers under revision 1, seed 8
+    When 4 revisions are applied while VMs restart, the store goes down and "zone-3" is cut off
+    Then no VM was ever ready with a lower revision than before
+    And the last revision is in force on all VMs
+
+  Scenario Outline: An apply whose <lost> is recognised as done
+    Given a store under revision 1
+    When an operator applies a new share and the <lost>
+    Then exactly one new revision was made
+
+    Examples:
+      | lost                                |
+      | answer is lost each second time     |
+      | write takes effect after its answer |
+
+  Scenario: An apply that is repeated makes no second revision
+    Given a store under revision 1
+    When an operator applies the same new share twice
+    Then exactly one new revision was made
+
+  Scenario: Operators who race get a clear conflict
+    Given a store under revision 1
+    When two operators who saw revision 1 apply different shares at once
+    Then one is accepted and the other is told of the conflict with the difference
+
+  Scenario: A document over the Object API's limit is stored in parts
+    Given a store under revision 1
+    When an operator applies an inventory of 12000 backend servers
+    Then the store gives back the whole inventory
+    And each stored object is under the Object API's limit
+
+  Scenario: Documents that peers can't send are refused with the limit
+    Given a store under revision 1
+    When an operator applies an inventory of 40000 backend servers
+    Then it is refused with "config_too_large" and the head stays at revision 1
+
+  Scenario: A rollback is a new revision, and the history is bounded
+    Given a store under revision 1
+    When 60 revisions are applied and revision 20 is rolled back to
+    Then revision 62 has the documents of revision 20
+    And the history keeps 50 revisions and no manifest besides
+
+  Scenario: Waiting for an apply names the VMs where it is not in force
+    Given a fleet of 6 dispatchers under revision 1, seed 9
+    When "vm-4" is frozen and an operator applies a new share and waits
+    Then the operator is told of just "vm-4"
+
+  Scenario: An operator who waits is told when the revision is in force
+    Given a fleet of 6 dispatchers under revision 1, seed 10
+    When an operator applies a new share and waits
+    Then the operator is told within 5 s that no VM is behind
+
+  Scenario Outline: A wrong document is refused with file, line and field: <fault>
+    When an operator checks documents with <fault>
+    Then the check says "<problem>"
+
+    Examples:
+      | fault                        | problem                                                                 |
+      | an unknown model             | inventory.yaml:6: services.0.model: no model 'reads'                    |
+      | an unknown service           | inventory.yaml:14: backend_servers.0.service: no service 'reed-disk'    |
+      | a server id that stands twice | inventory.yaml:20: backend_servers.1.id: 'bs-1' stands twice            |
+      | a model service without model | inventory.yaml:3: services.0: a service of kind model needs a model     |
+      | an unknown field             | inventory.yaml:2: servers: is no known field                            |
+      | a key that stands twice      | inventory.yaml:2: members: stands twice                                 |
+      | an unknown member            | rules.yaml:3: shares.0.member: no member 'nobody'                       |
+      | shares over 100 %            | rules.yaml:4: shares.1.percent: the shares add up to over 100 %         |
+      | a second share               | rules.yaml:5: shares.1.member: 'cyweirio' has a share already           |
+      | an unknown priority member   | rules.yaml:1: priority_member: no member 'nobody'                       |
+      | a negative share             | rules.yaml:3: shares.0.percent: -1 is less than the minimum of 0        |
+      | no rules                     | rules.yaml:1: document: expected object, found None                     |
+
+  Scenario: The inventory may be a folder with a file for each member
+    Given a folder with the inventories of two members, one of which names an unknown model
+    When the operator checks it with the command line
+    Then the command ends with 2 and names the member's file, line and field
+    And a missing file is named as well
--- /dev/null
+++ b/features/steps/nodes_config.py
@@ -0,0 +1,511 @@
+"""Steps of the configuration."""
+
+import tempfile
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+import anyio
+import yaml
+from anyio.abc import TaskGroup
+from behave import given, then, when
+from behave.runner import Context
+from typer.testing import CliRunner
+
+from briarvale.config import INVENTORY_NAME, RULES_NAME, check_documents
+from briarvale.config_head import (
+    HISTORY_KEPT,
+    apply_config,
+    fetch_config,
+    fetch_revision,
+    read_head,
+    rollback_config,
+)
+from briarvale.errors import BriarvaleError, ConfigConflict, SettingsInvalid
+from briarvale.fleet_status import wait_in_force
+from briarvale.object_store import MAX_VALUE_BYTES
+from briarvale.programs.cli import app
+from briarvale.standins.memory_dispatchers import (
+    DispatcherFleet,
+    DispatcherFleetSettings,
+    inventory_of,
+    rules_of,
+)
+from briarvale.standins.object_api import StandinObjectApi
+from features.support.nodes import FleetReports, play
+from features.support.virtual import run_virtual
+
+SERVERS = 3
+SAMPLE_S = 0.05
+
+
+@given("a fleet of {vms:d} dispatchers under revision 1, seed {seed:d}")
+def given_fleet(context: Context, vms: int, seed: int) -> None:
+    context.settings = DispatcherFleetSettings(vm_count=vms, server_count=SERVERS, seed=seed)
+    context.loss = 0.0
+    context.before = []
+
+
+@given("{loss:d} % lost datagrams")
+def given_loss(context: Context, loss: int) -> None:
+    context.loss = loss / 100
+
+
+async def apply_share(fleet: DispatcherFleet, percent: float) -> int:
+    seen = (await read_head(fleet.store)).revision
+    return await apply_config(fleet.store, inventory_of(SERVERS), rules_of(percent), seen)
+
+
+def run_fleet(context: Context, action: Callable[..., Awaitable[object]]) -> object:
+    async def act(fleet: DispatcherFleet, tasks: TaskGroup) -> object:
+        fleet.network.datagram_loss = context.loss
+        for earlier in context.before:
+            await earlier(fleet, tasks)
+        return await action(fleet, tasks)
+
+    return run_virtual(play, context.settings, act, seed=context.settings.seed)
+
+
+async def until_in_force(fleet: DispatcherFleet, revision: int, bound_s: float) -> list[str]:
+    """Returns the VMs on which a revision is not in force after `bound_s`."""
+    await anyio.sleep(bound_s)
+    spreads = {vm: dispatcher.config_spread for vm, dispatcher in fleet.dispatchers.items()}
+    return [vm for vm, spread in spreads.items() if spread.revision < revision]
+
+
+@when("an operator applies a new share")
+def when_apply(context: Context) -> None:
+    async def step(fleet: DispatcherFleet, tasks: TaskGroup) -> None:
+        await apply_share(fleet, 50)
+
+    context.before.append(step)
+
+
+@when('"{zone}" is cut off and an operator applies a new share')
+def when_cut_apply(context: Context, zone: str) -> None:
+    async def step(fleet: DispatcherFleet, tasks: TaskGroup) -> None:
+        fleet.cut_off(fleet.zone(zone))
+        await anyio.sleep(10)
+        await apply_share(fleet, 50)
+
+    context.before.append(step)
+
+
+@then("revision {revision:d} is in force on all VMs within {bound_s:d} s")
+def then_in_force(context: Context, revision: int, bound_s: int) -> None:
+    async def action(fleet: DispatcherFleet, tasks: TaskGroup) -> list[str]:
+        return await until_in_force(fleet, revision, bound_s)
+
+    behind = run_fleet(context, action)
+    assert not behind, behind
+
+
+@when("nothing happens for {idle_s:d} s")
+def when_idle(context: Context, idle_s: int) -> None:
+    async def action(fleet: DispatcherFleet, tasks: TaskGroup) -> float:
+        before = len(fleet.store.calls)
+        await anyio.sleep(idle_s)
+        return (len(fleet.store.calls) - before) / idle_s / len(fleet.dispatchers)
+
+    context.calls_per_s = run_fleet(context, action)
+
+
+@then("the dispatchers made at most {bound:d} Object API call a second and VM")
+def then_calls(context: Context, bound: int) -> None:
+    assert 0 < context.calls_per_s <= bound, context.calls_per_s
+
+
+def restart(fleet: DispatcherFleet, vm: str, tasks: TaskGroup) -> None:
+    fleet.kill_vm(vm)
+    fleet.start_vm(vm, tasks)
+
+
+@when('the store goes down and "{vm}" restarts')
+def when_down_restart(context: Context, vm: str) -> None:
+    async def step(fleet: DispatcherFleet, tasks: TaskGroup) -> None:
+        await anyio.sleep(5)
+        fleet.store.faults.is_down = True
+        restart(fleet, vm, tasks)
+
+    context.before.append(step)
+
+
+@when('the store goes down and "{vm}" restarts, cut off from all others')
+def when_alone(context: Context, vm: str) -> None:
+    async def step(fleet: DispatcherFleet, tasks: TaskGroup) -> None:
+        fleet.store.faults.is_down = True
+        fleet.cut_off([vm])
+        restart(fleet, vm, tasks)
+
+    context.before.append(step)
+
+
+@when('the peers miss a new share and "{vm}" restarts')
+def when_peers_behind(context: Context, vm: str) -> None:
+    async def step(fleet: DispatcherFleet, tasks: TaskGroup) -> None:
+        fleet.kill_vm(vm)
+        for dispatcher in fleet.dispatchers.values():
+            dispatcher.config_spread.take = lambda bundle: None
+            dispatcher.config_spread._take_config = lambda config: None
+        await apply_share(fleet, 50)
+        fleet.start_vm(vm, tasks)
+
+    context.before.append(step)
+
+
+@then('"{vm}" is ready within {bound_s:d} s, and never with less than revision {revision:d}')
+def then_ready(context: Context, vm: str, bound_s: int, revision: int) -> None:
+    async def action(fleet: DispatcherFleet, tasks: TaskGroup) -> list[int]:
+        seen = []
+        for _ in range(int(bound_s / SAMPLE_S)):
+            await anyio.sleep(SAMPLE_S)
+            if fleet.dispatchers[vm].is_ready:
+                seen.append(fleet.dispatchers[vm].config_spread.revision)
+        return seen
+
+    seen = run_fleet(context, action)
+    assert seen and set(seen) == {revision}, seen
+
+
+@then('"{vm}" isn\'t ready for {wait_s:d} s')
+def then_not_ready(context: Context, vm: str, wait_s: int) -> None:
+    async def action(fleet: DispatcherFleet, tasks: TaskGroup) -> bool:
+        for _ in range(int(wait_s / SAMPLE_S)):
+            await anyio.sleep(SAMPLE_S)
+            if fleet.dispatchers[vm].is_ready:
+                return True
+        return False
+
+    assert not run_fleet(context, action)
+
+
+@when(
+    "{count:d} revisions are applied while VMs restart, the store goes down and "
+    '"{zone}" is cut off'
+)
+def when_troubled(context: Context, count: int, zone: str) -> None:
+    async def action(fleet: DispatcherFleet, tasks: TaskGroup) -> list[str]:
+        context.seen = {vm: [] for vm in fleet.entries}
+        tasks.start_soon(record, fleet, context.seen)
+        for number in range(count):
+            context.last = await apply_share(fleet, 50 + number)
+            await anyio.sleep(3)
+            fleet.store.faults.is_down = True
+            restart(fleet, f"vm-{number + 1}", tasks)
+            await anyio.sleep(5)
+            fleet.cut_off(fleet.zone(zone))
+            await anyio.sleep(10)
+            fleet.store.faults.is_down = False
+            fleet.network.cut.clear()
+            await anyio.sleep(1)
+        return await until_in_force(fleet, context.last, 10)
+
+    context.behind = run_fleet(context, action)
+
+
+async def record(fleet: DispatcherFleet, seen: dict[str, list[int]]) -> None:
+    while True:
+        await anyio.sleep(SAMPLE_S)
+        for vm, dispatcher in fleet.dispatchers.items():
+            if dispatcher.is_ready:
+                seen[vm].append(dispatcher.config_spread.revision)
+
+
+@then("no VM was ever ready with a lower revision than before")
+def then_monotone(context: Context) -> None:
+    for vm, revisions in context.seen.items():
+        assert revisions == sorted(revisions), vm
+
+
+@then("the last revision is in force on all VMs")
+def then_last(context: Context) -> None:
+    assert not context.behind, context.behind
+
+
+@given("a store under revision 1")
+def given_store(context: Context) -> None:
+    context.store = StandinObjectApi(seed=1)
+
+    async def first() -> None:
+        await apply_config(context.store, inventory_of(SERVERS), rules_of(), 0)
+
+    run_virtual(first)
+
+
+def run_store(context: Context, action: Callable[[], Awaitable[object]]) -> object:
+    """Runs an action on the store, at a time after its last call."""
+
+    async def act() -> object:
+        await anyio.sleep(context.store.calls[-1].at_s + 10)
+        return await action()
+
+    return run_virtual(act)
+
+
+@when("an operator applies a new share and the {lost}")
+def when_lost(context: Context, lost: str) -> None:
+    faults = context.store.faults
+    if "answer is lost" in lost:
+        faults.lose_answer_probability = 0.5
+    else:
+        faults.late_write_probability, faults.late_write_s = 0.7, 0.3
+
+    async def act() -> int:
+        context.revision = await apply_config(context.store, inventory_of(SERVERS), rules_of(50), 1)
+        faults.lose_answer_probability = faults.late_write_probability = 0.0
+        await anyio.sleep(5)
+        return context.revision
+
+    run_store(context, act)
+
+
+@when("an operator applies the same new share twice")
+def when_twice(context: Context) -> None:
+    async def act() -> None:
+        for _ in range(2):
+            inventory = inventory_of(SERVERS)
+            context.revision = await apply_config(context.store, inventory, rules_of(50), 1)
+
+    run_store(context, act)
+
+
+@then("exactly one new revision was made")
+def then_one_revision(context: Context) -> None:
+    async def act() -> list[int]:
+        return [entry.revision for entry in (await read_head(context.store)).history]
+
+    assert context.revision == 2 and run_store(context, act) == [1, 2], run_store(context, act)
+
+
+@when("two operators who saw revision 1 apply different shares at once")
+def when_race(context: Context) -> None:
+    context.outcomes = []
+
+    async def put(percent: float) -> None:
+        try:
+            inventory = inventory_of(SERVERS)
+            outcome = await apply_config(context.store, inventory, rules_of(percent), 1)
+            context.outcomes.append(outcome)
+        except ConfigConflict as error:
+            context.outcomes.append(error)
+
+    async def act() -> None:
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(put, 41)
+            tasks.start_soon(put, 42)
+
+    run_store(context, act)
+
+
+@then("one is accepted and the other is told of the conflict with the difference")
+def then_conflict(context: Context) -> None:
+    accepted = [outcome for outcome in context.outcomes if outcome == 2]
+    refused = [str(o) for o in context.outcomes if isinstance(o, ConfigConflict)]
+    assert len(accepted) == len(refused) == 1, context.outcomes
+    assert "you saw 1" in refused[0] and "-  percent: 100" in refused[0], refused[0]
+    assert "+  percent: 4" in refused[0], refused[0]
+
+
+@when("an operator applies an inventory of {servers:d} backend servers")
+def when_large(context: Context, servers: int) -> None:
+    context.inventory = inventory_of(servers)
+
+    async def act() -> None:
+        try:
+            await apply_config(context.store, context.inventory, rules_of(), 1)
+        except BriarvaleError as error:
+            context.error = error
+
+    run_store(context, act)
+
+
+@then("the store gives back the whole inventory")
+def then_whole(context: Context) -> None:
+    async def act() -> dict[str, bytes]:
+        bundle = (await fetch_config(context.store)).bundle
+        return {document.name: document.body for document in bundle.documents}
+
+    assert run_store(context, act)[INVENTORY_NAME] == context.inventory.encode()
+
+
+@then("each stored object is under the Object API's limit")
+def then_under_limit(context: Context) -> None:
+    async def act() -> list[int]:
+        return [len(context.store.peek(key)) for key in context.store.peek_keys("config/")]
+
+    sizes = run_store(context, act)
+    assert max(sizes) <= MAX_VALUE_BYTES and len(sizes) > 4, sizes
+
+
+@then('it is refused with "{code}" and the head stays at revision 1')
+def then_refused(context: Context, code: str) -> None:
+    async def act() -> int:
+        return (await read_head(context.store)).revision
+
+    assert context.error.code == code and run_store(context, act) == 1
+
+
+@when("{count:d} revisions are applied and revision {back:d} is rolled back to")
+def when_rollback(context: Context, count: int, back: int) -> None:
+    async def act() -> None:
+        for number in range(count):
+            rules = rules_of(number + 1)
+            await apply_config(context.store, inventory_of(1), rules, number + 1)
+        context.revision = await rollback_config(context.store, back)
+
+    run_store(context, act)
+
+
+@then("revision {new:d} has the documents of revision {old:d}")
+def then_rolled_back(context: Context, new: int, old: int) -> None:
+    async def act() -> bool:
+        bundles = [await fetch_revision(context.store, revision) for revision in (new, old)]
+        return bundles[0].documents == bundles[1].documents
+
+    assert context.revision == new and run_store(context, act)
+
+
+@then("the history keeps {kept:d} revisions and no manifest besides")
+def then_bounded(context: Context, kept: int) -> None:
+    async def act() -> tuple[set[str], set[str]]:
+        manifests = {entry.manifest for entry in (await read_head(context.store)).history}
+        keys = context.store.peek_keys("config/documents/")
+        stored = {key for key in keys if b'"nonce"' in context.store.peek(key)}
+        return {f"config/documents/{digest}" for digest in manifests}, stored
+
+    named, stored = run_store(context, act)
+    assert kept == HISTORY_KEPT == len(named) and stored == named, len(stored)
+
+
+def wait_after_apply(context: Context, frozen: list[str]) -> None:
+    async def action(fleet: DispatcherFleet, tasks: TaskGroup) -> list[str]:
+        fleet.network.frozen |= {fleet.host(vm) for vm in frozen}
+        revision = await apply_share(fleet, 50)
+        started_s = anyio.current_time()
+        behind = await wait_in_force(revision, fleet.vm_list, FleetReports(fleet), 10)
+        context.waited_s = anyio.current_time() - started_s
+        return behind
+
+    context.behind = run_fleet(context, action)
+
+
+@when('"{vm}" is frozen and an operator applies a new share and waits')
+def when_wait_frozen(context: Context, vm: str) -> None:
+    wait_after_apply(context, [vm])
+
+
+@when("an operator applies a new share and waits")
+def when_wait(context: Context) -> None:
+    wait_after_apply(context, [])
+
+
+@then('the operator is told of just "{vm}"')
+def then_told(context: Context, vm: str) -> None:
+    assert context.behind == [vm], context.behind
+
+
+@then("the operator is told within {bound_s:d} s that no VM is behind")
+def then_told_none(context: Context, bound_s: int) -> None:
+    assert context.behind == [] and context.waited_s <= bound_s, context.waited_s
+
+
+INVENTORY = """\
+members: [{id: cyweirio, api_key_sha256: ["%s"]}]
+services:
+- id: reed-desk
+  kind: model
+
+  model: reeds
+models:
+- {id: reeds, version: '1'}
+backend_servers:
+- id: bs-1
+  url: http://127.0.0.1:9100
+  slots: 4
+  region: wales
+  service: reed-desk
+  availability_zone: caerdydd
+- service: reed-desk
+  url: http://127.0.0.1:9101
+  slots: 4
+  region: wales
+  id: bs-2
+  availability_zone: caerdydd
+""" % ("0" * 64)
+RULES = "priority_member: cyweirio\nshares:\n- {member: cyweirio, percent: 60}\n"
+
+FAULTS = {
+    "an unknown model": (INVENTORY.replace("model: reeds", "model: reads"), RULES),
+    "an unknown service": (
+        INVENTORY.replace("service: reed-desk\n  a", "service: reed-disk\n  a"),
+        RULES,
+    ),
+    "a server id that stands twice": (INVENTORY.replace("bs-2", "bs-1"), RULES),
+    "a model service without model": (INVENTORY.replace("  model: reeds\n", "\n"), RULES),
+    "an unknown field": (INVENTORY.replace("\nservices", "\nservers: []\nservices"), RULES),
+    "a key that stands twice": (INVENTORY.replace("\nservices", "\nmembers: []\nservices"), RULES),
+    "an unknown member": (INVENTORY, RULES.replace("member: cyweirio, ", "member: nobody, ")),
+    "shares over 100 %": (
+        INVENTORY.replace(
+            "members: [", "members: [{id: trust, api_key_sha256: ['%s']}, " % ("1" * 64)
+        ),
+        RULES + "- {member: trust, percent: 41}\n",
+    ),
+    "a second share": (INVENTORY, RULES + "\n- {member: cyweirio, percent: 1}\n"),
+    "an unknown priority member": (
+        INVENTORY,
+        RULES.replace("member: cyweirio\n", "member: nobody\n"),
+    ),
+    "a negative share": (INVENTORY, RULES.replace("60", "-1")),
+    "no rules": (INVENTORY, ""),
+}
+
+
+@when("an operator checks documents with {fault}")
+def when_checked(context: Context, fault: str) -> None:
+    check_documents({INVENTORY_NAME: INVENTORY, RULES_NAME: RULES})
+    inventory, rules = FAULTS[fault]
+    try:
+        check_documents({INVENTORY_NAME: inventory, RULES_NAME: rules})
+        context.problems = []
+    except SettingsInvalid as error:
+        context.problems = str(error).splitlines()
+
+
+@then('the check says "{problem}"')
+def then_says(context: Context, problem: str) -> None:
+    assert context.problems == [problem], context.problems
+
+
+@given("a folder with the inventories of two members, one of which names an unknown model")
+def given_folder(context: Context) -> None:
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    context.folder = Path(folder.name)
+    (context.folder / "inventory").mkdir()
+    (context.folder / "inventory" / "cyweirio.yaml").write_text(INVENTORY)
+    services = [{"id": "captions", "kind": "model", "model": "cards"}]
+    (context.folder / "inventory" / "trust.yaml").write_text(yaml.safe_dump({"services": services}))
+    (context.folder / "rules.yaml").write_text(RULES)
+
+
+@when("the operator checks it with the command line")
+def when_command(context: Context) -> None:
+    arguments = ["config", "check", str(context.folder / "inventory")]
+    rules = context.folder / "rules.yaml"
+    context.result = CliRunner().invoke(app, [*arguments, str(rules)])
+    context.missing = CliRunner().invoke(app, [*arguments, str(context.folder / "none.yaml")])
+
+
+@then("the command ends with 2 and names the member's file, line and field")
+def then_command(context: Context) -> None:
+    expected = (
+        f"{context.folder / 'inventory' / 'trust.yaml'}:4: services.0.model: no model 'cards'"
+    )
+    assert context.result.exit_code == 2, context.result.output
+    assert expected in context.result.output, context.result.output
+
+
+@then("a missing file is named as well")
+def then_missing(context: Context) -> None:
+    assert context.missing.exit_code == 2, context.missing.output
+    assert f"{context.folder / 'none.yaml'}: can't be read" in context.missing.output
--- a/features/support/nodes.py
+++ b/features/support/nodes.py
@@ -1,18 +1,23 @@
 """Plays a fleet of dispatchers in virtual time and records how each sees the others."""
 
 from collections.abc import Awaitable, Callable
-from typing import NamedTuple
+from typing import NamedTuple, TypeVar
 
 import anyio
 from anyio.abc import TaskGroup
 
 from briarvale._generated.messages import VmHealth
+from briarvale.fleet_status import ReportUnavailable
 from briarvale.standins.memory_dispatchers import DispatcherFleet, DispatcherFleetSettings
+from briarvale.vm_list import VmEntry
+from briarvale.vm_report import VmReport, vm_report
 
 SAMPLE_S = 0.1
 SETTLE_S = 10.03
 
-__all__ = ["Fault", "Sighting", "Timeline", "play_fault"]
+T = TypeVar("T")
+
+__all__ = ["Fault", "FleetReports", "Sighting", "Timeline", "play", "play_fault"]
 
 Fault = Callable[[DispatcherFleet, TaskGroup], Awaitable[None]]
 
@@ -88,3 +93,29 @@
 def _owners(fleet: DispatcherFleet, vm: str) -> dict[str, str]:
     view = fleet.dispatchers[vm].view()
     return {server.backend_server: server.owner for server in view.servers}
+
+
+async def play(settings: DispatcherFleetSettings, action: Callable[..., Awaitable[T]]) -> T:
+    """Lets a fleet settle and returns what an action on it returns."""
+    fleet = DispatcherFleet(settings)
+    async with anyio.create_task_group() as tasks:
+        await fleet.start_with_config(tasks)
+        await anyio.sleep(SETTLE_S)
+        result = await action(fleet, tasks)
+        tasks.cancel_scope.cancel()
+    return result
+
+
+class FleetReports:
+    """Implements `Reports` with the dispatchers of a fleet; a frozen one gives none."""
+
+    def __init__(self, fleet: DispatcherFleet) -> None:
+        self._fleet = fleet
+
+    async def fetch(self, entry: VmEntry) -> VmReport:
+        """Returns a report."""
+        await anyio.sleep(SAMPLE_S)
+        is_frozen = entry.host in self._fleet.network.frozen
+        if is_frozen or entry.vm not in self._fleet.dispatchers:
+            raise ReportUnavailable(entry.vm)
+        return vm_report(self._fleet.dispatchers[entry.vm])
