--- a/briarvale/membership.py
+++ b/briarvale/membership.py
@@ -20,7 +20,7 @@
 from .heartbeats import Heartbeats, own_state
 from .peer import PeerAddress
 from .settings import Settings
-from .vm_list import VmEntry, VmListUnavailable
+from .vm_list import VmEntry, VmListUnavailable, VmStatus
 
 POLL_INTERVAL_S = 1.0
 POLL_JITTER = 0.5
@@ -59,6 +59,7 @@
         self._seen_updates = -1
         self._changed = anyio.Event()
         self._has_list = False
+        self.leaving_vms: frozenset[str] = frozenset()
 
     @property
     def vms(self) -> tuple[VmState, ...]:
@@ -149,6 +150,8 @@
             log.warning("The VM list is empty; kept the last one.")
             return
         self._detector.take_list(entries)
+        leaving = (entry.vm for entry in entries if entry.status is VmStatus.LEAVING)
+        self.leaving_vms = frozenset(leaving)
         if not self._has_list:
             self._has_list = True
             self._notify()
