Tell local programs changes only, and keep owners between changes

Cause: every change of health sent a whole view to each local program, and every look at the owned servers filtered all VMs for all servers: 10,000 servers and 1,100 VMs would take the processor. Ruled out: a timer for the view, which delays the first change. Change: OwnershipTable works out owners only where the VMs of a place changed; ViewFeed sends a whole view once and then what changed, gathered for longer the larger the fleet. A dispatcher without a configuration sends no empty view. Membership wakes up on changes alone. config check names the line of an unknown field; the process feature that pinned line 1 for it now pins the field's own line. Conclusion: the cost of a change no longer grows with servers times VMs.

--- /dev/null
+++ b/benchmarks/control_nodes.py
@@ -0,0 +1,123 @@
+"""Control cost of one daemon by the number of nodes, in virtual time."""
+
+import time
+from typing import NamedTuple
+
+import anyio
+from anyio.abc import TaskGroup
+
+from briarvale._generated.messages import ServerHealth, ServerState, VmHealth
+from briarvale.config_head import apply_config
+from briarvale.dispatcher import Dispatcher
+from briarvale.peer import PeerAddress
+from briarvale.standins.memory_dispatchers import (
+    DispatcherFleet,
+    DispatcherFleetSettings,
+    inventory_of,
+    rules_of,
+)
+from features.support.virtual import run_virtual
+
+SIZES = (6, 50, 200, 1_100)
+SMALL_SIZES = (6, 50)
+ZONES = 16
+SETTLE_S = 5.03
+STEADY_S = 5.0
+TIMEOUT_S = 20.0
+SAMPLE_S = 0.1
+UDP_HEADER_BYTES = 28
+SERVER = "bs-1"
+VICTIM = "vm-2"
+
+__all__ = ["NodeCost", "measure_nodes"]
+
+
+class NodeCost(NamedTuple):
+    """What one daemon spends at a fleet's size, and how fast news travels."""
+
+    nodes: int
+    bytes_per_s: float
+    datagrams_per_s: float
+    cpu_ms_per_s: float
+    store_calls_per_s: float
+    detection_s: float
+    rumor_s: float
+    config_s: float
+
+
+class ControlDispatcher(Dispatcher):
+    """A dispatcher with its control parts alone: membership and configuration."""
+
+    def _start(self, tasks: TaskGroup) -> None:
+        address = PeerAddress(self._settings.host, self._settings.peer_port)
+        tasks.start_soon(self._environment.transport.serve, address, self._serve_peer)
+        tasks.start_soon(self.membership.run)
+        tasks.start_soon(self.config_spread.run)
+
+
+def measure_nodes(nodes: int) -> NodeCost:
+    """Runs a fleet of this size and measures one daemon of it."""
+    return run_virtual(_measure, nodes, seed=nodes)
+
+
+async def _measure(nodes: int) -> NodeCost:
+    settings = DispatcherFleetSettings(nodes, min(ZONES, nodes // 2), server_count=0, seed=nodes)
+    fleet = DispatcherFleet(settings, ControlDispatcher)
+    async with anyio.create_task_group() as tasks:
+        await fleet.start_with_config(tasks)
+        await anyio.sleep(SETTLE_S)
+        steady = await _measure_steady(fleet)
+        rumor_s = await _rumor_time(fleet)
+        config_s = await _config_time(fleet)
+        detection_s = await _detection_time(fleet)
+        tasks.cancel_scope.cancel()
+    return NodeCost(nodes, *steady, detection_s, rumor_s, config_s)
+
+
+async def _measure_steady(fleet: DispatcherFleet) -> tuple[float, float, float, float]:
+    network = fleet.network
+    bytes_before = sum(network.datagram_bytes.values())
+    count_before = sum(network.datagram_count.values())
+    calls_before = len(fleet.store.calls)
+    cpu_before_s = time.process_time()
+    await anyio.sleep(STEADY_S)
+    cpu_s = time.process_time() - cpu_before_s
+    daemon_seconds = len(fleet.dispatchers) * STEADY_S
+    datagrams = sum(network.datagram_count.values()) - count_before
+    payload = sum(network.datagram_bytes.values()) - bytes_before
+    calls = len(fleet.store.calls) - calls_before
+    return (
+        (payload + datagrams * UDP_HEADER_BYTES) / daemon_seconds,
+        datagrams / daemon_seconds,
+        cpu_s * 1_000 / daemon_seconds,
+        calls / daemon_seconds,
+    )
+
+
+async def _rumor_time(fleet: DispatcherFleet) -> float:
+    now_ms = fleet.clock.now_ms()
+    rumor = ServerState(SERVER, "vm-1", ServerHealth.DOWN, 0, 0, 0, now_ms)
+    heard: set[str] = {"vm-1"}
+    for vm, dispatcher in fleet.dispatchers.items():
+        dispatcher.membership.subscribe(lambda _, vm=vm: heard.add(vm))
+    fleet.dispatchers["vm-1"].membership.publish(rumor)
+    return await _until(lambda: len(heard) == len(fleet.dispatchers))
+
+
+async def _config_time(fleet: DispatcherFleet) -> float:
+    revision = await apply_config(fleet.store, inventory_of(0), rules_of(50), 1)
+    spreads = [dispatcher.config_spread for dispatcher in fleet.dispatchers.values()]
+    return await _until(lambda: all(spread.revision >= revision for spread in spreads))
+
+
+async def _detection_time(fleet: DispatcherFleet) -> float:
+    fleet.kill_vm(VICTIM)
+    observers = list(fleet.dispatchers)
+    return await _until(lambda: all(fleet.health(o, VICTIM) is VmHealth.DEAD for o in observers))
+
+
+async def _until(is_done) -> float:
+    started_s = anyio.current_time()
+    while not is_done() and anyio.current_time() < started_s + TIMEOUT_S:
+        await anyio.sleep(SAMPLE_S)
+    return anyio.current_time() - started_s if is_done() else float("inf")
--- a/briarvale/_generated/messages.py
+++ b/briarvale/_generated/messages.py
@@ -196,6 +196,7 @@
     vms: tuple[VmState, ...] = ()
     servers: tuple[ServerState, ...] = ()
     config_revision: int = 0
+    is_delta: bool = False
 
 
 class ConfigFetch(NamedTuple):
@@ -588,6 +589,7 @@
         tuple(_read_vm_state(item) for item in reader.vms),
         tuple(_read_server_state(item) for item in reader.servers),
         reader.configRevision,
+        reader.isDelta,
     )
 
 
@@ -599,6 +601,7 @@
     for index, server_state in enumerate(message.servers):
         _write_server_state(servers[index], server_state)
     builder.configRevision = message.config_revision
+    builder.isDelta = message.is_delta
 
 
 def _read_config_fetch(reader: Any) -> ConfigFetch:
--- a/briarvale/dispatcher.py
+++ b/briarvale/dispatcher.py
@@ -28,12 +28,13 @@
 from .environment import Environment
 from .errors import BriarvaleError, ServerNotReady
 from .membership import Membership, Rumor
-from .ownership import owner_of
+from .ownership import OwnershipTable
 from .peer import MessageStream, PeerAddress, PeerIdentity
 from .peer_connection import PeerConnection
 from .server_health import ServerHealthMonitor
 from .settings import Settings
 from .slot_owner import SlotOwner
+from .view_feed import ViewFeed
 
 TICK_INTERVAL_S = 0.1
 SETTLE_MS = 2_000
@@ -64,6 +65,8 @@
             lambda: self.membership.leaving_vms,
             self.membership.publish,
         )
+        self._ownership = OwnershipTable(settings.vm)
+        self._feed = ViewFeed(self.view, self._broadcast)
         self._connections: set[PeerConnection] = set()
 
     @property
@@ -101,13 +104,17 @@
     def owned_servers(self) -> Iterable[BackendServer]:
         """Returns the backend servers that this dispatcher owns now."""
         config = self.config_spread.config
-        servers = config.servers.values() if config else ()
-        return [server for server in servers if self._owner_name(server) == self._settings.vm]
+        if config is None:
+            return ()
+        state = (config.revision, self.membership.version)
+        self._ownership.refresh(config.servers, self.membership.vms, state)
+        return self._ownership.owned
 
     def view(self) -> View:
         """Returns the fleet as this dispatcher sees it."""
         config = self.config_spread.config
         servers = config.servers.values() if config else ()
+        self.owned_servers()
         states = tuple(self._server_state(server) for server in servers)
         return View(self.membership.vms, states, self.config_spread.revision)
 
@@ -120,6 +127,7 @@
         tasks.start_soon(self._follow_membership)
         tasks.start_soon(self._follow_config)
         tasks.start_soon(self._follow_health)
+        tasks.start_soon(self._feed.run)
         tasks.start_soon(self._tick)
 
     async def _tick(self) -> None:
@@ -143,13 +151,14 @@
         while True:
             await self.server_health.wait_changed()
             self._refuse_waiting()
-            self._broadcast(self.view())
+            if self.config_spread.config is not None:
+                self._feed.mark()
 
     def _settle(self) -> None:
         if self.config_spread.config is not None:
             owned = {server.id for server in self.owned_servers()}
             self.slot_owner.settle(self.config_spread.config, owned)
-        self._broadcast(self.view())
+            self._feed.mark()
 
     def _refuse_waiting(self) -> None:
         """Sends what waits for a server that takes no more work to other servers."""
@@ -165,15 +174,11 @@
             case SuspectNotice():
                 self._broadcast(rumor)
 
-    def _owner_name(self, server: BackendServer) -> str:
-        owner = owner_of(server, self.membership.vms)
-        return owner.vm if owner else ""
-
     def _server_state(self, server: BackendServer) -> ServerState:
         queue = self.slot_owner.queue(server.id)
         return ServerState(
             backend_server=server.id,
-            owner=self._owner_name(server),
+            owner=self._ownership.owner(server.id),
             health=self.server_health.health(server.id),
             streams=queue.held if queue else 0,
             queued=queue.queued if queue else 0,
@@ -237,4 +242,4 @@
         self._note_batch()
         if self.config_spread.config is not None:
             connection.notify(self.config_spread.config.bundle)
-        connection.notify(self.view())
+            connection.notify(self.view())
--- a/briarvale/failure_detector.py
+++ b/briarvale/failure_detector.py
@@ -45,11 +45,15 @@
     Args:
         own: This VM's state at its start.
         spread: Called with each state that other VMs should hear.
+        on_change: Called when `version` moves.
     """
 
-    def __init__(self, own: VmState, spread: Callable[[VmState], None]) -> None:
+    def __init__(
+        self, own: VmState, spread: Callable[[VmState], None], on_change: Callable[[], None]
+    ) -> None:
         self.own = own
         self._spread = spread
+        self._on_change = on_change
         self._members: dict[str, _Member] = {}
         self._suspects: set[str] = set()
         self._ring: list[str] | None = None
@@ -119,7 +123,9 @@
             del self._members[name]
             self._suspects.discard(name)
             self._note_change()
-        self._has_list = True
+        if not self._has_list:
+            self._has_list = True
+            self._note_change()
 
     def take_update(self, update: VmState, now_ms: int, *, is_spread: bool = True) -> None:
         """Merges what another VM tells of a VM, and spreads it on if it is new and `is_spread`."""
@@ -172,6 +178,11 @@
         self._set(member, verdict, now_ms, is_spread=not is_local)
         member.is_local = is_local
 
+    @property
+    def has_suspects(self) -> bool:
+        """Whether a suspicion runs."""
+        return bool(self._suspects)
+
     def expire_suspects(self, now_ms: int) -> None:
         """Counts suspects as dead that did not refute in time."""
         for name in list(self._suspects):
@@ -264,6 +275,7 @@
         self._ring = None
         self.version += 1
         self.update_count += 1
+        self._on_change()
 
 
 def _is_probed(member: _Member) -> bool:
--- a/briarvale/fleet_view.py
+++ b/briarvale/fleet_view.py
@@ -129,8 +129,10 @@
             await stream.aclose()
 
     def _take_view(self, view: View) -> None:
-        self._vms = {vm.vm: vm for vm in view.vms}
-        self._servers = {server.backend_server: server for server in view.servers}
+        vms = {vm.vm: vm for vm in view.vms}
+        servers = {server.backend_server: server for server in view.servers}
+        self._vms = self._vms | vms if view.is_delta else vms
+        self._servers = self._servers | servers if view.is_delta else servers
         self._notify()
 
     def _take_config(self, bundle: ConfigBundle) -> None:
--- a/briarvale/heartbeats.py
+++ b/briarvale/heartbeats.py
@@ -38,6 +38,7 @@
 HELPER_COUNT = 3
 DEAD_PROBE_TICKS = 2
 EXPIRE_INTERVAL_MS = 100
+IDLE_INTERVAL_MS = 500
 PAUSE_MS = 700
 PUSH_DELAY_S = 0.05
 PUSH_FANOUT = FRESH_SENDS
@@ -159,7 +160,8 @@
 
     async def _expire_suspects(self) -> None:
         while True:
-            due_ms = self._now_ms() + EXPIRE_INTERVAL_MS
+            is_busy = self._detector.has_suspects
+            due_ms = self._now_ms() + (EXPIRE_INTERVAL_MS if is_busy else IDLE_INTERVAL_MS)
             await self._environment.clock.sleep_until(due_ms)
             late_ms = self._now_ms() - due_ms
             if late_ms > PAUSE_MS:
--- a/briarvale/membership.py
+++ b/briarvale/membership.py
@@ -25,7 +25,7 @@
 POLL_INTERVAL_S = 1.0
 POLL_JITTER = 0.5
 FLEET_POLLS_PER_S = 8
-WATCH_INTERVAL_S = 0.1
+GATHER_S = 0.05
 SYNC_TIMEOUT_S = 2.0
 SYNC_ATTEMPTS = 3
 LEAVE_FANOUT = 16
@@ -50,7 +50,10 @@
         self._settings = settings
         self._environment = environment
         self._random = random.Random(environment.identity.boot_id)
-        self._detector = FailureDetector(own_state(settings, environment), self._spread)
+        self._detector_changed = anyio.Event()
+        self._detector = FailureDetector(
+            own_state(settings, environment), self._spread, self._note_change
+        )
         self._heartbeats = Heartbeats(settings, environment, self._detector, self._hear)
         self._servers: dict[str, ServerState] = {}
         self._suspects: dict[str, SuspectNotice] = {}
@@ -71,6 +74,11 @@
             self._vms = self._detector.states
         return self._vms
 
+    @property
+    def version(self) -> int:
+        """Counts the changes of who is a member and how healthy."""
+        return self._detector.version
+
     @property
     def newest_revision(self) -> tuple[int, str]:
         """The highest configuration revision that heartbeats told, and the VM that has it."""
@@ -195,13 +203,15 @@
         for suspect in snapshot.suspects:
             self._hear(suspect, is_spread=False)
 
+    def _note_change(self) -> None:
+        self._detector_changed.set()
+
     async def _watch_detector(self) -> None:
-        version = self._detector.version
         while True:
-            await anyio.sleep(WATCH_INTERVAL_S)
-            if version != self._detector.version:
-                version = self._detector.version
-                self._notify()
+            await self._detector_changed.wait()
+            await anyio.sleep(GATHER_S)
+            self._detector_changed = anyio.Event()
+            self._notify()
 
     def _hear(self, rumor: Rumor, *, is_spread: bool = True) -> None:
         if not self._remember(rumor):
--- a/briarvale/ownership.py
+++ b/briarvale/ownership.py
@@ -1,13 +1,73 @@
 """Which VM's dispatcher owns a backend server: rendezvous hashing, same availability zone first."""
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 
 import xxhash
 
 from ._generated.messages import VmHealth, VmState
 from .config import BackendServer
 
-__all__ = ["batch_vms", "owner_of", "rank_by_rendezvous"]
+__all__ = ["OwnershipTable", "batch_vms", "owner_of", "rank_by_rendezvous"]
+
+
+class OwnershipTable:
+    """The owners of all backend servers, worked out anew only where the VMs of a place changed.
+
+    Args:
+        vm: This VM, whose own backend servers are kept apart.
+    """
+
+    def __init__(self, vm: str) -> None:
+        self._vm = vm
+        self._state: tuple[int, int] = (-1, -1)
+        self._owners: dict[str, tuple[frozenset[str], str]] = {}
+        self.owned: tuple[BackendServer, ...] = ()
+
+    def refresh(
+        self, servers: Mapping[str, BackendServer], vms: Sequence[VmState], state: tuple[int, int]
+    ) -> None:
+        """Works out the owners, unless `state`, the revisions of both, is the last one."""
+        if state == self._state:
+            return
+        self._state = state
+        places = _Places(vms)
+        owners = {}
+        for name, server in servers.items():
+            candidates = places.candidates(server)
+            known = self._owners.get(name)
+            if known is None or known[0] != candidates:
+                known = (candidates, _first_by_rendezvous(name, candidates))
+            owners[name] = known
+        self._owners = owners
+        self.owned = tuple(s for name, s in servers.items() if owners[name][1] == self._vm)
+
+    def owner(self, backend_server: str) -> str:
+        """Returns the VM that owns a backend server, or nothing if no VM is alive."""
+        known = self._owners.get(backend_server)
+        return known[1] if known else ""
+
+
+class _Places:
+    """The VMs that are alive, by availability zone, by region and all."""
+
+    def __init__(self, vms: Sequence[VmState]) -> None:
+        groups: dict[tuple[str, ...], set[str]] = {}
+        for vm in vms:
+            if vm.health in (VmHealth.ALIVE, VmHealth.SUSPECT):
+                for place in ((), (vm.region,), (vm.region, vm.availability_zone)):
+                    groups.setdefault(place, set()).add(vm.vm)
+        self._groups = {place: frozenset(names) for place, names in groups.items()}
+
+    def candidates(self, server: BackendServer) -> frozenset[str]:
+        """Returns the VMs that come first for a backend server."""
+        region, zone = (server.region,), (server.region, server.availability_zone)
+        groups = self._groups
+        return groups.get(zone) or groups.get(region) or groups.get(()) or frozenset()
+
+
+def _first_by_rendezvous(key: str, names: Iterable[str]) -> str:
+    prefix = f"{key}\0"
+    return max(names, key=lambda vm: xxhash.xxh3_64_intdigest((prefix + vm).encode()), default="")
 
 
 def rank_by_rendezvous(key: str, names: Iterable[str]) -> list[str]:
--- a/briarvale/schema/messages.capnp
+++ b/briarvale/schema/messages.capnp
@@ -83,7 +83,12 @@
   adapters @7 :List(Text);
 }
 struct ViewSubscribe { role @0 :Text; }
-struct View { vms @0 :List(VmState); servers @1 :List(ServerState); configRevision @2 :UInt64; }
+struct View {
+  vms @0 :List(VmState);
+  servers @1 :List(ServerState);
+  configRevision @2 :UInt64;
+  isDelta @3 :Bool;
+}
 
 struct ConfigFetch { haveRevision @0 :UInt64; }
 struct ConfigDocument { name @0 :Text; digest @1 :Text; body @2 :Data; }
--- a/features/nodes/configuration.feature
+++ b/features/nodes/configuration.feature
@@ -20,6 +20,7 @@
     Given a fleet of 9 dispatchers under revision 1, seed 4
     When nothing happens for 120 s
     Then the dispatchers made at most 1 Object API call a second and VM
+    And at most 2 dispatchers watched the head
 
   Scenario: A VM that starts during an outage of the store gets the configuration from peers
     Given a fleet of 6 dispatchers under revision 1, seed 5
@@ -34,7 +35,7 @@
 
   Scenario: A VM that starts beside peers that are behind takes the store's revision
     Given a fleet of 3 dispatchers under revision 1, seed 7
-    When the peers miss a new share and "vm-2" restarts
+    When the peers miss a new share, the store is slow and "vm-2" restarts
     Then "vm-2" is ready within 5 s, and never with less than revision 2
 
   Scenario: Restarts, an outage and a cut zone never make a VM go back
@@ -63,6 +64,12 @@
     When two operators who saw revision 1 apply different shares at once
     Then one is accepted and the other is told of the conflict with the difference
 
+  Scenario: An operator who saw an old revision is refused
+    Given a store under revision 1
+    When an operator applies the same new share twice
+    And an operator who still saw revision 1 applies another share
+    Then that operator is told of the conflict, and revision 2 stays in force
+
   Scenario: A document over the Object API's limit is stored in parts
     Given a store under revision 1
     When an operator applies an inventory of 12000 backend servers
--- a/features/processes/survival.feature
+++ b/features/processes/survival.feature
@@ -36,7 +36,7 @@
       | gateway    | gateway_port | "8080"    | 7    |
       | dispatcher | peer_port    | 70000     | 7    |
       | batch      | log_level    | LOUD      | 7    |
-      | controller | unknown      | 1         | 1    |
+      | controller | unknown      | 1         | 7    |
 
   Scenario: Bad frames at the peer port close the connection and nothing else
     Given the demo's fleet of real processes
--- a/features/steps/nodes_config.py
+++ b/features/steps/nodes_config.py
@@ -20,6 +20,7 @@
     read_head,
     rollback_config,
 )
+from briarvale.config_spread import WATCH_TIMEOUT_S
 from briarvale.errors import BriarvaleError, ConfigConflict, SettingsInvalid
 from briarvale.fleet_status import wait_in_force
 from briarvale.object_store import MAX_VALUE_BYTES
@@ -104,9 +105,11 @@
     async def action(fleet: DispatcherFleet, tasks: TaskGroup) -> float:
         before = len(fleet.store.calls)
         await anyio.sleep(idle_s)
+        context.watches = sum(call.verb == "watch" for call in fleet.store.calls[before:])
         return (len(fleet.store.calls) - before) / idle_s / len(fleet.dispatchers)
 
     context.calls_per_s = run_fleet(context, action)
+    context.idle_s = idle_s
 
 
 @then("the dispatchers made at most {bound:d} Object API call a second and VM")
@@ -114,6 +117,12 @@
     assert 0 < context.calls_per_s <= bound, context.calls_per_s
 
 
+@then("at most {watchers:d} dispatchers watched the head")
+def then_watchers(context: Context, watchers: int) -> None:
+    watches_each = context.idle_s / WATCH_TIMEOUT_S + 1
+    assert 0 < context.watches <= watchers * watches_each, context.watches
+
+
 def restart(fleet: DispatcherFleet, vm: str, tasks: TaskGroup) -> None:
     fleet.kill_vm(vm)
     fleet.start_vm(vm, tasks)
@@ -139,7 +148,7 @@
     context.before.append(step)
 
 
-@when('the peers miss a new share and "{vm}" restarts')
+@when('the peers miss a new share, the store is slow and "{vm}" restarts')
 def when_peers_behind(context: Context, vm: str) -> None:
     async def step(fleet: DispatcherFleet, tasks: TaskGroup) -> None:
         fleet.kill_vm(vm)
@@ -147,6 +156,7 @@
             dispatcher.config_spread.take = lambda bundle: None
             dispatcher.config_spread._take_config = lambda config: None
         await apply_share(fleet, 50)
+        fleet.store.faults.latency_s = 0.5
         fleet.start_vm(vm, tasks)
 
     context.before.append(step)
@@ -305,6 +315,26 @@
     assert "+  percent: 4" in refused[0], refused[0]
 
 
+@when("an operator who still saw revision 1 applies another share")
+def when_late(context: Context) -> None:
+    async def act() -> BriarvaleError | int:
+        try:
+            return await apply_config(context.store, inventory_of(SERVERS), rules_of(51), 1)
+        except ConfigConflict as error:
+            return error
+
+    context.outcome = run_store(context, act)
+
+
+@then("that operator is told of the conflict, and revision 2 stays in force")
+def then_late(context: Context) -> None:
+    async def act() -> int:
+        return (await read_head(context.store)).revision
+
+    assert isinstance(context.outcome, ConfigConflict), context.outcome
+    assert "you saw 1" in str(context.outcome) and run_store(context, act) == 2
+
+
 @when("an operator applies an inventory of {servers:d} backend servers")
 def when_large(context: Context, servers: int) -> None:
     context.inventory = inventory_of(servers)
