--- a/briarvale/metrics.py
+++ b/briarvale/metrics.py
@@ -39,6 +39,10 @@
 STORE_CALLS = Counter("briarvale_store_calls_total", "Object API calls by verb and result.")
 ITEMS = Counter("briarvale_items_total", "Batch items committed by result.")
 CLAIMS = Counter("briarvale_claims_total", "Claims of idempotency keys by result.")
+BATCH_BUFFER_BYTES = Gauge(
+    "briarvale_batch_buffer_bytes", "Batch results that wait for the Object API."
+)
+JOBS_LATE = Gauge("briarvale_jobs_late", "Jobs that are predicted to miss their due date.")
 CONFIG_REVISION = Gauge("briarvale_config_revision", "Configuration revision in force.")
 CONFIG_REFUSED = Counter("briarvale_config_refused_total", "Revisions that this VM can't use.")
 
@@ -47,11 +51,13 @@
     "CONFIG_REFUSED",
     "BAD_DATAGRAMS",
     "CLAIMS",
+    "BATCH_BUFFER_BYTES",
     "CONFIG_REVISION",
     "EJECTIONS",
     "FIRST_TOKEN_S",
     "SERVERS",
     "ITEMS",
+    "JOBS_LATE",
     "LEASES_EXPIRED",
     "OWNER_LINKS_LOST",
     "PEER_BAD_FRAMES",
--- /dev/null
+++ b/features/steps/batch_items.py
@@ -0,0 +1,168 @@
+"""Steps of single items: failing, invalid, interrupted and revoked ones."""
+
+import json
+from collections.abc import AsyncIterator, Awaitable, Callable
+from unittest.mock import patch
+
+import anyio
+from behave import given, then, when
+from behave.runner import Context
+
+from briarvale.engine_client import Completion, Token
+from briarvale.errors import InvalidRequest, ServerLost
+from briarvale.job_results import read_progress, read_results
+from briarvale.jobs import JobRequest
+from briarvale.online import OnlineRequest
+from briarvale.shard_log import ItemResult
+from briarvale.standins.engine import StandinEngine, token_text
+from briarvale.standins.memory_fleet import ENGINE_SERVICE, FleetSettings, MemoryFleet
+from features.support.virtual import run_virtual
+
+ITEMS = 40
+ONLINE_REQUESTS = 24
+BAD = "item 7"
+
+Disturb = Callable[[MemoryFleet], Awaitable[None]]
+_complete = StandinEngine.complete
+
+
+async def _drop_bad(self: StandinEngine, completion: Completion) -> AsyncIterator[Token]:
+    async for token in _complete(self, completion):
+        if completion.prompt == BAD:
+            raise ServerLost("dropped")
+        yield token
+
+
+async def _refuse_bad(self: StandinEngine, completion: Completion) -> AsyncIterator[Token]:
+    if completion.prompt == BAD:
+        raise InvalidRequest("no")
+    async for token in _complete(self, completion):
+        yield token
+
+
+async def _lines(tokens: int) -> AsyncIterator[bytes]:
+    for number in range(ITEMS):
+        yield json.dumps({"prompt": f"item {number}", "max_tokens": tokens}).encode()
+
+
+async def _leave_alone(fleet: MemoryFleet) -> None:
+    return
+
+
+async def _take_servers_away(fleet: MemoryFleet) -> None:
+    """Each backend server is down, draining or refusing in turn, then all are."""
+    for _ in range(6):
+        for engine in fleet.backends.engines.values():
+            engine.faults.is_down = True
+        await anyio.sleep(7)
+        for engine in fleet.backends.engines.values():
+            engine.faults.is_down = False
+            engine.faults.is_draining = True
+        await anyio.sleep(3)
+        for engine in fleet.backends.engines.values():
+            engine.faults.is_draining = False
+        await anyio.sleep(0.5)
+
+
+async def _ask_online(fleet: MemoryFleet) -> None:
+    async def ask(number: int) -> None:
+        deadline_ms = fleet.clock.now_ms() + 30_000
+        request = OnlineRequest(f"r{number}", "cyweirio", ENGINE_SERVICE, "low G", 20, deadline_ms)
+        async for _ in fleet.vms["vm-1"].gateway.online.stream(request):
+            pass
+
+    for start in range(0, ONLINE_REQUESTS, 8):
+        await anyio.sleep(4)
+        async with anyio.create_task_group() as tasks:
+            for number in range(start, start + 8):
+                tasks.start_soon(ask, number)
+
+
+def _given(
+    context: Context,
+    complete: Callable[..., AsyncIterator[Token]] = _complete,
+    disturb: Disturb = _leave_alone,
+    tokens: int = 8,
+    settings: FleetSettings = FleetSettings(),
+) -> None:
+    context.complete, context.disturb = complete, disturb
+    context.tokens, context.settings = tokens, settings
+
+
+@given("a job with an item on which every backend server drops the stream")
+def given_dropped(context: Context) -> None:
+    _given(context, _drop_bad)
+
+
+@given("a job with an item that engines refuse as invalid")
+def given_invalid(context: Context) -> None:
+    _given(context, _refuse_bad)
+
+
+@given("a job whose backend servers go away again and again")
+def given_away(context: Context) -> None:
+    _given(context, disturb=_take_servers_away, tokens=200)
+
+
+@given("a job of long items on one backend server with 8 slots")
+def given_long(context: Context) -> None:
+    settings = FleetSettings(engine_count=1, slots=8)
+    _given(context, disturb=_ask_online, tokens=150, settings=settings)
+
+
+@when("the job has run")
+@when("online requests take its slots back")
+def when_run(context: Context) -> None:
+    async def play() -> MemoryFleet:
+        fleet = MemoryFleet(context.settings)
+        async with anyio.create_task_group() as tasks:
+            await fleet.start(tasks)
+            due_at_ms = fleet.clock.now_ms() + 600_000
+            request = JobRequest("trust", "greetings", ENGINE_SERVICE, due_at_ms)
+            job = await fleet.vms["vm-1"].gateway.jobs.submit(request, _lines(context.tokens))
+            tasks.start_soon(context.disturb, fleet)
+            with anyio.fail_after(3_600):
+                while not (await read_progress(fleet.store, job)).is_sealed:
+                    await anyio.sleep(1)
+            context.results = [r async for _, r in read_results(fleet.store, job)]
+            tasks.cancel_scope.cancel()
+        return fleet
+
+    with patch.object(StandinEngine, "complete", context.complete):
+        context.fleet = run_virtual(play)
+
+
+@then('that item has one result with the error "{code}" after {runs:d} runs')
+def then_error(context: Context, code: str, runs: int) -> None:
+    assert [r for r in context.results if r.item_index == 7] == [ItemResult(7, "", code)]
+    engines = context.fleet.backends.engines.values()
+    starts = [start for engine in engines for start in engine.starts if start.prompt == BAD]
+    assert len(starts) == runs, len(starts)
+
+
+@then("all other items have their whole text")
+def then_others(context: Context) -> None:
+    _check_texts(context, [n for n in range(ITEMS) if n != 7])
+
+
+@then("all items have their whole text")
+def then_all(context: Context) -> None:
+    _check_texts(context, list(range(ITEMS)))
+
+
+@then("the items go on after the tokens that they had")
+def then_resumed(context: Context) -> None:
+    engine = context.fleet.backends.engines["bs-1"]
+    revoked = sum(count - 1 for count in engine.run_counts.values())
+    assert revoked > 0
+    wanted = ITEMS * context.tokens + ONLINE_REQUESTS * 20
+    # A token that crosses with the revocation is generated twice.
+    assert engine.tokens_generated <= wanted + revoked, (engine.tokens_generated, wanted, revoked)
+
+
+def _check_texts(context: Context, indexes: list[int]) -> None:
+    texts = {r.item_index: r.text for r in context.results}
+    assert len(context.results) == ITEMS
+    for n in indexes:
+        tokens = range(context.tokens)
+        assert texts[n] == "".join(token_text(f"item {n}", k) for k in tokens), (n, texts[n])
