Measure what control costs by nodes, servers, members, jobs and tokens

Readiness needs a configuration after peers and store were asked; the second condition beside it was never decisive and is gone.

--- /dev/null
+++ b/benchmarks/control.py
@@ -0,0 +1,90 @@
+"""`make bench-control`: what control costs by size, with bounds from the stated target.
+
+`--small` runs the smaller sizes alone, as CI does. `--write` keeps the figures of a whole run in
+docs/capacity-slopes.json, from which tools/check_capacity.py works out docs/CAPACITY.md.
+"""
+
+import json
+import sys
+from pathlib import Path
+
+from loguru import logger
+from rich.console import Console
+
+from .control_nodes import SIZES, SMALL_SIZES, NodeCost, measure_nodes
+from .control_slopes import measure_slopes
+from .verdicts import Row, print_rows
+
+SLOPES_PATH = Path(__file__).resolve().parent.parent / "docs" / "capacity-slopes.json"
+TODAY_NODES = 6
+GROWTH_NODES = 1_100
+CONTROL_BYTES_PER_S = 4_000
+DETECTION_S = 5.0
+CONFIG_S = 5.0
+GROWTH_CONFIG_S = 17.0
+FLAT_RATIO = 1.5
+STORE_CALLS_PER_S = 1.0
+CALLS_PER_1000_ITEMS = 20
+CONTROL_CPU_MS_PER_S = 13.0
+
+
+def node_rows(costs: list[NodeCost]) -> list[Row]:
+    """Returns the verdicts on the cost of one daemon."""
+    rows = []
+    for cost in costs:
+        at = f"{cost.nodes} nodes: "
+        config_bound_s = GROWTH_CONFIG_S if cost.nodes == GROWTH_NODES else CONFIG_S
+        rows += [
+            Row.at_most(
+                at + "control sent by a daemon", cost.bytes_per_s, CONTROL_BYTES_PER_S, " B/s"
+            ),
+            Row(at + "datagrams sent by a daemon", f"{cost.datagrams_per_s:.2f} /s"),
+            Row.at_most(
+                at + "processor time of a daemon", cost.cpu_ms_per_s, CONTROL_CPU_MS_PER_S, " ms/s"
+            ),
+            Row.at_most(
+                at + "Object API calls of a daemon",
+                cost.store_calls_per_s,
+                STORE_CALLS_PER_S,
+                " /s",
+            ),
+            Row(at + "rumor known everywhere", f"{cost.rumor_s:.1f} s"),
+            Row.at_most(at + "configuration in force", cost.config_s, config_bound_s, " s"),
+        ]
+        if cost.nodes == TODAY_NODES:
+            rows.append(
+                Row.at_most(at + "killed VM found by all", cost.detection_s, DETECTION_S, " s")
+            )
+        else:
+            rows.append(Row(at + "killed VM found by all", f"{cost.detection_s:.1f} s"))
+    ratio = costs[-1].bytes_per_s / costs[0].bytes_per_s
+    name = f"control sent at {costs[-1].nodes} nodes / at {costs[0].nodes}"
+    return [*rows, Row.at_most(name, ratio, FLAT_RATIO)]
+
+
+def slope_rows(slopes: dict[str, float]) -> list[Row]:
+    """Returns the other costs."""
+    calls = slopes["calls_per_1000_items"]
+    rows = [Row.at_most("Object API calls per 1,000 batch items", calls, CALLS_PER_1000_ITEMS)]
+    return rows + [Row(name, f"{value:,.2f}") for name, value in slopes.items()]
+
+
+def main() -> None:
+    """Runs the benchmark; exits 1 where a bound is broken."""
+    logger.remove()
+    is_small = "--small" in sys.argv
+    costs = [measure_nodes(nodes) for nodes in (SMALL_SIZES if is_small else SIZES)]
+    slopes = measure_slopes(is_small=is_small)
+    rows = [*node_rows(costs), *slope_rows(slopes)]
+    print_rows("Control", rows, Console(width=100))
+    if "--write" in sys.argv and not is_small:
+        nodes = {str(cost.nodes): cost._asdict() for cost in costs}
+        text = json.dumps({"nodes": nodes, "slopes": slopes}, indent=2)
+        SLOPES_PATH.write_text(f"{text}\n")
+    failed = [row.measure for row in rows if row.is_met is False]
+    print(f"control benches: {len(rows) - len(failed)} rows good, {len(failed)} broken")
+    sys.exit(1 if failed else 0)
+
+
+if __name__ == "__main__":
+    main()
--- a/briarvale/config_spread.py
+++ b/briarvale/config_spread.py
@@ -117,10 +117,10 @@
         while not self._membership.vms:
             await self._membership.wait_changed()
         while not self._has_asked:
-            has_store = await self._fetch_from_store()
-            peers = self._membership.random_peers(PEERS_ASKED)
-            answers = [await self._fetch_from_peer(peer) for peer in peers]
-            self._has_asked = self._config is not None and (has_store or any(answers))
+            await self._fetch_from_store()
+            for peer in self._membership.random_peers(PEERS_ASKED):
+                await self._fetch_from_peer(peer)
+            self._has_asked = self._config is not None
             if not self._has_asked:
                 await anyio.sleep(WATCH_RETRY_S)
         self._notify()
@@ -178,13 +178,11 @@
             else:
                 await self._changed.wait()
 
-    async def _fetch_from_store(self) -> bool:
+    async def _fetch_from_store(self) -> None:
         try:
             self._take_config(await fetch_config(self._environment.store, self._config))
         except BriarvaleError as error:
             log.info("No configuration from the store: {}.", error)
-            return isinstance(error, ObjectNotFound)
-        return True
 
     async def _fetch_from_peer(self, vm: str) -> bool:
         address = self._membership.peer_address(vm)
