Show the fleet to operators: briarvale status

Cause: an operator could not see which VM has which configuration, who owns what, or who borrows. Ruled out: one dispatcher's view, which knows the slots of its own servers alone. Change: each dispatcher answers GET /report to holders of the shared secret; briarvale status asks all VMs of the VM list, puts the reports together and adds the unfinished jobs from the Object API. Conclusion: shares, borrowed slots, owners, revisions and late jobs stand in one place.

--- a/briarvale/commands/status.py
+++ b/briarvale/commands/status.py
@@ -6,23 +6,64 @@
 import typer
 from rich.table import Table
 
+from ..clock import MS_PER_S
+from ..errors import StoreThrottled, StoreUnavailable
 from ..fleet_status import FleetStatus, fleet_status
-from ._common import SettingsOption, console, or_exit, with_fleet
+from ..job_overview import JobRow, read_job_rows
+from ..object_store import ObjectStore
+from ._common import SettingsOption, console, local_time, or_exit, with_fleet, with_store
 
-__all__ = ["status"]
+__all__ = ["job_table", "status", "status_tables"]
 
 
 def status(
     settings: SettingsOption,
     as_json: Annotated[bool, typer.Option("--json", help="Print JSON.")] = False,
 ) -> None:
-    """Shows VMs, members and backend servers."""
+    """Shows VMs, members, backend servers and unfinished jobs."""
     told = or_exit(lambda: with_fleet(settings, fleet_status))
+    jobs = or_exit(lambda: with_store(settings, _jobs_or_none))
     if as_json:
-        console.print(json.dumps(told), markup=False, highlight=False, soft_wrap=True)
+        text = json.dumps({**told, "jobs": jobs})
+        console.print(text, markup=False, highlight=False, soft_wrap=True)
         return
-    for table in (_vm_table(told), _member_table(told), _server_table(told)):
+    for table in status_tables(told):
         console.print(table)
+    if jobs is None:
+        console.print("The Object API doesn't answer, so the jobs are not known.")
+    else:
+        console.print(job_table(jobs))
+
+
+def status_tables(told: FleetStatus) -> tuple[Table, Table, Table]:
+    """Returns the tables of VMs, members and backend servers."""
+    return _vm_table(told), _member_table(told), _server_table(told)
+
+
+def job_table(jobs: list[JobRow]) -> Table:
+    """Returns the table of unfinished jobs."""
+    columns = ("member", "job", "state", "done", "failed", "items", "due at", "late by")
+    table = Table(*columns, title="Jobs, the earliest due first")
+    for job in jobs:
+        late_ms = max(0, job["late_until_ms"] - job["due_at_ms"]) if job["late_until_ms"] else 0
+        table.add_row(
+            job["member"],
+            job["job_id"],
+            job["state"],
+            str(job["done_count"]),
+            str(job["failed_count"]),
+            str(job["item_count"]),
+            local_time(job["due_at_ms"]),
+            f"{late_ms / MS_PER_S:.0f} s" if late_ms else "",
+        )
+    return table
+
+
+async def _jobs_or_none(store: ObjectStore) -> list[JobRow] | None:
+    try:
+        return await read_job_rows(store)
+    except (StoreUnavailable, StoreThrottled):
+        return None
 
 
 def _vm_table(told: FleetStatus) -> Table:
--- /dev/null
+++ b/features/nodes/status.feature
@@ -0,0 +1,20 @@
+Feature: An operator sees the fleet in one table
+
+  Scenario: Status puts the reports of all VMs together
+    Given 6 dispatchers that know each other, seed 21
+    When a member holds slots beyond its share and "vm-2" is killed
+    And the operator asks for the status over HTTP
+    Then "vm-2" shows as dead and not ready, and the others as alive at revision 1
+    And each backend server shows once, with a live owner
+    And the borrowed slots show for the member that holds them
+    And the tables name each VM, member and backend server
+
+  Scenario: A VM's report is for those who know the shared secret
+    Given 6 dispatchers that know each other, seed 22
+    When a stranger asks "vm-1" for its report
+    Then the stranger is refused with "invalid_key"
+
+  Scenario: Unfinished jobs show with their progress, the earliest due first
+    Given a fleet of 3 VMs and 3 engines
+    When two jobs run and the operator asks for the jobs
+    Then both show, the earlier due first, and none is done with more items than it has
