Write only the documents that changed, and check the capacity page

Cause: an apply created every document anew and learned of each that it stood there already: with a file for each of 540 members that is 542 writes a change. Owners are compared by place, not by name. Conclusion: the cost of a change no longer grows with the members.

--- a/benchmarks/control_slopes.py
+++ b/benchmarks/control_slopes.py
@@ -29,6 +29,7 @@
 from briarvale.clock import Clock
 from briarvale.config import RULES_NAME, BackendServer, Config, documents_of
 from briarvale.config_bundle import delta_since
+from briarvale.config_head import apply_documents, fetch_config
 from briarvale.engine_client import Completion, Token
 from briarvale.failure_detector import FailureDetector
 from briarvale.jobs import JobRecord, JobRequest, JobState, active_key
@@ -49,6 +50,7 @@
 DUE_MS = 3_600_000
 STREAMS = 20
 TOKENS = 401
+PLAIN_SERVICE = {"id": "reed-desk", "kind": "plain"}
 PROGRAMS = ("gateway", "dispatcher", "batch", "controller")
 
 __all__ = ["measure_slopes"]
@@ -62,6 +64,7 @@
     slopes |= _vm_memory(vms) | _server_costs(servers, vms)
     slopes |= _config_costs(servers, members) | _slot_costs(members)
     slopes |= run_virtual(_job_costs) | run_virtual(_item_costs)
+    slopes |= run_virtual(_apply_calls)
     slopes |= anyio.run(_token_costs)
     return slopes | _program_memory()
 
@@ -130,6 +133,28 @@
     }
 
 
+async def _apply_calls() -> dict[str, float]:
+    store = StandinObjectApi()
+    texts = {f"inventory/{n:04d}.yaml": _part(n, 100, 10) for n in range(10)}
+    texts["inventory/services.yaml"] = yaml.safe_dump({"services": [PLAIN_SERVICE]})
+    texts[RULES_NAME] = yaml.safe_dump({"shares": []})
+    await apply_documents(store, texts, 0)
+    known = await fetch_config(store)
+    before = len(store.calls)
+    await apply_documents(
+        store, {**texts, "inventory/0001.yaml": _part(1, 100, 10) + "# changed\n"}, 1
+    )
+    applied = store.calls[before:]
+    before = len(store.calls)
+    await fetch_config(store, known)
+    writes = sum(call.writes for call in applied)
+    return {
+        "config_apply_writes": writes,
+        "config_apply_reads": len(applied) - writes,
+        "config_fetch_reads": len(store.calls) - before,
+    }
+
+
 def _slot_costs(members: int) -> dict[str, float]:
     return {
         "grant_us_2_members": run_virtual(_grant_us, 2),
--- a/briarvale/config_head.py
+++ b/briarvale/config_head.py
@@ -48,6 +48,7 @@
 MAX_RETRY_DELAY_S = 2.0
 
 T = TypeVar("T")
+Manifest = dict[str, dict[str, Any]]
 
 __all__ = [
     "HEAD_KEY",
@@ -148,11 +149,12 @@
     documents = documents_of(texts)
     _refuse_too_large(documents)
     head = await _retry(_read_head_or_none, store)
-    if head is not None and await _is_in_force(store, head, documents):
+    stored = await _retry(_read_manifest, store, head.history[-1].manifest) if head else {}
+    if head is not None and _is_in_force(stored, documents):
         return head.revision
     if (head.revision if head else 0) != seen_revision:
         raise await _conflict(store, seen_revision)
-    manifest = await _write_documents(store, documents)
+    manifest = await _write_documents(store, documents, stored)
     entry = Revision(seen_revision + 1, manifest, secrets.token_hex(8), applied_at_ms)
     await _retry(_put_head, store, head, entry)
     await _forget_old(store, head)
@@ -194,20 +196,23 @@
     return ConfigConflict(f"{message}; since then:\n{diff_texts(seen, current)}")
 
 
-async def _is_in_force(
-    store: ObjectStore, head: Head, documents: tuple[ConfigDocument, ...]
-) -> bool:
-    manifest = await _retry(_read_manifest, store, head.history[-1].manifest)
-    in_force = {name: row["digest"] for name, row in manifest.items()}
+def _is_in_force(stored: Manifest, documents: tuple[ConfigDocument, ...]) -> bool:
+    in_force = {name: row["digest"] for name, row in stored.items()}
     return in_force == {document.name: document.digest for document in documents}
 
 
-async def _write_documents(store: ObjectStore, documents: tuple[ConfigDocument, ...]) -> str:
+async def _write_documents(
+    store: ObjectStore, documents: tuple[ConfigDocument, ...], stored: Manifest
+) -> str:
+    """Writes the documents that the manifest in force lacks, and the new manifest."""
+    known = {row["digest"]: row for row in stored.values()}
     rows = {}
     for document in documents:
-        parts = _split(document.body)
-        digests = [await _create_document(store, part) for part in parts]
-        rows[document.name] = {"digest": document.digest, "parts": digests}
+        row = known.get(document.digest)
+        if row is None:
+            parts = [await _create_document(store, part) for part in _split(document.body)]
+            row = {"digest": document.digest, "parts": parts}
+        rows[document.name] = row
     manifest = json.dumps({"nonce": secrets.token_hex(8), "documents": rows}).encode()
     return await _create_document(store, manifest)
 
@@ -239,9 +244,9 @@
     return ConfigBundle(revision.revision, tuple(documents))
 
 
-async def _read_manifest(store: ObjectStore, digest: str) -> dict[str, Any]:
+async def _read_manifest(store: ObjectStore, digest: str) -> Manifest:
     body = (await store.get(_document_key(digest))).value
-    documents: dict[str, Any] = json.loads(body)["documents"]
+    documents: Manifest = json.loads(body)["documents"]
     return documents
 
 
--- a/briarvale/ownership.py
+++ b/briarvale/ownership.py
@@ -7,6 +7,8 @@
 from ._generated.messages import VmHealth, VmState
 from .config import BackendServer
 
+NOBODY: frozenset[str] = frozenset()
+
 __all__ = ["OwnershipTable", "batch_vms", "owner_of", "rank_by_rendezvous"]
 
 
@@ -20,6 +22,7 @@
     def __init__(self, vm: str) -> None:
         self._vm = vm
         self._state: tuple[int, int] = (-1, -1)
+        self._places = _Places(())
         self._owners: dict[str, tuple[frozenset[str], str]] = {}
         self.owned: tuple[BackendServer, ...] = ()
 
@@ -30,12 +33,12 @@
         if state == self._state:
             return
         self._state = state
-        places = _Places(vms)
+        self._places = places = _Places(vms, self._places)
         owners = {}
         for name, server in servers.items():
             candidates = places.candidates(server)
             known = self._owners.get(name)
-            if known is None or known[0] != candidates:
+            if known is None or known[0] is not candidates:
                 known = (candidates, _first_by_rendezvous(name, candidates))
             owners[name] = known
         self._owners = owners
@@ -48,21 +51,30 @@
 
 
 class _Places:
-    """The VMs that are alive, by availability zone, by region and all."""
+    """The VMs that are alive, by availability zone, by region and all.
+
+    Args:
+        vms: All VMs.
+        previous: What stood before; groups that did not change are the same objects.
+    """
 
-    def __init__(self, vms: Sequence[VmState]) -> None:
+    def __init__(self, vms: Sequence[VmState], previous: "_Places | None" = None) -> None:
         groups: dict[tuple[str, ...], set[str]] = {}
         for vm in vms:
             if vm.health in (VmHealth.ALIVE, VmHealth.SUSPECT):
                 for place in ((), (vm.region,), (vm.region, vm.availability_zone)):
                     groups.setdefault(place, set()).add(vm.vm)
-        self._groups = {place: frozenset(names) for place, names in groups.items()}
+        told = previous._groups if previous else {}
+        self._groups: dict[tuple[str, ...], frozenset[str]] = {
+            place: told[place] if told.get(place) == names else frozenset(names)
+            for place, names in groups.items()
+        }
 
     def candidates(self, server: BackendServer) -> frozenset[str]:
         """Returns the VMs that come first for a backend server."""
         region, zone = (server.region,), (server.region, server.availability_zone)
         groups = self._groups
-        return groups.get(zone) or groups.get(region) or groups.get(()) or frozenset()
+        return groups.get(zone) or groups.get(region) or groups.get(()) or NOBODY
 
 
 def _first_by_rendezvous(key: str, names: Iterable[str]) -> str:
--- a/features/nodes/configuration.feature
+++ b/features/nodes/configuration.feature
@@ -76,6 +76,11 @@
     Then the store gives back the whole inventory
     And each stored object is under the Object API's limit
 
+  Scenario: A change of one member writes its document alone
+    Given a store under revision 1
+    When an operator applies an inventory of 100 members, then changes one member
+    Then the change took at most 4 writes
+
   Scenario: Documents that peers can't send are refused with the limit
     Given a store under revision 1
     When an operator applies an inventory of 40000 backend servers
--- a/features/steps/nodes_config.py
+++ b/features/steps/nodes_config.py
@@ -15,6 +15,7 @@
 from briarvale.config_head import (
     HISTORY_KEPT,
     apply_config,
+    apply_documents,
     fetch_config,
     fetch_revision,
     read_head,
@@ -348,6 +349,30 @@
     run_store(context, act)
 
 
+@when("an operator applies an inventory of {members:d} members, then changes one member")
+def when_one_member(context: Context, members: int) -> None:
+    def part(number: int, key: int) -> str:
+        return yaml.safe_dump(
+            {"members": [{"id": f"m-{number}", "api_key_sha256": [f"{key:064x}"]}]}
+        )
+
+    async def act() -> int:
+        texts = {f"inventory/{n}.yaml": part(n, n) for n in range(members)}
+        texts[RULES_NAME] = yaml.safe_dump({"shares": []})
+        await apply_documents(context.store, texts, 1)
+        before = len(context.store.calls)
+        changed = {**texts, "inventory/7.yaml": part(7, members)}
+        await apply_documents(context.store, changed, 2)
+        return sum(call.writes for call in context.store.calls[before:])
+
+    context.writes = run_store(context, act)
+
+
+@then("the change took at most {bound:d} writes")
+def then_writes(context: Context, bound: int) -> None:
+    assert 0 < context.writes <= bound, context.writes
+
+
 @then("the store gives back the whole inventory")
 def then_whole(context: Context) -> None:
     async def act() -> dict[str, bytes]:
--- a/tools/check.py
+++ b/tools/check.py
@@ -52,6 +52,8 @@
     Check("types", (str(BIN / "mypy"),)),
     Check("generated code", (PYTHON, "tools/generate.py", "--check")),
     Check("reference page", (PYTHON, "-m", "tools.reference", "--check")),
+    Check("control benches", (PYTHON, "-m", "benchmarks.control", "--small")),
+    Check("capacity page", (PYTHON, "-m", "tools.check_capacity")),
     Check("model checking", (PYTHON, "tools/check_model.py")),
 )
 
