--- a/briarvale/_generated/rules.py
+++ b/briarvale/_generated/rules.py
@@ -29,6 +29,7 @@
     max_attempts: int = 3
     max_body_bytes: int = 1048576
     retention_days: int = 30
+    weight_store_gb_per_s: float = 0.0
 
     @classmethod
     def from_mapping(cls, mapping: Mapping[str, Any]) -> "Rules":
@@ -41,4 +42,5 @@
             max_attempts=mapping.get("max_attempts", 3),
             max_body_bytes=mapping.get("max_body_bytes", 1048576),
             retention_days=mapping.get("retention_days", 30),
+            weight_store_gb_per_s=float(mapping.get("weight_store_gb_per_s", 0.0)),
         )
--- a/briarvale/controller.py
+++ b/briarvale/controller.py
@@ -1,10 +1,24 @@
 """One VM's controller: holds services' leases and orders engines into the declared state."""
 
 import anyio
+from anyio.abc import TaskGroup
 
+from . import logs, metrics
+from ._generated.messages import VmHealth
 from .environment import Environment
 from .fleet_view import FleetView
+from .leases import Lease
+from .orders import Orders
+from .ownership import rank_by_rendezvous
 from .settings import Settings
+from .weight_store import WeightStoreBudget
+
+RECONCILE_INTERVAL_S = 2.0
+STOP_CHECK_S = 0.05
+CLAIMANTS_PER_LEASE = 3
+MODEL_KIND = "model"
+
+log = logs.part("controller")
 
 __all__ = ["Controller"]
 
@@ -20,6 +34,10 @@
     def __init__(self, settings: Settings, environment: Environment) -> None:
         self._settings = settings
         self._environment = environment
+        self._budget = WeightStoreBudget(environment.store, environment.clock)
+        self._scopes: dict[str, anyio.CancelScope] = {}
+        self._leases: dict[str, Lease] = {}
+        self._stopping = anyio.Event()
         self.view = FleetView(settings, environment)
 
     @property
@@ -27,10 +45,63 @@
         """Whether it knows the fleet."""
         return self.view.is_ready
 
-    async def drain(self) -> None:
-        """Ends its work gracefully."""
+    @property
+    def held_services(self) -> list[str]:
+        """Services whose engines it orders now."""
+        return [service for service, lease in self._leases.items() if lease.is_held]
 
     async def run(self) -> None:
         """Runs until cancelled."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self.view.run)
+            while True:
+                await self.view.wait_ready()
+                self._settle(tasks)
+                await self.view.wait_changed()
+
+    async def drain(self) -> None:
+        """Ends orders under way and gives its leases up, so that others need not wait."""
+        self._stopping.set()
+        while self._scopes:
+            await anyio.sleep(STOP_CHECK_S)
+        for lease in self._leases.values():
+            await lease.release()
+
+    def _settle(self, tasks: TaskGroup) -> None:
+        """Starts following services that were added, and ends following those that were removed."""
+        services = self.view.config.services.values()
+        wanted = {service.id for service in services if service.kind == MODEL_KIND}
+        for service in wanted - self._scopes.keys():
+            if not self._stopping.is_set():
+                self._scopes[service] = anyio.CancelScope()
+                tasks.start_soon(self._follow, service, self._scopes[service])
+        for service in self._scopes.keys() - wanted:
+            self._scopes[service].cancel()
+
+    async def _follow(self, service: str, scope: anyio.CancelScope) -> None:
+        lease = Lease(self._environment.store, service, self._settings.vm)
+        orders = Orders(service, self._environment.backends, lease, self._budget)
+        self._leases[service] = lease
+        with scope:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._keep_lease, service, lease)
+                while not self._stopping.is_set():
+                    await orders.reconcile(self.view.config)
+                    metrics.LEASES_HELD.set({"service": service}, int(lease.is_held))
+                    with anyio.move_on_after(RECONCILE_INTERVAL_S):
+                        await self._stopping.wait()
+                tasks.cancel_scope.cancel()
+        del self._scopes[service]
+
+    async def _keep_lease(self, service: str, lease: Lease) -> None:
+        while True:
+            if lease.epoch or self._is_claimant(service):
+                await lease.step()
+            await anyio.sleep(lease.times.renew_interval_s)
+
+    def _is_claimant(self, service: str) -> bool:
+        """Whether this VM is among the few that watch the service's lease."""
+        live = (VmHealth.ALIVE, VmHealth.SUSPECT)
+        vms = [vm.vm for vm in self.view.vms if vm.health in live]
+        ranked = rank_by_rendezvous(f"lease:{service}", vms)
+        return self._settings.vm in ranked[:CLAIMANTS_PER_LEASE]
--- a/briarvale/metrics.py
+++ b/briarvale/metrics.py
@@ -34,6 +34,8 @@
 STORE_CALLS = Counter("briarvale_store_calls_total", "Object API calls by verb and result.")
 ITEMS = Counter("briarvale_items_total", "Batch items committed by result.")
 CLAIMS = Counter("briarvale_claims_total", "Claims of idempotency keys by result.")
+LEASES_HELD = Gauge("briarvale_leases_held", "1 where this controller holds a service's lease.")
+ORDERS = Counter("briarvale_orders_total", "Orders to engines by service and result.")
 CONFIG_REVISION = Gauge("briarvale_config_revision", "Configuration revision in force.")
 
 __all__ = [
@@ -42,7 +44,9 @@
     "CONFIG_REVISION",
     "FIRST_TOKEN_S",
     "ITEMS",
+    "LEASES_HELD",
     "LEASES_EXPIRED",
+    "ORDERS",
     "OWNER_LINKS_LOST",
     "PEER_BAD_FRAMES",
     "REFUSALS",
--- /dev/null
+++ b/briarvale/orders.py
@@ -0,0 +1,189 @@
+"""Orders: brings the engines of one service into the state that the inventory declares.
+
+Each pass reads every engine and decides from what it reads alone, so that orders that were lost,
+repeated, answered late or given by an earlier holder of the lease are put right by the next pass.
+"""
+
+from collections.abc import Sequence
+from typing import NamedTuple
+
+import anyio
+
+from . import logs, metrics
+from .config import BackendServer, Config, Model
+from .engine_client import EngineLoad, Order
+from .environment import BackendClients
+from .errors import BriarvaleError, StaleOrder
+from .leases import Lease
+from .weight_store import WeightStoreBudget
+
+SERVING_ROLE = "mixed"
+DRAINING_ROLE = "draining"
+DRAIN_NOTICE_S = 4.0
+MAX_ROLLING_PART = 0.25
+
+log = logs.part("orders")
+
+__all__ = ["DRAINING_ROLE", "EngineState", "Orders", "SERVING_ROLE", "Step", "next_step"]
+
+
+class EngineState(NamedTuple):
+    """An engine as last read; no load if it does not answer."""
+
+    server: BackendServer
+    load: EngineLoad | None
+    draining_since_s: float = 0.0
+
+    @property
+    def is_serving(self) -> bool:
+        """Whether it takes requests."""
+        return self.load is not None and bool(self.load.model) and not self.load.is_draining
+
+
+class Keep(NamedTuple):
+    """The engine is as declared, or is on its way, or can't be taken out yet."""
+
+
+class Adjust(NamedTuple):
+    """The weights are right; adapters or role are not."""
+
+
+class Drain(NamedTuple):
+    """The engine must get no new work before it loads other weights."""
+
+
+class LoadWeights(NamedTuple):
+    """The engine is empty and may load the declared weights."""
+
+
+Step = Keep | Adjust | Drain | LoadWeights
+
+
+def next_step(state: EngineState, model: Model, now_s: float, *, may_take_out: bool) -> Step:
+    """Decides the next order for one engine.
+
+    Args:
+        state: The engine as last read.
+        model: The model that the inventory declares for it.
+        now_s: The time, by the clock of `draining_since_s`.
+        may_take_out: Whether one more engine of the service may stop serving.
+    """
+    load = state.load
+    if load is None:
+        return Keep()
+    is_loading = not load.model
+    if load.version == model.version and (is_loading or load.model == model.id):
+        is_adjusted = load.adapters == model.adapters and load.role == SERVING_ROLE
+        return Keep() if is_adjusted else Adjust()
+    if is_loading:
+        return LoadWeights()
+    if load.role != DRAINING_ROLE:
+        return Drain() if may_take_out else Keep()
+    is_empty = load.streams == 0 and load.waiting == 0
+    is_noticed = now_s - state.draining_since_s >= DRAIN_NOTICE_S
+    return LoadWeights() if is_empty and is_noticed else Keep()
+
+
+class Orders:
+    """Gives the orders of one service while its lease is held.
+
+    Args:
+        service: Name of the service.
+        backends: Clients of the engines.
+        lease: The service's lease; its epoch goes with each order.
+        budget: The weight store's budget.
+    """
+
+    def __init__(
+        self, service: str, backends: BackendClients, lease: Lease, budget: WeightStoreBudget
+    ) -> None:
+        self._service = service
+        self._backends = backends
+        self._lease = lease
+        self._budget = budget
+        self._draining_since_s: dict[str, float] = {}
+
+    async def reconcile(self, config: Config) -> None:
+        """Reads the engines and gives each at most one order."""
+        model = config.models.get(config.services[self._service].model)
+        servers = config.servers_of(self._service)
+        if model is None or not self._lease.is_held:
+            return
+        states = await self._read_all(servers)
+        out_count = sum(not state.is_serving for state in states)
+        may_be_out = max(1, int(len(states) * MAX_ROLLING_PART))
+        for state in states:
+            may_take_out = out_count < may_be_out
+            step = next_step(state, model, anyio.current_time(), may_take_out=may_take_out)
+            if isinstance(step, Drain):
+                out_count += 1
+            await self._carry_out(step, state, model, config.rules.weight_store_gb_per_s)
+
+    async def _carry_out(
+        self, step: Step, state: EngineState, model: Model, rate_gb_per_s: float
+    ) -> None:
+        match step:
+            case Adjust():
+                await self._give(state, model, SERVING_ROLE)
+            case Drain() if state.load is not None:
+                current = Model(state.load.model, state.load.version, state.load.adapters)
+                await self._give(state, current, DRAINING_ROLE)
+            case LoadWeights():
+                if await self._budget.reserve(model.size_gb, rate_gb_per_s):
+                    await self._give(state, model, SERVING_ROLE)
+
+    async def _give(self, state: EngineState, model: Model, role: str) -> None:
+        """Gives one order; the next pass finds out whether it was taken."""
+        if not self._lease.is_held:
+            return
+        order = Order(
+            fencing_number=self._lease.epoch,
+            model=model.id,
+            version=model.version,
+            adapters=list(model.adapters),
+            role=role,
+        )
+        log.info("Orders {} to {} {} as {}.", state.server.id, model.id, model.version, role)
+        result = "answered"
+        try:
+            with anyio.fail_after(self._lease.times.order_timeout_s):
+                await self._backends.engine(state.server).order(order)
+        except StaleOrder:
+            result = "stale"
+            log.warning("{} knows a newer order than {}.", state.server.id, self._lease.epoch)
+        except (BriarvaleError, TimeoutError):
+            result = "unanswered"
+        metrics.ORDERS.inc({"service": self._service, "result": result})
+
+    async def _read_all(self, servers: Sequence[BackendServer]) -> list[EngineState]:
+        loads: dict[str, EngineLoad | None] = {}
+
+        async def read(server: BackendServer) -> None:
+            loads[server.id] = await self._read(server)
+
+        async with anyio.create_task_group() as tasks:
+            for server in servers:
+                tasks.start_soon(read, server)
+        for server in servers:
+            self._note(server, loads[server.id])
+        return [
+            EngineState(server, loads[server.id], self._draining_since_s.get(server.id, 0.0))
+            for server in servers
+        ]
+
+    async def _read(self, server: BackendServer) -> EngineLoad | None:
+        try:
+            with anyio.fail_after(self._lease.times.order_timeout_s):
+                return await self._backends.engine(server).load()
+        except (BriarvaleError, TimeoutError):
+            return None
+
+    def _note(self, server: BackendServer, load: EngineLoad | None) -> None:
+        if load is None:
+            return
+        if load.role == DRAINING_ROLE:
+            self._draining_since_s.setdefault(server.id, anyio.current_time())
+        else:
+            self._draining_since_s.pop(server.id, None)
+        if load.fencing_number > self._lease.epoch:
+            self._lease.raise_above(load.fencing_number)
--- a/briarvale/standins/engine.py
+++ b/briarvale/standins/engine.py
@@ -26,6 +26,7 @@
 EVENT_LAG_S = 0.5
 EVENTS_KEPT = 2_048
 CRASH_MARK = "<crash>"
+DRAINING_ROLE = "draining"
 IDLE_CHECK_S = 60.0
 
 __all__ = ["CRASH_MARK", "EngineFaults", "EngineSettings", "StandinEngine", "token_text"]
@@ -54,6 +55,7 @@
         self.drop_events = False
         self.fail_completions = False
         self.lose_order_answers = False
+        self.lose_orders = False
 
 
 class _Stream:
@@ -158,7 +160,7 @@
             adapters=self.adapters,
             role=self.role,
             fencing_number=self.fencing_number,
-            is_draining=self.faults.is_draining,
+            is_draining=self.faults.is_draining or self.role == DRAINING_ROLE,
         )
 
     async def cache_events(self, after: int) -> CacheEvents:
@@ -174,6 +176,8 @@
         self._check_up()
         if self.settings.checks_fencing and order["fencing_number"] < self.fencing_number:
             raise StaleOrder(f"{self.settings.name}: {order['fencing_number']} is old")
+        if self.faults.lose_orders:
+            raise ServerLost(f"{self.settings.name}: the order was lost")
         self.orders_taken.append(order)
         self.fencing_number = order["fencing_number"]
         self.role, self.adapters = order["role"], tuple(order["adapters"])
--- /dev/null
+++ b/features/orders/orders.feature
@@ -0,0 +1,66 @@
+Feature: Engines come into the declared state, by orders of one holder at a time
+
+  Scenario: A new version is rolled, one engine at a time and within the weight store's rate
+    Given 4 engines with weights of 40 GB and a weight store of 2 GB/s
+    When version 2 is declared
+    Then each engine loaded version 2 once, and 3 of them served at any time
+    And loads were at least 20 s apart
+
+  Scenario: Adapters change without loading weights
+    Given 4 engines
+    When other adapters are declared
+    Then every engine has them without a load, and 4 of them served at any time
+
+  Scenario: A rolling version loses no request
+    Given 4 engines
+    When version 2 is declared while callers stream
+    Then no request failed, and each engine loaded version 2 once
+
+  Scenario Outline: Orders that are <fate> are put right
+    Given 4 engines
+    When version 2 is declared while orders are <fate> for 30 s
+    Then each engine loaded version 2 once, and 3 of them served at any time
+
+    Examples:
+      | fate                      |
+      | lost                      |
+      | taken but not answered    |
+
+  Scenario: The holder dies while it rolls a version
+    Given 4 engines
+    When version 2 is declared and the holder dies 8 s later
+    Then each engine loaded version 2 once, and 3 of them served at any time
+    And the next holder's orders carry a higher number, and no two held the lease at once
+
+  Scenario Outline: A frozen holder's order arrives after the next holder's at engines that <check>
+    Given 4 engines that <check> the fencing number
+    When the holder freezes while it orders version 2, and wakes after version 3 is in force
+    Then its late orders were <fate>, and every engine serves version 3 in the end
+    And no two held the lease at once
+
+    Examples:
+      | check  | fate      |
+      | check  | refused   |
+      | ignore | put right |
+
+  Scenario: The Object API is away for an hour
+    Given 4 engines
+    When version 2 is declared and the Object API is away for 3600 s from 8 s later
+    Then no order was given while no lease could be renewed
+    And each engine loaded version 2 once, and 3 of them served at any time
+    And no two held the lease at once
+
+  Scenario: A controller that stops gracefully hands over at once
+    Given 4 engines
+    When the holder stops gracefully
+    Then another controller holds the lease within 6 s
+
+  Scenario: An engine changed by another hand is put right
+    Given 4 engines that ignore the fencing number
+    When an engine is ordered to version 9 by a stranger
+    Then every engine serves version 1 within 40 s
+
+  Scenario: No schedule of freezes and store faults lets two hold a lease, and its cost is small
+    When 100 seeded schedules of freezes, lost answers, late writes and outages hit 3 claimants
+    Then no two held the lease at once, and no order came after one with a higher number
+    And one holds the lease in the end, for at most 1 store call a second
--- /dev/null
+++ b/features/steps/orders_rolling.py
@@ -0,0 +1,302 @@
+"""Steps of leases and orders."""
+
+import itertools
+from collections.abc import Awaitable, Callable
+
+import anyio
+from anyio.abc import TaskGroup
+from behave import given, then, when
+from behave.runner import Context
+
+from briarvale.errors import BriarvaleError
+from briarvale.online import OnlineRequest
+from briarvale.standins.memory_fleet import ENGINE_SERVICE
+from features.support.leases_world import run_leases
+from features.support.orders_fleet import OrdersFleet
+from features.support.virtual import run_virtual
+
+Act = Callable[[OrdersFleet, TaskGroup], Awaitable[None]]
+
+
+def play(context: Context, act: Act) -> None:
+    """Runs an act on a started fleet; keeps the fleet for the checks."""
+
+    async def run() -> OrdersFleet:
+        fleet = OrdersFleet(**context.orders_options)
+        async with anyio.create_task_group() as tasks:
+            await fleet.begin(tasks)
+            await fleet.wait_settled()
+            for engine in fleet.engines:
+                engine.orders_taken.clear()
+            fleet.least_serving = len(fleet.engines)
+            await act(fleet, tasks)
+            context.all_settled = all(fleet.is_settled(engine) for engine in fleet.engines)
+            tasks.cancel_scope.cancel()
+        return fleet
+
+    context.orders_fleet = run_virtual(run)
+
+
+@given("{engines:d} engines with weights of {size:d} GB and a weight store of {rate:d} GB/s")
+def given_weights(context: Context, engines: int, size: int, rate: int) -> None:
+    context.orders_options = {"engine_count": engines, "size_gb": size, "rate_gb_per_s": rate}
+
+
+@given("{engines:d} engines")
+def given_engines(context: Context, engines: int) -> None:
+    context.orders_options = {"engine_count": engines}
+
+
+@given("{engines:d} engines that {check} the fencing number")
+def given_checking(context: Context, engines: int, check: str) -> None:
+    context.orders_options = {"engine_count": engines, "checks_fencing": check == "check"}
+
+
+@when("version 2 is declared")
+def when_declared(context: Context) -> None:
+    context.load_instants_s = {}
+
+    async def note_loads(fleet: OrdersFleet) -> None:
+        while True:
+            for engine in fleet.engines:
+                if engine.version == "2":
+                    name = engine.settings.name
+                    context.load_instants_s.setdefault(name, anyio.current_time())
+            await anyio.sleep(0.1)
+
+    async def act(fleet: OrdersFleet, tasks: TaskGroup) -> None:
+        tasks.start_soon(note_loads, fleet)
+        await fleet.declare("2")
+        await fleet.wait_settled()
+
+    play(context, act)
+
+
+@when("other adapters are declared")
+def when_adapters(context: Context) -> None:
+    async def act(fleet: OrdersFleet, tasks: TaskGroup) -> None:
+        await fleet.declare("1", ("reeds-base", "low-g"))
+        await fleet.wait_settled(30)
+
+    play(context, act)
+
+
+@when("version 2 is declared while callers stream")
+def when_streams(context: Context) -> None:
+    context.request_failures = []
+    context.request_count = 0
+
+    async def stream(fleet: OrdersFleet, number: int) -> None:
+        gateway = fleet.vms[f"vm-{number % 3 + 1}"].gateway
+        deadline_ms = fleet.clock.now_ms() + 30_000
+        request = OnlineRequest(f"r{number}", "trust", ENGINE_SERVICE, "low G", 40, deadline_ms)
+        try:
+            tokens = [token.token_index async for token in gateway.online.stream(request)]
+            if tokens != list(range(40)):
+                context.request_failures.append(tokens)
+        except BriarvaleError as error:
+            context.request_failures.append(error)
+        context.request_count += 1
+
+    async def act(fleet: OrdersFleet, tasks: TaskGroup) -> None:
+        await fleet.declare("2")
+        async with anyio.create_task_group() as callers:
+            number = 0
+            while number < 100 or not all(fleet.is_settled(e) for e in fleet.engines):
+                assert number < 2_000, [(e.version, e.role) for e in fleet.engines]
+                callers.start_soon(stream, fleet, number)
+                number += 1
+                await anyio.sleep(0.2)
+
+    play(context, act)
+
+
+@when("version 2 is declared while orders are {fate} for 30 s")
+def when_orders_fail(context: Context, fate: str) -> None:
+    async def act(fleet: OrdersFleet, tasks: TaskGroup) -> None:
+        for engine in fleet.engines:
+            engine.faults.lose_orders = fate == "lost"
+            engine.faults.lose_order_answers = fate != "lost"
+        await fleet.declare("2")
+        await anyio.sleep(30)
+        for engine in fleet.engines:
+            engine.faults.lose_orders = engine.faults.lose_order_answers = False
+        await fleet.wait_settled()
+
+    play(context, act)
+
+
+@when("version 2 is declared and the holder dies {later:d} s later")
+def when_holder_dies(context: Context, later: int) -> None:
+    async def act(fleet: OrdersFleet, tasks: TaskGroup) -> None:
+        first = await fleet.wait_holder()
+        await fleet.declare("2")
+        await anyio.sleep(later)
+        fleet.kill_vm(first)
+        del fleet.vms[first]
+        await fleet.wait_settled()
+
+    play(context, act)
+
+
+@when("the holder freezes while it orders version 2, and wakes after version 3 is in force")
+def when_frozen(context: Context) -> None:
+    async def act(fleet: OrdersFleet, tasks: TaskGroup) -> None:
+        first = await fleet.wait_holder()
+        await fleet.declare("2")
+        await anyio.sleep(4)
+        fleet.freeze(first)
+        context.orders_before = sum(len(engine.orders_taken) for engine in fleet.engines)
+        await fleet.wait_holder(besides=first)
+        await fleet.declare("3")
+        await fleet.wait_settled()
+        context.old_number = min(o["fencing_number"] for o in _orders(fleet))
+        context.new_number = max(o["fencing_number"] for o in _orders(fleet))
+        await _send_late_order(fleet, context.old_number)
+        fleet.thaw(first)
+        await anyio.sleep(60)
+
+    play(context, act)
+
+
+async def _send_late_order(fleet: OrdersFleet, number: int) -> None:
+    """Delivers what the frozen holder had on its way: version 2 with its old number."""
+    for engine in fleet.engines[:2]:
+        order = {"fencing_number": number, "model": "reeds", "version": "2"}
+        try:
+            await engine.order(order | {"adapters": [], "role": "mixed"})  # type: ignore[arg-type]
+        except BriarvaleError:
+            continue
+
+
+@when("version 2 is declared and the Object API is away for {away:d} s from {later:d} s later")
+def when_store_away(context: Context, away: int, later: int) -> None:
+    context.orders_in_outage = []
+
+    async def act(fleet: OrdersFleet, tasks: TaskGroup) -> None:
+        await fleet.declare("2")
+        await anyio.sleep(later)
+        fleet.store.faults.is_down = True
+        await anyio.sleep(20)
+        before = len(_orders(fleet))
+        await anyio.sleep(away - 20)
+        context.orders_in_outage = _orders(fleet)[before:]
+        fleet.store.faults.is_down = False
+        await fleet.wait_settled()
+
+    play(context, act)
+
+
+@when("the holder stops gracefully")
+def when_stops(context: Context) -> None:
+    async def act(fleet: OrdersFleet, tasks: TaskGroup) -> None:
+        first = await fleet.wait_holder()
+        await fleet.vms[first].controller.drain()
+        stopped_s = anyio.current_time()
+        await fleet.wait_holder(besides=first)
+        context.handover_s = anyio.current_time() - stopped_s
+
+    play(context, act)
+
+
+@when("an engine is ordered to version 9 by a stranger")
+def when_stranger(context: Context) -> None:
+    async def act(fleet: OrdersFleet, tasks: TaskGroup) -> None:
+        engine = fleet.engines[0]
+        order = {"fencing_number": 0, "model": "reeds", "version": "9", "adapters": []}
+        await engine.order(order | {"role": "mixed"})  # type: ignore[arg-type]
+        context.settled_within = 40
+        await fleet.wait_settled(40)
+
+    play(context, act)
+
+
+@when(
+    "{seeds:d} seeded schedules of freezes, lost answers, late writes and outages hit 3 claimants"
+)
+def when_lease_schedules(context: Context, seeds: int) -> None:
+    context.lease_reports = [run_leases(seed) for seed in range(1, seeds + 1)]
+
+
+def _orders(fleet: OrdersFleet) -> list[dict[str, object]]:
+    return [dict(order) for engine in fleet.engines for order in engine.orders_taken]
+
+
+@then("each engine loaded version 2 once, and {serving:d} of them served at any time")
+def then_rolled(context: Context, serving: int) -> None:
+    fleet = context.orders_fleet
+    assert [fleet.loads_of(engine) for engine in fleet.engines] == [1] * len(fleet.engines)
+    assert fleet.least_serving >= serving, fleet.least_serving
+
+
+@then("loads were at least {spacing:d} s apart")
+def then_spaced(context: Context, spacing: int) -> None:
+    instants_s = sorted(context.load_instants_s.values())
+    gaps_s = [b - a for a, b in itertools.pairwise(instants_s)]
+    assert len(gaps_s) == 3 and min(gaps_s) >= spacing - 0.1, gaps_s
+
+
+@then("every engine has them without a load, and {serving:d} of them served at any time")
+def then_adapters(context: Context, serving: int) -> None:
+    fleet = context.orders_fleet
+    assert [fleet.loads_of(engine) for engine in fleet.engines] == [0] * len(fleet.engines)
+    assert fleet.least_serving >= serving
+
+
+@then("no request failed, and each engine loaded version 2 once")
+def then_no_failure(context: Context) -> None:
+    fleet = context.orders_fleet
+    assert not context.request_failures, context.request_failures[:3]
+    assert context.request_count >= 100
+    assert [fleet.loads_of(engine) for engine in fleet.engines] == [1] * len(fleet.engines)
+
+
+@then("the next holder's orders carry a higher number, and no two held the lease at once")
+def then_higher(context: Context) -> None:
+    numbers = {order["fencing_number"] for order in _orders(context.orders_fleet)}
+    assert len(numbers) == 2, numbers
+    assert context.orders_fleet.most_holders == 1
+
+
+@then("its late orders were {fate}, and every engine serves version 3 in the end")
+def then_late(context: Context, fate: str) -> None:
+    fleet = context.orders_fleet
+    assert context.old_number < context.new_number
+    late = [o for o in _orders(fleet) if o["version"] == "2" and o["adapters"] == []]
+    assert len(late) == (0 if fate == "refused" else 2), late
+    assert context.all_settled
+
+
+@then("no two held the lease at once")
+def then_one_holder(context: Context) -> None:
+    assert context.orders_fleet.most_holders == 1
+
+
+@then("no order was given while no lease could be renewed")
+def then_no_orders(context: Context) -> None:
+    assert context.orders_in_outage == []
+
+
+@then("another controller holds the lease within {seconds:d} s")
+def then_handed_over(context: Context, seconds: int) -> None:
+    assert context.handover_s <= seconds, context.handover_s
+
+
+@then("every engine serves version 1 within {seconds:d} s")
+def then_put_right(context: Context, seconds: int) -> None:
+    assert context.settled_within == seconds
+    assert context.orders_fleet.engines[0].version == "1"
+
+
+@then("no two held the lease at once, and no order came after one with a higher number")
+def then_leases_safe(context: Context) -> None:
+    bad = [r for r in context.lease_reports if r.double_holdings or r.old_epochs]
+    assert not bad, bad[:3]
+    assert sum(report.holders for report in context.lease_reports) > len(context.lease_reports)
+
+
+@then("one holds the lease in the end, for at most {calls:g} store call a second")
+def then_lease_cost(context: Context, calls: float) -> None:
+    reports = context.lease_reports
+    assert all(report.held_in_the_end == 1 for report in reports)
+    assert max(report.store_calls_per_s for report in reports) <= calls
--- /dev/null
+++ b/features/support/leases_world.py
@@ -0,0 +1,145 @@
+"""Claimants of one lease that freeze, over an Object API with faults, and what they acted on."""
+
+import random
+from typing import Any, NamedTuple
+
+import anyio
+
+from briarvale.leases import Lease, LeaseTimes
+from briarvale.standins.object_api import StandinObjectApi
+
+from .virtual import run_virtual
+
+CLAIMANTS = 3
+FAULT_SPAN_S = 300.0
+QUIET_SPAN_S = 60.0
+CHECK_INTERVAL_S = 0.1
+ACT_INTERVAL_S = 0.5
+
+__all__ = ["Freezable", "LeaseReport", "run_leases"]
+
+
+class Freezable:
+    """Passes calls on to an object; while frozen, calls neither start nor return."""
+
+    def __init__(self, target: Any) -> None:
+        self._target = target
+        self._thawed = anyio.Event()
+        self._thawed.set()
+        self.slow_start_s = 0.0
+
+    @property
+    def is_frozen(self) -> bool:
+        """Whether calls wait."""
+        return not self._thawed.is_set()
+
+    def freeze(self) -> None:
+        """Makes calls wait from now on."""
+        self._thawed = anyio.Event()
+
+    def thaw(self) -> None:
+        """Lets calls go on."""
+        self._thawed.set()
+
+    def __getattr__(self, name: str) -> Any:
+        function = getattr(self._target, name)
+
+        async def call(*args: Any) -> Any:
+            await self._thawed.wait()
+            result = await function(*args)
+            await self._thawed.wait()
+            return result
+
+        return call
+
+
+class LeaseReport(NamedTuple):
+    """What one schedule came to."""
+
+    seed: int
+    double_holdings: int
+    old_epochs: int
+    holders: int
+    held_in_the_end: int
+    store_calls_per_s: float
+
+
+class _LeaseSchedule:
+    def __init__(self, seed: int) -> None:
+        self.seed = seed
+        self.random = random.Random(seed)
+        self.store = StandinObjectApi(seed)
+        self.gates = [Freezable(self.store) for _ in range(CLAIMANTS)]
+        self.leases = [Lease(g, "reed-desk", f"vm-{n}") for n, g in enumerate(self.gates)]  # type: ignore[arg-type]
+        self.double_holdings = 0
+        self.old_epochs = 0
+        self.highest_epoch = 0
+        self.holders: set[tuple[int, int]] = set()
+
+    async def run(self) -> LeaseReport:
+        async with anyio.create_task_group() as tasks:
+            for index, lease in enumerate(self.leases):
+                tasks.start_soon(self._keep, index, lease)
+                tasks.start_soon(self._act, index, lease)
+            tasks.start_soon(self._check)
+            await self._make_faults()
+            await anyio.sleep(QUIET_SPAN_S)
+            calls = len(self.store.calls)
+            await anyio.sleep(QUIET_SPAN_S)
+            calls_per_s = (len(self.store.calls) - calls) / QUIET_SPAN_S
+            held = sum(lease.is_held for lease in self.leases)
+            tasks.cancel_scope.cancel()
+        return LeaseReport(
+            self.seed,
+            self.double_holdings,
+            self.old_epochs,
+            len(self.holders),
+            held,
+            calls_per_s,
+        )
+
+    async def _keep(self, index: int, lease: Lease) -> None:
+        await anyio.sleep(self.random.random())
+        while True:
+            await lease.step()
+            await anyio.sleep(lease.times.renew_interval_s)
+
+    async def _act(self, index: int, lease: Lease) -> None:
+        """Gives an order whenever it holds the lease; the order takes effect up to 3 s later."""
+        while True:
+            if lease.is_held and not self.gates[index].is_frozen:
+                epoch = lease.epoch
+                await anyio.sleep(self.random.uniform(0, LeaseTimes().order_timeout_s))
+                self.holders.add((index, epoch))
+                self.old_epochs += epoch < self.highest_epoch
+                self.highest_epoch = max(epoch, self.highest_epoch)
+            await anyio.sleep(ACT_INTERVAL_S)
+
+    async def _check(self) -> None:
+        while True:
+            self.double_holdings += sum(lease.is_held for lease in self.leases) > 1
+            await anyio.sleep(CHECK_INTERVAL_S)
+
+    async def _make_faults(self) -> None:
+        until_s = anyio.current_time() + FAULT_SPAN_S
+        faults, choice = self.store.faults, self.random.choice
+        while anyio.current_time() < until_s:
+            faults.is_down = self.random.random() < 0.2
+            faults.latency_s = choice((0.003, 0.05, 1.0, 4.0))
+            faults.lose_answer_probability = choice((0.0, 0.3, 0.8))
+            faults.late_write_probability = choice((0.0, 0.3, 0.8))
+            faults.late_write_s = choice((0.5, 5.0, 20.0))
+            gate = choice(self.gates)
+            if gate.is_frozen:
+                gate.thaw()
+            elif self.random.random() < 0.5:
+                gate.freeze()
+            await anyio.sleep(self.random.expovariate(0.1))
+        self.store.faults = type(faults)()
+        for gate in self.gates:
+            gate.thaw()
+
+
+def run_leases(seed: int) -> LeaseReport:
+    """Runs one schedule in virtual time; the same seed gives the same schedule."""
+    return run_virtual(_LeaseSchedule(seed).run, seed=seed)
--- /dev/null
+++ b/features/support/orders_fleet.py
@@ -0,0 +1,154 @@
+"""A fleet in memory whose controllers can be frozen and whose inventory changes."""
+
+import itertools
+from typing import Any
+
+import anyio
+import yaml
+
+from briarvale.config import BackendServer
+from briarvale.config_head import apply_config
+from briarvale.environment import Environment
+from briarvale.settings import Settings
+from briarvale.standins.engine import StandinEngine
+from briarvale.standins.memory_fleet import ENGINE_SERVICE, MODEL, FleetSettings, MemoryFleet
+
+from .leases_world import Freezable
+
+CHECK_INTERVAL_S = 0.1
+
+__all__ = ["OrdersFleet"]
+
+
+class _FreezableBackends:
+    """Engines as one controller reaches them."""
+
+    def __init__(self, fleet: "OrdersFleet", vm: str) -> None:
+        self._fleet = fleet
+        self._vm = vm
+
+    def engine(self, server: BackendServer) -> Freezable:
+        gates = self._fleet.gates[self._vm]
+        if server.id not in gates:
+            gates[server.id] = Freezable(self._fleet.backends.engines[server.id])
+        return gates[server.id]
+
+
+class OrdersFleet(MemoryFleet):
+    """Engines that must follow the inventory; the model's version and adapters can be changed.
+
+    Args:
+        engine_count: Engines of the one service.
+        checks_fencing: Whether engines refuse old fencing numbers.
+        size_gb: Size of the model's weights.
+        rate_gb_per_s: Rate of the weight store; 0 for no limit.
+    """
+
+    def __init__(
+        self,
+        engine_count: int = 4,
+        *,
+        checks_fencing: bool = True,
+        size_gb: float = 0.0,
+        rate_gb_per_s: float = 0.0,
+    ) -> None:
+        rules = (("weight_store_gb_per_s", rate_gb_per_s),)
+        self.version, self.adapters = "1", ["reeds-base"]
+        self.checks_fencing, self.size_gb = checks_fencing, size_gb
+        self.gates: dict[str, dict[str, Freezable]] = {}
+        self.least_serving = engine_count
+        self.most_holders = 0
+        super().__init__(FleetSettings(vm_count=3, engine_count=engine_count, rules=rules))
+
+    @property
+    def engines(self) -> list[StandinEngine]:
+        """All engines."""
+        return list(self.backends.engines.values())
+
+    def inventory_text(self) -> str:
+        """Returns the inventory as YAML."""
+        inventory = yaml.safe_load(super().inventory_text())
+        inventory["models"] = [
+            {
+                "id": MODEL,
+                "version": self.version,
+                "adapters": self.adapters,
+                "size_gb": self.size_gb,
+            }
+        ]
+        for server in inventory["backend_servers"]:
+            server["checks_fencing"] = self.checks_fencing
+        return yaml.safe_dump(inventory)
+
+    async def begin(self, tasks: Any) -> None:
+        """Starts the fleet and waits until one controller holds the lease."""
+        await self.start(tasks)
+        for engine in self.engines:
+            engine.settings = engine.settings._replace(checks_fencing=self.checks_fencing)
+        tasks.start_soon(self._observe)
+        await self.wait_holder()
+
+    async def declare(self, version: str, adapters: tuple[str, ...] = ("reeds-base",)) -> None:
+        """Puts another version and other adapters in force."""
+        seen = next(iter(self.vms.values())).controller.view.config.revision
+        self.version, self.adapters = version, list(adapters)
+        await apply_config(self.store, self.inventory_text(), self.rules_text(), seen)
+
+    def holder(self, besides: str = "") -> str:
+        """Returns the VM whose controller holds the lease, or an empty text."""
+        for name, vm in self.vms.items():
+            if name != besides and ENGINE_SERVICE in vm.controller.held_services:
+                return name
+        return ""
+
+    async def wait_holder(self, besides: str = "") -> str:
+        """Waits until a controller holds the lease."""
+        with anyio.fail_after(120):
+            while not self.holder(besides):
+                await anyio.sleep(CHECK_INTERVAL_S)
+        return self.holder(besides)
+
+    async def wait_settled(self, timeout_s: float = 600) -> None:
+        """Waits until every engine is as declared."""
+        with anyio.fail_after(timeout_s):
+            while not all(self.is_settled(engine) for engine in self.engines):
+                await anyio.sleep(CHECK_INTERVAL_S)
+
+    def is_settled(self, engine: StandinEngine) -> bool:
+        """Whether an engine serves as declared."""
+        actual = (engine.version, engine.adapters, engine.role, engine._is_loading())
+        return actual == (self.version, tuple(self.adapters), "mixed", False)
+
+    def freeze(self, vm: str) -> None:
+        """Stops a VM's controller between two steps, as SIGSTOP does."""
+        for gate in self.gates[vm].values():
+            gate.freeze()
+
+    def thaw(self, vm: str) -> None:
+        """Lets it go on."""
+        for gate in self.gates[vm].values():
+            gate.thaw()
+
+    def loads_of(self, engine: StandinEngine) -> int:
+        """Returns how often an engine was ordered to other weights than it had."""
+        versions = ["1", *(order["version"] for order in engine.orders_taken)]
+        return sum(a != b for a, b in itertools.pairwise(versions))
+
+    def _environment(self, settings: Settings, part: str) -> Environment:
+        environment = super()._environment(settings, part)
+        if part != "controller":
+            return environment
+        store = Freezable(self.store)
+        self.gates[settings.vm] = {"store": store}
+        backends: Any = _FreezableBackends(self, settings.vm)
+        return environment._replace(store=store, backends=backends)  # type: ignore[arg-type]
+
+    async def _observe(self) -> None:
+        while True:
+            serving = sum(
+                not (engine._is_loading() or engine.role == "draining") for engine in self.engines
+            )
+            self.least_serving = min(self.least_serving, serving)
+            holding = sum(ENGINE_SERVICE in vm.controller.held_services for vm in self.vms.values())
+            self.most_holders = max(self.most_holders, holding)
+            await anyio.sleep(CHECK_INTERVAL_S)
