--- a/briarvale/server_health.py
+++ b/briarvale/server_health.py
@@ -44,6 +44,7 @@
         self.health = ServerHealth.READY
         self.changed_at_ms = 0
         self.adapters: tuple[str, ...] = ()
+        self.version = ""
         self.window = OutcomeWindow()
         self.failed_checks = 0
         self.ejections = 0
@@ -187,13 +188,26 @@
             self._touch(server.id)
         if load.is_draining:
             self._set(server.id, ServerHealth.DRAINING, "it says so")
-        elif (load.model, load.version) != self._model_of(server):
+        elif not self._has_weights(server, record, load):
             self._set(server.id, ServerHealth.DOWN, f"it has {load.model or 'no model'}")
         elif record.health is ServerHealth.DRAINING:
             self._set(server.id, ServerHealth.READY, "it drains no longer")
         elif record.health is not ServerHealth.READY:
             await self._try_again(server, record, engine)
 
+    def _has_weights(self, server: BackendServer, record: _Record, load: EngineLoad) -> bool:
+        """Whether its model is as declared, in the declared version or the one it had before.
+
+        A new version is declared for all servers at once and loaded by one after the other. So a
+        server keeps its work when the declaration changes, and loses it when its version does.
+        """
+        model, version = self._model_of(server) or ("", "")
+        fit_versions = (version, record.version or load.version)
+        if load.model != model or load.version not in fit_versions:
+            return False
+        record.version = load.version
+        return True
+
     async def _try_again(self, server: BackendServer, record: _Record, engine: Engine) -> None:
         """Gives a server that was down or ejected one small request; success makes it ready."""
         now_ms = self._environment.clock.now_ms()
--- a/briarvale/standins/engine.py
+++ b/briarvale/standins/engine.py
@@ -100,6 +100,7 @@
         """Generates tokens until cancelled."""
         while True:
             if not self._streams:
+                self._record_load([])
                 self._wake = anyio.Event()
                 await self._wake.wait()
             await self._step()
