--- a/briarvale/_generated/messages.py
+++ b/briarvale/_generated/messages.py
@@ -130,6 +130,8 @@
     outcome: Outcome = Outcome.FINISHED
     tokens: int = 0
     time_between_tokens_ms: int = 0
+    backend_server: str = ""
+    fingerprint: str = ""
 
 
 class HeldGrant(NamedTuple):
@@ -166,6 +168,7 @@
     health: VmHealth = VmHealth.ALIVE
     incarnation: int = 0
     config_revision: int = 0
+    runs_batch: bool = False
 
 
 class ServerState(NamedTuple):
@@ -178,6 +181,7 @@
     queued: int = 0
     limit: int = 0
     observed_at_ms: int = 0
+    adapters: tuple[str, ...] = ()
 
 
 class ViewSubscribe(NamedTuple):
@@ -213,6 +217,15 @@
 
     revision: int = 0
     documents: tuple[ConfigDocument, ...] = ()
+    base_revision: int = 0
+    removed: tuple[str, ...] = ()
+
+
+class CrashSite(NamedTuple):
+    """The peer message CrashSite."""
+
+    backend_server: str = ""
+    at_ms: int = 0
 
 
 class SuspectNotice(NamedTuple):
@@ -222,6 +235,8 @@
     crashes: int = 0
     quarantined: bool = False
     expires_at_ms: int = 0
+    sites: tuple[CrashSite, ...] = ()
+    cleared_at_ms: int = 0
 
 
 class Probe(NamedTuple):
@@ -452,6 +467,8 @@
         Outcome(str(reader.outcome)),
         reader.tokens,
         reader.timeBetweenTokensMs,
+        reader.backendServer,
+        reader.fingerprint,
     )
 
 
@@ -460,6 +477,8 @@
     builder.outcome = message.outcome.value
     builder.tokens = message.tokens
     builder.timeBetweenTokensMs = message.time_between_tokens_ms
+    builder.backendServer = message.backend_server
+    builder.fingerprint = message.fingerprint
 
 
 def _read_held_grant(reader: Any) -> HeldGrant:
@@ -515,6 +534,7 @@
         VmHealth(str(reader.health)),
         reader.incarnation,
         reader.configRevision,
+        reader.runsBatch,
     )
 
 
@@ -526,6 +546,7 @@
     builder.health = message.health.value
     builder.incarnation = message.incarnation
     builder.configRevision = message.config_revision
+    builder.runsBatch = message.runs_batch
 
 
 def _read_server_state(reader: Any) -> ServerState:
@@ -537,6 +558,7 @@
         reader.queued,
         reader.limit,
         reader.observedAtMs,
+        tuple(reader.adapters),
     )
 
 
@@ -548,6 +570,7 @@
     builder.queued = message.queued
     builder.limit = message.limit
     builder.observedAtMs = message.observed_at_ms
+    builder.adapters = list(message.adapters)
 
 
 def _read_view_subscribe(reader: Any) -> ViewSubscribe:
@@ -606,6 +629,8 @@
     return ConfigBundle(
         reader.revision,
         tuple(_read_config_document(item) for item in reader.documents),
+        reader.baseRevision,
+        tuple(reader.removed),
     )
 
 
@@ -614,6 +639,20 @@
     documents = builder.init("documents", len(message.documents))
     for index, config_document in enumerate(message.documents):
         _write_config_document(documents[index], config_document)
+    builder.baseRevision = message.base_revision
+    builder.removed = list(message.removed)
+
+
+def _read_crash_site(reader: Any) -> CrashSite:
+    return CrashSite(
+        reader.backendServer,
+        reader.atMs,
+    )
+
+
+def _write_crash_site(builder: Any, message: CrashSite) -> None:
+    builder.backendServer = message.backend_server
+    builder.atMs = message.at_ms
 
 
 def _read_suspect_notice(reader: Any) -> SuspectNotice:
@@ -622,6 +661,8 @@
         reader.crashes,
         reader.quarantined,
         reader.expiresAtMs,
+        tuple(_read_crash_site(item) for item in reader.sites),
+        reader.clearedAtMs,
     )
 
 
@@ -630,6 +671,10 @@
     builder.crashes = message.crashes
     builder.quarantined = message.quarantined
     builder.expiresAtMs = message.expires_at_ms
+    sites = builder.init("sites", len(message.sites))
+    for index, crash_site in enumerate(message.sites):
+        _write_crash_site(sites[index], crash_site)
+    builder.clearedAtMs = message.cleared_at_ms
 
 
 def _read_probe(reader: Any) -> Probe:
--- a/briarvale/dispatcher.py
+++ b/briarvale/dispatcher.py
@@ -13,6 +13,7 @@
     Message,
     ServerState,
     SlotHeartbeat,
+    SlotRefusal,
     SlotRelease,
     SlotRequest,
     SlotWithdraw,
@@ -21,10 +22,11 @@
     View,
     ViewSubscribe,
 )
+from .clock import MS_PER_S
 from .config import BackendServer
 from .config_spread import ConfigSpread
 from .environment import Environment
-from .errors import BriarvaleError
+from .errors import BriarvaleError, ServerNotReady
 from .membership import Membership, Rumor
 from .ownership import owner_of
 from .peer import MessageStream, PeerAddress, PeerIdentity
@@ -34,6 +36,7 @@
 from .slot_owner import SlotOwner
 
 TICK_INTERVAL_S = 0.1
+SETTLE_MS = 2_000
 
 log = logs.part("dispatcher")
 
@@ -52,18 +55,37 @@
         self._settings = settings
         self._environment = environment
         self.membership = Membership(settings, environment)
-        self.config_spread = ConfigSpread(environment)
+        self.config_spread = ConfigSpread(settings, environment, self.membership)
         self.slot_owner = SlotOwner(environment.clock)
-        self.server_health = ServerHealthMonitor(environment, self.owned_servers)
+        self.server_health = ServerHealthMonitor(
+            environment,
+            self.owned_servers,
+            lambda: self.config_spread.config,
+            lambda: self.membership.leaving_vms,
+            self.membership.publish,
+        )
         self._connections: set[PeerConnection] = set()
 
     @property
     def is_ready(self) -> bool:
         """Whether it has a configuration and knows the VMs."""
-        return self.config_spread.config is not None and bool(self.membership.vms)
+        return self.config_spread.is_ready and bool(self.membership.vms)
 
     async def drain(self) -> None:
-        """Ends its work gracefully."""
+        """Lets owners move and holders report to the next ones, then waits for local programs.
+
+        Local programs that stop too end their connections; one that goes on, since this dispatcher
+        alone is restarted, is waited for no longer than a VM's graceful shutdown may take.
+        """
+        now_ms = self._environment.clock.now_ms()
+        settled_at_ms = now_ms + SETTLE_MS
+        give_up_at_ms = settled_at_ms + self._settings.balancer_lag_s * MS_PER_S
+        await self.membership.leave()
+        self._settle()
+        await self._environment.clock.sleep_until(settled_at_ms)
+        while self._local_subscribers() and self._environment.clock.now_ms() < give_up_at_ms:
+            await anyio.sleep(TICK_INTERVAL_S)
+        log.info("Owns nothing any more.")
 
     async def run(self) -> None:
         """Runs until cancelled."""
@@ -115,6 +137,7 @@
     async def _follow_health(self) -> None:
         while True:
             await self.server_health.wait_changed()
+            self._refuse_waiting()
             self._broadcast(self.view())
 
     def _settle(self) -> None:
@@ -123,6 +146,13 @@
             self.slot_owner.settle(self.config_spread.config, owned)
         self._broadcast(self.view())
 
+    def _refuse_waiting(self) -> None:
+        """Sends what waits for a server that takes no more work to other servers."""
+        for server in self.owned_servers():
+            queue = self.slot_owner.queue(server.id)
+            if queue is not None and not self.server_health.takes_work(server.id):
+                queue.close(ServerNotReady.code)
+
     def _take_rumor(self, rumor: Rumor) -> None:
         match rumor:
             case ServerState():
@@ -144,12 +174,19 @@
             queued=queue.queued if queue else 0,
             limit=queue.limit if queue else server.slots,
             observed_at_ms=self._environment.clock.now_ms(),
+            adapters=self.server_health.adapters(server.id),
         )
 
     def _broadcast(self, message: View | ConfigBundle | SuspectNotice) -> None:
-        for connection in self._connections:
-            if connection.is_subscribed:
-                connection.notify(message)
+        for connection in self._local_subscribers():
+            connection.notify(message)
+
+    def _local_subscribers(self) -> list[PeerConnection]:
+        return [connection for connection in self._connections if connection.is_subscribed]
+
+    def _note_batch(self) -> None:
+        roles = {connection.identity.role for connection in self._local_subscribers()}
+        self.membership.set_runs_batch("batch" in roles)
 
     async def _serve_peer(self, stream: MessageStream, identity: PeerIdentity) -> None:
         connection = PeerConnection(stream, identity)
@@ -163,19 +200,25 @@
             log.debug("Lost {}: {}.", connection.name, errors.exceptions[0])
         finally:
             self._connections.discard(connection)
+            self._note_batch()
             connection.close()
             self.slot_owner.drop_holder(connection)
 
     def _handle(self, connection: PeerConnection, message: Message) -> None:
         match message:
-            case SlotRequest() | SlotWithdraw() | SlotRelease() | HolderReport() | SlotHeartbeat():
+            case SlotRequest() if not self.server_health.takes_work(message.backend_server):
+                now_ms = self._environment.clock.now_ms()
+                connection.notify(SlotRefusal(message.request_id, ServerNotReady.code, now_ms))
+            case SlotRelease():
+                self.slot_owner.handle(connection, message)
+                self.server_health.note_release(message)
+            case SlotRequest() | SlotWithdraw() | HolderReport() | SlotHeartbeat():
                 self.slot_owner.handle(connection, message)
             case ViewSubscribe():
                 self._subscribe(connection)
             case ConfigFetch(have_revision):
-                config = self.config_spread.config
-                if config is not None and config.revision > have_revision:
-                    connection.notify(config.bundle)
+                bundle = self.config_spread.bundle_for(have_revision)
+                connection.notify(bundle or ConfigBundle())
             case StateFetch():
                 connection.notify(self.membership.snapshot())
             case SuspectNotice():
@@ -186,6 +229,7 @@
 
     def _subscribe(self, connection: PeerConnection) -> None:
         connection.is_subscribed = True
+        self._note_batch()
         if self.config_spread.config is not None:
             connection.notify(self.config_spread.config.bundle)
         connection.notify(self.view())
--- a/briarvale/metrics.py
+++ b/briarvale/metrics.py
@@ -18,6 +18,9 @@
 SLOT_WAIT_S = Histogram(
     "briarvale_slot_wait_seconds", "Wait for a slot by class.", buckets=LATENCY_BUCKETS_S
 )
+ATTEMPTS = Counter("briarvale_attempts_total", "Attempts at backend servers by service and code.")
+RETRIES = Counter("briarvale_retries_total", "Retries allowed and refused by member's budget.")
+STREAMS_PAUSED = Counter("briarvale_streams_paused_total", "Slots given up for a slow caller.")
 SLOTS_HELD = Gauge("briarvale_slots_held", "Slots granted by backend server and class.")
 SLOTS_REVOKED = Counter("briarvale_slots_revoked_total", "Batch slots taken back.")
 SLOTS_BORROWED = Gauge("briarvale_slots_borrowed", "Slots a member holds above its share.")
@@ -26,6 +29,8 @@
 SLOT_REFUSALS = Counter("briarvale_slot_refusals_total", "Refused slot requests by code.")
 LEASES_EXPIRED = Counter("briarvale_slot_leases_expired_total", "Slots freed by expiry.")
 OWNER_LINKS_LOST = Counter("briarvale_owner_links_lost_total", "Connections to owners that broke.")
+EJECTIONS = Counter("briarvale_ejections_total", "Ejections by backend server and reason.")
+SERVERS = Gauge("briarvale_servers", "Backend servers by health.")
 PEER_BAD_FRAMES = Counter("briarvale_peer_bad_frames_total", "Connections closed for a bad frame.")
 BAD_DATAGRAMS = Counter(
     "briarvale_bad_datagrams_total", "Datagrams dropped for a bad seal or form."
@@ -33,18 +38,26 @@
 VMS = Gauge("briarvale_vms", "VMs of the VM list by health.")
 STORE_CALLS = Counter("briarvale_store_calls_total", "Object API calls by verb and result.")
 ITEMS = Counter("briarvale_items_total", "Batch items committed by result.")
+CLAIMS = Counter("briarvale_claims_total", "Claims of idempotency keys by result.")
 CONFIG_REVISION = Gauge("briarvale_config_revision", "Configuration revision in force.")
+CONFIG_REFUSED = Counter("briarvale_config_refused_total", "Revisions that this VM can't use.")
 
 __all__ = [
+    "ATTEMPTS",
+    "CONFIG_REFUSED",
     "BAD_DATAGRAMS",
+    "CLAIMS",
     "CONFIG_REVISION",
+    "EJECTIONS",
     "FIRST_TOKEN_S",
+    "SERVERS",
     "ITEMS",
     "LEASES_EXPIRED",
     "OWNER_LINKS_LOST",
     "PEER_BAD_FRAMES",
     "REFUSALS",
     "REQUESTS",
+    "RETRIES",
     "SLOTS_BORROWED",
     "SLOTS_HELD",
     "SLOTS_QUEUED",
@@ -53,6 +66,7 @@
     "SLOT_REFUSALS",
     "SLOT_WAIT_S",
     "STORE_CALLS",
+    "STREAMS_PAUSED",
     "VMS",
     "metrics_route",
 ]
