--- /dev/null
+++ b/features/batch/exactly_once.feature
@@ -0,0 +1,34 @@
+Feature: Every accepted item completes exactly once, through any failure
+
+  Scenario Outline: A failure that comes twice, the second before the first is over
+    When batch jobs run while "<fault>" comes twice
+    Then the checker finds nothing lost, doubled, run after its seal or falsely refused
+
+    Examples:
+      | fault        |
+      | kill         |
+      | restart      |
+      | freeze       |
+      | cut          |
+      | outage       |
+      | lost answer  |
+      | late write   |
+      | engine crash |
+
+  Scenario Outline: The checker rejects a runner or a gateway that breaks a rule
+    Given a part that is broken: "<variant>"
+    When batch jobs run through failures that need the rule
+    Then the checker says "<verdict>"
+
+    Examples:
+      | variant                           | verdict        |
+      | creates without a condition       | doubled        |
+      | retries with other bytes          | doubled        |
+      | appends after a seal              | run after seal |
+      | goes on after a cancel            | run after seal |
+      | refuses without settling          | false refusals |
+
+  Scenario: Two runners of one shard stop wasting work
+    Given two batch programs that both believe that a shard is theirs
+    When a job of 600 items runs on both
+    Then few items run twice and none has two results
