Queue online prompts at the owner while the engine's prefill is full; split slots.py

Cause: an engine prefills in order of admission, so a 10x burst of one member queued inside the engine ahead of another member's request, out of reach of fair queueing. Change: the owner starts online requests only up to 50 ms of estimated prefill (prefill_tokens_per_s of the inventory) and orders the rest; the owner wakes when the next may start. slots.py is split into online_admission, batch_admission and prefill.

--- a/benchmarks/online_baselines.py
+++ b/benchmarks/online_baselines.py
@@ -6,6 +6,10 @@
 import anyio
 
 from briarvale._generated.messages import HeldGrant, SlotRequest, WorkClass
+from briarvale.batch_admission import BatchAdmission
+from briarvale.clock import Clock
+from briarvale.config import BackendServer, Rules
+from briarvale.grants import Grant
 from briarvale.routing import Choice, RouteRequest
 from briarvale.slot_client import HeldSlot
 from briarvale.slots import SlotQueue
@@ -20,6 +24,10 @@
 class FifoQueue(SlotQueue):
     """One queue in order of arrival, without classes, members or revocation."""
 
+    def __init__(self, server: BackendServer, clock: Clock, rules: Rules) -> None:
+        super().__init__(server, clock, rules)
+        self._batch = UnlimitedBatch(self._waiting[WorkClass.BATCH], self._grants)
+
     def pump(self) -> None:
         """Grants what came first."""
         now_ms = self._clock.now_ms()
@@ -32,9 +40,6 @@
     def _predicted_wait_ms(self, request: SlotRequest) -> float:
         return 0.0
 
-    def _revoke_prefill(self, now_ms: int) -> None:
-        return
-
 
 class SplitQueue(FifoQueue):
     """Half of the slots for each class, in order of arrival."""
@@ -52,19 +57,29 @@
 class RevokeWhenFullQueue(SlotQueue):
     """Online first; batch fills the rest and is revoked only when the slots are full."""
 
-    def _batch_limit(self, online_slots: int) -> int:
-        return self.limit
+    def __init__(self, server: BackendServer, clock: Clock, rules: Rules) -> None:
+        super().__init__(server, clock, rules)
+        self._batch = UnlimitedBatch(self._waiting[WorkClass.BATCH], self._grants)
+
 
-    def _grant_batch(self, now_ms: int) -> None:
-        queue = self._waiting[WorkClass.BATCH]
-        while len(queue) and self.held < self.limit:
-            self._grant(queue.pop(queue.members[0], self._shares), now_ms)
+class UnlimitedBatch(BatchAdmission):
+    """Lets batch hold all slots that online does not."""
+
+    def limit(self, slots: int, online_slots: int, online_peak: int) -> int:
+        """Returns all slots."""
+        return slots
+
+    def may_start(self, now_ms: int) -> bool:
+        """Starts are not paced."""
+        return True
 
-    def _revoke_prefill(self, now_ms: int) -> None:
-        return
+    def ahead_of_online(self, now_ms: int) -> list[Grant]:
+        """No prompt is revoked for being ahead."""
+        return []
 
-    def _return_batch_shares(self, now_ms: int) -> None:
-        return
+    def borrowed(self, start_limit: int) -> list[Grant]:
+        """No share is returned."""
+        return []
 
 
 class LaggingSlots:
--- a/briarvale/_generated/inventory.py
+++ b/briarvale/_generated/inventory.py
@@ -66,6 +66,7 @@
     slots: int
     region: str
     availability_zone: str
+    prefill_tokens_per_s: float = 8000.0
     checks_fencing: bool = True
 
     @classmethod
@@ -78,6 +79,7 @@
             slots=mapping["slots"],
             region=mapping["region"],
             availability_zone=mapping["availability_zone"],
+            prefill_tokens_per_s=float(mapping.get("prefill_tokens_per_s", 8000.0)),
             checks_fencing=mapping.get("checks_fencing", True),
         )
 
--- a/briarvale/dispatcher.py
+++ b/briarvale/dispatcher.py
@@ -115,12 +115,7 @@
         tasks.start_soon(self._follow_membership)
         tasks.start_soon(self._follow_config)
         tasks.start_soon(self._follow_health)
-        tasks.start_soon(self._tick)
-
-    async def _tick(self) -> None:
-        while True:
-            await anyio.sleep(TICK_INTERVAL_S)
-            self.slot_owner.tick()
+        tasks.start_soon(self.slot_owner.run)
 
     async def _follow_membership(self) -> None:
         while True:
--- a/briarvale/headroom.py
+++ b/briarvale/headroom.py
@@ -8,9 +8,8 @@
 
 PEAK_WINDOW_MS = 5_000
 MIN_RESERVE_PART = 0.25
-PREFILL_TOKENS_PER_MS = 8.0
 
-__all__ = ["BatchPacer", "PeakDemand", "YieldPolicy", "burst_reserve", "prefill_ms"]
+__all__ = ["BatchPacer", "PeakDemand", "YieldPolicy", "burst_reserve"]
 
 
 class YieldPolicy(NamedTuple):
@@ -113,8 +112,3 @@
         wanted = max(peaks.get(other, 0), math.ceil(share_slots * MIN_RESERVE_PART))
         reserve += max(0, min(math.floor(share_slots), wanted) - held.get(other, 0))
     return reserve
-
-
-def prefill_ms(prompt_tokens: int) -> float:
-    """Returns how long an engine takes at most to prefill a prompt that it has not cached."""
-    return prompt_tokens / PREFILL_TOKENS_PER_MS
--- a/briarvale/slot_owner.py
+++ b/briarvale/slot_owner.py
@@ -1,7 +1,10 @@
 """The slots of all backend servers that this dispatcher owns."""
 
+import math
 from collections.abc import Callable
 
+import anyio
+
 from . import logs
 from ._generated.messages import (
     HeldGrant,
@@ -12,12 +15,14 @@
     SlotRequest,
     SlotWithdraw,
 )
-from .clock import Clock
+from .clock import MS_PER_S, Clock
 from .config import BackendServer, Config, Rules
 from .errors import NotOwner
 from .holder import Holder
 from .slots import SlotQueue
 
+TICK_INTERVAL_MS = 100
+MIN_WAIT_MS = 1
 RETRY_DELAY_MS = 500
 
 log = logs.part("dispatcher")
@@ -41,6 +46,7 @@
         self._make_queue = make_queue
         self._queues: dict[str, SlotQueue] = {}
         self._early_reports: dict[str, tuple[HeldGrant, Holder]] = {}
+        self._changed = anyio.Event()
 
     def settle(self, config: Config, owned: set[str]) -> None:
         """Takes up and gives up backend servers, so that just `owned` remain."""
@@ -89,10 +95,37 @@
         for queue in self._queues.values():
             queue.tick()
 
+    async def run(self) -> None:
+        """Ticks, and starts what waits for prefill as soon as it may, until cancelled."""
+        tick_at_ms = self._clock.now_ms()
+        while True:
+            if self._clock.now_ms() >= tick_at_ms:
+                tick_at_ms = self._clock.now_ms() + TICK_INTERVAL_MS
+                self.tick()
+            self._pump_due()
+            self._changed = anyio.Event()
+            await self._wait_due(tick_at_ms)
+
+    def _pump_due(self) -> None:
+        now_ms = self._clock.now_ms()
+        for queue in self._queues.values():
+            if queue.due_at_ms <= now_ms:
+                queue.pump()
+
+    async def _wait_due(self, tick_at_ms: int) -> None:
+        now_ms = self._clock.now_ms()
+        due_at_ms = [queue.due_at_ms for queue in self._queues.values()]
+        later_ms = [instant_ms for instant_ms in due_at_ms if instant_ms > now_ms]
+        wake_at_ms = min([tick_at_ms, *later_ms])
+        with anyio.move_on_after(max(MIN_WAIT_MS, wake_at_ms - now_ms) / MS_PER_S):
+            await self._changed.wait()
+
     def _submit(self, holder: Holder, request: SlotRequest) -> None:
         queue = self._queues.get(request.backend_server)
         if queue is not None:
             queue.submit(request, holder)
+            if queue.due_at_ms < math.inf:
+                self._changed.set()
             return
         retry_at_ms = self._clock.now_ms() + RETRY_DELAY_MS
         holder.notify(SlotRefusal(request.request_id, NotOwner.code, retry_at_ms))
--- a/briarvale/slots.py
+++ b/briarvale/slots.py
@@ -2,7 +2,6 @@
 
 import math
 import secrets
-from collections import Counter
 from typing import NamedTuple
 
 import xxhash
@@ -18,14 +17,16 @@
     SlotRevoke,
     WorkClass,
 )
+from .batch_admission import BatchAdmission
 from .clock import MS_PER_S, Clock
 from .config import BackendServer, Rules
 from .errors import NotOwner, Overloaded
 from .fairness import FairQueue, Shares, Waiter
 from .grants import Grant, GrantTable
-from .headroom import BatchPacer, PeakDemand, YieldPolicy, burst_reserve, prefill_ms
 from .holder import Holder
 from .limits import SlotLimit
+from .online_admission import OnlineAdmission
+from .prefill import PrefillBacklog
 from .wait_estimate import WaitEstimate
 
 GRANT_TERM_MS = 4_000
@@ -35,7 +36,6 @@
 MAX_QUEUED_BATCH = 256
 RETRY_DELAY_MS = 1_000
 RETRY_JITTER_MS = 2_000
-BURST_FACTOR = 2
 
 log = logs.part("dispatcher")
 
@@ -77,9 +77,10 @@
             WorkClass.BATCH: FairQueue(MAX_QUEUED_BATCH),
         }
         self._grants = GrantTable()
-        self._peaks: dict[str, PeakDemand] = {}
-        self._online_peak = PeakDemand()
-        self._pacer = BatchPacer()
+        online_held = self._grants.held[WorkClass.ONLINE]
+        self._online = OnlineAdmission(self._waiting[WorkClass.ONLINE], online_held)
+        self._batch = BatchAdmission(self._waiting[WorkClass.BATCH], self._grants)
+        self._prefill = PrefillBacklog(server.prefill_tokens_per_s)
         self._estimate = WaitEstimate()
         self._sequence = 0
         self._ticked_at_ms = clock.now_ms()
@@ -115,9 +116,9 @@
         self.server = server
         self._slot_limit.declare(server.slots)
         self._shares = Shares({share.member: share.percent / 100 for share in rules.shares})
-        self._priority_member = rules.priority_member
-        self._batch_part = rules.batch_budget_percent / 100
-        self._policy = YieldPolicy.from_harm_weight(rules.harm_weight)
+        self._prefill.tokens_per_s = server.prefill_tokens_per_s
+        self._online.configure(self._shares, rules)
+        self._batch.configure(self._shares, rules)
 
     def submit(self, request: SlotRequest, holder: Holder) -> None:
         """Queues a request; the holder is told of the grant or the refusal."""
@@ -130,9 +131,10 @@
         self._sequence += 1
         waiter = Waiter(request, holder, now_ms, self._sequence)
         queue.push(waiter)
-        self._observe_demand(now_ms)
+        self._online.observe(now_ms)
         if request.work_class is WorkClass.ONLINE:
-            self._revoke_prefill(now_ms)
+            for grant in self._batch.ahead_of_online(now_ms):
+                self._revoke(grant, "prefill")
         self.pump()
         wait_ms = self._predicted_wait_ms(request)
         if now_ms + wait_ms > request.deadline_ms and waiter in list(queue):
@@ -168,7 +170,7 @@
         """Takes over a grant that an earlier owner, or an earlier connection, gave."""
         now_ms = self._clock.now_ms()
         self._grants.add(Grant(held, holder, held.grant_id, now_ms, now_ms + GRANT_TERM_MS))
-        self._observe_demand(now_ms)
+        self._online.observe(now_ms)
 
     def report(self, holder: Holder, grants: tuple[HeldGrant, ...]) -> None:
         """Takes a holder's full report: adopts what it holds, frees what it lost."""
@@ -215,7 +217,7 @@
                 self._refuse(
                     waiter.request, waiter.holder, now_ms + _retry_delay_ms(waiter.request)
                 )
-        self._observe_demand(now_ms)
+        self._online.observe(now_ms)
         self.pump()
         self._publish()
 
@@ -225,136 +227,53 @@
         if now_ms < self._grant_from_ms:
             return
         self._grant_online(now_ms)
-        online_slots = self._grants.slots_of(WorkClass.ONLINE)
-        wanted = self._wanted_online_slots()
-        self._revoke_for_online(online_slots, wanted)
+        wanted = self._online.wanted_slots(self.limit, now_ms)
+        self._revoke_for_online(now_ms, wanted)
         if wanted == 0:
             self._grant_batch(now_ms)
-            self._return_batch_shares(now_ms)
+
+    @property
+    def due_at_ms(self) -> float:
+        """When a waiting online request may start that now waits for the engine's prefill."""
+        has_waiting = len(self._waiting[WorkClass.ONLINE]) > 0
+        return self._prefill.open_at_ms if has_waiting else math.inf
 
     def _grant_online(self, now_ms: int) -> None:
-        while (member := self._next_online(self._grants.held[WorkClass.ONLINE])) is not None:
-            queue = self._waiting[WorkClass.ONLINE]
-            if queue.peek(member).request.slot_count > self.limit - self.held:
+        queue = self._waiting[WorkClass.ONLINE]
+        while now_ms >= self._prefill.open_at_ms:
+            member = self._online.next_member(self.limit, now_ms)
+            if member is None:
+                return
+            request = queue.peek(member).request
+            if request.slot_count > self.limit - self.held:
                 return
-            self._pacer.note_online_start(now_ms)
+            self._batch.pacer.note_online_start(now_ms)
+            self._prefill.note_start(request.prompt_tokens, now_ms)
             self._grant(queue.pop(member, self._shares), now_ms)
 
-    def _next_online(self, held: Counter[str]) -> str | None:
-        members = self._waiting[WorkClass.ONLINE].members
-        members.sort(key=lambda member: member != self._priority_member)
-        peaks = {name: peak.peak(self._clock.now_ms()) for name, peak in self._peaks.items()}
-        return next((name for name in members if self._may_grow(name, held, peaks)), None)
-
-    def _may_grow(self, member: str, held: Counter[str], peaks: dict[str, int]) -> bool:
-        """Whether a member's online may take another slot, in its share or borrowed."""
-        slots = held[member] + 1
-        if held.total() + 1 > self.limit:
-            return False
-        if slots <= self._shares.slots(member, self.limit):
-            return True
-        reserve = burst_reserve(member, held, peaks, self._shares, self.limit)
-        return held.total() + 1 + reserve <= self.limit
-
-    def _wanted_online_slots(self) -> int:
-        """Slots that waiting online requests would get if batch held none."""
-        held = Counter(self._grants.held[WorkClass.ONLINE])
-        peaks = {name: peak.peak(self._clock.now_ms()) for name, peak in self._peaks.items()}
-        wanted = 0
-        for member in self._waiting[WorkClass.ONLINE].members:
-            for _ in range(self._waiting[WorkClass.ONLINE].queued(member)):
-                if not self._may_grow(member, held, peaks):
-                    break
-                held[member] += 1
-                wanted += 1
-        return wanted
-
-    def _batch_limit(self, online_slots: int) -> int:
-        """Slots that batch may hold beside so many online slots.
-
-        Above its budget, batch borrows what online leaves idle even if it grows by `BURST_FACTOR`.
-        """
-        burst = BURST_FACTOR * max(online_slots, self._online_peak.peak(self._clock.now_ms()))
-        budget = max(math.floor(self._batch_part * self.limit), self.limit - burst)
-        return min(self._policy.batch_limit(self.limit, online_slots), budget)
-
-    def _batch_start_limit(self) -> int:
-        """Slots up to which batch may start, so that the next online stream revokes none of it."""
+    def _revoke_for_online(self, now_ms: int, wanted: int) -> None:
         online_slots = self._grants.slots_of(WorkClass.ONLINE)
-        return self._batch_limit(online_slots + 1 if online_slots else 0)
-
-    def _revoke_for_online(self, online_slots: int, wanted: int) -> None:
-        batch_slots = self._grants.slots_of(WorkClass.BATCH)
-        over_limit = batch_slots - self._batch_limit(online_slots + wanted)
+        limit = self._batch.limit(self.limit, online_slots + wanted, self._online.peak(now_ms))
+        over_limit = self._grants.slots_of(WorkClass.BATCH) - limit
         over_total = self.held + wanted - self.limit
-        excess = max(over_limit, over_total) - self._grants.revoking_slots
-        for grant in self._by_yield_order()[: max(0, excess)]:
+        for grant in self._batch.excess(max(over_limit, over_total)):
             self._revoke(grant, "online")
 
-    def _revoke_prefill(self, now_ms: int) -> None:
-        """Revokes batch whose prompt would be prefilled long ahead of an online prompt."""
-        latest_ms = now_ms + self._policy.max_prefill_ahead_ms
-        for grant in self._grants.revocable():
-            if grant.prefilled_at_ms > latest_ms:
-                self._revoke(grant, "prefill")
-
-    def _by_yield_order(self) -> list[Grant]:
-        """Batch grants, first those of members furthest above their share, then the newest."""
-        held = self._grants.held[WorkClass.BATCH]
-        return sorted(
-            self._grants.revocable(),
-            key=lambda grant: (
-                held[grant.held.member] / self._shares.weight(grant.held.member),
-                grant.start_by_ms,
-                grant.granted_at_ms,
-            ),
-            reverse=True,
-        )
-
     def _grant_batch(self, now_ms: int) -> None:
         queue = self._waiting[WorkClass.BATCH]
-        limit = self._batch_start_limit()
-        while len(queue) and self._pacer.may_start(self._policy, now_ms):
-            member = self._next_batch()
+        limit = self._batch.start_limit(self.limit, self._online.peak(now_ms))
+        while len(queue) and self._batch.may_start(now_ms):
+            member = self._batch.next_member(limit)
             count = queue.peek(member).request.slot_count
             if self._grants.slots_of(WorkClass.BATCH) + count > limit:
-                return
+                break
             if self.held + count > self.limit:
-                return
-            self._pacer.note_batch_start(now_ms)
+                break
+            self._batch.pacer.note_batch_start(now_ms)
             self._grant(queue.pop(member, self._shares), now_ms)
-
-    def _next_batch(self) -> str:
-        """Returns the member whose batch is next: those below their share first."""
-        members = self._waiting[WorkClass.BATCH].members
-        held = self._grants.held[WorkClass.BATCH]
-        owed = self._owed_batch_slots()
-        return next((name for name in members if held[name] < owed[name]), members[0])
-
-    def _owed_batch_slots(self) -> dict[str, int]:
-        """Returns the batch slots that each member with batch owns."""
-        held = self._grants.held[WorkClass.BATCH]
-        queue = self._waiting[WorkClass.BATCH]
-        competing = {name for name in held if held[name] > 0} | set(queue.members)
-        slots = self._batch_start_limit()
-        return {name: math.floor(self._shares.among(name, competing) * slots) for name in competing}
-
-    def _return_batch_shares(self, now_ms: int) -> None:
-        """Revokes batch that borrows a share whose owner's batch waits."""
-        queue = self._waiting[WorkClass.BATCH]
-        if not len(queue) or not self._pacer.may_start(self._policy, now_ms):
-            return
-        held = self._grants.held[WorkClass.BATCH]
-        owed = self._owed_batch_slots()
-        missing = sum(
-            max(0, min(queue.queued(member), owed[member] - held[member]))
-            for member in queue.members
-        )
-        if self._policy.start_interval_ms > 0:
-            missing = min(missing, 1)
-        victims = (g for g in self._by_yield_order() if held[g.held.member] > owed[g.held.member])
-        for grant, _ in zip(victims, range(missing - self._grants.revoking_slots), strict=False):
-            self._revoke(grant, "share")
+        if len(queue) and self._batch.may_start(now_ms):
+            for grant in self._batch.borrowed(limit):
+                self._revoke(grant, "share")
 
     def _grant(self, waiter: Waiter, now_ms: int) -> None:
         request = waiter.request
@@ -368,6 +287,7 @@
             fingerprint=request.fingerprint,
         )
         expires_at_ms = now_ms + GRANT_TERM_MS
+        prompt_tokens = request.prompt_tokens or request.cost_tokens
         self._grants.add(
             Grant(
                 held=held,
@@ -376,7 +296,7 @@
                 granted_at_ms=now_ms,
                 expires_at_ms=expires_at_ms,
                 start_by_ms=request.start_by_ms,
-                prefilled_at_ms=now_ms + prefill_ms(request.prompt_tokens or request.cost_tokens),
+                prefilled_at_ms=now_ms + self._prefill.duration_ms(prompt_tokens),
             )
         )
         labels = {"work_class": request.work_class.value}
@@ -412,25 +332,9 @@
         """Returns the wait of the member's last queued online request; 0 for batch."""
         if request.work_class is WorkClass.BATCH:
             return 0.0
-        queue = self._waiting[WorkClass.ONLINE]
-        slots = float(self.limit)
-        if request.member != self._priority_member:
-            competing = {name for name, count in self._online_held.items() if count > 0}
-            slots *= self._shares.among(request.member, competing | set(queue.members))
-        return self._estimate.wait_ms(queue.queued(request.member), slots)
-
-    @property
-    def _online_held(self) -> Counter[str]:
-        return self._grants.held[WorkClass.ONLINE]
-
-    def _observe_demand(self, now_ms: int) -> None:
-        queue = self._waiting[WorkClass.ONLINE]
-        total = 0
-        for member in self._online_held.keys() | set(queue.members):
-            demand = self._online_held[member] + queue.queued(member)
-            self._peaks.setdefault(member, PeakDemand()).observe(demand, now_ms)
-            total += demand
-        self._online_peak.observe(total, now_ms)
+        queued = self._waiting[WorkClass.ONLINE].queued(request.member)
+        slots = self._online.usable_slots(request.member, self.limit)
+        return self._estimate.wait_ms(queued, slots)
 
     def _publish(self) -> None:
         server = {"backend_server": self.server.id}
