--- a/tools/check.py
+++ b/tools/check.py
@@ -57,6 +57,7 @@
     Check("control benches", (PYTHON, "-m", "benchmarks.control", "--small")),
     Check("capacity page", (PYTHON, "-m", "tools.check_capacity")),
     Check("model checking", (PYTHON, "tools/check_model.py")),
+    Check("policy benches", (PYTHON, "-m", "benchmarks")),
 )
 
 
