Quarantine a request that crashes backend servers

Cause: a request that crashes the server which runs it was resumed on the next, up to four times, and again for each resend.

Change: a crash makes what was in flight there suspect, by content fingerprint. Crash sites are a set that merges in any order; notices spread by gossip and are kept in one bounded object. A suspect waits until notices have settled, then runs on one probation server, where the owner lets one suspect run at a time and refuses copies whose gateway knows nothing yet. Copies that run elsewhere are interrupted.

Ruled out: a lock in the Object API for probation (it has outages); one probation server for all suspects of a service (a crash with 32 streams would run them one after the other); counting crashes instead of sites (two holders of one crash count twice).

--- a/briarvale/_generated/messages.py
+++ b/briarvale/_generated/messages.py
@@ -82,6 +82,7 @@
     deadline_ms: int = 0
     fingerprint: str = ""
     start_by_ms: int = 0
+    is_suspect: bool = False
 
 
 class SlotGrant(NamedTuple):
@@ -223,6 +224,7 @@
 
     backend_server: str = ""
     at_ms: int = 0
+    began_at_ms: int = 0
 
 
 class SuspectNotice(NamedTuple):
@@ -373,6 +375,7 @@
         reader.deadlineMs,
         reader.fingerprint,
         reader.startByMs,
+        reader.isSuspect,
     )
 
 
@@ -386,6 +389,7 @@
     builder.deadlineMs = message.deadline_ms
     builder.fingerprint = message.fingerprint
     builder.startByMs = message.start_by_ms
+    builder.isSuspect = message.is_suspect
 
 
 def _read_slot_grant(reader: Any) -> SlotGrant:
@@ -638,12 +642,14 @@
     return CrashSite(
         reader.backendServer,
         reader.atMs,
+        reader.beganAtMs,
     )
 
 
 def _write_crash_site(builder: Any, message: CrashSite) -> None:
     builder.backendServer = message.backend_server
     builder.atMs = message.at_ms
+    builder.beganAtMs = message.began_at_ms
 
 
 def _read_suspect_notice(reader: Any) -> SuspectNotice:
--- a/briarvale/dispatcher.py
+++ b/briarvale/dispatcher.py
@@ -33,6 +33,7 @@
 from .server_health import ServerHealthMonitor
 from .settings import Settings
 from .slot_owner import SlotOwner
+from .suspect_gate import SuspectGate
 
 TICK_INTERVAL_S = 0.1
 
@@ -62,6 +63,9 @@
             lambda: self.membership.leaving_vms,
             self.membership.publish,
         )
+        self.suspect_gate = SuspectGate(
+            self.membership.suspects, self.slot_owner.handle, self._spread_suspect
+        )
         self._connections: set[PeerConnection] = set()
 
     @property
@@ -106,6 +110,7 @@
         while True:
             await anyio.sleep(TICK_INTERVAL_S)
             self.slot_owner.tick()
+            self.suspect_gate.tick(self._environment.clock.now_ms())
 
     async def _follow_membership(self) -> None:
         while True:
@@ -131,6 +136,10 @@
             self.slot_owner.settle(self.config_spread.config, owned)
         self._broadcast(self.view())
 
+    def _spread_suspect(self, notice: SuspectNotice) -> None:
+        self.membership.publish(notice)
+        self._broadcast(notice)
+
     def _refuse_waiting(self) -> None:
         """Sends what waits for a server that takes no more work to other servers."""
         for server in self.owned_servers():
@@ -195,7 +204,13 @@
             case SlotRelease():
                 self.slot_owner.handle(connection, message)
                 self.server_health.note_release(message)
-            case SlotRequest() | SlotWithdraw() | HolderReport() | SlotHeartbeat():
+                self.suspect_gate.release(message, self._environment.clock.now_ms())
+            case SlotRequest():
+                self.suspect_gate.submit(connection, message, self._environment.clock.now_ms())
+            case SlotWithdraw(request_id):
+                self.slot_owner.handle(connection, message)
+                self.suspect_gate.withdraw(request_id, self._environment.clock.now_ms())
+            case HolderReport() | SlotHeartbeat():
                 self.slot_owner.handle(connection, message)
             case ViewSubscribe():
                 self._subscribe(connection)
@@ -206,8 +221,7 @@
             case StateFetch():
                 connection.notify(self.membership.snapshot())
             case SuspectNotice():
-                self.membership.publish(message)
-                self._broadcast(message)
+                self._spread_suspect(message)
             case _:
                 log.warning("Unexpected {} from {}.", type(message).__name__, connection.name)
 
--- a/briarvale/gateway.py
+++ b/briarvale/gateway.py
@@ -7,8 +7,9 @@
 from .environment import Environment
 from .fleet_view import FleetView
 from .jobs import Jobs
-from .online import OnlineService
+from .online import OnlineParts, OnlineService
 from .plain_calls import PlainCalls
+from .quarantine import Quarantine
 from .request_count import RequestCount
 from .routing import Router
 from .settings import Settings
@@ -37,18 +38,21 @@
         self._tasks = anyio.create_task_group()
         slots = SlotClient(environment, self.view, self._tasks)
         router = Router(self.view)
-        self.online = OnlineService(environment, self.view, router, slots, self._tasks)
+        self.quarantine = Quarantine(environment, self.view)
+        parts = OnlineParts(self.view, router, slots, self.quarantine)
+        self.online = OnlineService(environment, parts, self._tasks)
         self.plain_calls = PlainCalls(environment, self.view, router, slots)
 
     @property
     def is_ready(self) -> bool:
         """Whether the platform's balancer should send requests here."""
-        return self.view.is_ready and not self._is_draining
+        return self.view.is_ready and self.quarantine.is_loaded and not self._is_draining
 
     async def run(self) -> None:
         """Runs until cancelled."""
         async with self._tasks as tasks:
             tasks.start_soon(self.view.run)
+            tasks.start_soon(self.quarantine.run)
             await anyio.sleep_forever()
 
     async def drain(self) -> None:
--- a/briarvale/gateway_http.py
+++ b/briarvale/gateway_http.py
@@ -1,6 +1,5 @@
 """The callers' HTTP interface of the gateway."""
 
-import hashlib
 import json
 from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import Any, TypeVar
@@ -29,6 +28,7 @@
 from .online import OnlineRequest
 from .operator_http import OperatorAuth, health_route
 from .plain_calls import PlainRequest
+from .quarantine import fingerprint_of
 from .request_count import RequestCountMiddleware
 from .service_client import ServiceCall
 from .slot_client import new_request_id
@@ -156,7 +156,6 @@
         max_tokens = body.get("max_tokens", DEFAULT_MAX_TOKENS)
         if not isinstance(max_tokens, int) or max_tokens < 1:
             raise InvalidRequest("max_tokens: expected an integer of 1 or more")
-        fingerprint = hashlib.sha256(f"{service}\0{prompt}".encode()).hexdigest()[:32]
         return OnlineRequest(
             request_id=request.state.request_id,
             member=member,
@@ -165,7 +164,7 @@
             max_tokens=max_tokens,
             deadline_ms=self._deadline_ms(request),
             adapter=body.get("adapter", ""),
-            fingerprint=fingerprint,
+            fingerprint=fingerprint_of(service, prompt),
         )
 
     def _member(self, request: Request) -> str:
--- a/briarvale/membership.py
+++ b/briarvale/membership.py
@@ -19,6 +19,7 @@
 from .failure_detector import FailureDetector
 from .heartbeats import Heartbeats, own_state
 from .peer import PeerAddress
+from .quarantine import SuspectTable
 from .rumors import RumorQueue
 from .settings import Settings
 from .vm_list import VmEntry, VmListUnavailable, VmStatus
@@ -55,7 +56,7 @@
             settings, environment, self._detector, self._rumors, self._hear
         )
         self._servers: dict[str, ServerState] = {}
-        self._suspects: dict[str, SuspectNotice] = {}
+        self.suspects = SuspectTable()
         self._rumor_handlers: list[RumorHandler] = []
         self._vms: tuple[VmState, ...] = ()
         self._seen_version = 0
@@ -88,8 +89,9 @@
 
     def publish(self, rumor: Rumor) -> None:
         """Spreads a rumor to all dispatchers within seconds; heartbeats carry it."""
-        if self._remember(rumor):
-            self._spread(rumor)
+        news = self._remember(rumor)
+        if news is not None:
+            self._spread(news)
 
     def subscribe(self, handler: RumorHandler) -> None:
         """Calls the handler with each rumor that arrives from another dispatcher."""
@@ -107,7 +109,7 @@
 
     def snapshot(self) -> StateSnapshot:
         """Returns all that heartbeats told, for a VM that starts."""
-        servers, suspects = tuple(self._servers.values()), tuple(self._suspects.values())
+        servers, suspects = tuple(self._servers.values()), tuple(self.suspects)
         return StateSnapshot(self._detector.states, servers, suspects)
 
     async def run(self) -> None:
@@ -188,25 +190,24 @@
                 self._notify()
 
     def _hear(self, rumor: Rumor) -> None:
-        if not self._remember(rumor):
+        news = self._remember(rumor)
+        if news is None:
             return
-        self._spread(rumor)
+        self._spread(news)
         for handler in self._rumor_handlers:
-            handler(rumor)
+            handler(news)
 
-    def _remember(self, rumor: Rumor) -> bool:
+    def _remember(self, rumor: Rumor) -> Rumor | None:
+        """Keeps a rumor and returns what there is to tell further, if it told something new."""
         match rumor:
             case ServerState(backend_server=name, observed_at_ms=observed_at_ms):
                 known = self._servers.get(name)
                 if known is not None and known.observed_at_ms >= observed_at_ms:
-                    return False
+                    return None
                 self._servers[name] = rumor
-            case SuspectNotice(fingerprint=fingerprint):
-                notice = self._suspects.get(fingerprint)
-                if notice is not None and not _is_worse(rumor, notice):
-                    return False
-                self._suspects[fingerprint] = rumor
-        return True
+                return rumor
+            case SuspectNotice():
+                return self.suspects.merge(rumor, self._environment.clock.now_ms())
 
     def _spread(self, rumor: Rumor | VmState) -> None:
         self._rumors.put(rumor)
@@ -218,11 +219,3 @@
             metrics.VMS.set({"health": health.value}, count)
         self._changed.set()
         self._changed = anyio.Event()
-
-
-def _is_worse(notice: SuspectNotice, known: SuspectNotice) -> bool:
-    return (notice.quarantined, notice.crashes, notice.expires_at_ms) > (
-        known.quarantined,
-        known.crashes,
-        known.expires_at_ms,
-    )
--- a/briarvale/metrics.py
+++ b/briarvale/metrics.py
@@ -31,6 +31,10 @@
 OWNER_LINKS_LOST = Counter("briarvale_owner_links_lost_total", "Connections to owners that broke.")
 EJECTIONS = Counter("briarvale_ejections_total", "Ejections by backend server and reason.")
 SERVERS = Gauge("briarvale_servers", "Backend servers by health.")
+QUARANTINED = Counter("briarvale_quarantined_total", "Requests quarantined here.")
+QUARANTINE_REFUSALS = Counter(
+    "briarvale_quarantine_refusals_total", "Refusals of quarantined requests."
+)
 PEER_BAD_FRAMES = Counter("briarvale_peer_bad_frames_total", "Connections closed for a bad frame.")
 BAD_DATAGRAMS = Counter(
     "briarvale_bad_datagrams_total", "Datagrams dropped for a bad seal or form."
@@ -51,6 +55,8 @@
     "LEASES_EXPIRED",
     "OWNER_LINKS_LOST",
     "PEER_BAD_FRAMES",
+    "QUARANTINED",
+    "QUARANTINE_REFUSALS",
     "REFUSALS",
     "REQUESTS",
     "RETRIES",
--- a/briarvale/online.py
+++ b/briarvale/online.py
@@ -10,7 +10,7 @@
 from opentelemetry.trace import Span
 
 from . import logs, metrics
-from ._generated.messages import Outcome, SlotRequest, WorkClass
+from ._generated.messages import Outcome, SlotRequest, SuspectNotice, WorkClass
 from .clock import MS_PER_S
 from .config import BackendServer
 from .engine_client import Completion, Engine, Token
@@ -29,6 +29,7 @@
     ServerStalled,
 )
 from .fleet_view import FleetView
+from .quarantine import Quarantine
 from .retries import RetryBudgets
 from .routing import Choice, Router, RouteRequest
 from .slot_client import HeldSlot, SlotClient
@@ -40,7 +41,7 @@
 
 log = logs.part("gateway")
 
-__all__ = ["OnlineRequest", "OnlineService"]
+__all__ = ["OnlineParts", "OnlineRequest", "OnlineService"]
 
 
 class OnlineRequest(NamedTuple):
@@ -61,6 +62,15 @@
         return len(self.prompt.split())
 
 
+class OnlineParts(NamedTuple):
+    """The parts of a gateway that online completions go through."""
+
+    view: FleetView
+    router: Router
+    slots: SlotClient
+    quarantine: Quarantine
+
+
 class _Answer:
     """The state of one request over all its attempts."""
 
@@ -72,6 +82,9 @@
         self.failed_servers: list[str] = []
         self.attempts = 0
         self.was_sent = False
+        self.sent_at_ms = 0
+        self.is_suspect = False
+        self.attempt_scope = anyio.CancelScope()
         self.scope = anyio.CancelScope()
         self.ended = anyio.Event()
 
@@ -90,24 +103,15 @@
 
     Args:
         environment: The outside interfaces.
-        view: The fleet as last told.
-        router: Chooses backend servers.
-        slots: Asks their owners for slots.
+        parts: The parts that a completion goes through.
         tasks: Runs the answers.
     """
 
-    def __init__(
-        self,
-        environment: Environment,
-        view: FleetView,
-        router: Router,
-        slots: SlotClient,
-        tasks: TaskGroup,
-    ) -> None:
+    def __init__(self, environment: Environment, parts: OnlineParts, tasks: TaskGroup) -> None:
         self._environment = environment
-        self._view = view
-        self._router = router
-        self._slots = slots
+        self._view, self._router, self._slots, self._quarantine = parts
+        self._running: set[_Answer] = set()
+        self._quarantine.subscribe(self._interrupt_suspect)
         self._tasks = tasks
         self._budgets = RetryBudgets()
 
@@ -117,6 +121,7 @@
         Closing the iterator cancels the work at the backend server and frees the slot.
         """
         answer = _Answer(request, self._environment.clock.now_ms())
+        self._running.add(answer)
         self._tasks.start_soon(self._produce, answer)
         try:
             async for token in answer.buffer.read():
@@ -132,6 +137,7 @@
             with answer.scope, tracer.start_as_current_span("online request") as span:
                 error = await self._answer(answer, span)
         finally:
+            self._running.discard(answer)
             answer.buffer.close(error)
             answer.ended.set()
 
@@ -142,6 +148,7 @@
         try:
             await self._run_until_deadline(answer)
             self._budgets.note_finished(answer.request.member)
+            self._quarantine.note_finish(answer.request.fingerprint)
             return None
         except BriarvaleError as error:
             log.info("Gave up {}: {}.", answer.request.request_id, error)
@@ -176,27 +183,47 @@
 
     async def _attempt(self, answer: _Answer) -> bool:
         """Runs one attempt; returns whether the answer is whole."""
+        notice = await self._quarantine.wait_settled(answer.request.fingerprint)
         answer.attempts += 1
-        choice = self._choose(answer)
+        answer.is_suspect = notice is not None
+        choice = self._choose(answer, notice)
         code = "cancelled"
         with tracer.start_as_current_span("attempt") as span:
             self._describe(span, answer, choice)
             try:
-                is_whole = await self._hold_and_stream(answer, choice.server)
-                code = "ok" if is_whole else "paused"
-                return is_whole
+                with anyio.CancelScope() as answer.attempt_scope:
+                    is_whole = await self._hold_and_stream(answer, choice.server)
+                    code = "ok" if is_whole else "paused"
+                    return is_whole
+                code = "suspect"
+                raise ServerNotReady("the request became a suspect while it ran")
             except BriarvaleError as error:
                 code = error.code
                 answer.failed_servers.append(choice.server.id)
+                if isinstance(error, ServerLost):
+                    fingerprint, began_at_ms = answer.request.fingerprint, answer.sent_at_ms
+                    self._quarantine.note_crash(fingerprint, choice.server.id, began_at_ms)
                 raise
             finally:
                 span.set_attribute("briarvale.code", code)
                 metrics.ATTEMPTS.inc({"service": answer.request.service, "code": code})
 
-    def _choose(self, answer: _Answer) -> Choice:
+    def _interrupt_suspect(self, notice: SuspectNotice) -> None:
+        """Ends runs of a new suspect that began before it was one, so that none runs twice."""
+        if not notice.sites:
+            return
+        for answer in self._running:
+            is_same = answer.request.fingerprint == notice.fingerprint
+            if is_same and not answer.is_suspect:
+                answer.attempt_scope.cancel()
+
+    def _choose(self, answer: _Answer, notice: SuspectNotice | None) -> Choice:
         request = answer.request
         route = RouteRequest(request.service, request.prompt, request.adapter, request.fingerprint)
         failed = answer.failed_servers
+        if notice is not None:
+            crashed = [site.backend_server for site in notice.sites]
+            return self._router.pick_probation(route, crashed)
         # When all have failed, the one that failed last is spared the longest.
         for excluded in (failed, failed[-1:]):
             try:
@@ -248,6 +275,7 @@
         order = TokenOrder(len(answer.tokens), request.max_tokens)
         stream = engine.complete(self._completion(answer))
         was_sent, answer.was_sent = answer.was_sent, True
+        answer.sent_at_ms = self._environment.clock.now_ms()
         first_token_s = 0.0
         try:
             while not answer.buffer.is_full:
@@ -323,6 +351,7 @@
             cost_tokens=request.prompt_tokens + request.max_tokens,
             deadline_ms=request.deadline_ms,
             fingerprint=request.fingerprint,
+            is_suspect=answer.is_suspect,
         )
 
 
--- a/briarvale/outliers.py
+++ b/briarvale/outliers.py
@@ -14,6 +14,7 @@
 TOKEN_TARGET_MS = 68
 SLOW_FACTOR = 2.0
 EJECTABLE_PART = 1 / 3
+ERRORS = (Outcome.FAILED, Outcome.CRASHED)
 
 __all__ = ["OutcomeWindow", "StreamOutcome", "ejectable_count"]
 
@@ -41,11 +42,11 @@
         self._outcomes.clear()
 
     def is_failing(self, now_ms: int) -> bool:
-        """Whether half of the streams, and several, ended with an error."""
-        ended = [o.outcome for o in self._recent(now_ms)]
-        errors = sum(outcome in (Outcome.FAILED, Outcome.CRASHED) for outcome in ended)
-        finished = sum(outcome is Outcome.FINISHED for outcome in ended)
-        return errors >= MIN_ERRORS and errors >= MAX_ERROR_RATIO * (errors + finished)
+        """Whether half of the latest streams, and several, ended with an error."""
+        telling = [o for o in self._recent(now_ms) if o.outcome in (*ERRORS, Outcome.FINISHED)]
+        latest = telling[-MIN_STREAMS:]
+        errors = sum(o.outcome in ERRORS for o in latest)
+        return errors >= MIN_ERRORS and errors >= MAX_ERROR_RATIO * len(latest)
 
     def pace_ms(self, now_ms: int) -> float | None:
         """Returns the latest streams' median time between tokens; none of too few streams."""
--- /dev/null
+++ b/briarvale/quarantine.py
@@ -0,0 +1,277 @@
+"""Requests that crash backend servers: suspects, their probation and their quarantine.
+
+A crash makes every request that was in flight there a suspect. A suspect runs again only alone
+with no other suspect on its backend server. If it finishes, it is cleared; if that server crashes
+too, it is quarantined. Crashes are kept as a set of sites, so that notices of several holders merge
+to the same result in any order.
+"""
+
+import hashlib
+import json
+import random
+from collections.abc import Callable, Iterator
+from contextlib import suppress
+
+import anyio
+
+from . import logs, metrics
+from ._generated.messages import CrashSite, SuspectNotice
+from .environment import Environment
+from .errors import (
+    BriarvaleError,
+    ObjectExists,
+    ObjectNotFound,
+    Quarantined,
+    VersionConflict,
+)
+from .fleet_view import FleetView
+
+OBJECT_KEY = "quarantine/suspects"
+QUARANTINE_CRASHES = 2
+SAME_CRASH_MS = 2_000
+SETTLE_MS = 500
+SUSPECT_TERM_MS = 600_000
+QUARANTINE_TERM_MS = 86_400_000
+MAX_ENTRIES = 1_024
+WRITE_DELAY_S = 0.2
+WRITE_RETRY_S = 2.0
+LOAD_TIMEOUT_S = 2.0
+REFRESH_TIMEOUT_S = 0.5
+
+log = logs.part("quarantine")
+
+__all__ = ["Quarantine", "SuspectTable", "fingerprint_of", "merge_notices"]
+
+NoticeHandler = Callable[[SuspectNotice], None]
+
+
+def fingerprint_of(service: str, prompt: str) -> str:
+    """Returns the fingerprint of a request's content."""
+    return hashlib.sha256(f"{service}\0{prompt}".encode()).hexdigest()[:32]
+
+
+def merge_notices(known: SuspectNotice, other: SuspectNotice) -> SuspectNotice:
+    """Joins what two notices say of the same fingerprint; the order does not matter."""
+    cleared_at_ms = max(known.cleared_at_ms, other.cleared_at_ms)
+    sites: list[CrashSite] = []
+    for site in sorted({*known.sites, *other.sites}, key=lambda site: (site.at_ms, site)):
+        is_known = any(_is_same_crash(site, kept) for kept in sites)
+        if site.at_ms > cleared_at_ms and not is_known:
+            sites.append(site)
+    del sites[QUARANTINE_CRASHES:]
+    is_quarantined = len(sites) >= QUARANTINE_CRASHES
+    return SuspectNotice(
+        fingerprint=known.fingerprint,
+        crashes=len(sites),
+        quarantined=is_quarantined,
+        expires_at_ms=max(known.expires_at_ms, other.expires_at_ms),
+        sites=tuple(sites),
+        cleared_at_ms=0 if is_quarantined else cleared_at_ms,
+    )
+
+
+def _is_same_crash(site: CrashSite, other: CrashSite) -> bool:
+    """Whether two runs on one server were in flight together and ended together."""
+    return (
+        site.backend_server == other.backend_server
+        and abs(site.at_ms - other.at_ms) < SAME_CRASH_MS
+        and site.began_at_ms <= other.at_ms
+        and other.began_at_ms <= site.at_ms
+    )
+
+
+class SuspectTable:
+    """A bounded table of suspects and quarantined fingerprints; entries expire."""
+
+    def __init__(self) -> None:
+        self._notices: dict[str, SuspectNotice] = {}
+
+    def __iter__(self) -> Iterator[SuspectNotice]:
+        return iter(tuple(self._notices.values()))
+
+    def get(self, fingerprint: str, now_ms: int) -> SuspectNotice | None:
+        """Returns the entry of a suspect or quarantined fingerprint, else none."""
+        notice = self._notices.get(fingerprint)
+        return notice if notice and notice.sites and notice.expires_at_ms > now_ms else None
+
+    def merge(self, notice: SuspectNotice, now_ms: int) -> SuspectNotice | None:
+        """Takes a notice and returns the entry if that told something new."""
+        if notice.expires_at_ms <= now_ms:
+            return None
+        empty = SuspectNotice(fingerprint=notice.fingerprint)
+        known = self._notices.get(notice.fingerprint, empty)
+        merged = merge_notices(known, notice)
+        if merged == known:
+            return None
+        self._notices[notice.fingerprint] = merged
+        self._evict(now_ms)
+        return merged
+
+    def _evict(self, now_ms: int) -> None:
+        if len(self._notices) <= MAX_ENTRIES:
+            return
+        live = [notice for notice in self if notice.expires_at_ms > now_ms]
+        live.sort(key=lambda notice: (notice.quarantined, notice.expires_at_ms))
+        self._notices = {notice.fingerprint: notice for notice in live[-MAX_ENTRIES:]}
+
+
+class Quarantine:
+    """What one gateway or batch program knows of requests that crash backend servers.
+
+    `run` must be running for crashes to be spread and kept.
+
+    Args:
+        environment: The outside interfaces.
+        view: Connects to the dispatcher, which spreads notices.
+    """
+
+    def __init__(self, environment: Environment, view: FleetView) -> None:
+        self._environment = environment
+        self._view = view
+        self._table = SuspectTable()
+        self._unreported: dict[str, SuspectNotice] = {}
+        self._handlers: list[NoticeHandler] = []
+        self._is_unsaved = False
+        self._changed = anyio.Event()
+        self._loaded_at_ms = 0
+        self.is_loaded = False
+        view.subscribe_suspects(self.take_notice)
+
+    def subscribe(self, handler: NoticeHandler) -> None:
+        """Calls the handler when a fingerprint becomes a suspect, is cleared or quarantined."""
+        self._handlers.append(handler)
+
+    def check(self, fingerprint: str) -> SuspectNotice | None:
+        """Returns the entry of a suspect, or none for a request that may run as usual.
+
+        Raises:
+            Quarantined: If it crashed two backend servers.
+        """
+        notice = self._table.get(fingerprint, self._now_ms())
+        if notice is not None and notice.quarantined:
+            metrics.QUARANTINE_REFUSALS.inc({})
+            raise Quarantined(f"this request crashed {notice.crashes} backend servers")
+        return notice
+
+    async def wait_settled(self, fingerprint: str) -> SuspectNotice | None:
+        """Waits until other holders have told of their crashes, then checks again."""
+        while (notice := self.check(fingerprint)) is not None:
+            settled_at_ms = max(site.at_ms for site in notice.sites) + SETTLE_MS
+            if settled_at_ms <= self._now_ms():
+                await self._refresh(settled_at_ms)
+                return self.check(fingerprint)
+            await self._environment.clock.sleep_until(settled_at_ms)
+        return None
+
+    def note_crash(self, fingerprint: str, backend_server: str, began_at_ms: int) -> None:
+        """Takes that a backend server crashed while this request was in flight there.
+
+        Args:
+            fingerprint: The request's content.
+            backend_server: Where it ran.
+            began_at_ms: When it was sent there.
+        """
+        now_ms = self._now_ms()
+        known = self._table.get(fingerprint, now_ms)
+        term_ms = QUARANTINE_TERM_MS if known else SUSPECT_TERM_MS
+        site = CrashSite(backend_server, now_ms, began_at_ms)
+        notice = SuspectNotice(fingerprint, 1, False, now_ms + term_ms, (site,))
+        self._tell(notice)
+
+    def note_finish(self, fingerprint: str) -> None:
+        """Clears a suspect that ran to its end."""
+        now_ms = self._now_ms()
+        notice = self._table.get(fingerprint, now_ms)
+        if notice is None or notice.quarantined:
+            return
+        expires_at_ms = now_ms + SUSPECT_TERM_MS
+        self._tell(SuspectNotice(fingerprint, 0, False, expires_at_ms, (), now_ms))
+
+    def take_notice(self, notice: SuspectNotice) -> None:
+        """Takes what another process tells."""
+        merged = self._table.merge(notice, self._now_ms())
+        if merged is None:
+            return
+        for handler in self._handlers:
+            handler(merged)
+
+    async def run(self) -> None:
+        """Loads what is kept, then spreads and keeps changes until cancelled."""
+        with anyio.move_on_after(LOAD_TIMEOUT_S):
+            await self._load()
+        self.is_loaded = True
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._save_changes)
+            while True:
+                await self._report_all()
+                await self._changed.wait()
+
+    def _tell(self, notice: SuspectNotice) -> None:
+        merged = self._table.merge(notice, self._now_ms())
+        if merged is None:
+            return
+        if merged.quarantined:
+            metrics.QUARANTINED.inc({})
+            log.warning("Quarantined {}: {} crashes.", notice.fingerprint, merged.crashes)
+        self._unreported[notice.fingerprint] = merged
+        self._is_unsaved = True
+        self._changed.set()
+        self._changed = anyio.Event()
+        for handler in self._handlers:
+            handler(merged)
+
+    async def _refresh(self, since_ms: int) -> None:
+        """Reads the kept object, if it was not read since; an outage changes nothing."""
+        if self._loaded_at_ms >= since_ms:
+            return
+        self._loaded_at_ms = self._now_ms()
+        with anyio.move_on_after(REFRESH_TIMEOUT_S), suppress(BriarvaleError):
+            await self._load()
+
+    async def _report_all(self) -> None:
+        while self._unreported:
+            _, notice = self._unreported.popitem()
+            await self._view.report(notice)
+
+    async def _save_changes(self) -> None:
+        while True:
+            if not self._is_unsaved:
+                await self._changed.wait()
+            await anyio.sleep(WRITE_DELAY_S * (1 + random.random()))
+            self._is_unsaved = False
+            try:
+                await self._save()
+            except BriarvaleError as error:
+                self._is_unsaved = True
+                if not isinstance(error, VersionConflict | ObjectExists):
+                    log.warning("Can't keep the quarantine: {}.", error)
+                    await anyio.sleep(WRITE_RETRY_S * (1 + random.random()))
+
+    async def _save(self) -> None:
+        version = await self._load()
+        now_ms = self._now_ms()
+        live = [notice for notice in self._table if self._table.get(notice.fingerprint, now_ms)]
+        value = json.dumps([notice._asdict() for notice in live]).encode()
+        if version is None:
+            await self._environment.store.create(OBJECT_KEY, value)
+        else:
+            await self._environment.store.update(OBJECT_KEY, value, version)
+
+    async def _load(self) -> int | None:
+        """Merges the kept object and returns its version; none if there is no object yet."""
+        try:
+            stored = await self._environment.store.get(OBJECT_KEY)
+        except ObjectNotFound:
+            return None
+        except BriarvaleError as error:
+            if self.is_loaded:
+                raise
+            log.warning("Can't read the quarantine: {}.", error)
+            return None
+        for row in json.loads(stored.value):
+            sites = tuple(CrashSite(*site) for site in row["sites"])
+            self.take_notice(SuspectNotice(**row | {"sites": sites}))
+        return stored.version
+
+    def _now_ms(self) -> int:
+        return self._environment.clock.now_ms()
--- a/briarvale/retries.py
+++ b/briarvale/retries.py
@@ -5,7 +5,6 @@
     AsyncRetrying,
     RetryCallState,
     retry_if_exception_type,
-    stop_after_attempt,
     wait_random_exponential,
 )
 
@@ -21,7 +20,8 @@
 
 MAX_ATTEMPTS = 4
 RETRY_RATIO = 0.1
-BUDGET_RETRIES = 20
+BUDGET_RETRIES = 32
+MAX_FREE_RETRIES = 8
 BACKOFF_BASE_S = 0.05
 BACKOFF_MAX_S = 1.0
 # Nothing reached a backend server, so a retry multiplies no load there.
@@ -59,15 +59,21 @@
     def retrying(self, member: str) -> AsyncRetrying:
         """Returns the attempts of one request; the last failure is raised as it is."""
 
+        free_retries = 0
+
         def is_spent(state: RetryCallState) -> bool:
+            nonlocal free_retries
             error = state.outcome.exception() if state.outcome else None
-            return not isinstance(error, FREE) and not self.try_spend(member)
+            if isinstance(error, FREE):
+                free_retries += 1
+                return free_retries > MAX_FREE_RETRIES
+            is_last = state.attempt_number - free_retries >= MAX_ATTEMPTS
+            return is_last or not self.try_spend(member)
 
-        at_limit = stop_after_attempt(MAX_ATTEMPTS)
         return AsyncRetrying(
             sleep=anyio.sleep,
             retry=retry_if_exception_type(RETRYABLE),
-            stop=lambda state: at_limit(state) or is_spent(state),
+            stop=is_spent,
             wait=wait_random_exponential(multiplier=BACKOFF_BASE_S, max=BACKOFF_MAX_S),
             reraise=True,
         )
--- a/briarvale/routing.py
+++ b/briarvale/routing.py
@@ -8,6 +8,7 @@
 from .config import BackendServer
 from .errors import NoServer
 from .fleet_view import FleetView
+from .ownership import rank_by_rendezvous
 
 RETRY_DELAY_MS = 1_000
 
@@ -56,6 +57,20 @@
         names = tuple(candidate.id for candidate in candidates)
         return Choice(server, names, "least load of two")
 
+    def pick_probation(self, request: RouteRequest, crashed: Collection[str]) -> Choice:
+        """Returns the one backend server on which a suspect may run, the same for all gateways.
+
+        Args:
+            request: The suspect.
+            crashed: Backend servers that crashed with it; others come first.
+        """
+        candidates = self._candidates(request, crashed) or self._candidates(request, ())
+        if not candidates:
+            raise NoServer(f"no backend server of {request.service} is ready")
+        names = {server.id: server for server in candidates}
+        first = rank_by_rendezvous(request.fingerprint, names)[0]
+        return Choice(names[first], tuple(names), "probation of a suspect")
+
     def takes_work(self, backend_server: str) -> bool:
         """Whether a backend server of the inventory may get new work, as last told."""
         state = self._view.server_state(backend_server)
--- a/briarvale/rumors.py
+++ b/briarvale/rumors.py
@@ -9,7 +9,9 @@
 WORD_BYTES = 8
 VM_STATE_BYTES = 48
 SERVER_STATE_BYTES = 48
-SUSPECT_NOTICE_BYTES = 32
+SUSPECT_NOTICE_BYTES = 48
+CRASH_SITE_BYTES = 16
+POINTER_BYTES = 8
 
 __all__ = ["AnyRumor", "RumorBatch", "RumorQueue", "rumor_key", "size_bytes"]
 
@@ -97,9 +99,12 @@
                 rumor.vm, rumor.host, rumor.region, rumor.availability_zone
             )
         case ServerState():
-            return SERVER_STATE_BYTES + _text_bytes(rumor.backend_server, rumor.owner)
-        case SuspectNotice():
-            return SUSPECT_NOTICE_BYTES + _text_bytes(rumor.fingerprint)
+            names = (rumor.backend_server, rumor.owner, *rumor.adapters)
+            pointers = POINTER_BYTES * (1 + len(rumor.adapters))
+            return SERVER_STATE_BYTES + pointers + _text_bytes(*names)
+        case SuspectNotice(sites=sites):
+            names = (rumor.fingerprint, *(site.backend_server for site in sites))
+            return SUSPECT_NOTICE_BYTES + CRASH_SITE_BYTES * len(sites) + _text_bytes(*names)
 
 
 def _text_bytes(*texts: str) -> int:
--- a/briarvale/schema/messages.capnp
+++ b/briarvale/schema/messages.capnp
@@ -20,6 +20,7 @@
   deadlineMs @6 :UInt64;
   fingerprint @7 :Text;
   startByMs @8 :UInt64;
+  isSuspect @9 :Bool;
 }
 struct SlotGrant {
   requestId @0 :Text;
@@ -88,7 +89,7 @@
 struct ConfigDocument { name @0 :Text; digest @1 :Text; body @2 :Data; }
 struct ConfigBundle { revision @0 :UInt64; documents @1 :List(ConfigDocument); }
 
-struct CrashSite { backendServer @0 :Text; atMs @1 :UInt64; }
+struct CrashSite { backendServer @0 :Text; atMs @1 :UInt64; beganAtMs @2 :UInt64; }
 struct SuspectNotice {
   fingerprint @0 :Text;
   crashes @1 :UInt16;
--- a/briarvale/slot_client.py
+++ b/briarvale/slot_client.py
@@ -149,7 +149,7 @@
         """Withdraws what is unanswered and releases a grant that nobody takes."""
         if pending.grant is not None:
             link.notify(SlotRelease(pending.grant.grant_id, Outcome.CANCELLED))
-        elif pending.error is None:
+        elif pending.error is None or pending.request.is_suspect:
             link.notify(SlotWithdraw(pending.request.request_id))
 
     def _keep(self, link: OwnerLink, request: SlotRequest, grant: SlotGrant) -> HeldSlot:
--- /dev/null
+++ b/briarvale/suspect_gate.py
@@ -0,0 +1,114 @@
+"""The owner's side of probation: one suspect at a time on each backend server."""
+
+from collections import defaultdict, deque
+from collections.abc import Callable
+from typing import NamedTuple
+
+from ._generated.messages import (
+    CrashSite,
+    Outcome,
+    SlotRefusal,
+    SlotRelease,
+    SlotRequest,
+    SuspectNotice,
+)
+from .errors import Overloaded, ServerNotReady
+from .holder import Holder
+from .quarantine import QUARANTINE_TERM_MS, SuspectTable
+
+RETRY_DELAY_MS = 1_000
+
+__all__ = ["SuspectGate"]
+
+
+class _Suspect(NamedTuple):
+    holder: Holder
+    request: SlotRequest
+    since_ms: int
+
+
+class SuspectGate:
+    """Lets a suspect's slot request pass only while no other suspect runs on that server.
+
+    Args:
+        table: Suspects that this dispatcher has heard of.
+        pass_on: Hands a request to the slot queue.
+        report: Spreads the notice of a suspect that crashed its server again.
+    """
+
+    def __init__(
+        self,
+        table: SuspectTable,
+        pass_on: Callable[[Holder, SlotRequest], None],
+        report: Callable[[SuspectNotice], None],
+    ) -> None:
+        self._table = table
+        self._pass_on = pass_on
+        self._report = report
+        self._running: dict[str, _Suspect] = {}
+        self._waiting: dict[str, deque[_Suspect]] = defaultdict(deque)
+
+    def submit(self, holder: Holder, request: SlotRequest, now_ms: int) -> None:
+        """Passes a request on, holds it back, or refuses a suspect whose holder knows nothing."""
+        notice = self._table.get(request.fingerprint, now_ms) if request.fingerprint else None
+        if request.is_suspect:
+            self._waiting[request.backend_server].append(_Suspect(holder, request, now_ms))
+            self._advance(request.backend_server, now_ms)
+        elif notice is not None:
+            _refuse(holder, request, now_ms)
+        else:
+            self._pass_on(holder, request)
+
+    def release(self, release: SlotRelease, now_ms: int) -> None:
+        """Lets the next suspect run after the one before has ended."""
+        server, fingerprint = release.backend_server, release.fingerprint
+        running = self._running.get(server)
+        if running is None or running.request.fingerprint != fingerprint:
+            return
+        if release.outcome is Outcome.CRASHED:
+            # Told here too, so that another copy which waits can't overtake its holder's notice.
+            site = CrashSite(server, now_ms, running.since_ms)
+            expires_at_ms = now_ms + QUARANTINE_TERM_MS
+            self._report(SuspectNotice(fingerprint, 1, False, expires_at_ms, (site,)))
+        self._end(server, now_ms)
+
+    def withdraw(self, request_id: str, now_ms: int) -> None:
+        """Forgets a request that its holder gave up."""
+        for server, waiting in self._waiting.items():
+            kept = [suspect for suspect in waiting if suspect.request.request_id != request_id]
+            self._waiting[server] = deque(kept)
+        for server, running in list(self._running.items()):
+            if running.request.request_id == request_id:
+                self._end(server, now_ms)
+
+    def tick(self, now_ms: int) -> None:
+        """Drops suspects whose deadline has passed."""
+        for waiting in self._waiting.values():
+            for suspect in [s for s in waiting if s.request.deadline_ms <= now_ms]:
+                waiting.remove(suspect)
+                retry_at_ms = now_ms + RETRY_DELAY_MS
+                refusal = SlotRefusal(suspect.request.request_id, Overloaded.code, retry_at_ms)
+                suspect.holder.notify(refusal)
+        for server, running in list(self._running.items()):
+            if running.request.deadline_ms <= now_ms:
+                self._end(server, now_ms)
+
+    def _end(self, server: str, now_ms: int) -> None:
+        del self._running[server]
+        self._advance(server, now_ms)
+
+    def _advance(self, server: str, now_ms: int) -> None:
+        waiting = self._waiting[server]
+        while waiting and server not in self._running:
+            holder, request, _ = waiting.popleft()
+            notice = self._table.get(request.fingerprint, now_ms)
+            if notice is not None and notice.quarantined:
+                _refuse(holder, request, now_ms)
+                continue
+            self._running[server] = _Suspect(holder, request, now_ms)
+            self._pass_on(holder, request)
+
+
+def _refuse(holder: Holder, request: SlotRequest, now_ms: int) -> None:
+    """Sends the holder back to ask what is known of the request."""
+    holder.notify(SlotRefusal(request.request_id, ServerNotReady.code, now_ms))
--- /dev/null
+++ b/features/steps/online_quarantine.py
@@ -0,0 +1,245 @@
+"""Steps of the quarantine."""
+
+import random
+from collections.abc import AsyncIterator
+
+import anyio
+from behave import then, when
+from behave.runner import Context
+
+from briarvale._generated.messages import CrashSite, SuspectNotice
+from briarvale.engine_client import Completion, Token
+from briarvale.quarantine import MAX_ENTRIES, SuspectTable, merge_notices
+from briarvale.standins.engine import CRASH_MARK
+from briarvale.standins.memory_fleet import MemoryFleet
+from features.support.online import (
+    Answer,
+    ask,
+    crash_busiest,
+    online_request,
+    play,
+    wait_generating,
+)
+
+CULPRIT = f"low G {CRASH_MARK}"
+DELAYS_S = {
+    "at once and 10 s later": (0.0, 10.0),
+    "after 30 ms and 300 ms": (0.03, 0.3),
+    "after 300 ms and 2 s": (0.3, 2.0),
+    "while it runs and 10 s later": (None, 10.0),
+}
+
+
+def _crashes(fleet: MemoryFleet) -> int:
+    return sum(engine.crashes for engine in fleet.backends.engines.values())
+
+
+class _Play:
+    """Callers of a crashing request and of innocents."""
+
+    def __init__(self, fleet: MemoryFleet) -> None:
+        self.fleet = fleet
+        self.culprits: list[Answer] = []
+        self.innocents: list[Answer] = []
+
+    async def send_culprit(self, vm: str, wait_ms: int = 30_000) -> None:
+        """Sends the crashing request once."""
+        name = f"culprit-{vm}-{random.random()}"
+        request = online_request(self.fleet, name, 40, wait_ms, CULPRIT)
+        self.culprits.append(await ask(self.fleet, request, vm))
+
+    async def send_innocent(self, index: int) -> None:
+        """Sends an innocent request through one of the gateways."""
+        request = online_request(self.fleet, f"i{index}", 80, 60_000)
+        self.innocents.append(await ask(self.fleet, request, f"vm-{index % 3 + 1}"))
+
+
+@when("a crashing request and {count:d} innocents run, resent {resent}, seed {seed:d}")
+def when_culprit(context: Context, count: int, resent: str, seed: int) -> None:
+    async def act(fleet: MemoryFleet) -> int:
+        callers = _Play(fleet)
+
+        async def resend(vm: str, delay_s: float | None) -> None:
+            while delay_s is not None and _crashes(fleet) == 0:
+                await anyio.sleep(0.001)
+            await anyio.sleep(delay_s or 0.0)
+            await callers.send_culprit(vm)
+
+        async with anyio.create_task_group() as tasks:
+            for index in range(count):
+                tasks.start_soon(callers.send_innocent, index)
+            await wait_generating(fleet)
+            tasks.start_soon(callers.send_culprit, "vm-1")
+            for vm, delay_s in zip(("vm-2", "vm-3"), DELAYS_S[resent], strict=True):
+                tasks.start_soon(resend, vm, delay_s)
+        context.culprits, context.innocents = callers.culprits, callers.innocents
+        return _crashes(fleet)
+
+    context.crashes = play(act, seed, engine_count=5)
+
+
+@when("a request was quarantined, every VM is replaced and it is sent again")
+def when_replaced(context: Context) -> None:
+    async def act(fleet: MemoryFleet) -> int:
+        callers = _Play(fleet)
+        await callers.send_culprit("vm-1")
+        await anyio.sleep(2)
+        async with anyio.create_task_group() as tasks:
+            for vm in list(fleet.vms):
+                fleet.kill_vm(vm)
+            for index in range(fleet.settings.vm_count):
+                fleet.start_vm(index, tasks)
+            gateway = fleet.vms["vm-2"].gateway
+            while not gateway.is_ready:
+                await anyio.sleep(0.1)
+            await anyio.sleep(5)
+            await callers.send_culprit("vm-2")
+            tasks.cancel_scope.cancel()
+        context.culprits = callers.culprits
+        return _crashes(fleet)
+
+    context.crashes = play(act, engine_count=4)
+
+
+@when("the store is down, a crashing request runs among {count:d} innocents and comes again")
+def when_store_down(context: Context, count: int) -> None:
+    async def act(fleet: MemoryFleet) -> int:
+        callers = _Play(fleet)
+        fleet.store.faults.is_down = True
+        async with anyio.create_task_group() as tasks:
+            for index in range(count):
+                tasks.start_soon(callers.send_innocent, index)
+            await wait_generating(fleet)
+            tasks.start_soon(callers.send_culprit, "vm-1")
+            await anyio.sleep(10)
+            await callers.send_culprit("vm-3")
+        context.culprits, context.innocents = callers.culprits, callers.innocents
+        return _crashes(fleet)
+
+    context.crashes = play(act, 7, engine_count=5)
+
+
+@then("at most {count:d} crashes happened")
+def then_crashes(context: Context, count: int) -> None:
+    assert 1 <= context.crashes <= count, context.crashes
+
+
+@then("every innocent has its whole answer")
+def then_innocents(context: Context) -> None:
+    broken = [(a.request.request_id, a.error) for a in context.innocents if not a.is_whole]
+    assert not broken, broken
+
+
+@then("each caller of the crashing request was told quarantined, for good")
+def then_told(context: Context) -> None:
+    errors = [answer.error for answer in context.culprits]
+    for error in errors:
+        assert error and error["code"] == "quarantined" and error["retry_at_ms"] is None, errors
+
+
+@when("a server with {count:d} streams crashes for another reason")
+def when_other_crash(context: Context, count: int) -> None:
+    async def act(fleet: MemoryFleet) -> int:
+        callers = _Play(fleet)
+        most: dict[str, int] = {}
+        async with anyio.create_task_group() as tasks:
+            for index in range(count):
+                tasks.start_soon(callers.send_innocent, index)
+            await wait_generating(fleet)
+            for name in fleet.backends.engines:
+                _watch_most(fleet, name, most)
+            await crash_busiest(fleet)
+        context.innocents = callers.innocents
+        return max(most.values())
+
+    context.most_at_once = play(act, engine_count=2)
+
+
+def _watch_most(fleet: MemoryFleet, name: str, most: dict[str, int]) -> None:
+    """Counts the most completions that begin and run at once on an engine from now on."""
+    engine = fleet.backends.engines[name]
+    complete = engine.complete
+    running: set[str] = set()
+
+    async def watched(completion: Completion) -> AsyncIterator[Token]:
+        running.add(completion.request_id)
+        most[name] = max(most.get(name, 0), len(running))
+        try:
+            async for token in complete(completion):
+                yield token
+        finally:
+            running.discard(completion.request_id)
+
+    engine.complete = watched  # type: ignore[method-assign]
+
+
+@when("{count:d} copies of one request run through 3 gateways and one of their servers crashes")
+def when_copies(context: Context, count: int) -> None:
+    async def act(fleet: MemoryFleet) -> int:
+        most = 0
+        context.innocents = []
+
+        async def copy(index: int) -> None:
+            request = online_request(fleet, f"c{index}", 80, 60_000, "the same reed")
+            context.innocents.append(await ask(fleet, request, f"vm-{index % 3 + 1}"))
+
+        async def count_running() -> None:
+            nonlocal most
+            while not context.innocents:
+                engines = fleet.backends.engines.values()
+                most = max(most, sum(engine.stream_count for engine in engines))
+                await anyio.sleep(0.01)
+
+        async with anyio.create_task_group() as tasks:
+            async with anyio.create_task_group() as callers:
+                for index in range(count):
+                    callers.start_soon(copy, index)
+                await wait_generating(fleet)
+                await crash_busiest(fleet)
+                await anyio.sleep(0.6)
+                tasks.start_soon(count_running)
+            tasks.cancel_scope.cancel()
+        return most
+
+    context.most_at_once = play(act, engine_count=3)
+
+
+@then("each copy is whole, and one ran at a time until the first had finished")
+def then_one_copy(context: Context) -> None:
+    then_alone(context)
+
+
+@then("every answer is whole, and no two suspects ran on one server at once")
+def then_alone(context: Context) -> None:
+    then_innocents(context)
+    assert context.most_at_once == 1, context.most_at_once
+
+
+@when("{count:d} random sets of notices are merged in two orders")
+def when_merged(context: Context, count: int) -> None:
+    chance = random.Random(0)
+    context.pairs, context.suspects = [], SuspectTable()
+    for index in range(count):
+        notices = [_random_notice(chance, f"f{index}") for _ in range(6)]
+        context.pairs.append((_fold(notices), _fold(notices[::-1])))
+    for index in range(2 * MAX_ENTRIES):
+        notice = SuspectNotice(f"t{index}", 1, False, 1_000 + index, (CrashSite("bs-1", 1),))
+        context.suspects.merge(notice, 0)
+
+
+def _random_notice(chance: random.Random, fingerprint: str) -> SuspectNotice:
+    site = CrashSite(f"bs-{chance.randrange(2)}", chance.randrange(10) * 3_000)
+    return SuspectNotice(fingerprint, 1, False, chance.randrange(100), (site,))
+
+
+def _fold(notices: list[SuspectNotice]) -> SuspectNotice:
+    entry = notices[0]
+    for notice in notices[1:]:
+        entry = merge_notices(entry, notice)
+    return entry
+
+
+@then("the entries are equal and the table stays within its bound")
+def then_equal(context: Context) -> None:
+    assert all(one == other for one, other in context.pairs)
+    assert len(list(context.suspects)) <= MAX_ENTRIES
--- a/features/steps/online_streams.py
+++ b/features/steps/online_streams.py
@@ -85,12 +85,16 @@
 @when("a caller closes its answer after {count:d} tokens")
 def when_gone(context: Context, count: int) -> None:
     async def act(fleet: MemoryFleet) -> tuple[int, int]:
+        left = (-1, -1)
         stream = fleet.vms["vm-1"].gateway.online.stream(online_request(fleet, "r1", 4_000))
         for _ in range(count):
             await anext(stream)
-        await stream.aclose()
-        await anyio.sleep(0.1)
-        return sum(e.stream_count for e in fleet.backends.engines.values()), slots_held(fleet)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(stream.aclose)
+            await anyio.sleep(0.1)
+            streams = sum(e.stream_count for e in fleet.backends.engines.values())
+            left = (streams, slots_held(fleet))
+        return left
 
     context.left = play(act)
 
