--- a/briarvale/_generated/messages.py
+++ b/briarvale/_generated/messages.py
@@ -82,6 +82,7 @@
     deadline_ms: int = 0
     fingerprint: str = ""
     start_by_ms: int = 0
+    prompt_tokens: int = 0
     is_suspect: bool = False
 
 
@@ -217,6 +218,8 @@
 
     revision: int = 0
     documents: tuple[ConfigDocument, ...] = ()
+    base_revision: int = 0
+    removed: tuple[str, ...] = ()
 
 
 class CrashSite(NamedTuple):
@@ -375,6 +378,7 @@
         reader.deadlineMs,
         reader.fingerprint,
         reader.startByMs,
+        reader.promptTokens,
         reader.isSuspect,
     )
 
@@ -389,6 +393,7 @@
     builder.deadlineMs = message.deadline_ms
     builder.fingerprint = message.fingerprint
     builder.startByMs = message.start_by_ms
+    builder.promptTokens = message.prompt_tokens
     builder.isSuspect = message.is_suspect
 
 
@@ -628,6 +633,8 @@
     return ConfigBundle(
         reader.revision,
         tuple(_read_config_document(item) for item in reader.documents),
+        reader.baseRevision,
+        tuple(reader.removed),
     )
 
 
@@ -636,6 +643,8 @@
     documents = builder.init("documents", len(message.documents))
     for index, config_document in enumerate(message.documents):
         _write_config_document(documents[index], config_document)
+    builder.baseRevision = message.base_revision
+    builder.removed = list(message.removed)
 
 
 def _read_crash_site(reader: Any) -> CrashSite:
--- a/briarvale/dispatcher.py
+++ b/briarvale/dispatcher.py
@@ -22,6 +22,7 @@
     View,
     ViewSubscribe,
 )
+from .clock import MS_PER_S
 from .config import BackendServer
 from .config_spread import ConfigSpread
 from .environment import Environment
@@ -36,6 +37,7 @@
 from .suspect_gate import SuspectGate
 
 TICK_INTERVAL_S = 0.1
+SETTLE_MS = 2_000
 
 log = logs.part("dispatcher")
 
@@ -54,7 +56,7 @@
         self._settings = settings
         self._environment = environment
         self.membership = Membership(settings, environment)
-        self.config_spread = ConfigSpread(environment)
+        self.config_spread = ConfigSpread(settings, environment, self.membership)
         self.slot_owner = SlotOwner(environment.clock)
         self.server_health = ServerHealthMonitor(
             environment,
@@ -71,10 +73,23 @@
     @property
     def is_ready(self) -> bool:
         """Whether it has a configuration and knows the VMs."""
-        return self.config_spread.config is not None and bool(self.membership.vms)
+        return self.config_spread.is_ready and bool(self.membership.vms)
 
     async def drain(self) -> None:
-        """Ends its work gracefully."""
+        """Lets owners move and holders report to the next ones, then waits for local programs.
+
+        Local programs that stop too end their connections; one that goes on, since this dispatcher
+        alone is restarted, is waited for no longer than a VM's graceful shutdown may take.
+        """
+        now_ms = self._environment.clock.now_ms()
+        settled_at_ms = now_ms + SETTLE_MS
+        give_up_at_ms = settled_at_ms + self._settings.balancer_lag_s * MS_PER_S
+        await self.membership.leave()
+        self._settle()
+        await self._environment.clock.sleep_until(settled_at_ms)
+        while self._local_subscribers() and self._environment.clock.now_ms() < give_up_at_ms:
+            await anyio.sleep(TICK_INTERVAL_S)
+        log.info("Owns nothing any more.")
 
     async def run(self) -> None:
         """Runs until cancelled."""
@@ -172,13 +187,15 @@
         )
 
     def _broadcast(self, message: View | ConfigBundle | SuspectNotice) -> None:
-        for connection in self._connections:
-            if connection.is_subscribed:
-                connection.notify(message)
+        for connection in self._local_subscribers():
+            connection.notify(message)
+
+    def _local_subscribers(self) -> list[PeerConnection]:
+        return [connection for connection in self._connections if connection.is_subscribed]
 
     def _note_batch(self) -> None:
-        subscribed = [c for c in self._connections if c.is_subscribed]
-        self.membership.set_runs_batch(any(c.identity.role == "batch" for c in subscribed))
+        roles = {connection.identity.role for connection in self._local_subscribers()}
+        self.membership.set_runs_batch("batch" in roles)
 
     async def _serve_peer(self, stream: MessageStream, identity: PeerIdentity) -> None:
         connection = PeerConnection(stream, identity)
@@ -215,9 +232,8 @@
             case ViewSubscribe():
                 self._subscribe(connection)
             case ConfigFetch(have_revision):
-                config = self.config_spread.config
-                if config is not None and config.revision > have_revision:
-                    connection.notify(config.bundle)
+                bundle = self.config_spread.bundle_for(have_revision)
+                connection.notify(bundle or ConfigBundle())
             case StateFetch():
                 connection.notify(self.membership.snapshot())
             case SuspectNotice():
--- a/briarvale/errors.py
+++ b/briarvale/errors.py
@@ -216,6 +216,12 @@
     code, http_status = "outcome_unknown", 502
 
 
+class IdempotencyKeyReused(BriarvaleError):
+    """The idempotency key was used before for another call."""
+
+    code, http_status, not_run = "idempotency_key_reused", 422, True
+
+
 class StaleOrder(BriarvaleError):
     """The engine refused an order that carries an old fencing number."""
 
@@ -240,6 +246,12 @@
     code, http_status, not_run = "settings_invalid", 422, True
 
 
+class ConfigTooLarge(BriarvaleError):
+    """The documents of the configuration are together over the limit."""
+
+    code, http_status, not_run = "config_too_large", 413, True
+
+
 class ConfigConflict(BriarvaleError):
     """Another operator changed the configuration first."""
 
--- a/briarvale/gateway.py
+++ b/briarvale/gateway.py
@@ -15,6 +15,8 @@
 from .settings import Settings
 from .slot_client import SlotClient
 
+OUTCOMES_TIMEOUT_S = 30.0
+
 log = logs.part("gateway")
 
 __all__ = ["Gateway"]
@@ -41,7 +43,7 @@
         self.quarantine = Quarantine(environment, self.view)
         parts = OnlineParts(self.view, router, slots, self.quarantine)
         self.online = OnlineService(environment, parts, self._tasks)
-        self.plain_calls = PlainCalls(environment, self.view, router, slots)
+        self.plain_calls = PlainCalls(environment, self.view, router, slots, self._tasks)
 
     @property
     def is_ready(self) -> bool:
@@ -62,3 +64,5 @@
         await self.environment.clock.sleep_until(noticed_at_ms)
         await self.requests.wait_idle()
         log.info("The last request has ended.")
+        with anyio.move_on_after(OUTCOMES_TIMEOUT_S):
+            await self.plain_calls.finish()
--- a/briarvale/online.py
+++ b/briarvale/online.py
@@ -349,6 +349,7 @@
             work_class=WorkClass.ONLINE,
             slot_count=1,
             cost_tokens=request.prompt_tokens + request.max_tokens,
+            prompt_tokens=request.prompt_tokens,
             deadline_ms=request.deadline_ms,
             fingerprint=request.fingerprint,
             is_suspect=answer.is_suspect,
--- a/briarvale/schema/messages.capnp
+++ b/briarvale/schema/messages.capnp
@@ -20,7 +20,8 @@
   deadlineMs @6 :UInt64;
   fingerprint @7 :Text;
   startByMs @8 :UInt64;
-  isSuspect @9 :Bool;
+  promptTokens @9 :UInt32;
+  isSuspect @10 :Bool;
 }
 struct SlotGrant {
   requestId @0 :Text;
@@ -68,7 +69,7 @@
   region @2 :Text;
   availabilityZone @3 :Text;
   health @4 :VmHealth;
-  incarnation @5 :UInt32;
+  incarnation @5 :UInt64;
   configRevision @6 :UInt64;
   runsBatch @7 :Bool;
 }
@@ -87,7 +88,12 @@
 
 struct ConfigFetch { haveRevision @0 :UInt64; }
 struct ConfigDocument { name @0 :Text; digest @1 :Text; body @2 :Data; }
-struct ConfigBundle { revision @0 :UInt64; documents @1 :List(ConfigDocument); }
+struct ConfigBundle {
+  revision @0 :UInt64;
+  documents @1 :List(ConfigDocument);
+  baseRevision @2 :UInt64;
+  removed @3 :List(Text);
+}
 
 struct CrashSite { backendServer @0 :Text; atMs @1 :UInt64; beganAtMs @2 :UInt64; }
 struct SuspectNotice {
