--- a/briarvale/gateway.py
+++ b/briarvale/gateway.py
@@ -9,6 +9,7 @@
 from .jobs import Jobs
 from .online import OnlineParts, OnlineService
 from .plain_calls import PlainCalls
+from .prefix_cache import PrefixCache
 from .quarantine import Quarantine
 from .request_count import RequestCount
 from .routing import Router
@@ -39,9 +40,11 @@
         self._is_draining = False
         self._tasks = anyio.create_task_group()
         slots = SlotClient(environment, self.view, self._tasks)
-        router = Router(self.view)
+        self.prefix_cache = PrefixCache(environment, self.view)
+        router = Router(self.view, prefix_cache=self.prefix_cache)
+        slots.subscribe_load(router.loads.note_load)
         self.quarantine = Quarantine(environment, self.view)
-        parts = OnlineParts(self.view, router, slots, self.quarantine)
+        parts = OnlineParts(self.view, router, slots, self.quarantine, self.prefix_cache)
         self.online = OnlineService(environment, parts, self._tasks)
         self.plain_calls = PlainCalls(environment, self.view, router, slots, self._tasks)
 
@@ -55,6 +58,7 @@
         async with self._tasks as tasks:
             tasks.start_soon(self.view.run)
             tasks.start_soon(self.quarantine.run)
+            tasks.start_soon(self.prefix_cache.run)
             await anyio.sleep_forever()
 
     async def drain(self) -> None:
--- a/briarvale/metrics.py
+++ b/briarvale/metrics.py
@@ -35,6 +35,9 @@
 QUARANTINE_REFUSALS = Counter(
     "briarvale_quarantine_refusals_total", "Refusals of quarantined requests."
 )
+CACHE_EVENT_GAPS = Counter(
+    "briarvale_cache_event_gaps_total", "Prefix indexes dropped for a gap in cache events."
+)
 PEER_BAD_FRAMES = Counter("briarvale_peer_bad_frames_total", "Connections closed for a bad frame.")
 BAD_DATAGRAMS = Counter(
     "briarvale_bad_datagrams_total", "Datagrams dropped for a bad seal or form."
@@ -51,6 +54,7 @@
     "CONFIG_REFUSED",
     "BAD_DATAGRAMS",
     "CLAIMS",
+    "CACHE_EVENT_GAPS",
     "CONFIG_REVISION",
     "EJECTIONS",
     "FIRST_TOKEN_S",
--- a/briarvale/online.py
+++ b/briarvale/online.py
@@ -29,8 +29,9 @@
     ServerStalled,
 )
 from .fleet_view import FleetView
+from .prefix_cache import PrefixCache, prefix_blocks
 from .quarantine import Quarantine
-from .retries import RetryBudgets
+from .retries import RETRYABLE, RetryBudgets
 from .routing import Choice, Router, RouteRequest
 from .slot_client import HeldSlot, SlotClient
 from .streams import AnswerBuffer, TokenOrder, first_token_timeout_s, next_token_timeout_s
@@ -69,6 +70,7 @@
     router: Router
     slots: SlotClient
     quarantine: Quarantine
+    prefix_cache: PrefixCache
 
 
 class _Answer:
@@ -109,7 +111,8 @@
 
     def __init__(self, environment: Environment, parts: OnlineParts, tasks: TaskGroup) -> None:
         self._environment = environment
-        self._view, self._router, self._slots, self._quarantine = parts
+        self._view, self._router, self._slots = parts.view, parts.router, parts.slots
+        self._quarantine, self._prefix_cache = parts.quarantine, parts.prefix_cache
         self._running: set[_Answer] = set()
         self._quarantine.subscribe(self._interrupt_suspect)
         self._tasks = tasks
@@ -187,6 +190,7 @@
         answer.attempts += 1
         answer.is_suspect = notice is not None
         choice = self._choose(answer, notice)
+        self._router.loads.note_start(choice.server.id)
         code = "cancelled"
         with tracer.start_as_current_span("attempt") as span:
             self._describe(span, answer, choice)
@@ -199,15 +203,21 @@
                 raise ServerNotReady("the request became a suspect while it ran")
             except BriarvaleError as error:
                 code = error.code
-                answer.failed_servers.append(choice.server.id)
-                if isinstance(error, ServerLost):
-                    fingerprint, began_at_ms = answer.request.fingerprint, answer.sent_at_ms
-                    self._quarantine.note_crash(fingerprint, choice.server.id, began_at_ms)
+                self._note_failure(answer, choice.server.id, error)
                 raise
             finally:
+                self._router.loads.note_end(choice.server.id)
                 span.set_attribute("briarvale.code", code)
                 metrics.ATTEMPTS.inc({"service": answer.request.service, "code": code})
 
+    def _note_failure(self, answer: _Answer, server: str, error: BriarvaleError) -> None:
+        answer.failed_servers.append(server)
+        if isinstance(error, RETRYABLE):
+            self._router.loads.note_failure(server)
+        if isinstance(error, ServerLost):
+            self._prefix_cache.drop(server)
+            self._quarantine.note_crash(answer.request.fingerprint, server, answer.sent_at_ms)
+
     def _interrupt_suspect(self, notice: SuspectNotice) -> None:
         """Ends runs of a new suspect that began before it was one, so that none runs twice."""
         if not notice.sites:
@@ -274,6 +284,8 @@
         request = answer.request
         order = TokenOrder(len(answer.tokens), request.max_tokens)
         stream = engine.complete(self._completion(answer))
+        blocks = prefix_blocks(request.prompt)
+        self._prefix_cache.note_sent(slot.grant.backend_server, blocks)
         was_sent, answer.was_sent = answer.was_sent, True
         answer.sent_at_ms = self._environment.clock.now_ms()
         first_token_s = 0.0
--- /dev/null
+++ b/briarvale/prefix_cache.py
@@ -0,0 +1,137 @@
+"""Which prefix blocks each engine has cached, as far as this gateway knows.
+
+The index is a guess that saves prefill: it learns from what this gateway sent and from the engines'
+cache events, which come late and with gaps. A wrong guess costs time, never an answer.
+"""
+
+import hashlib
+import random
+from collections import OrderedDict
+from collections.abc import Sequence
+
+import anyio
+
+from . import logs, metrics
+from .engine_client import CacheEvents
+from .environment import Environment
+from .errors import BriarvaleError
+from .fleet_view import FleetView
+
+BLOCK_TOKENS = 16
+MAX_PROMPT_BLOCKS = 256
+MAX_BLOCKS = 4_096
+POLL_INTERVAL_S = 1.0
+POLL_TIMEOUT_S = 1.0
+IN_USE_S = 30.0
+
+log = logs.part("prefix cache")
+
+__all__ = ["BLOCK_TOKENS", "PrefixCache", "prefix_blocks"]
+
+
+def prefix_blocks(prompt: str) -> tuple[str, ...]:
+    """Returns the hashes of a prompt's whole blocks, each over all tokens up to its end."""
+    words = prompt.split()
+    hashes = []
+    digest = hashlib.sha256()
+    for start in range(0, len(words) - BLOCK_TOKENS + 1, BLOCK_TOKENS)[:MAX_PROMPT_BLOCKS]:
+        digest.update(" ".join(words[start : start + BLOCK_TOKENS]).encode())
+        hashes.append(digest.hexdigest()[:16])
+    return tuple(hashes)
+
+
+class _ServerIndex:
+    """The blocks of one engine, least recently used first."""
+
+    def __init__(self) -> None:
+        self.blocks: OrderedDict[str, None] = OrderedDict()
+        self.last_sequence = 0
+        self.used_at_s = 0.0
+
+    def store(self, block: str) -> None:
+        """Adds a block and drops the oldest beyond `MAX_BLOCKS`."""
+        self.blocks[block] = None
+        self.blocks.move_to_end(block)
+        if len(self.blocks) > MAX_BLOCKS:
+            self.blocks.popitem(last=False)
+
+
+class PrefixCache:
+    """The index of all engines that this gateway sends to; `run` keeps it current.
+
+    Args:
+        environment: The outside interfaces.
+        view: The fleet as last told.
+    """
+
+    def __init__(self, environment: Environment, view: FleetView) -> None:
+        self._environment = environment
+        self._view = view
+        self._indexes: dict[str, _ServerIndex] = {}
+
+    def cached_tokens(self, backend_server: str, blocks: Sequence[str]) -> int:
+        """Returns how many leading tokens of a prompt the engine has probably cached."""
+        index = self._indexes.get(backend_server)
+        if index is None:
+            return 0
+        for count, block in enumerate(blocks):
+            if block not in index.blocks:
+                return count * BLOCK_TOKENS
+        return len(blocks) * BLOCK_TOKENS
+
+    def note_sent(self, backend_server: str, blocks: Sequence[str]) -> None:
+        """Takes that a prompt with these blocks was sent to the engine."""
+        index = self._indexes.setdefault(backend_server, _ServerIndex())
+        index.used_at_s = anyio.current_time()
+        for block in blocks:
+            index.store(block)
+
+    def drop(self, backend_server: str) -> None:
+        """Forgets what an engine had cached, as after its crash."""
+        self._indexes.pop(backend_server, None)
+
+    def take_events(self, backend_server: str, answer: CacheEvents) -> None:
+        """Takes an engine's cache events; a gap drops what was known of it."""
+        index = self._indexes.setdefault(backend_server, _ServerIndex())
+        for event in answer.events:
+            if index.last_sequence and event.sequence != index.last_sequence + 1:
+                self._drop_for_gap(backend_server, index)
+            index.last_sequence = event.sequence
+            if event.is_stored:
+                index.store(event.block_hash)
+            else:
+                index.blocks.pop(event.block_hash, None)
+        if answer.last_sequence != index.last_sequence:
+            self._drop_for_gap(backend_server, index)
+            index.last_sequence = answer.last_sequence
+
+    async def run(self) -> None:
+        """Polls one engine in use a second, in turn, until cancelled."""
+        while True:
+            for name in self._in_use() or [""]:
+                await anyio.sleep(POLL_INTERVAL_S * random.uniform(0.75, 1.25))
+                if name:
+                    await self._poll(name)
+
+    async def _poll(self, backend_server: str) -> None:
+        server = self._view.config.servers.get(backend_server)
+        index = self._indexes.get(backend_server)
+        if server is None or index is None:
+            self.drop(backend_server)
+            return
+        engine = self._environment.backends.engine(server)
+        try:
+            with anyio.fail_after(POLL_TIMEOUT_S):
+                answer = await engine.cache_events(index.last_sequence)
+        except (BriarvaleError, TimeoutError) as error:
+            log.debug("No cache events of {}: {}.", backend_server, error)
+            return
+        self.take_events(backend_server, answer)
+
+    def _in_use(self) -> list[str]:
+        since_s = anyio.current_time() - IN_USE_S
+        return [name for name, index in self._indexes.items() if index.used_at_s >= since_s]
+
+    def _drop_for_gap(self, backend_server: str, index: _ServerIndex) -> None:
+        metrics.CACHE_EVENT_GAPS.inc({"backend_server": backend_server})
+        index.blocks.clear()
--- a/briarvale/routing.py
+++ b/briarvale/routing.py
@@ -9,8 +9,15 @@
 from .errors import NoServer
 from .fleet_view import FleetView
 from .ownership import rank_by_rendezvous
+from .prefix_cache import PrefixCache, prefix_blocks
+from .server_loads import ServerLoads
 
-RETRY_DELAY_MS = 1_000
+KEY_BLOCKS = 4
+LOAD_BOUND = 1.25
+LOAD_SLACK = 0.1
+STREAM_MS = 2_000
+MS_PER_STREAM = 0.7
+PREFILL_MS_PER_TOKEN = 0.06
 
 __all__ = ["Choice", "RouteRequest", "Router"]
 
@@ -32,17 +39,40 @@
     reason: str
 
 
+class _Scored(NamedTuple):
+    """A candidate with what a request would probably cost there."""
+
+    server: BackendServer
+    wait_ms: float
+    prefill_ms: float
+    cached_tokens: int
+
+    @property
+    def cost_ms(self) -> float:
+        """Predicted time to the first token."""
+        return self.wait_ms + self.prefill_ms
+
+
 class Router:
-    """Chooses backend servers: the better of two random ones, by streams as last told.
+    """Chooses backend servers by predicted wait and by what prefill the prefix cache saves.
+
+    A prompt's first blocks rank the servers by rendezvous hashing, so equal prefixes meet on the
+    same few servers without any exchange. The better of the first two whose load is within the
+    bound is taken. A prompt without a whole block gets two at random.
 
     Args:
         view: The fleet as last told.
         seed: Seed of the random choices; none for a fresh one.
+        prefix_cache: What engines have cached; none where prompts share no prefix.
     """
 
-    def __init__(self, view: FleetView, seed: int | None = None) -> None:
+    def __init__(
+        self, view: FleetView, seed: int | None = None, prefix_cache: PrefixCache | None = None
+    ) -> None:
         self._view = view
         self._random = random.Random(seed)
+        self._prefix_cache = prefix_cache
+        self.loads = ServerLoads()
 
     def choose(self, request: RouteRequest, excluded: Collection[str] = ()) -> BackendServer:
         """Returns a backend server that is ready; raises `NoServer`."""
@@ -53,9 +83,13 @@
         candidates = self._candidates(request, excluded)
         if not candidates:
             raise NoServer(f"no backend server of {request.service} is ready")
-        server = min(self._sample(candidates), key=self._load)
-        names = tuple(candidate.id for candidate in candidates)
-        return Choice(server, names, "least load of two")
+        sound = [server for server in candidates if not self.loads.has_failed(server.id)]
+        blocks = prefix_blocks(request.prompt)
+        two = self._two_of(sound or candidates, blocks)
+        scored = [self._score(server, request, blocks) for server in two]
+        best = min(scored, key=lambda one: one.cost_ms)
+        names = tuple(server.id for server in candidates)
+        return Choice(best.server, names, _reason(best, scored, has_prefix=bool(blocks)))
 
     def pick_probation(self, request: RouteRequest, crashed: Collection[str]) -> Choice:
         """Returns the one backend server on which a suspect may run, the same for all gateways.
@@ -96,9 +130,39 @@
         state = self._view.server_state(server.id)
         return not adapter or (state is not None and adapter in state.adapters)
 
-    def _sample(self, candidates: Sequence[BackendServer]) -> list[BackendServer]:
-        return self._random.sample(candidates, min(2, len(candidates)))
-
-    def _load(self, server: BackendServer) -> float:
-        state = self._view.server_state(server.id)
-        return (state.streams + state.queued) / server.slots if state else 0.0
+    def _two_of(
+        self, candidates: Sequence[BackendServer], blocks: Sequence[str]
+    ) -> list[BackendServer]:
+        """Returns the first two within the load bound, by prefix or at random."""
+        by_name = {server.id: server for server in candidates}
+        if blocks:
+            key = blocks[min(KEY_BLOCKS, len(blocks)) - 1]
+            names = rank_by_rendezvous(key, by_name)
+        else:
+            names = self._random.sample(list(by_name), len(by_name))
+        loads = {name: self._relative_load(by_name[name]) for name in names}
+        bound = LOAD_BOUND * sum(loads.values()) / len(loads) + LOAD_SLACK
+        within = [name for name in names if loads[name] <= bound]
+        return [by_name[name] for name in (within or names)[:2]]
+
+    def _score(
+        self, server: BackendServer, request: RouteRequest, blocks: Sequence[str]
+    ) -> _Scored:
+        streams, limit = self._streams(server), self.loads.limit(server.id, server.slots)
+        queued = max(0.0, streams + 1 - limit)
+        wait_ms = queued * STREAM_MS / max(1, limit) + streams * MS_PER_STREAM
+        cached = self._prefix_cache.cached_tokens(server.id, blocks) if self._prefix_cache else 0
+        prefill_ms = (len(request.prompt.split()) - cached) * PREFILL_MS_PER_TOKEN
+        return _Scored(server, wait_ms, prefill_ms, cached)
+
+    def _relative_load(self, server: BackendServer) -> float:
+        return self._streams(server) / max(1, self.loads.limit(server.id, server.slots))
+
+    def _streams(self, server: BackendServer) -> float:
+        return self.loads.streams(server.id, max(1, len(self._view.vms)))
+
+
+def _reason(best: _Scored, scored: Sequence[_Scored], *, has_prefix: bool) -> str:
+    how = "by prefix" if has_prefix else "at random"
+    costs = ", ".join(f"{one.server.id} {one.cost_ms:.0f} ms" for one in scored)
+    return f"least cost of two {how} ({costs}); {best.cached_tokens} tokens cached"
--- a/features/support/online.py
+++ b/features/support/online.py
@@ -1,6 +1,7 @@
 """What the online features share: a fleet in virtual time, its callers and a counting engine."""
 
 import random
+from collections import Counter
 from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import Any, NamedTuple, TypeVar
 
@@ -150,6 +151,31 @@
     return attempts
 
 
+def count_prefill(fleet: MemoryFleet) -> Counter[str]:
+    """Returns counts that grow by prompt tokens sent and by those that were not cached."""
+    counts: Counter[str] = Counter()
+
+    def watch(engine: StandinEngine) -> None:
+        uncached_tokens = engine._uncached_tokens
+
+        def counted(completion: Completion) -> int:
+            uncached = uncached_tokens(completion)
+            counts["prompt"] += len(completion.prompt.split())
+            counts["prefilled"] += uncached
+            return uncached
+
+        engine._uncached_tokens = counted  # type: ignore[method-assign]
+
+    for engine in fleet.backends.engines.values():
+        watch(engine)
+    return counts
+
+
+def prefix_of(session: int, tokens: int) -> str:
+    """Returns a prompt prefix of this session."""
+    return " ".join(f"w{session}-{index}" for index in range(tokens))
+
+
 async def ask_steadily(
     fleet: MemoryFleet, seconds: float, rate: float, tokens: int = 15, vms: tuple[str, ...] = ()
 ) -> list[Answer]:
