--- /dev/null
+++ b/benchmarks/routing.py
@@ -0,0 +1,208 @@
+"""`python -m benchmarks.routing`: where requests go, beside two baselines in the same load.
+
+Eight gateways send sessions with shared prefixes to nine engines in virtual time, with bursts. The
+baselines are a random choice, and the least of all by load reports of up to two seconds ago.
+"""
+
+import os
+import random
+import statistics
+import sys
+from collections.abc import Collection
+from typing import NamedTuple
+
+import anyio
+from loguru import logger
+from rich.console import Console
+from rich.table import Table
+
+from briarvale.online import OnlineRequest
+from briarvale.routing import Choice, Router, RouteRequest
+from briarvale.standins.memory_fleet import ENGINE_SERVICE, MemoryFleet
+from features.support.online import MEMBER, count_prefill, play, prefix_of
+
+HASH_SEED = "0"
+VMS, ENGINES, SLOTS = 8, 9, 32
+SECONDS, RATE, BURST, BURST_INTERVAL_S = 40, 35, 70, 8
+SESSIONS, PREFIX_TOKENS, ANSWER_TOKENS = 240, 640, 40
+REPORT_INTERVAL_S = 2.0
+FIRST_TOKEN_TARGET_MS = 910
+WARM_UP_S = 8
+
+__all__ = ["Row", "rows"]
+
+
+class Row(NamedTuple):
+    """One policy's figures."""
+
+    policy: str
+    first_token_p50_ms: float
+    first_token_p95_ms: float
+    first_token_p99_ms: float
+    prefill_part: float
+    peak_ratio: float
+    failed: int
+
+
+class RandomRouter(Router):
+    """Baseline: any candidate."""
+
+    def pick(self, request: RouteRequest, excluded: Collection[str] = ()) -> Choice:
+        """Returns a random candidate."""
+        candidates = self._candidates(request, excluded)
+        return Choice(self._random.choice(candidates), (), "random")
+
+
+class StaleLeastRouter(Router):
+    """Baseline: the least loaded of all by reports that every gateway reads at intervals."""
+
+    reports: dict[str, int]
+
+    def pick(self, request: RouteRequest, excluded: Collection[str] = ()) -> Choice:
+        """Returns the candidate with the least reported load."""
+        candidates = self._candidates(request, excluded)
+        least = min(candidates, key=lambda server: self.reports.get(server.id, 0))
+        return Choice(least, (), "least reported load")
+
+
+POLICIES: dict[str, type[Router] | None] = {
+    "random": RandomRouter,
+    "least of all, stale load": StaleLeastRouter,
+    "briarvale": None,
+}
+
+
+def rows() -> list[Row]:
+    """Runs all policies in the same seeded load."""
+    return [_run(policy) for policy in POLICIES]
+
+
+def _run(policy: str) -> Row:
+    async def act(fleet: MemoryFleet) -> Row:
+        reports: dict[str, int] = {}
+        for index, vm in enumerate(fleet.vms.values()):
+            make = POLICIES[policy]
+            if make is not None:
+                router = make(vm.gateway.view, index)
+                router.reports = reports  # type: ignore[attr-defined]
+                vm.gateway.online._router = router
+        waits_ms: list[float] = []
+        peaks: list[float] = []
+        failed = 0
+        chance = random.Random(7)
+        counts = count_prefill(fleet)
+
+        async def one(index: int, vm: str, session: int) -> None:
+            nonlocal failed
+            prompt = f"{prefix_of(session, PREFIX_TOKENS)} {index}"
+            begun_s = anyio.current_time()
+            deadline_ms = fleet.clock.now_ms() + 30_000
+            request = OnlineRequest(
+                f"r{index}", MEMBER, ENGINE_SERVICE, prompt, ANSWER_TOKENS, deadline_ms
+            )
+            try:
+                stream = fleet.vms[vm].gateway.online.stream(request)
+                await anext(stream)
+                waits_ms.append((anyio.current_time() - begun_s) * 1_000)
+                async for _ in stream:
+                    continue
+            except Exception:
+                failed += 1
+
+        async def report() -> None:
+            while True:
+                for name, engine in fleet.backends.engines.items():
+                    reports[name] = (await engine.load()).streams
+                await anyio.sleep(REPORT_INTERVAL_S)
+
+        async def watch() -> None:
+            while True:
+                await anyio.sleep(0.05)
+                streams = [engine.stream_count for engine in fleet.backends.engines.values()]
+                if sum(streams) >= BURST:
+                    peaks.append(max(streams) / statistics.mean(streams))
+
+        index = 0
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(report)
+            tasks.start_soon(watch)
+            async with anyio.create_task_group() as callers:
+                for step in range(SECONDS * RATE):
+                    is_burst = step and step % (BURST_INTERVAL_S * RATE) == 0
+                    for _ in range(BURST if is_burst else 1):
+                        vm = f"vm-{chance.randrange(VMS) + 1}"
+                        callers.start_soon(one, index, vm, chance.randrange(SESSIONS))
+                        index += 1
+                    await anyio.sleep(1 / RATE)
+                    if step == WARM_UP_S * RATE:
+                        counts.clear()
+                        waits_ms.clear()
+                        peaks.clear()
+            tasks.cancel_scope.cancel()
+        cuts = statistics.quantiles(waits_ms, n=100)
+        return Row(
+            policy,
+            cuts[49],
+            cuts[94],
+            cuts[98],
+            counts["prefilled"] / counts["prompt"],
+            statistics.quantiles(peaks, n=100)[94],
+            failed,
+        )
+
+    return play(act, vm_count=VMS, engine_count=ENGINES, slots=SLOTS)
+
+
+def verdicts(measured: list[Row]) -> list[tuple[str, bool]]:
+    """Returns each bound in words and whether it is met."""
+    ours = measured[-1]
+    others = measured[:-1]
+    return [
+        ("first token p95 <= 910 ms", ours.first_token_p95_ms <= FIRST_TOKEN_TARGET_MS),
+        (
+            "first token p99 below each baseline",
+            all(ours.first_token_p99_ms < row.first_token_p99_ms for row in others),
+        ),
+        (
+            "prefilled part below each baseline",
+            all(ours.prefill_part < row.prefill_part for row in others),
+        ),
+        (
+            "peak of one server / mean below each baseline",
+            all(ours.peak_ratio < row.peak_ratio for row in others),
+        ),
+        ("no request failed", ours.failed == 0),
+    ]
+
+
+def main() -> None:
+    """Prints the table and exits 1 if a bound is broken."""
+    if os.environ.get("PYTHONHASHSEED") != HASH_SEED:
+        environment = os.environ | {"PYTHONHASHSEED": HASH_SEED}
+        os.execve(sys.executable, [sys.executable, "-m", "benchmarks.routing"], environment)
+    logger.remove()
+    measured = rows()
+    table = Table(title="Routing")
+    for heading in ("policy", "p50 ms", "p95 ms", "p99 ms", "prefilled", "peak/mean", "failed"):
+        table.add_column(heading)
+    for row in measured:
+        table.add_row(
+            row.policy,
+            f"{row.first_token_p50_ms:.0f}",
+            f"{row.first_token_p95_ms:.0f}",
+            f"{row.first_token_p99_ms:.0f}",
+            f"{row.prefill_part:.2f}",
+            f"{row.peak_ratio:.2f}",
+            str(row.failed),
+        )
+    Console(width=100).print(table)
+    found = verdicts(measured)
+    for name, is_met in found:
+        print(f"{'met' if is_met else 'BROKEN'}: {name}")
+    failed = sum(not is_met for _, is_met in found)
+    print(f"{len(found) - failed} passed, {failed} failed")
+    sys.exit(1 if failed else 0)
+
+
+if __name__ == "__main__":
+    main()
--- a/briarvale/online.py
+++ b/briarvale/online.py
@@ -7,7 +7,7 @@
 
 import anyio
 from anyio.abc import TaskGroup
-from opentelemetry.trace import Span
+from opentelemetry.trace import Span, get_current_span
 
 from . import logs, metrics
 from ._generated.messages import Outcome, SlotRequest, SuspectNotice, WorkClass
@@ -186,7 +186,7 @@
 
     async def _attempt(self, answer: _Answer) -> bool:
         """Runs one attempt; returns whether the answer is whole."""
-        notice = await self._quarantine.wait_settled(answer.request.fingerprint)
+        notice = await self._wait_if_suspect(answer)
         answer.attempts += 1
         answer.is_suspect = notice is not None
         choice = self._choose(answer, notice)
@@ -210,6 +210,13 @@
                 span.set_attribute("briarvale.code", code)
                 metrics.ATTEMPTS.inc({"service": answer.request.service, "code": code})
 
+    async def _wait_if_suspect(self, answer: _Answer) -> SuspectNotice | None:
+        fingerprint = answer.request.fingerprint
+        if self._quarantine.check(fingerprint) is None:
+            return None
+        with tracer.start_as_current_span("probation wait"):
+            return await self._quarantine.wait_settled(fingerprint)
+
     def _note_failure(self, answer: _Answer, server: str, error: BriarvaleError) -> None:
         answer.failed_servers.append(server)
         if isinstance(error, RETRYABLE):
@@ -244,9 +251,10 @@
 
     async def _hold_and_stream(self, answer: _Answer, server: BackendServer) -> bool:
         async with AsyncExitStack() as stack:
-            with tracer.start_as_current_span("slot wait"):
+            with tracer.start_as_current_span("slot wait") as span:
                 slot_request = self._slot_request(answer, server.id)
                 slot = await self._enter_slot(stack, slot_request)
+                self._describe_load(span, server.id)
             with tracer.start_as_current_span("stream") as span:
                 try:
                     return await self._stream(answer, server, slot)
@@ -294,7 +302,10 @@
                 token = await self._next(answer, stream, slot)
                 if token is None:
                     break
-                first_token_s = first_token_s or anyio.current_time()
+                if slot.tokens == 0:
+                    first_token_s = anyio.current_time()
+                    waited_ms = self._environment.clock.now_ms() - answer.sent_at_ms
+                    get_current_span().set_attribute("briarvale.first_token_ms", waited_ms)
                 slot.tokens += 1
                 _note_pace(slot, first_token_s)
                 for ready in order.take(token):
@@ -341,6 +352,13 @@
         span.set_attribute("briarvale.candidates", list(choice.candidates))
         span.set_attribute("briarvale.reason", choice.reason)
 
+    def _describe_load(self, span: Span, backend_server: str) -> None:
+        load = self._router.loads.last_report(backend_server)
+        if load is not None:
+            span.set_attribute("briarvale.slots_held", load.held)
+            span.set_attribute("briarvale.slots_queued", load.queued)
+            span.set_attribute("briarvale.slot_limit", load.limit)
+
     def _completion(self, answer: _Answer) -> Completion:
         request = answer.request
         return Completion(
--- a/briarvale/programs/cli.py
+++ b/briarvale/programs/cli.py
@@ -3,9 +3,11 @@
 import typer
 
 from ..commands import config
+from ..commands.why import why
 
 app = typer.Typer(add_completion=False, no_args_is_help=True)
 app.add_typer(config.app, name="config")
+app.command()(why)
 
 
 @app.callback()
--- /dev/null
+++ b/briarvale/request_trace.py
@@ -0,0 +1,116 @@
+"""Spans of one request, read from JSON-lines trace files, and what they say in words."""
+
+import json
+from collections.abc import Iterable, Iterator
+from pathlib import Path
+from typing import Any, NamedTuple
+
+from .errors import NotFound
+
+NS_PER_MS = 1_000_000
+REQUEST_ID = "briarvale.request_id"
+
+__all__ = ["Span", "explain", "read_request"]
+
+
+class Span(NamedTuple):
+    """One hop of a request as it was recorded."""
+
+    name: str
+    trace_id: str
+    span_id: str
+    parent_id: str
+    program: str
+    vm: str
+    start_ns: int
+    end_ns: int
+    attributes: dict[str, Any]
+
+    @property
+    def duration_ms(self) -> float:
+        """Time from its start to its end."""
+        return (self.end_ns - self.start_ns) / NS_PER_MS
+
+    def attribute(self, name: str, default: Any = "") -> Any:
+        """Returns one of Briarvale's own attributes."""
+        return self.attributes.get(f"briarvale.{name}", default)
+
+
+def read_request(paths: Iterable[Path], request_id: str) -> list[Span]:
+    """Returns all spans of the trace that a request belongs to, by start.
+
+    Raises:
+        NotFound: If no file has a span of this request.
+    """
+    paths = tuple(paths)
+    trace_ids = {
+        span.trace_id for span in _read(paths) if span.attributes.get(REQUEST_ID) == request_id
+    }
+    if not trace_ids:
+        raise NotFound(f"no span of request {request_id} in {len(paths)} trace files")
+    spans = [span for span in _read(paths) if span.trace_id in trace_ids]
+    # A caller may send several requests in one trace.
+    own = [s for s in spans if s.attributes.get(REQUEST_ID, request_id) == request_id]
+    return sorted(own, key=lambda span: span.start_ns)
+
+
+def explain(spans: list[Span]) -> list[str]:
+    """Returns what happened to a request, one line a step."""
+    lines = []
+    for span in spans:
+        match span.name:
+            case "gateway":
+                lines.append(f"Arrived at the gateway of {span.vm} for {span.attribute('member')}.")
+            case "online request":
+                lines.append(_summary(span))
+            case "probation wait":
+                lines.append(f"Waited {span.duration_ms:.0f} ms as a suspect of a crash.")
+            case "attempt":
+                lines += _attempt(span, [s for s in spans if s.parent_id == span.span_id])
+    return lines
+
+
+def _summary(span: Span) -> str:
+    code = span.attribute("code", "ok")
+    tokens, attempts = span.attribute("tokens", 0), span.attribute("attempts", 0)
+    took = f"{tokens} tokens in {span.duration_ms:.0f} ms and {attempts} attempts"
+    return f"Service {span.attribute('service')}: {code}, {took}."
+
+
+def _attempt(span: Span, children: list[Span]) -> list[str]:
+    server = span.attribute("backend_server")
+    candidates = ", ".join(span.attribute("candidates", []))
+    lines = [
+        f"Attempt {span.attribute('attempt')} on {server}: {span.attribute('code')}.",
+        f"  Why {server}: {span.attribute('reason')}; of {candidates}.",
+    ]
+    for child in children:
+        match child.name:
+            case "slot wait":
+                lines.append(f"  Waited {child.duration_ms:.0f} ms for a slot{_load(child)}.")
+            case "stream":
+                first_ms = child.attribute("first_token_ms", None)
+                first = "no token" if first_ms is None else f"first token after {first_ms} ms"
+                tokens = child.attribute("tokens", 0)
+                took = f"{tokens} tokens in {child.duration_ms:.0f} ms"
+                lines.append(f"  Streamed {took}, {first}.")
+    return lines
+
+
+def _load(span: Span) -> str:
+    held, limit = span.attribute("slots_held", None), span.attribute("slot_limit", None)
+    if held is None:
+        return ""
+    return f" ({held} of {limit} held, {span.attribute('slots_queued')} queued)"
+
+
+def _read(paths: Iterable[Path]) -> Iterator[Span]:
+    for path in paths:
+        with path.open(encoding="utf-8") as lines:
+            for line in lines:
+                try:
+                    row = json.loads(line)
+                    yield Span(**{name: row[name] for name in Span._fields})
+                except (ValueError, KeyError):
+                    # The last line of a file that is being written may be incomplete.
+                    continue
--- a/briarvale/server_loads.py
+++ b/briarvale/server_loads.py
@@ -49,6 +49,11 @@
         failed_at_s = self._failed_at_s.get(backend_server)
         return failed_at_s is not None and anyio.current_time() - failed_at_s < AVOID_S
 
+    def last_report(self, backend_server: str) -> ServerLoad | None:
+        """Returns what an owner's answer last said."""
+        report = self._reports.get(backend_server)
+        return report.load if report else None
+
     def streams(self, backend_server: str, process_count: int) -> float:
         """Returns the estimated requests that run or wait there.
 
--- a/tools/check.py
+++ b/tools/check.py
@@ -52,6 +52,7 @@
     Check("types", (str(BIN / "mypy"),)),
     Check("generated code", (PYTHON, "tools/generate.py", "--check")),
     Check("model checking", (PYTHON, "tools/check_model.py")),
+    Check("routing benches", (PYTHON, "-m", "benchmarks.routing")),
 )
 
 
