--- a/briarvale/online.py
+++ b/briarvale/online.py
@@ -10,10 +10,10 @@
 from opentelemetry.trace import Span, get_current_span
 
 from . import logs, metrics
-from ._generated.messages import Outcome, SlotRequest, SuspectNotice, WorkClass
+from ._generated.messages import Outcome, SlotRequest, SuspectNotice
 from .clock import MS_PER_S
 from .config import BackendServer
-from .engine_client import Completion, Engine, Token
+from .engine_client import Engine, Token
 from .environment import Environment
 from .errors import (
     RETRY_LATER_MS,
@@ -29,12 +29,13 @@
     ServerStalled,
 )
 from .fleet_view import FleetView
+from .online_answer import Answer, OnlineRequest, describe_attempt, note_pace
 from .prefix_cache import PrefixCache, prefix_blocks
 from .quarantine import Quarantine
 from .retries import RETRYABLE, RetryBudgets
 from .routing import Choice, Router, RouteRequest
 from .slot_client import HeldSlot, SlotClient
-from .streams import AnswerBuffer, TokenOrder, first_token_timeout_s, next_token_timeout_s
+from .streams import TokenOrder, first_token_timeout_s, next_token_timeout_s
 from .traces import tracer
 
 CANCEL_TIMEOUT_S = 1.0
@@ -45,24 +46,6 @@
 __all__ = ["OnlineParts", "OnlineRequest", "OnlineService"]
 
 
-class OnlineRequest(NamedTuple):
-    """One completion that a caller waits for."""
-
-    request_id: str
-    member: str
-    service: str
-    prompt: str
-    max_tokens: int
-    deadline_ms: int
-    adapter: str = ""
-    fingerprint: str = ""
-
-    @property
-    def prompt_tokens(self) -> int:
-        """Estimate of the prompt's length."""
-        return len(self.prompt.split())
-
-
 class OnlineParts(NamedTuple):
     """The parts of a gateway that online completions go through."""
 
@@ -73,30 +56,6 @@
     prefix_cache: PrefixCache
 
 
-class _Answer:
-    """The state of one request over all its attempts."""
-
-    def __init__(self, request: OnlineRequest, started_ms: int) -> None:
-        self.request = request
-        self.started_ms = started_ms
-        self.tokens: list[str] = []
-        self.buffer = AnswerBuffer()
-        self.failed_servers: list[str] = []
-        self.attempts = 0
-        self.was_sent = False
-        self.sent_at_ms = 0
-        self.is_suspect = False
-        self.attempt_scope = anyio.CancelScope()
-        self.scope = anyio.CancelScope()
-        self.ended = anyio.Event()
-
-    @property
-    def attempt_id(self) -> str:
-        """Id of the running attempt, so that a late cancel can't hit the next one."""
-        request_id = self.request.request_id
-        return request_id if self.attempts == 1 else f"{request_id}.{self.attempts}"
-
-
 class OnlineService:
     """Runs completions on backend servers of the fleet.
 
@@ -113,7 +72,7 @@
         self._environment = environment
         self._view, self._router, self._slots = parts.view, parts.router, parts.slots
         self._quarantine, self._prefix_cache = parts.quarantine, parts.prefix_cache
-        self._running: set[_Answer] = set()
+        self._running: set[Answer] = set()
         self._quarantine.subscribe(self._interrupt_suspect)
         self._tasks = tasks
         self._budgets = RetryBudgets()
@@ -123,7 +82,7 @@
 
         Closing the iterator cancels the work at the backend server and frees the slot.
         """
-        answer = _Answer(request, self._environment.clock.now_ms())
+        answer = Answer(request, self._environment.clock.now_ms())
         self._running.add(answer)
         self._tasks.start_soon(self._produce, answer)
         try:
@@ -134,7 +93,7 @@
             with anyio.CancelScope(shield=True):
                 await answer.ended.wait()
 
-    async def _produce(self, answer: _Answer) -> None:
+    async def _produce(self, answer: Answer) -> None:
         error: BriarvaleError | None = None
         try:
             with answer.scope, tracer.start_as_current_span("online request") as span:
@@ -144,7 +103,7 @@
             answer.buffer.close(error)
             answer.ended.set()
 
-    async def _answer(self, answer: _Answer, span: Span) -> BriarvaleError | None:
+    async def _answer(self, answer: Answer, span: Span) -> BriarvaleError | None:
         span.set_attribute("briarvale.request_id", answer.request.request_id)
         span.set_attribute("briarvale.member", answer.request.member)
         span.set_attribute("briarvale.service", answer.request.service)
@@ -164,27 +123,27 @@
             span.set_attribute("briarvale.attempts", answer.attempts)
             span.set_attribute("briarvale.tokens", len(answer.tokens))
 
-    def _final(self, answer: _Answer, error: BriarvaleError) -> BriarvaleError:
+    def _final(self, answer: Answer, error: BriarvaleError) -> BriarvaleError:
         error.was_sent = answer.was_sent
         if error.retry_at_ms is None and not isinstance(error, NEVER_RETRY):
             delay_ms = random.randint(RETRY_SOON_MS, RETRY_LATER_MS)
             error.retry_at_ms = self._environment.clock.now_ms() + delay_ms
         return error
 
-    async def _run_until_deadline(self, answer: _Answer) -> None:
+    async def _run_until_deadline(self, answer: Answer) -> None:
         with anyio.move_on_after(self._remaining_ms(answer) / MS_PER_S):
             await self._run(answer)
             return
         raise DeadlineExceeded("the deadline has passed")
 
-    async def _run(self, answer: _Answer) -> None:
+    async def _run(self, answer: Answer) -> None:
         async for attempt in self._budgets.retrying(answer.request.member):
             with attempt:
                 while not await self._attempt(answer):
                     metrics.STREAMS_PAUSED.inc({})
                     await answer.buffer.wait_half_read()
 
-    async def _attempt(self, answer: _Answer) -> bool:
+    async def _attempt(self, answer: Answer) -> bool:
         """Runs one attempt; returns whether the answer is whole."""
         notice = await self._wait_if_suspect(answer)
         answer.attempts += 1
@@ -193,7 +152,7 @@
         self._router.loads.note_start(choice.server.id)
         code = "cancelled"
         with tracer.start_as_current_span("attempt") as span:
-            self._describe(span, answer, choice)
+            describe_attempt(span, answer, choice)
             try:
                 with anyio.CancelScope() as answer.attempt_scope:
                     is_whole = await self._hold_and_stream(answer, choice.server)
@@ -210,14 +169,14 @@
                 span.set_attribute("briarvale.code", code)
                 metrics.ATTEMPTS.inc({"service": answer.request.service, "code": code})
 
-    async def _wait_if_suspect(self, answer: _Answer) -> SuspectNotice | None:
+    async def _wait_if_suspect(self, answer: Answer) -> SuspectNotice | None:
         fingerprint = answer.request.fingerprint
         if self._quarantine.check(fingerprint) is None:
             return None
         with tracer.start_as_current_span("probation wait"):
             return await self._quarantine.wait_settled(fingerprint)
 
-    def _note_failure(self, answer: _Answer, server: str, error: BriarvaleError) -> None:
+    def _note_failure(self, answer: Answer, server: str, error: BriarvaleError) -> None:
         answer.failed_servers.append(server)
         if isinstance(error, RETRYABLE):
             self._router.loads.note_failure(server)
@@ -234,7 +193,7 @@
             if is_same and not answer.is_suspect:
                 answer.attempt_scope.cancel()
 
-    def _choose(self, answer: _Answer, notice: SuspectNotice | None) -> Choice:
+    def _choose(self, answer: Answer, notice: SuspectNotice | None) -> Choice:
         request = answer.request
         route = RouteRequest(request.service, request.prompt, request.adapter, request.fingerprint)
         failed = answer.failed_servers
@@ -249,10 +208,10 @@
                 continue
         return self._router.pick(route)
 
-    async def _hold_and_stream(self, answer: _Answer, server: BackendServer) -> bool:
+    async def _hold_and_stream(self, answer: Answer, server: BackendServer) -> bool:
         async with AsyncExitStack() as stack:
             with tracer.start_as_current_span("slot wait") as span:
-                slot_request = self._slot_request(answer, server.id)
+                slot_request = answer.slot_request(server.id)
                 slot = await self._enter_slot(stack, slot_request)
                 self._describe_load(span, server.id)
             with tracer.start_as_current_span("stream") as span:
@@ -271,7 +230,7 @@
             raise ServerNotReady(f"{request.backend_server} left during the wait for a slot")
         return slot
 
-    async def _stream(self, answer: _Answer, server: BackendServer, slot: HeldSlot) -> bool:
+    async def _stream(self, answer: Answer, server: BackendServer, slot: HeldSlot) -> bool:
         slot.outcome = Outcome.CANCELLED
         engine = self._environment.backends.engine(server)
         try:
@@ -288,10 +247,10 @@
             if slot.outcome is not Outcome.FINISHED:
                 self._tasks.start_soon(_cancel_quietly, engine, answer.attempt_id)
 
-    async def _read(self, answer: _Answer, engine: Engine, slot: HeldSlot) -> bool:
+    async def _read(self, answer: Answer, engine: Engine, slot: HeldSlot) -> bool:
         request = answer.request
         order = TokenOrder(len(answer.tokens), request.max_tokens)
-        stream = engine.complete(self._completion(answer))
+        stream = engine.complete(answer.completion(self._view.config))
         blocks = prefix_blocks(request.prompt)
         self._prefix_cache.note_sent(slot.grant.backend_server, blocks)
         was_sent, answer.was_sent = answer.was_sent, True
@@ -307,7 +266,7 @@
                     waited_ms = self._environment.clock.now_ms() - answer.sent_at_ms
                     get_current_span().set_attribute("briarvale.first_token_ms", waited_ms)
                 slot.tokens += 1
-                _note_pace(slot, first_token_s)
+                note_pace(slot, first_token_s)
                 for ready in order.take(token):
                     self._deliver(answer, ready)
             else:
@@ -323,7 +282,7 @@
         return True
 
     async def _next(
-        self, answer: _Answer, stream: AsyncIterator[Token], slot: HeldSlot
+        self, answer: Answer, stream: AsyncIterator[Token], slot: HeldSlot
     ) -> Token | None:
         remaining_ms = self._remaining_ms(answer)
         if slot.tokens == 0:
@@ -335,23 +294,16 @@
             return await anext(stream, None)
         raise ServerStalled(f"{slot.grant.backend_server}: no token in {timeout_s:.1f} s")
 
-    def _deliver(self, answer: _Answer, token: Token) -> None:
+    def _deliver(self, answer: Answer, token: Token) -> None:
         if not answer.tokens:
             waited_ms = self._environment.clock.now_ms() - answer.started_ms
             metrics.FIRST_TOKEN_S.observe({}, waited_ms / MS_PER_S)
         answer.tokens.append(token.text)
         answer.buffer.put(token)
 
-    def _remaining_ms(self, answer: _Answer) -> int:
+    def _remaining_ms(self, answer: Answer) -> int:
         return max(0, answer.request.deadline_ms - self._environment.clock.now_ms())
 
-    def _describe(self, span: Span, answer: _Answer, choice: Choice) -> None:
-        span.set_attribute("briarvale.request_id", answer.request.request_id)
-        span.set_attribute("briarvale.attempt", answer.attempts)
-        span.set_attribute("briarvale.backend_server", choice.server.id)
-        span.set_attribute("briarvale.candidates", list(choice.candidates))
-        span.set_attribute("briarvale.reason", choice.reason)
-
     def _describe_load(self, span: Span, backend_server: str) -> None:
         load = self._router.loads.last_report(backend_server)
         if load is not None:
@@ -359,32 +311,6 @@
             span.set_attribute("briarvale.slots_queued", load.queued)
             span.set_attribute("briarvale.slot_limit", load.limit)
 
-    def _completion(self, answer: _Answer) -> Completion:
-        request = answer.request
-        return Completion(
-            request_id=answer.attempt_id,
-            model=self._view.config.services[request.service].model,
-            prompt=request.prompt,
-            max_tokens=request.max_tokens,
-            adapter=request.adapter,
-            resume_tokens=tuple(answer.tokens),
-        )
-
-    def _slot_request(self, answer: _Answer, backend_server: str) -> SlotRequest:
-        request = answer.request
-        return SlotRequest(
-            request_id=answer.attempt_id,
-            backend_server=backend_server,
-            member=request.member,
-            work_class=WorkClass.ONLINE,
-            slot_count=1,
-            cost_tokens=request.prompt_tokens + request.max_tokens,
-            prompt_tokens=request.prompt_tokens,
-            deadline_ms=request.deadline_ms,
-            fingerprint=request.fingerprint,
-            is_suspect=answer.is_suspect,
-        )
-
 
 async def _cancel_quietly(engine: Engine, attempt_id: str) -> None:
     with anyio.move_on_after(CANCEL_TIMEOUT_S):
@@ -392,9 +318,3 @@
             await engine.cancel(attempt_id)
         except BriarvaleError as error:
             log.debug("Could not cancel {}: {}.", attempt_id, error)
-
-
-def _note_pace(slot: HeldSlot, first_token_s: float) -> None:
-    if slot.tokens > 1:
-        elapsed_ms = (anyio.current_time() - first_token_s) * MS_PER_S
-        slot.time_between_tokens_ms = round(elapsed_ms / (slot.tokens - 1))
--- /dev/null
+++ b/briarvale/online_answer.py
@@ -0,0 +1,102 @@
+"""One online request and the state of its answer over all attempts."""
+
+from typing import NamedTuple
+
+import anyio
+from opentelemetry.trace import Span
+
+from ._generated.messages import SlotRequest, WorkClass
+from .clock import MS_PER_S
+from .config import Config
+from .engine_client import Completion
+from .routing import Choice
+from .slot_client import HeldSlot
+from .streams import AnswerBuffer
+
+__all__ = ["Answer", "OnlineRequest", "describe_attempt", "note_pace"]
+
+
+class OnlineRequest(NamedTuple):
+    """One completion that a caller waits for."""
+
+    request_id: str
+    member: str
+    service: str
+    prompt: str
+    max_tokens: int
+    deadline_ms: int
+    adapter: str = ""
+    fingerprint: str = ""
+
+    @property
+    def prompt_tokens(self) -> int:
+        """Estimate of the prompt's length."""
+        return len(self.prompt.split())
+
+
+class Answer:
+    """The state of one request over all its attempts."""
+
+    def __init__(self, request: OnlineRequest, started_ms: int) -> None:
+        self.request = request
+        self.started_ms = started_ms
+        self.tokens: list[str] = []
+        self.buffer = AnswerBuffer()
+        self.failed_servers: list[str] = []
+        self.attempts = 0
+        self.was_sent = False
+        self.sent_at_ms = 0
+        self.is_suspect = False
+        self.attempt_scope = anyio.CancelScope()
+        self.scope = anyio.CancelScope()
+        self.ended = anyio.Event()
+
+    @property
+    def attempt_id(self) -> str:
+        """Id of the running attempt, so that a late cancel can't hit the next one."""
+        request_id = self.request.request_id
+        return request_id if self.attempts == 1 else f"{request_id}.{self.attempts}"
+
+    def completion(self, config: Config) -> Completion:
+        """Returns what the running attempt asks of an engine."""
+        request = self.request
+        return Completion(
+            request_id=self.attempt_id,
+            model=config.services[request.service].model,
+            prompt=request.prompt,
+            max_tokens=request.max_tokens,
+            adapter=request.adapter,
+            resume_tokens=tuple(self.tokens),
+        )
+
+    def slot_request(self, backend_server: str) -> SlotRequest:
+        """Returns what the running attempt asks of an owner."""
+        request = self.request
+        return SlotRequest(
+            request_id=self.attempt_id,
+            backend_server=backend_server,
+            member=request.member,
+            work_class=WorkClass.ONLINE,
+            slot_count=1,
+            cost_tokens=request.prompt_tokens + request.max_tokens,
+            prompt_tokens=request.prompt_tokens,
+            deadline_ms=request.deadline_ms,
+            fingerprint=request.fingerprint,
+            is_suspect=self.is_suspect,
+        )
+
+
+def describe_attempt(span: Span, answer: Answer, choice: Choice) -> None:
+    """Records which backend server was chosen, and why."""
+    span.set_attribute("briarvale.request_id", answer.request.request_id)
+    span.set_attribute("briarvale.attempt", answer.attempts)
+    span.set_attribute("briarvale.backend_server", choice.server.id)
+    span.set_attribute("briarvale.candidates", list(choice.candidates))
+    span.set_attribute("briarvale.reason", choice.reason)
+
+
+def note_pace(slot: HeldSlot, first_token_s: float) -> None:
+    """Records the mean time between the tokens of a stream."""
+    if slot.tokens > 1:
+        elapsed_ms = (anyio.current_time() - first_token_s) * MS_PER_S
+        slot.time_between_tokens_ms = round(elapsed_ms / (slot.tokens - 1))
--- a/features/online/streams.feature
+++ b/features/online/streams.feature
@@ -32,3 +32,13 @@
     When engines fail at random under 40 seeds of 25 requests each
     Then every refusal with not_run has no run in the engines' records
     And some refusals said not_run and some did not
+
+  Scenario Outline: A caller disconnects from the HTTP interface
+    When a caller of <form> over HTTP disconnects after 1 s
+    Then the engine runs nothing and no slot is held 100 ms later
+
+    Examples:
+      | form                    |
+      | a whole answer          |
+      | a stream                |
+      | a stream it never reads |
--- /dev/null
+++ b/features/steps/online_http.py
@@ -0,0 +1,72 @@
+"""Steps of callers that disconnect from the gateway's HTTP interface."""
+
+import json
+
+import anyio
+from behave import when
+from behave.runner import Context
+from starlette.types import Message, Scope
+
+from briarvale.gateway_http import gateway_app
+from briarvale.standins.memory_fleet import ENGINE_SERVICE, MemoryFleet
+from features.support.online import play, slots_held
+
+
+class _Caller:
+    """The server's side of one ASGI request, whose caller disconnects after a while."""
+
+    def __init__(self, *, is_streamed: bool, is_reading: bool, after_s: float) -> None:
+        body = {"model": ENGINE_SERVICE, "prompt": "low G", "max_tokens": 4_000}
+        self._body = json.dumps(body | {"stream": is_streamed}).encode()
+        self._is_sent = False
+        self._is_reading = is_reading
+        self._after_s = after_s
+
+    @property
+    def scope(self) -> Scope:
+        """The request."""
+        return {
+            "type": "http",
+            "asgi": {"version": "3.0", "spec_version": "2.3"},
+            "http_version": "1.1",
+            "method": "POST",
+            "path": "/v1/completions",
+            "raw_path": b"/v1/completions",
+            "query_string": b"",
+            "headers": [(b"authorization", b"Bearer key-cyweirio")],
+        }
+
+    async def receive(self) -> Message:
+        """Gives the body, and then that the caller is gone."""
+        if not self._is_sent:
+            self._is_sent = True
+            return {"type": "http.request", "body": self._body, "more_body": False}
+        await anyio.sleep(self._after_s)
+        return {"type": "http.disconnect"}
+
+    async def send(self, message: Message) -> None:
+        """Takes a part of the answer; blocks where the caller does not read."""
+        if message["type"] == "http.response.body" and not self._is_reading:
+            await anyio.sleep_forever()
+
+
+@when("a caller of {form} over HTTP disconnects after {after_s:d} s")
+def when_disconnects(context: Context, form: str, after_s: int) -> None:
+    async def act(fleet: MemoryFleet) -> tuple[int, int]:
+        app = gateway_app(fleet.vms["vm-1"].gateway)
+        caller = _Caller(
+            is_streamed="stream" in form, is_reading="never" not in form, after_s=after_s
+        )
+        left = (-1, -1)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(app, caller.scope, caller.receive, caller.send)
+            await anyio.sleep(after_s)
+            context.was_running = slots_held(fleet)
+            await anyio.sleep(after_s + 0.1)
+            streams = sum(engine.stream_count for engine in fleet.backends.engines.values())
+            left = (streams, slots_held(fleet))
+            tasks.cancel_scope.cancel()
+        assert context.was_running == 1
+        return left
+
+    context.left = play(act)
