Route by prefix blocks, bounded load and predicted wait

Change: the prompt's first blocks rank servers by rendezvous; the better of the first two within the load bound by predicted wait and by the prefill that the cache index does not save. Loads come from owners' answers, corrected by own work since; an old one is replaced by the own share times the processes. Servers of the own region come first until full.

Ruled out: an index spread by the owners (32 KB a server), polling every engine from every gateway.

--- a/briarvale/gateway.py
+++ b/briarvale/gateway.py
@@ -41,7 +41,7 @@
         self._tasks = anyio.create_task_group()
         slots = SlotClient(environment, self.view, self._tasks)
         self.prefix_cache = PrefixCache(environment, self.view)
-        router = Router(self.view, prefix_cache=self.prefix_cache)
+        router = Router(self.view, prefix_cache=self.prefix_cache, region=settings.region)
         slots.subscribe_load(router.loads.note_load)
         self.quarantine = Quarantine(environment, self.view)
         parts = OnlineParts(self.view, router, slots, self.quarantine, self.prefix_cache)
--- a/briarvale/online.py
+++ b/briarvale/online.py
@@ -30,7 +30,7 @@
 )
 from .fleet_view import FleetView
 from .online_answer import Answer, OnlineRequest, describe_attempt, note_pace
-from .prefix_cache import PrefixCache, prefix_blocks
+from .prefix_cache import PrefixCache
 from .quarantine import Quarantine
 from .retries import RETRYABLE, RetryBudgets
 from .routing import Choice, Router, RouteRequest
@@ -195,7 +195,9 @@
 
     def _choose(self, answer: Answer, notice: SuspectNotice | None) -> Choice:
         request = answer.request
-        route = RouteRequest(request.service, request.prompt, request.adapter, request.fingerprint)
+        route = RouteRequest(
+            request.service, request.prompt, request.adapter, request.fingerprint, answer.blocks
+        )
         failed = answer.failed_servers
         if notice is not None:
             crashed = [site.backend_server for site in notice.sites]
@@ -251,8 +253,7 @@
         request = answer.request
         order = TokenOrder(len(answer.tokens), request.max_tokens)
         stream = engine.complete(answer.completion(self._view.config))
-        blocks = prefix_blocks(request.prompt)
-        self._prefix_cache.note_sent(slot.grant.backend_server, blocks)
+        self._prefix_cache.note_sent(slot.grant.backend_server, answer.blocks)
         was_sent, answer.was_sent = answer.was_sent, True
         answer.sent_at_ms = self._environment.clock.now_ms()
         first_token_s = 0.0
--- a/briarvale/online_answer.py
+++ b/briarvale/online_answer.py
@@ -9,6 +9,7 @@
 from .clock import MS_PER_S
 from .config import Config
 from .engine_client import Completion
+from .prefix_cache import prefix_blocks
 from .routing import Choice
 from .slot_client import HeldSlot
 from .streams import AnswerBuffer
@@ -41,6 +42,7 @@
         self.request = request
         self.started_ms = started_ms
         self.tokens: list[str] = []
+        self.blocks = prefix_blocks(request.prompt)
         self.buffer = AnswerBuffer()
         self.failed_servers: list[str] = []
         self.attempts = 0
--- a/briarvale/ownership.py
+++ b/briarvale/ownership.py
@@ -1,5 +1,6 @@
 """Which VM's dispatcher owns a backend server: rendezvous hashing, same availability zone first."""
 
+import heapq
 from collections.abc import Iterable, Sequence
 
 import xxhash
@@ -7,7 +8,7 @@
 from ._generated.messages import VmHealth, VmState
 from .config import BackendServer
 
-__all__ = ["batch_vms", "owner_of", "rank_by_rendezvous"]
+__all__ = ["batch_vms", "first_by_rendezvous", "owner_of", "rank_by_rendezvous"]
 
 
 def rank_by_rendezvous(key: str, names: Iterable[str]) -> list[str]:
@@ -17,6 +18,13 @@
     )
 
 
+def first_by_rendezvous(key: str, names: Iterable[str], count: int) -> list[str]:
+    """Returns the first names of the order of `rank_by_rendezvous`, at less cost for many names."""
+    prefix = f"{key}\0"
+    digest = xxhash.xxh3_64_intdigest
+    return heapq.nlargest(count, names, key=lambda name: digest((prefix + name).encode()))
+
+
 def batch_vms(vms: Iterable[VmState]) -> list[str]:
     """Returns the VMs whose batch program runs, by name."""
     running = (vm for vm in vms if vm.runs_batch)
--- a/briarvale/routing.py
+++ b/briarvale/routing.py
@@ -8,13 +8,16 @@
 from .config import BackendServer
 from .errors import NoServer
 from .fleet_view import FleetView
-from .ownership import rank_by_rendezvous
+from .ownership import first_by_rendezvous, rank_by_rendezvous
 from .prefix_cache import PrefixCache, prefix_blocks
 from .server_loads import ServerLoads
 
 KEY_BLOCKS = 4
 LOAD_BOUND = 1.25
 LOAD_SLACK = 0.1
+MAX_RANKED = 16
+MAX_NAMED = 32
+MEAN_SAMPLE = 16
 STREAM_MS = 2_000
 MS_PER_STREAM = 0.7
 PREFILL_MS_PER_TOKEN = 0.06
@@ -29,6 +32,7 @@
     prompt: str = ""
     adapter: str = ""
     fingerprint: str = ""
+    blocks: tuple[str, ...] = ()
 
 
 class Choice(NamedTuple):
@@ -64,12 +68,18 @@
         view: The fleet as last told.
         seed: Seed of the random choices; none for a fresh one.
         prefix_cache: What engines have cached; none where prompts share no prefix.
+        region: Servers of this region come first, until they are full; empty for none.
     """
 
     def __init__(
-        self, view: FleetView, seed: int | None = None, prefix_cache: PrefixCache | None = None
+        self,
+        view: FleetView,
+        seed: int | None = None,
+        prefix_cache: PrefixCache | None = None,
+        region: str = "",
     ) -> None:
         self._view = view
+        self._region = region
         self._random = random.Random(seed)
         self._prefix_cache = prefix_cache
         self.loads = ServerLoads()
@@ -84,11 +94,13 @@
         if not candidates:
             raise NoServer(f"no backend server of {request.service} is ready")
         sound = [server for server in candidates if not self.loads.has_failed(server.id)]
-        blocks = prefix_blocks(request.prompt)
-        two = self._two_of(sound or candidates, blocks)
+        blocks = request.blocks or prefix_blocks(request.prompt)
+        two = self._two_of(self._near(sound or candidates), blocks)
+        if all(self._relative_load(server) >= 1 for server in two):
+            two = self._two_of(sound or candidates, blocks)
         scored = [self._score(server, request, blocks) for server in two]
         best = min(scored, key=lambda one: one.cost_ms)
-        names = tuple(server.id for server in candidates)
+        names = tuple(server.id for server in candidates[:MAX_NAMED])
         return Choice(best.server, names, _reason(best, scored, has_prefix=bool(blocks)))
 
     def pick_probation(self, request: RouteRequest, crashed: Collection[str]) -> Choice:
@@ -137,13 +149,17 @@
         by_name = {server.id: server for server in candidates}
         if blocks:
             key = blocks[min(KEY_BLOCKS, len(blocks)) - 1]
-            names = rank_by_rendezvous(key, by_name)
+            ranked = [by_name[name] for name in first_by_rendezvous(key, by_name, MAX_RANKED)]
         else:
-            names = self._random.sample(list(by_name), len(by_name))
-        loads = {name: self._relative_load(by_name[name]) for name in names}
-        bound = LOAD_BOUND * sum(loads.values()) / len(loads) + LOAD_SLACK
-        within = [name for name in names if loads[name] <= bound]
-        return [by_name[name] for name in (within or names)[:2]]
+            ranked = self._random.sample(candidates, min(MAX_RANKED, len(candidates)))
+        sample = self._random.sample(candidates, min(MEAN_SAMPLE, len(candidates)))
+        mean = sum(self._relative_load(server) for server in sample) / len(sample)
+        bound = LOAD_BOUND * mean + LOAD_SLACK
+        within = [server for server in ranked if self._relative_load(server) <= bound]
+        return (within or sorted(ranked, key=self._relative_load))[:2]
+
+    def _near(self, candidates: list[BackendServer]) -> list[BackendServer]:
+        return [s for s in candidates if s.region == self._region] or candidates
 
     def _score(
         self, server: BackendServer, request: RouteRequest, blocks: Sequence[str]
@@ -159,7 +175,7 @@
         return self._streams(server) / max(1, self.loads.limit(server.id, server.slots))
 
     def _streams(self, server: BackendServer) -> float:
-        return self.loads.streams(server.id, max(1, len(self._view.vms)))
+        return self.loads.streams(server.id, server.slots, max(1, len(self._view.vms)))
 
 
 def _reason(best: _Scored, scored: Sequence[_Scored], *, has_prefix: bool) -> str:
--- a/briarvale/server_loads.py
+++ b/briarvale/server_loads.py
@@ -54,16 +54,22 @@
         report = self._reports.get(backend_server)
         return report.load if report else None
 
-    def streams(self, backend_server: str, process_count: int) -> float:
+    def streams(self, backend_server: str, declared: int, process_count: int) -> float:
         """Returns the estimated requests that run or wait there.
 
         An old report says nothing of now. The own share times the number of processes that send
-        requests then stands in for it, so that all of them don't take one old figure for the truth.
+        requests then stands in for it, up to half of the slots, so that all of them don't take one
+        old figure for the truth.
+
+        Args:
+            backend_server: The server.
+            declared: Its slots by the inventory.
+            process_count: Processes that send requests.
         """
         own = self._own.get(backend_server, 0)
         report = self._reports.get(backend_server)
         if report is None or anyio.current_time() - report.at_s > FRESH_S:
-            return float(own * process_count)
+            return min(own * process_count, max(own, declared / 2))
         return max(own, report.load.held + report.load.queued + own - report.own)
 
     def limit(self, backend_server: str, declared: int) -> int:
