--- /dev/null
+++ b/features/steps/batch_chaos.py
@@ -0,0 +1,151 @@
+"""Steps of exactly-once: schedules of failures, and broken parts that the checker must reject."""
+
+from collections import Counter
+from unittest.mock import patch
+
+import anyio
+from behave import given, then, when
+from behave.runner import Context
+
+from benchmarks.chaos import ChaosRun, Fault
+from briarvale.batch import Batch
+from briarvale.errors import ObjectExists, StoreThrottled, StoreUnavailable
+from briarvale.job_results import read_progress, read_results
+from briarvale.jobs import JobRecord, JobRequest, JobState
+from briarvale.shard_log import ItemResult, LogEntry, ShardLog
+from briarvale.shard_runner import RunningShard
+from briarvale.standins.checker import Verdict
+from briarvale.standins.memory_fleet import ENGINE_SERVICE, FleetSettings, MemoryFleet
+from briarvale.submission import Acceptance
+from features.steps.thin_path import job_lines
+from features.support.virtual import run_virtual
+
+SEEDS = range(1, 5)
+SEEDS_FOR_BROKEN = range(1, 25)
+
+
+def _play(faults: list[Fault], seeds: range = SEEDS) -> Verdict:
+    total = Verdict()
+    for seed in seeds:
+        total += run_virtual(ChaosRun(seed, faults).play, seed=seed)
+        if not total.is_good:
+            break
+    return total
+
+
+@when('batch jobs run while "{kind}" comes twice')
+def when_fault_twice(context: Context, kind: str) -> None:
+    context.verdict = _play([Fault(kind, 0, 5.0, 35.0), Fault(kind, 1, 20.0, 50.0)])
+
+
+@then("the checker finds nothing lost, doubled, run after its seal or falsely refused")
+def then_good(context: Context) -> None:
+    assert context.verdict.is_good and context.verdict.accepted > 0, context.verdict
+
+
+async def _create_unconditionally(self: ShardLog, entry: LogEntry) -> bool:
+    key = self._key(entry.sequence)
+    try:
+        await self._budget.call(self._store.create, key, entry.encode())
+    except ObjectExists:
+        stored = await self._budget.call(self._store.get, key)
+        await self._budget.call(self._store.update, key, entry.encode(), stored.version)
+    return True
+
+
+async def _retry_with_other_bytes(self: ShardLog, entry: LogEntry) -> bool:
+    while True:
+        try:
+            await self._store.create(self._key(entry.sequence), entry.encode())
+            return True
+        except ObjectExists:
+            return False
+        except (StoreUnavailable, StoreThrottled):
+            await anyio.sleep(1)
+            entry = entry._replace(sequence=entry.sequence + 1)
+
+
+async def _append_always(
+    self: ShardLog, results: list[ItemResult], *, is_seal: bool = False
+) -> bool:
+    is_ours = await _append(self, results, is_seal=is_seal)
+    if self.is_sealed:
+        entry = LogEntry(self.next_sequence, "again", ())
+        await self._create(entry)
+    return is_ours
+
+
+def _ignore_record(self: RunningShard, job: JobRecord) -> None:
+    """Goes on as if nothing had been told."""
+
+
+async def _refuse_at_once(self: Acceptance, record: JobRecord, seen: object) -> JobRecord:
+    try:
+        return await self._write(record, seen)
+    except (StoreUnavailable, StoreThrottled):
+        return record._replace(state=JobState.VOID, upload_id="refused")
+
+
+_append = ShardLog.append
+BROKEN = {
+    "creates without a condition": (ShardLog, "_create", _create_unconditionally),
+    "retries with other bytes": (ShardLog, "_create", _retry_with_other_bytes),
+    "appends after a seal": (ShardLog, "append", _append_always),
+    "goes on after a cancel": (RunningShard, "update", _ignore_record),
+    "refuses without settling": (Acceptance, "settle", _refuse_at_once),
+}
+
+
+@given('a part that is broken: "{variant}"')
+def given_broken(context: Context, variant: str) -> None:
+    context.broken = BROKEN[variant]
+
+
+@when("batch jobs run through failures that need the rule")
+def when_failures(context: Context) -> None:
+    faults = [
+        Fault("lost answer", 0, 0.0, 60.0),
+        Fault("late write", 0, 0.0, 60.0),
+        Fault("cut", 1, 10.0, 40.0),
+        Fault("kill", 2, 30.0, 60.0),
+    ]
+    owner, name, broken = context.broken
+    with patch.object(owner, name, broken):
+        context.verdict = _play(faults, SEEDS_FOR_BROKEN)
+
+
+@then('the checker says "{verdict}"')
+def then_verdict(context: Context, verdict: str) -> None:
+    assert getattr(context.verdict, verdict.replace(" ", "_")) > 0, context.verdict
+
+
+@given("two batch programs that both believe that a shard is theirs")
+def given_two_runners(context: Context) -> None:
+    context.patches = [patch.object(Batch, "is_mine", lambda self, key: True)]
+
+
+@when("a job of {items:d} items runs on both")
+def when_both(context: Context, items: int) -> None:
+    async def play() -> None:
+        fleet = MemoryFleet(FleetSettings(vm_count=2))
+        async with anyio.create_task_group() as tasks:
+            await fleet.start(tasks)
+            due_at_ms = fleet.clock.now_ms() + 600_000
+            request = JobRequest("trust", "greetings", ENGINE_SERVICE, due_at_ms)
+            job = await fleet.vms["vm-1"].gateway.jobs.submit(request, job_lines(items))
+            while not (await read_progress(fleet.store, job)).is_sealed:
+                await anyio.sleep(1)
+            context.results = [row async for row in read_results(fleet.store, job)]
+            tasks.cancel_scope.cancel()
+        engines = fleet.backends.engines.values()
+        context.runs = Counter(start.prompt for engine in engines for start in engine.starts)
+
+    with context.patches[0]:
+        run_virtual(play)
+    context.item_count = items
+
+
+@then("few items run twice and none has two results")
+def then_few(context: Context) -> None:
+    assert len(context.results) == context.item_count
+    assert context.runs.total() <= context.item_count * 1.2, context.runs.total()
