--- a/briarvale/_generated/messages.py
+++ b/briarvale/_generated/messages.py
@@ -83,6 +83,7 @@
     fingerprint: str = ""
     start_by_ms: int = 0
     prompt_tokens: int = 0
+    is_suspect: bool = False
 
 
 class SlotGrant(NamedTuple):
@@ -227,6 +228,7 @@
 
     backend_server: str = ""
     at_ms: int = 0
+    began_at_ms: int = 0
 
 
 class SuspectNotice(NamedTuple):
@@ -378,6 +380,7 @@
         reader.fingerprint,
         reader.startByMs,
         reader.promptTokens,
+        reader.isSuspect,
     )
 
 
@@ -392,6 +395,7 @@
     builder.fingerprint = message.fingerprint
     builder.startByMs = message.start_by_ms
     builder.promptTokens = message.prompt_tokens
+    builder.isSuspect = message.is_suspect
 
 
 def _read_slot_grant(reader: Any) -> SlotGrant:
@@ -650,12 +654,14 @@
     return CrashSite(
         reader.backendServer,
         reader.atMs,
+        reader.beganAtMs,
     )
 
 
 def _write_crash_site(builder: Any, message: CrashSite) -> None:
     builder.backendServer = message.backend_server
     builder.atMs = message.at_ms
+    builder.beganAtMs = message.began_at_ms
 
 
 def _read_suspect_notice(reader: Any) -> SuspectNotice:
--- a/briarvale/dispatcher.py
+++ b/briarvale/dispatcher.py
@@ -35,6 +35,7 @@
 from .server_health import ServerHealthMonitor
 from .settings import Settings
 from .slot_owner import SlotOwner
+from .suspect_gate import SuspectGate
 from .view_feed import ViewFeed
 
 TICK_INTERVAL_S = 0.1
@@ -68,6 +69,9 @@
         )
         self._ownership = OwnershipTable(settings.vm)
         self._feed = ViewFeed(self.view, self._broadcast)
+        self.suspect_gate = SuspectGate(
+            self.membership.suspects, self.slot_owner.handle, self._spread_suspect
+        )
         self._connections: set[PeerConnection] = set()
 
     @property
@@ -130,6 +134,12 @@
         tasks.start_soon(self._follow_health)
         tasks.start_soon(self._feed.run)
         tasks.start_soon(self.slot_owner.run)
+        tasks.start_soon(self._tick)
+
+    async def _tick(self) -> None:
+        while True:
+            await anyio.sleep(TICK_INTERVAL_S)
+            self.suspect_gate.tick(self._environment.clock.now_ms())
 
     async def _follow_membership(self) -> None:
         while True:
@@ -156,6 +166,10 @@
             self.slot_owner.settle(self.config_spread.config, owned)
             self._feed.mark()
 
+    def _spread_suspect(self, notice: SuspectNotice) -> None:
+        self.membership.publish(notice)
+        self._broadcast(notice)
+
     def _refuse_waiting(self) -> None:
         """Sends what waits for a server that takes no more work to other servers."""
         for server in self.owned_servers():
@@ -218,7 +232,13 @@
             case SlotRelease():
                 self.slot_owner.handle(connection, message)
                 self.server_health.note_release(message)
-            case SlotRequest() | SlotWithdraw() | HolderReport() | SlotHeartbeat():
+                self.suspect_gate.release(message, self._environment.clock.now_ms())
+            case SlotRequest():
+                self.suspect_gate.submit(connection, message, self._environment.clock.now_ms())
+            case SlotWithdraw(request_id):
+                self.slot_owner.handle(connection, message)
+                self.suspect_gate.withdraw(request_id, self._environment.clock.now_ms())
+            case HolderReport() | SlotHeartbeat():
                 self.slot_owner.handle(connection, message)
             case ViewSubscribe(role):
                 self._subscribe(connection, role)
@@ -228,8 +248,7 @@
             case StateFetch():
                 connection.notify(self.membership.snapshot())
             case SuspectNotice():
-                self.membership.publish(message)
-                self._broadcast(message)
+                self._spread_suspect(message)
             case _:
                 log.warning("Unexpected {} from {}.", type(message).__name__, connection.name)
 
--- a/briarvale/membership.py
+++ b/briarvale/membership.py
@@ -19,6 +19,7 @@
 from .failure_detector import FailureDetector
 from .heartbeats import Heartbeats, own_state
 from .peer import PeerAddress
+from .quarantine import SuspectTable
 from .settings import Settings
 from .vm_list import VmEntry, VmListUnavailable, VmStatus
 
@@ -56,7 +57,7 @@
         )
         self._heartbeats = Heartbeats(settings, environment, self._detector, self._hear)
         self._servers: dict[str, ServerState] = {}
-        self._suspects: dict[str, SuspectNotice] = {}
+        self.suspects = SuspectTable()
         self._rumor_handlers: list[RumorHandler] = []
         self._vms: tuple[VmState, ...] = ()
         self._seen_updates = -1
@@ -108,8 +109,9 @@
 
     def publish(self, rumor: Rumor) -> None:
         """Spreads a rumor to all dispatchers within seconds; heartbeats carry it."""
-        if self._remember(rumor):
-            self._spread(rumor)
+        news = self._remember(rumor)
+        if news is not None:
+            self._spread(news)
 
     def subscribe(self, handler: RumorHandler) -> None:
         """Calls the handler with each rumor that arrives from another dispatcher."""
@@ -127,7 +129,7 @@
 
     def snapshot(self) -> StateSnapshot:
         """Returns all that heartbeats told, for a VM that starts."""
-        servers, suspects = tuple(self._servers.values()), tuple(self._suspects.values())
+        servers, suspects = tuple(self._servers.values()), tuple(self.suspects)
         return StateSnapshot(self._detector.states, servers, suspects)
 
     async def run(self) -> None:
@@ -214,26 +216,25 @@
             self._notify()
 
     def _hear(self, rumor: Rumor, *, is_spread: bool = True) -> None:
-        if not self._remember(rumor):
+        news = self._remember(rumor)
+        if news is None:
             return
         if is_spread:
-            self._spread(rumor)
+            self._spread(news)
         for handler in self._rumor_handlers:
-            handler(rumor)
+            handler(news)
 
-    def _remember(self, rumor: Rumor) -> bool:
+    def _remember(self, rumor: Rumor) -> Rumor | None:
+        """Keeps a rumor and returns what there is to tell further, if it told something new."""
         match rumor:
             case ServerState(backend_server=name, observed_at_ms=observed_at_ms):
                 known = self._servers.get(name)
                 if known is not None and known.observed_at_ms >= observed_at_ms:
-                    return False
+                    return None
                 self._servers[name] = rumor
-            case SuspectNotice(fingerprint=fingerprint):
-                notice = self._suspects.get(fingerprint)
-                if notice is not None and not _is_worse(rumor, notice):
-                    return False
-                self._suspects[fingerprint] = rumor
-        return True
+                return rumor
+            case SuspectNotice():
+                return self.suspects.merge(rumor, self._environment.clock.now_ms())
 
     def _spread(self, rumor: Rumor | VmState) -> None:
         self._heartbeats.announce(rumor)
@@ -244,11 +245,3 @@
             metrics.VMS.set({"health": health.value}, count)
         self._changed.set()
         self._changed = anyio.Event()
-
-
-def _is_worse(notice: SuspectNotice, known: SuspectNotice) -> bool:
-    return (notice.quarantined, notice.crashes, notice.expires_at_ms) > (
-        known.quarantined,
-        known.crashes,
-        known.expires_at_ms,
-    )
--- a/briarvale/metrics.py
+++ b/briarvale/metrics.py
@@ -31,6 +31,13 @@
 OWNER_LINKS_LOST = Counter("briarvale_owner_links_lost_total", "Connections to owners that broke.")
 EJECTIONS = Counter("briarvale_ejections_total", "Ejections by backend server and reason.")
 SERVERS = Gauge("briarvale_servers", "Backend servers by health.")
+QUARANTINED = Counter("briarvale_quarantined_total", "Requests quarantined here.")
+QUARANTINE_REFUSALS = Counter(
+    "briarvale_quarantine_refusals_total", "Refusals of quarantined requests."
+)
+CACHE_EVENT_GAPS = Counter(
+    "briarvale_cache_event_gaps_total", "Prefix indexes dropped for a gap in cache events."
+)
 PEER_BAD_FRAMES = Counter("briarvale_peer_bad_frames_total", "Connections closed for a bad frame.")
 BAD_DATAGRAMS = Counter(
     "briarvale_bad_datagrams_total", "Datagrams dropped for a bad seal or form."
@@ -51,8 +58,9 @@
 __all__ = [
     "ATTEMPTS",
     "BAD_DATAGRAMS",
-    "BATCH_BUFFER_BYTES",
     "CLAIMS",
+    "CACHE_EVENT_GAPS",
+    "BATCH_BUFFER_BYTES",
     "CONFIG_REFUSED",
     "CONFIG_REVISION",
     "EJECTIONS",
@@ -64,6 +72,8 @@
     "ORDERS",
     "OWNER_LINKS_LOST",
     "PEER_BAD_FRAMES",
+    "QUARANTINED",
+    "QUARANTINE_REFUSALS",
     "REFUSALS",
     "REQUESTS",
     "RETRIES",
--- a/briarvale/ownership.py
+++ b/briarvale/ownership.py
@@ -1,5 +1,6 @@
 """Which VM's dispatcher owns a backend server: rendezvous hashing, same availability zone first."""
 
+import heapq
 from collections.abc import Iterable, Mapping, Sequence
 
 import xxhash
@@ -9,7 +10,13 @@
 
 NOBODY: frozenset[str] = frozenset()
 
-__all__ = ["OwnershipTable", "batch_vms", "owner_of", "rank_by_rendezvous"]
+__all__ = [
+    "OwnershipTable",
+    "batch_vms",
+    "first_by_rendezvous",
+    "owner_of",
+    "rank_by_rendezvous",
+]
 
 
 class OwnershipTable:
@@ -89,6 +96,13 @@
     )
 
 
+def first_by_rendezvous(key: str, names: Iterable[str], count: int) -> list[str]:
+    """Returns the first names of the order of `rank_by_rendezvous`, at less cost for many names."""
+    prefix = f"{key}\0"
+    digest = xxhash.xxh3_64_intdigest
+    return heapq.nlargest(count, names, key=lambda name: digest((prefix + name).encode()))
+
+
 def batch_vms(vms: Iterable[VmState]) -> list[str]:
     """Returns the VMs whose batch program runs, by name.
 
--- a/briarvale/schema/messages.capnp
+++ b/briarvale/schema/messages.capnp
@@ -21,6 +21,7 @@
   fingerprint @7 :Text;
   startByMs @8 :UInt64;
   promptTokens @9 :UInt32;
+  isSuspect @10 :Bool;
 }
 struct SlotGrant {
   requestId @0 :Text;
@@ -99,7 +100,7 @@
   removed @3 :List(Text);
 }
 
-struct CrashSite { backendServer @0 :Text; atMs @1 :UInt64; }
+struct CrashSite { backendServer @0 :Text; atMs @1 :UInt64; beganAtMs @2 :UInt64; }
 struct SuspectNotice {
   fingerprint @0 :Text;
   crashes @1 :UInt16;
--- a/tools/check.py
+++ b/tools/check.py
@@ -58,6 +58,7 @@
     Check("capacity page", (PYTHON, "-m", "tools.check_capacity")),
     Check("model checking", (PYTHON, "tools/check_model.py")),
     Check("policy benches", (PYTHON, "-m", "benchmarks")),
+    Check("routing benches", (PYTHON, "-m", "benchmarks.routing")),
 )
 
 
