--- /dev/null
+++ b/benchmarks/online_baselines.py
@@ -0,0 +1,125 @@
+"""What the policy is compared with: other slot queues, and gateways without slots."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import anyio
+
+from briarvale._generated.messages import HeldGrant, SlotRequest, WorkClass
+from briarvale.batch_admission import BatchAdmission
+from briarvale.clock import Clock
+from briarvale.config import BackendServer, Rules
+from briarvale.grants import Grant
+from briarvale.routing import Choice, RouteRequest
+from briarvale.slot_client import HeldSlot
+from briarvale.slots import SlotQueue
+from briarvale.standins.memory_fleet import MemoryFleet
+
+LOAD_POLL_S = 0.5
+LOAD_CHECK_S = 0.1
+
+__all__ = ["FifoQueue", "LaggingSlots", "RevokeWhenFullQueue", "SplitQueue"]
+
+
+class FifoQueue(SlotQueue):
+    """One queue in order of arrival, without classes, members or revocation."""
+
+    def __init__(self, server: BackendServer, clock: Clock, rules: Rules) -> None:
+        super().__init__(server, clock, rules)
+        self._batch = UnlimitedBatch(self._waiting[WorkClass.BATCH], self._grants)
+
+    def pump(self) -> None:
+        """Grants what came first."""
+        now_ms = self._clock.now_ms()
+        while self.held < self.limit and self.queued:
+            waiters = [waiter for queue in self._waiting.values() for waiter in queue]
+            first = min(waiters, key=lambda waiter: waiter.sequence)
+            self._waiting[first.request.work_class].remove(first)
+            self._grant(first, now_ms)
+
+    def _predicted_wait_ms(self, request: SlotRequest) -> float:
+        return 0.0
+
+
+class SplitQueue(FifoQueue):
+    """Half of the slots for each class, in order of arrival."""
+
+    def pump(self) -> None:
+        """Grants each class its half."""
+        now_ms = self._clock.now_ms()
+        for work_class, queue in self._waiting.items():
+            while len(queue) and self._grants.slots_of(work_class) < self.limit // 2:
+                first = min(queue, key=lambda waiter: waiter.sequence)
+                queue.remove(first)
+                self._grant(first, now_ms)
+
+
+class RevokeWhenFullQueue(SlotQueue):
+    """Online first; batch fills the rest and is revoked only when the slots are full."""
+
+    def __init__(self, server: BackendServer, clock: Clock, rules: Rules) -> None:
+        super().__init__(server, clock, rules)
+        self._batch = UnlimitedBatch(self._waiting[WorkClass.BATCH], self._grants)
+
+
+class UnlimitedBatch(BatchAdmission):
+    """Lets batch hold all slots that online does not."""
+
+    def limit(self, slots: int, online_slots: int, online_peak: int) -> int:
+        """Returns all slots."""
+        return slots
+
+    def may_start(self, now_ms: int) -> bool:
+        """Starts are not paced."""
+        return True
+
+    def ahead_of_online(self, now_ms: int) -> list[Grant]:
+        """No prompt is revoked for being ahead."""
+        return []
+
+    def borrowed(self, start_limit: int) -> list[Grant]:
+        """No share is returned."""
+        return []
+
+
+class LaggingSlots:
+    """Independent gateways: no slots, and loads as the engines last reported them.
+
+    It stands in both for the slot client and for the router.
+
+    Args:
+        fleet: Whose engines it polls.
+    """
+
+    def __init__(self, fleet: MemoryFleet) -> None:
+        self._fleet = fleet
+        self._streams: dict[str, int] = {}
+
+    async def run(self) -> None:
+        """Polls the engines until cancelled."""
+        while True:
+            for name, engine in self._fleet.backends.engines.items():
+                self._streams[name] = (await engine.load()).streams
+            await anyio.sleep(LOAD_POLL_S)
+
+    def pick(self, request: RouteRequest, excluded: object = ()) -> Choice:
+        """Returns the engine that last reported the fewest streams."""
+        view = next(iter(self._fleet.vms.values())).gateway.view
+        servers = view.ready_servers(request.service)
+        server = min(servers, key=lambda each: self._streams.get(each.id, 0))
+        return Choice(server, (), "least load as last reported")
+
+    def takes_work(self, backend_server: str) -> bool:
+        """Whether a server may get work; each one may."""
+        return True
+
+    @asynccontextmanager
+    async def hold(self, request: SlotRequest) -> AsyncIterator[HeldSlot]:
+        """Lets online through; batch waits until the reported streams are under the slots."""
+        slots = self._fleet.settings.slots
+        while (
+            request.work_class is WorkClass.BATCH
+            and self._streams.get(request.backend_server, 0) >= slots
+        ):
+            await anyio.sleep(LOAD_CHECK_S)
+        yield HeldSlot(HeldGrant(request.request_id, request.backend_server))
--- a/briarvale/_generated/messages.py
+++ b/briarvale/_generated/messages.py
@@ -83,6 +83,7 @@
     fingerprint: str = ""
     start_by_ms: int = 0
     prompt_tokens: int = 0
+    is_suspect: bool = False
 
 
 class SlotGrant(NamedTuple):
@@ -196,6 +197,7 @@
     vms: tuple[VmState, ...] = ()
     servers: tuple[ServerState, ...] = ()
     config_revision: int = 0
+    is_delta: bool = False
 
 
 class ConfigFetch(NamedTuple):
@@ -226,6 +228,7 @@
 
     backend_server: str = ""
     at_ms: int = 0
+    began_at_ms: int = 0
 
 
 class SuspectNotice(NamedTuple):
@@ -377,6 +380,7 @@
         reader.fingerprint,
         reader.startByMs,
         reader.promptTokens,
+        reader.isSuspect,
     )
 
 
@@ -391,6 +395,7 @@
     builder.fingerprint = message.fingerprint
     builder.startByMs = message.start_by_ms
     builder.promptTokens = message.prompt_tokens
+    builder.isSuspect = message.is_suspect
 
 
 def _read_slot_grant(reader: Any) -> SlotGrant:
@@ -588,6 +593,7 @@
         tuple(_read_vm_state(item) for item in reader.vms),
         tuple(_read_server_state(item) for item in reader.servers),
         reader.configRevision,
+        reader.isDelta,
     )
 
 
@@ -599,6 +605,7 @@
     for index, server_state in enumerate(message.servers):
         _write_server_state(servers[index], server_state)
     builder.configRevision = message.config_revision
+    builder.isDelta = message.is_delta
 
 
 def _read_config_fetch(reader: Any) -> ConfigFetch:
@@ -647,12 +654,14 @@
     return CrashSite(
         reader.backendServer,
         reader.atMs,
+        reader.beganAtMs,
     )
 
 
 def _write_crash_site(builder: Any, message: CrashSite) -> None:
     builder.backendServer = message.backend_server
     builder.atMs = message.at_ms
+    builder.beganAtMs = message.began_at_ms
 
 
 def _read_suspect_notice(reader: Any) -> SuspectNotice:
--- a/briarvale/schema/messages.capnp
+++ b/briarvale/schema/messages.capnp
@@ -21,6 +21,7 @@
   fingerprint @7 :Text;
   startByMs @8 :UInt64;
   promptTokens @9 :UInt32;
+  isSuspect @10 :Bool;
 }
 struct SlotGrant {
   requestId @0 :Text;
@@ -83,7 +84,12 @@
   adapters @7 :List(Text);
 }
 struct ViewSubscribe { role @0 :Text; }
-struct View { vms @0 :List(VmState); servers @1 :List(ServerState); configRevision @2 :UInt64; }
+struct View {
+  vms @0 :List(VmState);
+  servers @1 :List(ServerState);
+  configRevision @2 :UInt64;
+  isDelta @3 :Bool;
+}
 
 struct ConfigFetch { haveRevision @0 :UInt64; }
 struct ConfigDocument { name @0 :Text; digest @1 :Text; body @2 :Data; }
@@ -94,7 +100,7 @@
   removed @3 :List(Text);
 }
 
-struct CrashSite { backendServer @0 :Text; atMs @1 :UInt64; }
+struct CrashSite { backendServer @0 :Text; atMs @1 :UInt64; beganAtMs @2 :UInt64; }
 struct SuspectNotice {
   fingerprint @0 :Text;
   crashes @1 :UInt16;
