Quarantine crashing items, order by measured rate, and test outages, due dates and results

Cause: an item that crashes engines took its neighbours' attempts with it; the order of a job's items followed a prediction that moved with each item, so that old ones starved behind new ones; a prediction from item times that include the wait for a slot was off by half. Change: items use the quarantine of the online path; the prediction is the rest over the measured rate of the member and service, its order in whole minutes, read anew at each slot request. Replaced: the scenario "an item that fails each attempt" dropped its stream, which now means quarantine; it became two as strict ones (a crashing item ends as quarantined after 2 crashes and no other item suffers; a refused item ends as attempts_exhausted).

--- a/briarvale/active_jobs.py
+++ b/briarvale/active_jobs.py
@@ -17,7 +17,7 @@
 from .store_budget import StoreBudget
 
 WATCH_S = 30.0
-LIST_INTERVAL_S = 60.0
+LIST_INTERVAL_S = 300.0
 PENDING_INTERVAL_S = 10.0
 RETRY_MAX_S = 5.0
 PAUSE_S = 5.0
@@ -39,6 +39,8 @@
 class ActiveJobs:
     """Keeps the records of unfinished jobs current.
 
+    `pending` are submissions without a record; `unclean` are ended jobs that are still listed.
+
     Args:
         store: The Object API.
         budget: Paces and retries the calls.
@@ -50,6 +52,7 @@
         self._random = random.Random(random.random())
         self.records: dict[UploadKey, JobRecord] = {}
         self.pending: set[UploadKey] = set()
+        self.unclean: set[UploadKey] = set()
         self.pause_count = 0
         self._changed = anyio.Event()
 
@@ -68,6 +71,7 @@
         """Drops a submission whose index object is gone."""
         self.records.pop(upload, None)
         self.pending.discard(upload)
+        self.unclean.discard(upload)
 
     async def refresh(self, upload: UploadKey) -> None:
         """Reads the record of a submission again."""
@@ -109,6 +113,8 @@
         stale = listed if also_known else listed - self.records.keys()
         for upload in sorted(stale):
             await self.refresh(upload)
+            if upload in self.records and self.records[upload].state.is_final:
+                self.unclean.add(upload)
 
     async def _follow(self, key: str) -> None:
         job = await self._read(key)
--- a/briarvale/batch.py
+++ b/briarvale/batch.py
@@ -18,6 +18,7 @@
 from .item_scheduler import ItemScheduler
 from .jobs import JobRecord, JobState, late_key
 from .ownership import batch_vms, rank_by_rendezvous
+from .quarantine import Quarantine
 from .retention import Retention
 from .routing import Router
 from .settings import Settings
@@ -27,7 +28,7 @@
 
 LOOK_INTERVAL_S = 1.0
 START_GRACE_S = 3.0
-FINISH_INTERVAL_S = 30.0
+FINISH_INTERVAL_S = 120.0
 YIELD_START_S = 5.0
 YIELD_MAX_S = 60.0
 RETRY_S = 5.0
@@ -60,6 +61,7 @@
         self._settings = settings
         self._environment = environment
         self.view = FleetView(settings, environment)
+        self.quarantine = Quarantine(environment, self.view)
         self.budget = StoreBudget()
         self.due_dates = due_dates or DueDates(environment.clock)
         self.jobs = ActiveJobs(environment.store, self.budget)
@@ -95,7 +97,9 @@
             tasks.start_soon(self.view.run)
             await self.view.wait_ready()
             slots = SlotClient(self._environment, self.view, tasks)
-            items = ItemRunner(self._environment, self.view, Router(self.view), slots)
+            router = Router(self.view)
+            items = ItemRunner(self._environment, self.view, router, slots, self.quarantine)
+            tasks.start_soon(self.quarantine.run)
             scheduler = ItemScheduler(items, self.due_dates, self.budget, self._items_at_once)
             self._scheduler = scheduler
             runner = ShardRunner(self._environment, self.budget, scheduler, self.finisher)
@@ -274,10 +278,9 @@
             for upload, job in sorted(self.jobs.records.items()):
                 if not self.is_mine("/".join(upload)):
                     continue
-                if job.state.is_final:
+                if upload in self.jobs.unclean:
                     await self.finisher.clean_up(job)
-                    self._forget(upload, job)
-                else:
+                elif not job.state.is_final:
                     self._sealed[upload] = await self.finisher.finish_if_sealed(job)
             self._drop_gone()
             await anyio.sleep(FINISH_INTERVAL_S * random.uniform(0.8, 1.2))
--- a/briarvale/due_dates.py
+++ b/briarvale/due_dates.py
@@ -1,4 +1,4 @@
-"""When each job's work must start to be done before it is due, from measured item times."""
+"""When each job's work must start to be done before it is due, from the measured item rate."""
 
 from collections.abc import Iterable
 from typing import NamedTuple
@@ -7,9 +7,10 @@
 from .clock import MS_PER_S, Clock
 from .jobs import JobRecord
 
-ITEM_TIME_WEIGHT = 0.05
-DEFAULT_ITEM_MS = 5_000.0
+RATE_DECAY = 0.97
+DEFAULT_ITEM_S = 5.0
 WARN_AFTER_MS = 10_000
+ORDER_STEP_MS = 60_000
 
 log = logs.part("batch")
 
@@ -24,8 +25,28 @@
     parallel_items: int
 
 
+class _Rate:
+    """Items finished a second over about half a minute of work."""
+
+    def __init__(self) -> None:
+        self.finished = 0
+        self._items = 0.0
+        self._seconds = 0.0
+
+    @property
+    def items_per_s(self) -> float:
+        """The rate; 0 before the first second of work."""
+        return self._items / self._seconds if self._seconds else 0.0
+
+    def note_second(self) -> None:
+        """Ends one second in which items ran."""
+        self._items = self._items * RATE_DECAY + self.finished
+        self._seconds = self._seconds * RATE_DECAY + 1
+        self.finished = 0
+
+
 class DueDates:
-    """Measures item times and predicts when jobs end.
+    """Measures the rate of each member and service on this VM and predicts when jobs end.
 
     Args:
         clock: Source of instants.
@@ -33,36 +54,37 @@
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
-        self._item_ms: dict[str, float] = {}
-        self._service_item_ms: dict[str, float] = {}
+        self._rates: dict[tuple[str, str], _Rate] = {}
         self._start_by_ms: dict[str, int] = {}
         self._late_since_ms: dict[str, int] = {}
         self.late: set[str] = set()
 
-    def note_item(self, job: JobRecord, took_ms: float) -> None:
-        """Takes the time that one finished item took, from its first attempt."""
-        known_ms = self._service_item_ms.get(job.service, took_ms)
-        smoothed_ms = known_ms + ITEM_TIME_WEIGHT * (took_ms - known_ms)
-        self._service_item_ms[job.service] = smoothed_ms
-        known_ms = self._item_ms.get(job.key, took_ms)
-        self._item_ms[job.key] = known_ms + ITEM_TIME_WEIGHT * (took_ms - known_ms)
+    def note_item(self, job: JobRecord) -> None:
+        """Takes that an item finished."""
+        self._rate_of(job).finished += 1
 
     def start_by_ms(self, job: JobRecord) -> int:
-        """Returns the instant by which the rest must start; the order of least slack."""
-        return self._start_by_ms.get(job.key, job.due_at_ms)
+        """Returns the instant by which the rest must start; the order of least slack.
+
+        Whole minutes, so that a job's items keep their own order while the prediction moves.
+        """
+        return self._start_by_ms.get(job.key, job.due_at_ms) // ORDER_STEP_MS * ORDER_STEP_MS
 
     def finish_at_ms(self, job: JobRecord) -> int:
         """Returns the predicted end of this VM's part of the job."""
-        return self._clock.now_ms() + job.due_at_ms - self.start_by_ms(job)
+        start_by_ms = self._start_by_ms.get(job.key, job.due_at_ms)
+        return self._clock.now_ms() + job.due_at_ms - start_by_ms
 
     def update(self, work: Iterable[RemainingWork]) -> list[JobRecord]:
-        """Predicts anew; returns the jobs of which it is now said that they will be late."""
+        """Predicts anew, once a second; returns the jobs now said to be late."""
         now_ms = self._clock.now_ms()
+        work = list(work)
+        for rate in {self._rate_of(rest.job) for rest in work if rest.parallel_items}:
+            rate.note_second()
         newly_late = []
         for rest in work:
             job = rest.job
-            remaining_ms = rest.item_count * self._item_time_ms(job) / max(1, rest.parallel_items)
-            self._start_by_ms[job.key] = int(job.due_at_ms - remaining_ms)
+            self._start_by_ms[job.key] = int(job.due_at_ms - self._remaining_ms(rest))
             if not rest.item_count or self._start_by_ms[job.key] > now_ms:
                 self._late_since_ms.pop(job.key, None)
                 continue
@@ -75,13 +97,19 @@
 
     def forget(self, job: JobRecord) -> None:
         """Drops what is known of a finished job."""
-        for known in (self._item_ms, self._start_by_ms, self._late_since_ms):
+        for known in (self._start_by_ms, self._late_since_ms):
             known.pop(job.key, None)
         self.late.discard(job.key)
 
-    def _item_time_ms(self, job: JobRecord) -> float:
-        service_ms = self._service_item_ms.get(job.service, DEFAULT_ITEM_MS)
-        return self._item_ms.get(job.key, service_ms)
+    def _remaining_ms(self, rest: RemainingWork) -> float:
+        """Returns how long the job would take if it got all that its member gets here."""
+        items_per_s = self._rate_of(rest.job).items_per_s
+        if not items_per_s:
+            items_per_s = max(1, rest.parallel_items) / DEFAULT_ITEM_S
+        return rest.item_count / items_per_s * MS_PER_S
+
+    def _rate_of(self, job: JobRecord) -> _Rate:
+        return self._rates.setdefault((job.member, job.service), _Rate())
 
     def _warn(self, job: JobRecord) -> None:
         self.late.add(job.key)
--- a/briarvale/item_runner.py
+++ b/briarvale/item_runner.py
@@ -1,14 +1,13 @@
 """Runs one batch item to its result, over as many slots and backend servers as it takes."""
 
-import hashlib
 import random
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from typing import NamedTuple
 
 import anyio
 
 from . import logs
-from ._generated.messages import Outcome, SlotRequest, WorkClass
+from ._generated.messages import Outcome, SlotRequest, SuspectNotice, WorkClass
 from .config import BackendServer
 from .engine_client import Completion, Engine, Token
 from .environment import Environment
@@ -21,12 +20,13 @@
 )
 from .fleet_view import FleetView
 from .jobs import Item, JobRecord
+from .quarantine import Quarantine, fingerprint_of
 from .routing import Router, RouteRequest
 from .shard_log import ItemResult
 from .slot_client import HeldSlot, SlotClient, new_request_id
 from .traces import tracer
 
-SLOT_WAIT_MS = 30_000
+SLOT_WAIT_MS = 120_000
 RETRY_START_S = 0.5
 RETRY_MAX_S = 30.0
 WAIT_MAX_S = 2.0
@@ -43,12 +43,12 @@
 
 
 class ItemWork(NamedTuple):
-    """One item of a shard, and by when it should start."""
+    """One item of a shard; `start_by_ms` tells by when the rest of its job should start."""
 
     job: JobRecord
     item: Item
     item_index: int
-    start_by_ms: int
+    start_by_ms: Callable[[JobRecord], int]
 
 
 class _Progress:
@@ -61,6 +61,7 @@
         self.attempts = 0
         self.refusals = 0
         self.waits = 0
+        self.sent_at_ms = 0
         self.excluded: set[str] = set()
         self.cache_server: BackendServer | None = None
 
@@ -73,15 +74,24 @@
         view: The fleet as last told.
         router: Chooses backend servers.
         slots: Asks their owners for slots.
+        quarantine: Tells which items crash backend servers.
     """
 
     def __init__(
-        self, environment: Environment, view: FleetView, router: Router, slots: SlotClient
+        self,
+        environment: Environment,
+        view: FleetView,
+        router: Router,
+        slots: SlotClient,
+        quarantine: Quarantine,
     ) -> None:
         self._environment = environment
         self._view = view
         self._router = router
         self._slots = slots
+        self._quarantine = quarantine
+        self._attempts: dict[str, set[anyio.CancelScope]] = {}
+        quarantine.subscribe(self._interrupt_suspect)
 
     async def run(self, work: ItemWork) -> ItemResult:
         """Runs an item until it has a result, which is an error if it can never be done.
@@ -115,19 +125,63 @@
         return progress.attempts >= max_attempts or progress.refusals >= MAX_REFUSALS
 
     async def _attempt(self, work: ItemWork, progress: _Progress) -> None:
-        server = self._router.choose(_route(work), self._excluded(work, progress))
+        """Runs one attempt, on its probation server if the item is a suspect."""
+        fingerprint = fingerprint_of(work.job.service, work.item["prompt"])
+        notice = self._quarantine.check(fingerprint)
+        if notice is not None:
+            notice = await self._quarantine.wait_settled(fingerprint)
+        server = self._choose(work, progress, notice)
         progress.excluded = {server.id}
+        self._router.loads.note_start(server.id)
+        try:
+            with anyio.CancelScope() as scope:
+                if notice is None:
+                    self._attempts.setdefault(fingerprint, set()).add(scope)
+                await self._hold_and_stream(work, progress, server)
+        except ServerLost:
+            self._quarantine.note_crash(fingerprint, server.id, progress.sent_at_ms)
+            raise
+        finally:
+            self._forget_attempt(fingerprint, scope)
+            self._router.loads.note_end(server.id)
+        progress.excluded = set()
+        if progress.is_whole:
+            self._quarantine.note_finish(fingerprint)
+
+    def _choose(
+        self, work: ItemWork, progress: _Progress, notice: SuspectNotice | None
+    ) -> BackendServer:
+        if notice is not None:
+            crashed = [site.backend_server for site in notice.sites]
+            return self._router.pick_probation(_route(work), crashed).server
+        return self._router.choose(_route(work), self._excluded(work, progress))
+
+    def _forget_attempt(self, fingerprint: str, scope: anyio.CancelScope) -> None:
+        scopes = self._attempts.get(fingerprint, set())
+        scopes.discard(scope)
+        if not scopes:
+            self._attempts.pop(fingerprint, None)
+
+    def _interrupt_suspect(self, notice: SuspectNotice) -> None:
+        """Ends runs that began before their content was a suspect; they go on as suspects."""
+        if notice.sites:
+            for scope in self._attempts.get(notice.fingerprint, ()):
+                scope.cancel()
+
+    async def _hold_and_stream(
+        self, work: ItemWork, progress: _Progress, server: BackendServer
+    ) -> None:
         with tracer.start_as_current_span("batch item") as span:
             span.set_attribute("briarvale.backend_server", server.id)
             async with self._slots.hold(self._slot_request(work, progress, server.id)) as slot:
                 progress.waits = 0
                 await self._move_cache(progress, server)
+                progress.sent_at_ms = self._environment.clock.now_ms()
                 try:
                     await self._stream(work, progress, slot, server)
                 except ServerLost:
                     slot.outcome = Outcome.CRASHED
                     raise
-        progress.excluded = set()
 
     async def _stream(
         self, work: ItemWork, progress: _Progress, slot: HeldSlot, server: BackendServer
@@ -200,8 +254,8 @@
             slot_count=1,
             cost_tokens=prompt_tokens + work.item["max_tokens"] - len(progress.tokens),
             deadline_ms=self._environment.clock.now_ms() + SLOT_WAIT_MS,
-            fingerprint=_fingerprint(work),
-            start_by_ms=max(0, work.start_by_ms),
+            fingerprint=fingerprint_of(work.job.service, work.item["prompt"]),
+            start_by_ms=max(0, work.start_by_ms(work.job)),
         )
 
 
@@ -236,15 +290,9 @@
 
 
 def _route(work: ItemWork) -> RouteRequest:
-    item = work.item
-    return RouteRequest(
-        work.job.service, item["prompt"], item.get("adapter", ""), _fingerprint(work)
-    )
-
-
-def _fingerprint(work: ItemWork) -> str:
-    content = f"{work.job.service}\0{work.item['prompt']}"
-    return hashlib.sha256(content.encode()).hexdigest()[:32]
+    service, item = work.job.service, work.item
+    fingerprint = fingerprint_of(service, item["prompt"])
+    return RouteRequest(service, item["prompt"], item.get("adapter", ""), fingerprint)
 
 
 def _result(work: ItemWork, progress: _Progress) -> ItemResult:
--- a/briarvale/item_scheduler.py
+++ b/briarvale/item_scheduler.py
@@ -177,13 +177,12 @@
         return min(own, key=lambda shard: (self._due_dates.start_by_ms(shard.job), shard.job.key))
 
     async def _run_item(self, shard: OpenShard, index: int, scope: anyio.CancelScope) -> None:
-        started_s = anyio.current_time()
-        start_by_ms = self._due_dates.start_by_ms(shard.job)
         try:
             with scope:
+                start_by_ms = self._due_dates.start_by_ms
                 work = ItemWork(shard.job, shard.items[index], index, start_by_ms)
                 result = await self._runner.run(work)
-                self._due_dates.note_item(shard.job, (anyio.current_time() - started_s) * 1_000)
+                self._due_dates.note_item(shard.job)
                 self._keep(shard, result)
         finally:
             del shard.running[index]
--- a/briarvale/shard_runner.py
+++ b/briarvale/shard_runner.py
@@ -13,7 +13,9 @@
 FIRST_ENTRY_RESULTS = 25
 ENTRY_RESULTS = 400
 ENTRY_MAX_BYTES = 900_000
-ENTRY_MAX_AGE_S = 60.0
+ENTRY_MIN_RESULTS = 100
+ENTRY_AGE_S = 120.0
+ENTRY_MAX_AGE_S = 300.0
 
 log = logs.part("batch")
 
@@ -142,7 +144,7 @@
                 if not is_ours or (is_ending and not shard.results):
                     return
             else:
-                await shard.wait_changed(ENTRY_MAX_AGE_S)
+                await shard.wait_changed(ENTRY_AGE_S)
 
     async def _commit(
         self, running: RunningShard, shard: OpenShard, shard_log: ShardLog, is_last: bool
@@ -173,7 +175,9 @@
             return True
         if shard.result_bytes >= ENTRY_MAX_BYTES:
             return True
-        return anyio.current_time() - shard.oldest_result_at_s >= ENTRY_MAX_AGE_S
+        age_s = anyio.current_time() - shard.oldest_result_at_s
+        is_worth_it = len(shard.results) >= ENTRY_MIN_RESULTS * self._budget.entry_factor
+        return age_s >= (ENTRY_AGE_S if is_worth_it else ENTRY_MAX_AGE_S)
 
 
 def _entry_results(shard: OpenShard) -> list[ItemResult]:
--- a/features/batch/items.feature
+++ b/features/batch/items.feature
@@ -1,9 +1,16 @@
 Feature: One item that can never be done holds nothing up
 
-  Scenario: An item that fails each attempt ends with one error result
-    Given a job with an item on which every backend server drops the stream
+  Scenario: An item that crashes each backend server is quarantined, and no other suffers
+    Given a job with an item that crashes each backend server
     When the job has run
-    Then that item has one result with the error "attempts_exhausted" after 3 runs
+    Then that item has one result with the error "quarantined" after 2 runs
+    And 2 crashes of backend servers were seen
+    And all other items have their whole text
+
+  Scenario: An item that engines refuse each time ends with one error result
+    Given a job with an item that each backend server refuses
+    When the job has run
+    Then that item has one result with the error "attempts_exhausted" after 0 runs
     And all other items have their whole text
 
   Scenario: An item that engines refuse as invalid ends at once
--- /dev/null
+++ b/features/batch/outage.feature
@@ -0,0 +1,14 @@
+Feature: Batch lives through a store that is away or throttled
+
+  Scenario: An outage pauses items once the buffer is full, and its end brings no storm
+    Given batch jobs whose results may wait in 20 KB a VM
+    When the store is away for 120 s
+    Then items went on in the outage until the buffer was full, and no further
+    And no call was throttled after the return and the busiest second had at most 100 calls
+    And the checker finds nothing lost, doubled, run after its seal or falsely refused
+
+  Scenario: A throttled store gets fewer and larger entries
+    Given batch jobs whose results may wait in 20000 KB a VM
+    When the store allows 3 writes and 10 reads a second
+    Then at most a quarter of the calls are throttled
+    And the checker finds nothing lost, doubled, run after its seal or falsely refused
--- a/features/steps/batch_items.py
+++ b/features/steps/batch_items.py
@@ -9,7 +9,7 @@
 from behave.runner import Context
 
 from briarvale.engine_client import Completion, Token
-from briarvale.errors import InvalidRequest, ServerLost
+from briarvale.errors import InvalidRequest, ServerLost, ServerRefused
 from briarvale.job_results import read_progress, read_results
 from briarvale.jobs import JobRequest
 from briarvale.online import OnlineRequest
@@ -26,10 +26,18 @@
 _complete = StandinEngine.complete
 
 
-async def _drop_bad(self: StandinEngine, completion: Completion) -> AsyncIterator[Token]:
+async def _crash_bad(self: StandinEngine, completion: Completion) -> AsyncIterator[Token]:
     async for token in _complete(self, completion):
         if completion.prompt == BAD:
-            raise ServerLost("dropped")
+            self.crash()
+            raise ServerLost("crashed")
+        yield token
+
+
+async def _fail_bad(self: StandinEngine, completion: Completion) -> AsyncIterator[Token]:
+    if completion.prompt == BAD:
+        raise ServerRefused("status 500")
+    async for token in _complete(self, completion):
         yield token
 
 
@@ -89,9 +97,19 @@
     context.tokens, context.settings = tokens, settings
 
 
-@given("a job with an item on which every backend server drops the stream")
-def given_dropped(context: Context) -> None:
-    _given(context, _drop_bad)
+@given("a job with an item that crashes each backend server")
+def given_crashing(context: Context) -> None:
+    _given(context, _crash_bad, tokens=40)
+
+
+@given("a job with an item that each backend server refuses")
+def given_refused(context: Context) -> None:
+    _given(context, _fail_bad)
+
+
+@then("{count:d} crashes of backend servers were seen")
+def then_crashes(context: Context, count: int) -> None:
+    assert sum(engine.crashes for engine in context.fleet.backends.engines.values()) == count
 
 
 @given("a job with an item that engines refuse as invalid")
--- a/features/support/batch_jobs.py
+++ b/features/support/batch_jobs.py
@@ -6,9 +6,7 @@
 
 import anyio
 
-from briarvale.errors import NotFound
-from briarvale.job_results import JobProgress, read_progress
-from briarvale.jobs import JobRecord, JobRequest, load_job
+from briarvale.jobs import JobRecord, JobRequest, JobState, job_key
 from briarvale.standins.checker import CallerRecord, Verdict, check_run
 from briarvale.standins.memory_fleet import ENGINE_SERVICE, FleetSettings, MemoryFleet
 from features.support.virtual import run_virtual
@@ -18,7 +16,7 @@
 
 T = TypeVar("T")
 
-__all__ = ["MEMBER", "check", "item_lines", "play", "stopped", "submit", "wait_final"]
+__all__ = ["MEMBER", "check", "item_lines", "play", "submit", "wait_final"]
 
 
 def play(act: Callable[[MemoryFleet], Awaitable[T]], settings: FleetSettings, seed: int = 1) -> T:
@@ -66,20 +64,13 @@
     """Waits until the job has ended."""
     with anyio.fail_after(give_up_s):
         while True:
-            try:
-                job, _ = await load_job(fleet.store, MEMBER, name)
-                if job.state.is_final:
-                    return job
-            except NotFound:
-                pass
+            value = fleet.store.peek(job_key(MEMBER, name))
+            job = JobRecord.decode(value) if value is not None else None
+            if job is not None and job.state.is_final and job.state is not JobState.VOID:
+                return job
             await anyio.sleep(0.2)
 
 
-async def stopped(fleet: MemoryFleet, job: JobRecord) -> JobProgress:
-    """Reads how far a job is."""
-    return await read_progress(fleet.store, job)
-
-
 def check(fleet: MemoryFleet, *names: str, cancelled_at_s: float = 0.0) -> Verdict:
     """Runs the checker over jobs that were accepted."""
     callers = [CallerRecord(MEMBER, name, 1.0, False, cancelled_at_s) for name in names]
--- a/tools/check.py
+++ b/tools/check.py
@@ -57,6 +57,8 @@
     Check("control benches", (PYTHON, "-m", "benchmarks.control", "--small")),
     Check("capacity page", (PYTHON, "-m", "tools.check_capacity")),
     Check("model checking", (PYTHON, "tools/check_model.py")),
+    Check("chaos", (PYTHON, "-m", "benchmarks.chaos", "--seeds", "200")),
+    Check("batch benches", (PYTHON, "-m", "benchmarks.batch")),
     Check("policy benches", (PYTHON, "-m", "benchmarks")),
     Check("routing benches", (PYTHON, "-m", "benchmarks.routing")),
 )
