Exchange what both sides of a cut learned once it is over

Cause: rumors published during a cut were sent into the void a bounded number of times and never reached the other side. Ruled out: keeping rumors until all VMs confirm them, which needs state for each VM and rumor. Change: when VMs come back from the dead, about 16 of those that see it fetch the state of one and spread what is new to them; each VM also does so with a random peer about every five minutes. Before -> after: features/nodes/membership.feature, 'What either side learned during a cut is known everywhere after it': fails, each side knows its own -> passes; 27 of 27 scenarios. Conclusion: a cut leaves no lasting difference in what is known of servers.

--- a/briarvale/failure_detector.py
+++ b/briarvale/failure_detector.py
@@ -40,7 +40,8 @@
     A verdict that no other VM confirmed is local: it is never spread, since this VM may itself be
     the one that is cut off.
 
-    `version` counts changes of health and membership, `update_count` all changes.
+    `version` counts changes of health and membership, `update_count` all changes. `revived` gathers
+    the VMs that came back from the dead until somebody clears it.
 
     Args:
         own: This VM's state at its start.
@@ -58,6 +59,7 @@
         self._suspects: set[str] = set()
         self._ring: list[str] | None = None
         self._has_list = False
+        self.revived: set[str] = set()
         self.version = 0
         self.update_count = 0
 
@@ -238,6 +240,8 @@
             case VmHealth.SUSPECT:
                 self._suspects.add(state.vm)
                 member.suspect_until_ms = now_ms + SUSPICION_MS
+            case VmHealth.ALIVE if was is VmHealth.DEAD:
+                self.revived.add(state.vm)
             case VmHealth.DEAD if was is not VmHealth.DEAD and is_spread:
                 self._note_death(member, now_ms)
         if was is not state.health:
--- a/briarvale/membership.py
+++ b/briarvale/membership.py
@@ -29,6 +29,9 @@
 GATHER_S = 0.05
 SYNC_TIMEOUT_S = 2.0
 SYNC_ATTEMPTS = 3
+SYNC_DELAY_S = 3.0
+SYNC_INTERVAL_S = 300.0
+SYNCS_PER_CUT = 16
 LEAVE_FANOUT = 16
 
 log = logs.part("membership")
@@ -140,6 +143,8 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._poll_list)
             tasks.start_soon(self._sync_at_start)
+            tasks.start_soon(self._sync_after_cuts)
+            tasks.start_soon(self._sync_rarely)
             tasks.start_soon(self._watch_detector)
             await self._heartbeats.run()
 
@@ -173,13 +178,34 @@
             if await self._sync_with(peer):
                 return
 
-    async def _sync_with(self, vm: str) -> bool:
+    async def _sync_after_cuts(self) -> None:
+        """Exchanges what either side learned while some VMs were cut off.
+
+        In a large fleet some VMs do so for all, since they spread what is new to them.
+        """
+        while True:
+            await self._changed.wait()
+            if not self._detector.revived:
+                continue
+            await anyio.sleep(SYNC_DELAY_S * self._random.random())
+            revived = sorted(self._detector.revived)
+            self._detector.revived.clear()
+            if self._random.random() < SYNCS_PER_CUT / max(1, len(self.vms)):
+                await self._sync_with(self._random.choice(revived), is_spread=True)
+
+    async def _sync_rarely(self) -> None:
+        while True:
+            await anyio.sleep(SYNC_INTERVAL_S * (0.5 + self._random.random()))
+            for peer in self.random_peers(1):
+                await self._sync_with(peer, is_spread=True)
+
+    async def _sync_with(self, vm: str, *, is_spread: bool = False) -> bool:
         address = self.peer_address(vm)
         if address is None:
             return False
         try:
             with anyio.fail_after(SYNC_TIMEOUT_S):
-                self._take_snapshot(await self._fetch_snapshot(address))
+                self._take_snapshot(await self._fetch_snapshot(address), is_spread)
         except (OwnerUnreachable, PeerClosed, PeerProtocolError, TimeoutError) as error:
             log.debug("No state from {}: {}.", vm, error)
             return False
@@ -196,14 +222,14 @@
         finally:
             await stream.aclose()
 
-    def _take_snapshot(self, snapshot: StateSnapshot) -> None:
+    def _take_snapshot(self, snapshot: StateSnapshot, is_spread: bool) -> None:
         now_ms = self._environment.clock.now_ms()
         for vm in snapshot.vms:
-            self._detector.take_update(vm, now_ms, is_spread=False)
+            self._detector.take_update(vm, now_ms, is_spread=is_spread)
         for server in snapshot.servers:
-            self._hear(server, is_spread=False)
+            self._hear(server, is_spread=is_spread)
         for suspect in snapshot.suspects:
-            self._hear(suspect, is_spread=False)
+            self._hear(suspect, is_spread=is_spread)
 
     def _note_change(self) -> None:
         self._detector_changed.set()
--- a/features/nodes/membership.feature
+++ b/features/nodes/membership.feature
@@ -114,3 +114,8 @@
     When 10 % of the datagrams are lost and a rumor on "bs-1" is followed by an older one
     Then all dispatchers know the later rumor on "bs-1" within 5 s
     And a dispatcher that starts afterwards knows it too
+
+  Scenario: What either side learned during a cut is known everywhere after it
+    Given 9 dispatchers that know each other, seed 17
+    When "zone-2" is cut off for 60 s, and each side learns of another backend server meanwhile
+    Then 30 s after that all dispatchers know both
--- a/features/steps/nodes_membership.py
+++ b/features/steps/nodes_membership.py
@@ -332,3 +332,31 @@
 @then("a dispatcher that starts afterwards knows it too")
 def then_rumor_kept(context: Context) -> None:
     assert context.known_after == RUMOR_STREAMS, context.known_after
+
+
+@when(
+    '"{zone}" is cut off for {cut_s:d} s, and each side learns of another backend server meanwhile'
+)
+def when_cut_rumors(context: Context, zone: str, cut_s: int) -> None:
+    async def fault(fleet: DispatcherFleet, tasks: TaskGroup) -> None:
+        fleet.cut_off(fleet.zone(zone))
+        await anyio.sleep(10)
+        outside = next(vm for vm in fleet.entries if vm not in fleet.zone(zone))
+        for vm, server in ((fleet.zone(zone)[0], "bs-901"), (outside, "bs-902")):
+            now_ms = fleet.clock.now_ms()
+            rumor = ServerState(server, vm, ServerHealth.DOWN, RUMOR_STREAMS, 0, 0, now_ms)
+            fleet.dispatchers[vm].membership.publish(rumor)
+        await anyio.sleep(cut_s - 10)
+        fleet.network.cut.clear()
+        await anyio.sleep(29)
+        vms = fleet.dispatchers
+        context.known = {
+            vm: (_known(fleet, vm, "bs-901"), _known(fleet, vm, "bs-902")) for vm in vms
+        }
+
+    watch(context, fault, cut_s + 30, [])
+
+
+@then("{wait_s:d} s after that all dispatchers know both")
+def then_both_known(context: Context, wait_s: int) -> None:
+    assert set(context.known.values()) == {(RUMOR_STREAMS, RUMOR_STREAMS)}, context.known
