Send local programs what changed of the configuration

Change: the dispatcher sends a delta on what it told before; FleetView keeps what it had parsed and asks anew where a delta doesn't fit. Before -> after: features/nodes/configuration.feature, 'A gateway parses the changed document alone' fails -> passes; 33 scenarios pass. Conclusion: a change of one member costs every process that member's document.

--- a/briarvale/dispatcher.py
+++ b/briarvale/dispatcher.py
@@ -24,6 +24,7 @@
 )
 from .clock import MS_PER_S
 from .config import BackendServer
+from .config_bundle import delta_since
 from .config_spread import ConfigSpread
 from .environment import Environment
 from .errors import BriarvaleError, ServerNotReady
@@ -147,10 +148,14 @@
             self._settle()
 
     async def _follow_config(self) -> None:
+        told = ConfigBundle()
         while True:
             await self.config_spread.wait_changed()
-            if self.config_spread.config is not None:
-                self._broadcast(self.config_spread.config.bundle)
+            config = self.config_spread.config
+            if config is not None and config.revision > told.revision:
+                changes = delta_since(told, config.bundle) if told.revision else config.bundle
+                self._broadcast(changes)
+                told = config.bundle
             self._settle()
 
     async def _follow_health(self) -> None:
--- a/briarvale/fleet_view.py
+++ b/briarvale/fleet_view.py
@@ -8,6 +8,7 @@
 from . import logs, metrics
 from ._generated.messages import (
     ConfigBundle,
+    ConfigFetch,
     ServerHealth,
     ServerState,
     SuspectNotice,
@@ -16,6 +17,7 @@
     VmState,
 )
 from .config import BackendServer, Config
+from .config_bundle import apply_delta
 from .environment import Environment
 from .errors import NotReady, OwnerUnreachable, PeerClosed, PeerProtocolError
 from .peer import MessageStream, PeerAddress
@@ -131,7 +133,8 @@
                     case View() as view:
                         self._take_view(view)
                     case ConfigBundle() as bundle:
-                        self._take_config(bundle)
+                        if not self._take_config(bundle):
+                            await stream.send(ConfigFetch(self.config.revision))
                     case SuspectNotice() as notice:
                         for handler in self._suspect_handlers:
                             handler(notice)
@@ -146,13 +149,18 @@
         self._servers = self._servers | servers if view.is_delta else servers
         self._notify()
 
-    def _take_config(self, bundle: ConfigBundle) -> None:
+    def _take_config(self, bundle: ConfigBundle) -> bool:
+        """Takes a configuration; says whether it needn't be asked for again."""
         if self._config is not None and bundle.revision <= self._config.revision:
-            return
-        self._config = Config(bundle)
+            return True
+        whole = apply_delta(self._config.bundle if self._config else None, bundle)
+        if whole is None:
+            return self._config is None
+        self._config = Config(whole, self._config)
         metrics.CONFIG_REVISION.set({}, bundle.revision)
         log.info("Configuration {} is in force.", bundle.revision)
         self._notify()
+        return True
 
     def _notify(self) -> None:
         self._changed.set()
--- a/features/nodes/configuration.feature
+++ b/features/nodes/configuration.feature
@@ -126,3 +126,8 @@
     When the operator checks it with the command line
     Then the command ends with 2 and names the member's file, line and field
     And a missing file is named as well
+
+  Scenario: A gateway parses the changed document alone
+    Given a fleet of 3 VMs and 3 engines
+    When the rules change while the gateways run
+    Then each gateway has the new rules and the inventory that it had parsed before
--- a/features/steps/nodes_config.py
+++ b/features/steps/nodes_config.py
@@ -11,7 +11,7 @@
 from behave.runner import Context
 from typer.testing import CliRunner
 
-from briarvale.config import INVENTORY_NAME, RULES_NAME, check_documents
+from briarvale.config import INVENTORY_NAME, RULES_NAME, Config, check_documents
 from briarvale.config_head import (
     HISTORY_KEPT,
     apply_config,
@@ -27,11 +27,13 @@
 from briarvale.object_store import MAX_VALUE_BYTES
 from briarvale.programs.cli import app
 from briarvale.standins.memory_dispatchers import (
+    MEMBER,
     DispatcherFleet,
     DispatcherFleetSettings,
     inventory_of,
     rules_of,
 )
+from briarvale.standins.memory_fleet import MemoryFleet
 from briarvale.standins.object_api import StandinObjectApi
 from features.support.nodes import FleetReports, play
 from features.support.virtual import run_virtual
@@ -564,3 +566,27 @@
 def then_missing(context: Context) -> None:
     assert context.missing.exit_code == 2, context.missing.output
     assert f"{context.folder / 'none.yaml'}: can't be read" in context.missing.output
+
+
+@when("the rules change while the gateways run")
+def when_rules_change(context: Context) -> None:
+    async def act() -> list[tuple[Config, Config]]:
+        fleet = MemoryFleet(context.fleet_settings)
+        async with anyio.create_task_group() as tasks:
+            await fleet.start(tasks)
+            views = [vm.gateway.view for vm in fleet.vms.values()]
+            before = [view.config for view in views]
+            rules = rules_of(50).replace(MEMBER, "trust")
+            await apply_config(fleet.store, fleet.inventory_text(), rules, 1)
+            await anyio.sleep(5)
+            tasks.cancel_scope.cancel()
+        return list(zip(before, (view.config for view in views), strict=True))
+
+    context.configs = run_virtual(act)
+
+
+@then("each gateway has the new rules and the inventory that it had parsed before")
+def then_parsed_once(context: Context) -> None:
+    for before, after in context.configs:
+        assert after.revision == 2 and after.shares["trust"] == 0.5, after.shares
+        assert after.inventory is before.inventory
