--- a/features/nodes/membership.feature
+++ b/features/nodes/membership.feature
@@ -32,7 +32,7 @@
 
   Scenario: A frozen VM that runs again doesn't bring healthy VMs into suspicion
     Given 6 dispatchers that know each other, seed 5
-    When the dispatcher of "vm-2" is frozen for 20 s
+    When "vm-2" is frozen for 20 s
     Then no other VM was counted as dead by a VM that was not frozen
     And 20 s after that each VM counts all VMs as alive
 
--- a/features/steps/nodes_membership.py
+++ b/features/steps/nodes_membership.py
@@ -1,5 +1,7 @@
 """Steps of the membership."""
 
+from collections.abc import Callable
+
 import anyio
 from anyio.abc import TaskGroup
 from behave import given, then, when
@@ -32,42 +34,19 @@
     context.others = [vm for vm in fleet.entries if vm not in failed]
 
 
-@when('the dispatcher of "{vm}" is killed')
-def when_killed(context: Context, vm: str) -> None:
-    async def fault(fleet: DispatcherFleet, tasks: TaskGroup) -> None:
-        fleet.kill_vm(vm)
-
-    watch(context, fault, 15, [vm])
-
-
-@when('the dispatcher of "{vm}" is frozen')
-def when_frozen(context: Context, vm: str) -> None:
-    async def fault(fleet: DispatcherFleet, tasks: TaskGroup) -> None:
-        fleet.network.frozen.add(fleet.host(vm))
-
-    watch(context, fault, 15, [vm])
-
-
-@when('the dispatcher of "{vm}" is cut off in both directions')
-def when_cut(context: Context, vm: str) -> None:
-    async def fault(fleet: DispatcherFleet, tasks: TaskGroup) -> None:
-        fleet.cut_off([vm])
-
-    watch(context, fault, 15, [vm])
-
-
-@when('the dispatcher of "{vm}" is unable to send')
-def when_mute(context: Context, vm: str) -> None:
-    async def fault(fleet: DispatcherFleet, tasks: TaskGroup) -> None:
-        fleet.cut_off([vm], incoming=False)
-
-    watch(context, fault, 60, [vm])
+FAULTS: dict[str, Callable[[DispatcherFleet, str], None]] = {
+    "killed": lambda fleet, vm: fleet.kill_vm(vm),
+    "frozen": lambda fleet, vm: fleet.network.frozen.add(fleet.host(vm)),
+    "cut off in both directions": lambda fleet, vm: fleet.cut_off([vm]),
+    "unable to send": lambda fleet, vm: fleet.cut_off([vm], incoming=False),
+    "unable to receive": lambda fleet, vm: fleet.cut_off([vm], outgoing=False),
+}
 
 
-@when('the dispatcher of "{vm}" is unable to receive')
-def when_deaf(context: Context, vm: str) -> None:
+@when('the dispatcher of "{vm}" is {fault_name}')
+def when_fault(context: Context, vm: str, fault_name: str) -> None:
     async def fault(fleet: DispatcherFleet, tasks: TaskGroup) -> None:
-        fleet.cut_off([vm], outgoing=False)
+        FAULTS[fault_name](fleet, vm)
 
     watch(context, fault, 60, [vm])
 
@@ -91,7 +70,7 @@
     watch(context, fault, cut_s + 20, [])
 
 
-@when('the dispatcher of "{vm}" is frozen for {frozen_s:d} s')
+@when('"{vm}" is frozen for {frozen_s:d} s')
 def when_frozen_for(context: Context, vm: str, frozen_s: int) -> None:
     async def fault(fleet: DispatcherFleet, tasks: TaskGroup) -> None:
         fleet.network.frozen.add(fleet.host(vm))
