--- a/benchmarks/control_slopes.py
+++ b/benchmarks/control_slopes.py
@@ -51,6 +51,8 @@
 STREAMS = 20
 TOKENS = 401
 PLAIN_SERVICE = {"id": "reed-desk", "kind": "plain"}
+LEASE_KEYS = ("leases/",)
+OTHER_KEYS = (*LEASE_KEYS, "config/")
 PROGRAMS = ("gateway", "dispatcher", "batch", "controller")
 
 __all__ = ["measure_slopes"]
@@ -217,25 +219,37 @@
     async with anyio.create_task_group() as tasks:
         await fleet.start(tasks)
         calls_of_few, cpu_of_few_s = await _run_job(fleet, few)
+        started_s, leases_before = anyio.current_time(), _lease_calls_of(fleet)
         calls_of_many, cpu_of_many_s = await _run_job(fleet, many)
+        lease_calls = _lease_calls_of(fleet) - leases_before
+        lease_calls_per_s = lease_calls / (anyio.current_time() - started_s)
         tasks.cancel_scope.cancel()
     calls_per_item = (calls_of_many - calls_of_few) / (many - few)
     return {
         "calls_per_1000_items": calls_per_item * 1_000,
         "calls_per_job": max(0.0, calls_of_few - calls_per_item * few),
         "item_cpu_ms": (cpu_of_many_s - cpu_of_few_s) * 1_000 / (many - few),
+        "lease_calls_per_s": lease_calls_per_s,
     }
 
 
 async def _run_job(fleet: MemoryFleet, items: int) -> tuple[int, float]:
     """Runs a job to its end; returns its Object API calls and its processor time."""
     cpu_before_s = time.process_time()
-    before = len(fleet.store.calls)
+    before = _job_calls_of(fleet)
     request = JobRequest("trust", f"job-{items}", ENGINE_SERVICE, fleet.clock.now_ms() + DUE_MS)
     job = await fleet.vms["vm-1"].gateway.jobs.submit(request, _lines(items))
     while JobRecord.decode(fleet.store.peek(job.key) or b"").state is JobState.RUNNING:
         await anyio.sleep(1)
-    return len(fleet.store.calls) - before, time.process_time() - cpu_before_s
+    return _job_calls_of(fleet) - before, time.process_time() - cpu_before_s
+
+
+def _job_calls_of(fleet: MemoryFleet) -> int:
+    return sum(not call.key.startswith(OTHER_KEYS) for call in fleet.store.calls)
+
+
+def _lease_calls_of(fleet: MemoryFleet) -> int:
+    return sum(call.key.startswith(LEASE_KEYS) for call in fleet.store.calls)
 
 
 async def _lines(items: int) -> AsyncIterator[bytes]:
--- a/tools/check_capacity.py
+++ b/tools/check_capacity.py
@@ -25,6 +25,7 @@
 SERVERS = 10_000
 REQUESTS_PER_S = 68_000
 TOKENS_PER_S = 28_000_000
+MODEL_SERVICES = 8
 ITEMS_PER_DAY = 83_000_000
 JOBS = 1_000
 CONFIG_CHANGES_PER_DAY = 19_000
@@ -106,6 +107,7 @@
         ITEMS_PER_DAY / DAY_S * s["calls_per_1000_items"] / 1_000
         + JOBS / DAY_S * s["calls_per_job"]
     ),
+    "lease_calls_per_s": lambda n, s: MODEL_SERVICES * s["lease_calls_per_s"],
     "items_per_s": lambda n, s: ITEMS_PER_DAY / DAY_S,
     "batch_cpu_percent": lambda n, s: ITEMS_PER_DAY / DAY_S * s["item_cpu_ms"] / 10 / DAEMONS,
     "requests_per_gateway_per_s": lambda n, s: REQUESTS_PER_S / DAEMONS,
