--- a/briarvale/gateway.py
+++ b/briarvale/gateway.py
@@ -7,8 +7,10 @@
 from .environment import Environment
 from .fleet_view import FleetView
 from .job_service import JobService
-from .online import OnlineService
+from .online import OnlineParts, OnlineService
 from .plain_calls import PlainCalls
+from .prefix_cache import PrefixCache
+from .quarantine import Quarantine
 from .request_count import RequestCount
 from .routing import Router
 from .settings import Settings
@@ -38,19 +40,25 @@
         self._is_draining = False
         self._tasks = anyio.create_task_group()
         slots = SlotClient(environment, self.view, self._tasks)
-        router = Router(self.view)
-        self.online = OnlineService(environment, self.view, router, slots, self._tasks)
+        self.prefix_cache = PrefixCache(environment, self.view)
+        router = Router(self.view, prefix_cache=self.prefix_cache, region=settings.region)
+        slots.subscribe_load(router.loads.note_load)
+        self.quarantine = Quarantine(environment, self.view)
+        parts = OnlineParts(self.view, router, slots, self.quarantine, self.prefix_cache)
+        self.online = OnlineService(environment, parts, self._tasks)
         self.plain_calls = PlainCalls(environment, self.view, router, slots, self._tasks)
 
     @property
     def is_ready(self) -> bool:
         """Whether the platform's balancer should send requests here."""
-        return self.view.is_ready and not self._is_draining
+        return self.view.is_ready and self.quarantine.is_loaded and not self._is_draining
 
     async def run(self) -> None:
         """Runs until cancelled."""
         async with self._tasks as tasks:
             tasks.start_soon(self.view.run)
+            tasks.start_soon(self.quarantine.run)
+            tasks.start_soon(self.prefix_cache.run)
             await anyio.sleep_forever()
 
     async def drain(self) -> None:
--- a/briarvale/shard_runner.py
+++ b/briarvale/shard_runner.py
@@ -49,6 +49,13 @@
         self.is_stopping = True
         self._hold()
 
+    def finish(self) -> None:
+        """Lets running items end, commits what is done and closes the shard."""
+        self.is_stopping = True
+        if self.open_shard is not None:
+            self.open_shard.is_held = True
+            self.open_shard.finish()
+
     def replay(self) -> None:
         """Reads the log again before further items start."""
         self.must_replay = True
@@ -90,18 +97,17 @@
         A runner that loses a sequence number to another gives the shard up, so that of two runners
         just one goes on. One that is told to stop commits what it has.
         """
+        job, index = running.job, running.shard_index
+        shard_log = ShardLog(self._store, self._budget, log_prefix(job, index))
         with running.scope:
-            job, index = running.job, running.shard_index
-            shard_log = ShardLog(self._store, self._budget, log_prefix(job, index))
             await shard_log.replay()
             if not shard_log.is_sealed:
                 await self._run_items(running, shard_log)
-            if shard_log.is_sealed:
-                done_count = len(shard_log.done) - shard_log.failed_count
-                seal = ShardSeal(index, done_count, shard_log.failed_count)
-                await self._finisher.mark_sealed(job, seal)
-            return shard_log.is_sealed
-        return False
+        if shard_log.is_sealed:
+            done_count = len(shard_log.done) - shard_log.failed_count
+            seal = ShardSeal(index, done_count, shard_log.failed_count)
+            await self._finisher.mark_sealed(job, seal)
+        return shard_log.is_sealed
 
     async def _run_items(self, running: RunningShard, shard_log: ShardLog) -> None:
         job = running.job
@@ -109,7 +115,7 @@
         shard = OpenShard(job, running.shard_index, items, shard_log.done)
         running.open_shard = shard
         if running.is_cancelling or running.is_stopping:
-            shard.stop()
+            shard.finish()
         self._scheduler.open(shard)
         try:
             await self._commit_until_sealed(running, shard, shard_log)
@@ -130,9 +136,10 @@
                 continue
             is_complete = len(shard_log.done) + len(shard.results) == len(shard.items)
             is_last = is_complete or running.is_cancelling
-            if is_last or running.is_stopping or self._is_entry_due(shard, shard_log):
+            is_ending = running.is_stopping and not shard.running
+            if is_last or is_ending or self._is_entry_due(shard, shard_log):
                 is_ours = await self._commit(running, shard, shard_log, is_last)
-                if not is_ours or (running.is_stopping and not shard.results):
+                if not is_ours or (is_ending and not shard.results):
                     return
             else:
                 await shard.wait_changed(ENTRY_MAX_AGE_S)
@@ -160,8 +167,8 @@
 
     def _is_entry_due(self, shard: OpenShard, shard_log: ShardLog) -> bool:
         """Whether to commit now: the first entry early, so that a second runner meets it soon."""
-        is_first = not shard_log.next_sequence
-        wanted = FIRST_ENTRY_RESULTS if is_first else ENTRY_RESULTS * self._budget.entry_factor
+        factor = self._budget.entry_factor
+        wanted = ENTRY_RESULTS * factor if shard_log.has_appended else FIRST_ENTRY_RESULTS
         if len(shard.results) >= wanted:
             return True
         if shard.result_bytes >= ENTRY_MAX_BYTES:
