Prove that a stopping gateway writes its outcomes, and bear removed claims

Cause: the graceful end of outcomes in memory was not tested, and a claim removed while it was being freed would have ended the gateway's tasks.

Seen failing with finish() switched off: 1 scenario. Measured, behave features/claims: 25 scenarios passed.

--- a/briarvale/claims.py
+++ b/briarvale/claims.py
@@ -41,6 +41,9 @@
 
 T = TypeVar("T")
 
+# After one of these, only reading tells what stands.
+_UNSETTLED = (ObjectExists, ObjectNotFound, StoreThrottled, StoreUnavailable, VersionConflict)
+
 log = logs.part("claims")
 
 __all__ = [
@@ -212,7 +215,7 @@
         metrics.CLAIMS.inc({"result": "not_run"})
         try:
             await self._store.update(held.key, freed.encode(), held.version)
-        except (StoreUnavailable, StoreThrottled, VersionConflict):
+        except _UNSETTLED:
             self._start(self._release, held.key, held.claim, 0)
 
     async def record(self, held: HeldClaim, progress: Answered | AnswerLost) -> None:
@@ -295,7 +298,7 @@
         async def write() -> bool | None:
             try:
                 return await self._free(key, mine.nonce, freed, late_version)
-            except (StoreUnavailable, StoreThrottled, ObjectExists, VersionConflict):
+            except _UNSETTLED:
                 return None
 
         if await _until_found(write, SETTLE_BACKOFF) is None:
@@ -348,7 +351,7 @@
             self.late_version = stored.version
             update = self._store.update(self._key, self._value, stored.version)
             return await self._write(update)
-        except (ObjectNotFound, StoreThrottled, StoreUnavailable, VersionConflict):
+        except _UNSETTLED:
             return None
 
     async def _write(self, write: Awaitable[int]) -> HeldClaim:
--- a/features/claims/at_most_once.feature
+++ b/features/claims/at_most_once.feature
@@ -53,6 +53,12 @@
     And a resend after the end gets the same answer
     And the register ran the key 1 times
 
+  Scenario: A gateway that stops gracefully writes its outcomes first
+    Given two gateways before a register service
+    When the store goes away for 20 s during a keyed call, and its gateway stops gracefully
+    Then the gateway stopped after the store came back
+    And a resend after the end gets the same answer
+
   Scenario: The server breaks the connection during the run
     Given two gateways before a register service
     When the answer of a keyed call is lost
--- a/features/steps/claims_calls.py
+++ b/features/steps/claims_calls.py
@@ -159,6 +159,35 @@
     act(context, send(context, 1, "after the end"))
 
 
+@when("the store goes away for 20 s during a keyed call, and its gateway stops gracefully")
+def when_stops_gracefully(context: Context) -> None:
+    async def come_back(world: ClaimsWorld) -> None:
+        await anyio.sleep(20)
+        world.store.faults.is_down = False
+        context.store_back_s = anyio.current_time()
+
+    async def run(world: ClaimsWorld, gateways: list[ClaimsGateway]) -> None:
+        world.services["bs-1"].faults.latency_s = 0.2
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(send(context, 0, "first"), world, gateways)
+            await anyio.sleep(0.1)
+            world.store.faults.is_down = True
+            tasks.start_soon(come_back, world)
+            await anyio.sleep(2)
+            await gateways[0].calls.finish()
+            context.stopped_s = anyio.current_time()
+            gateways[0].kill()
+
+    act(context, run)
+    act(context, send(context, 1, "after the end"))
+
+
+@then("the gateway stopped after the store came back")
+def then_stopped(context: Context) -> None:
+    play(context)
+    assert context.stopped_s >= context.store_back_s
+
+
 @when("the answer of a keyed call is lost")
 @when("the answer of a call without a key is lost")
 def when_answer_lost(context: Context) -> None:
