--- a/briarvale/batch_admission.py
+++ b/briarvale/batch_admission.py
@@ -52,7 +52,11 @@
 
     def may_start(self, now_ms: int) -> bool:
         """Whether the pace allows a start now."""
-        return self.pacer.may_start(self._policy, now_ms)
+        return self.pacer.may_start(now_ms)
+
+    def note_start(self, now_ms: int, prefill_ms: float) -> None:
+        """Takes the start of a batch stream."""
+        self.pacer.note_batch_start(self._policy, now_ms, prefill_ms)
 
     def next_member(self, start_limit: int) -> str:
         """Returns the member whose batch is next: those below their share first."""
@@ -76,7 +80,7 @@
             max(0, min(self._queue.queued(member), owed[member] - self._held[member]))
             for member in self._queue.members
         )
-        if self._policy.start_interval_ms > 0:
+        if self._policy.start_spacing > 0:
             missing = min(missing, 1)
         count = max(0, missing - self._grants.revoking_slots)
         borrowers = [name for name in owed if self._held[name] > owed[name]]
--- a/briarvale/headroom.py
+++ b/briarvale/headroom.py
@@ -13,15 +13,17 @@
 
 
 class YieldPolicy(NamedTuple):
-    """How batch yields: at most `base - slope * online streams` slots, starts paced.
+    """How batch yields: at most `base_part * slots - slope * online streams` slots.
 
-    `base_part` is a fraction of the server's slots.
+    After the start of a batch stream, the next waits `start_spacing` times as long as the first
+    one's prompt is prefilled, so that batch prefill takes a bounded part of the time whatever
+    the length of items. A batch prompt that online would wait for longer than
+    `max_prefill_ahead_ms` is revoked.
     """
 
     base_part: float
     slope: float
-    start_interval_ms: float
-    prefill_window_ms: float
+    start_spacing: float
     max_prefill_ahead_ms: float
 
     @classmethod
@@ -30,8 +32,7 @@
         return cls(
             base_part=1.0,
             slope=1.0 + harm_weight,
-            start_interval_ms=300.0 * harm_weight,
-            prefill_window_ms=50.0 * harm_weight,
+            start_spacing=4.0 * harm_weight,
             max_prefill_ahead_ms=400.0 * (1.0 - harm_weight),
         )
 
@@ -71,22 +72,20 @@
     """When the next batch stream may start on a backend server."""
 
     def __init__(self) -> None:
-        self._last_start_ms = -math.inf
-        self._last_online_ms = -math.inf
+        self._next_start_ms = -math.inf
+        self._online_prefilled_at_ms = -math.inf
 
-    def note_batch_start(self, now_ms: int) -> None:
+    def note_batch_start(self, policy: YieldPolicy, now_ms: int, prefill_ms: float) -> None:
         """Takes the start of a batch stream."""
-        self._last_start_ms = now_ms
+        self._next_start_ms = now_ms + policy.start_spacing * prefill_ms
 
-    def note_online_start(self, now_ms: int) -> None:
+    def note_online_start(self, prefilled_at_ms: float) -> None:
         """Takes the start of an online stream, whose prompt is prefilled first."""
-        self._last_online_ms = now_ms
+        self._online_prefilled_at_ms = prefilled_at_ms
 
-    def may_start(self, policy: YieldPolicy, now_ms: int) -> bool:
+    def may_start(self, now_ms: int) -> bool:
         """Whether a batch stream may start now."""
-        is_paced = now_ms - self._last_start_ms < policy.start_interval_ms
-        is_prefilling = now_ms - self._last_online_ms < policy.prefill_window_ms
-        return not is_paced and not is_prefilling
+        return now_ms >= max(self._next_start_ms, self._online_prefilled_at_ms)
 
 
 def burst_reserve(
--- a/briarvale/prefill.py
+++ b/briarvale/prefill.py
@@ -25,6 +25,11 @@
         """When the next prompt may be given."""
         return self._ends_at_ms - MAX_BACKLOG_MS
 
+    @property
+    def ends_at_ms(self) -> float:
+        """When all that was started is prefilled."""
+        return self._ends_at_ms
+
     def duration_ms(self, prompt_tokens: int) -> float:
         """Returns how long a prompt takes that is not cached."""
         return prompt_tokens * MS_PER_S / self.tokens_per_s
--- a/briarvale/slots.py
+++ b/briarvale/slots.py
@@ -247,8 +247,9 @@
             request = queue.peek(member).request
             if request.slot_count > self.limit - self.held:
                 return
-            self._batch.pacer.note_online_start(now_ms)
             self._prefill.note_start(request.prompt_tokens, now_ms)
+            prefill_ms = self._prefill.duration_ms(_prefill_tokens(request))
+            self._batch.pacer.note_online_start(max(self._prefill.ends_at_ms, now_ms + prefill_ms))
             self._grant(queue.pop(member, self._shares), now_ms)
 
     def _revoke_for_online(self, now_ms: int, wanted: int) -> None:
@@ -264,12 +265,12 @@
         limit = self._batch.start_limit(self.limit, self._online.peak(now_ms))
         while len(queue) and self._batch.may_start(now_ms):
             member = self._batch.next_member(limit)
-            count = queue.peek(member).request.slot_count
-            if self._grants.slots_of(WorkClass.BATCH) + count > limit:
+            request = queue.peek(member).request
+            if self._grants.slots_of(WorkClass.BATCH) + request.slot_count > limit:
                 break
-            if self.held + count > self.limit:
+            if self.held + request.slot_count > self.limit:
                 break
-            self._batch.pacer.note_batch_start(now_ms)
+            self._batch.note_start(now_ms, self._prefill.duration_ms(_prefill_tokens(request)))
             self._grant(queue.pop(member, self._shares), now_ms)
         if len(queue) and self._batch.may_start(now_ms):
             for grant in self._batch.borrowed(limit):
@@ -287,7 +288,7 @@
             fingerprint=request.fingerprint,
         )
         expires_at_ms = now_ms + GRANT_TERM_MS
-        prompt_tokens = request.prompt_tokens or request.cost_tokens
+        prefilled_at_ms = now_ms + self._prefill.duration_ms(_prefill_tokens(request))
         self._grants.add(
             Grant(
                 held=held,
@@ -296,7 +297,7 @@
                 granted_at_ms=now_ms,
                 expires_at_ms=expires_at_ms,
                 start_by_ms=request.start_by_ms,
-                prefilled_at_ms=now_ms + self._prefill.duration_ms(prompt_tokens),
+                prefilled_at_ms=prefilled_at_ms,
             )
         )
         labels = {"work_class": request.work_class.value}
@@ -347,6 +348,11 @@
             metrics.SLOTS_BORROWED.set(server | {"member": row.member}, row.borrowed_slots)
 
 
+def _prefill_tokens(request: SlotRequest) -> int:
+    """Returns the prompt's length; its cost bounds it where it is not told."""
+    return request.prompt_tokens or request.cost_tokens
+
+
 def _retry_delay_ms(request: SlotRequest) -> int:
     """Returns when a refused request may come back, spread so that they don't come at once."""
     return RETRY_DELAY_MS + xxhash.xxh32_intdigest(request.request_id.encode()) % RETRY_JITTER_MS
