--- a/features/slots/order.feature
+++ b/features/slots/order.feature
@@ -114,3 +114,22 @@
     And batch of trust holds every slot
     When the report reaches a dispatcher just before it becomes the owner
     Then 4 slots are counted as held at once
+
+  Scenario: A burst's prompts wait at the owner, so that another member's prompt goes before them
+    Given a slot queue of 32 slots with harm weight 0
+    When 6 online prompts of 800 tokens from cyweirio arrive
+    And 1 online prompts of 800 tokens from trust arrive
+    And 2 s pass
+    Then the second grant is trust's and all 7 are granted
+
+  Scenario Outline: Batch starts are paced by how long their prompts are prefilled
+    Given a slot queue of 16 slots with harm weight 1
+    When 16 batch prompts of <tokens> tokens from trust arrive
+    And 2 s pass
+    Then trust holds at least <low> batch slots
+    And trust holds at most <high> batch slots
+
+    Examples:
+      | tokens | low | high |
+      | 80     | 14  | 16   |
+      | 800    | 4   | 6    |
--- a/features/steps/slots_order.py
+++ b/features/steps/slots_order.py
@@ -517,3 +517,21 @@
 @then("{count:d} slots are counted as held at once")
 def then_counted(context: Context, count: int) -> None:
     check(context, lambda bench: bench.queue.held == count)
+
+
+@when("{count:d} {work} prompts of {tokens:d} tokens from {member} arrive")
+def when_prompts(context: Context, count: int, work: str, tokens: int, member: str) -> None:
+    async def step(bench: QueueBench) -> None:
+        for _ in range(count):
+            bench.ask(member, WorkClass(work), tokens + 100, prompt_tokens=tokens)
+
+    add_step(context, step)
+
+
+@then("the second grant is trust's and all {count:d} are granted")
+def then_second(context: Context, count: int) -> None:
+    def is_second(bench: QueueBench) -> bool:
+        members = [bench.requests[grant.request_id].member for grant in bench.told(SlotGrant)]
+        return len(members) == count and members[1] == "trust"
+
+    check(context, is_second)
