--- a/briarvale/_generated/rules.py
+++ b/briarvale/_generated/rules.py
@@ -31,6 +31,7 @@
     max_job_bytes: int = 1073741824
     max_active_jobs: int = 1000
     retention_days: int = 30
+    weight_store_gb_per_s: float = 0.0
 
     @classmethod
     def from_mapping(cls, mapping: Mapping[str, Any]) -> "Rules":
@@ -45,4 +46,5 @@
             max_job_bytes=mapping.get("max_job_bytes", 1073741824),
             max_active_jobs=mapping.get("max_active_jobs", 1000),
             retention_days=mapping.get("retention_days", 30),
+            weight_store_gb_per_s=float(mapping.get("weight_store_gb_per_s", 0.0)),
         )
--- a/briarvale/dispatcher.py
+++ b/briarvale/dispatcher.py
@@ -27,13 +27,16 @@
 from .config_spread import ConfigSpread
 from .environment import Environment
 from .errors import BriarvaleError, ServerNotReady
+from .fleet_view import BATCH_ROLE
 from .membership import Membership, Rumor
-from .ownership import owner_of
+from .ownership import OwnershipTable
 from .peer import MessageStream, PeerAddress, PeerIdentity
 from .peer_connection import PeerConnection
 from .server_health import ServerHealthMonitor
 from .settings import Settings
 from .slot_owner import SlotOwner
+from .suspect_gate import SuspectGate
+from .view_feed import ViewFeed
 
 TICK_INTERVAL_S = 0.1
 SETTLE_MS = 2_000
@@ -64,8 +67,18 @@
             lambda: self.membership.leaving_vms,
             self.membership.publish,
         )
+        self._ownership = OwnershipTable(settings.vm)
+        self._feed = ViewFeed(self.view, self._broadcast)
+        self.suspect_gate = SuspectGate(
+            self.membership.suspects, self.slot_owner.handle, self._spread_suspect
+        )
         self._connections: set[PeerConnection] = set()
 
+    @property
+    def vm(self) -> str:
+        """Name of its VM."""
+        return self._settings.vm
+
     @property
     def is_ready(self) -> bool:
         """Whether it has a configuration and knows the VMs."""
@@ -96,13 +109,17 @@
     def owned_servers(self) -> Iterable[BackendServer]:
         """Returns the backend servers that this dispatcher owns now."""
         config = self.config_spread.config
-        servers = config.servers.values() if config else ()
-        return [server for server in servers if self._owner_name(server) == self._settings.vm]
+        if config is None:
+            return ()
+        state = (config.revision, self.membership.version)
+        self._ownership.refresh(config.servers, self.membership.vms, state)
+        return self._ownership.owned
 
     def view(self) -> View:
         """Returns the fleet as this dispatcher sees it."""
         config = self.config_spread.config
         servers = config.servers.values() if config else ()
+        self.owned_servers()
         states = tuple(self._server_state(server) for server in servers)
         return View(self.membership.vms, states, self.config_spread.revision)
 
@@ -115,7 +132,14 @@
         tasks.start_soon(self._follow_membership)
         tasks.start_soon(self._follow_config)
         tasks.start_soon(self._follow_health)
+        tasks.start_soon(self._feed.run)
         tasks.start_soon(self.slot_owner.run)
+        tasks.start_soon(self._tick)
+
+    async def _tick(self) -> None:
+        while True:
+            await anyio.sleep(TICK_INTERVAL_S)
+            self.suspect_gate.tick(self._environment.clock.now_ms())
 
     async def _follow_membership(self) -> None:
         while True:
@@ -133,13 +157,18 @@
         while True:
             await self.server_health.wait_changed()
             self._refuse_waiting()
-            self._broadcast(self.view())
+            if self.config_spread.config is not None:
+                self._feed.mark()
 
     def _settle(self) -> None:
         if self.config_spread.config is not None:
             owned = {server.id for server in self.owned_servers()}
             self.slot_owner.settle(self.config_spread.config, owned)
-        self._broadcast(self.view())
+            self._feed.mark()
+
+    def _spread_suspect(self, notice: SuspectNotice) -> None:
+        self.membership.publish(notice)
+        self._broadcast(notice)
 
     def _refuse_waiting(self) -> None:
         """Sends what waits for a server that takes no more work to other servers."""
@@ -155,15 +184,11 @@
             case SuspectNotice():
                 self._broadcast(rumor)
 
-    def _owner_name(self, server: BackendServer) -> str:
-        owner = owner_of(server, self.membership.vms)
-        return owner.vm if owner else ""
-
     def _server_state(self, server: BackendServer) -> ServerState:
         queue = self.slot_owner.queue(server.id)
         return ServerState(
             backend_server=server.id,
-            owner=self._owner_name(server),
+            owner=self._ownership.owner(server.id),
             health=self.server_health.health(server.id),
             streams=queue.held if queue else 0,
             queued=queue.queued if queue else 0,
@@ -177,11 +202,11 @@
             connection.notify(message)
 
     def _local_subscribers(self) -> list[PeerConnection]:
-        return [connection for connection in self._connections if connection.is_subscribed]
+        return [connection for connection in self._connections if connection.subscribed_role]
 
     def _note_batch(self) -> None:
-        roles = {connection.identity.role for connection in self._local_subscribers()}
-        self.membership.set_runs_batch("batch" in roles)
+        roles = {connection.subscribed_role for connection in self._local_subscribers()}
+        self.membership.set_runs_batch(BATCH_ROLE in roles)
 
     async def _serve_peer(self, stream: MessageStream, identity: PeerIdentity) -> None:
         connection = PeerConnection(stream, identity)
@@ -207,24 +232,29 @@
             case SlotRelease():
                 self.slot_owner.handle(connection, message)
                 self.server_health.note_release(message)
-            case SlotRequest() | SlotWithdraw() | HolderReport() | SlotHeartbeat():
+                self.suspect_gate.release(message, self._environment.clock.now_ms())
+            case SlotRequest():
+                self.suspect_gate.submit(connection, message, self._environment.clock.now_ms())
+            case SlotWithdraw(request_id):
+                self.slot_owner.handle(connection, message)
+                self.suspect_gate.withdraw(request_id, self._environment.clock.now_ms())
+            case HolderReport() | SlotHeartbeat():
                 self.slot_owner.handle(connection, message)
-            case ViewSubscribe():
-                self._subscribe(connection)
+            case ViewSubscribe(role):
+                self._subscribe(connection, role)
             case ConfigFetch(have_revision):
                 bundle = self.config_spread.bundle_for(have_revision)
                 connection.notify(bundle or ConfigBundle())
             case StateFetch():
                 connection.notify(self.membership.snapshot())
             case SuspectNotice():
-                self.membership.publish(message)
-                self._broadcast(message)
+                self._spread_suspect(message)
             case _:
                 log.warning("Unexpected {} from {}.", type(message).__name__, connection.name)
 
-    def _subscribe(self, connection: PeerConnection) -> None:
-        connection.is_subscribed = True
+    def _subscribe(self, connection: PeerConnection, role: str) -> None:
+        connection.subscribed_role = role
         self._note_batch()
         if self.config_spread.config is not None:
             connection.notify(self.config_spread.config.bundle)
-        connection.notify(self.view())
+            connection.notify(self.view())
--- a/briarvale/membership.py
+++ b/briarvale/membership.py
@@ -19,13 +19,14 @@
 from .failure_detector import FailureDetector
 from .heartbeats import Heartbeats, own_state
 from .peer import PeerAddress
+from .quarantine import SuspectTable
 from .settings import Settings
 from .vm_list import VmEntry, VmListUnavailable, VmStatus
 
 POLL_INTERVAL_S = 1.0
 POLL_JITTER = 0.5
 FLEET_POLLS_PER_S = 8
-WATCH_INTERVAL_S = 0.1
+GATHER_S = 0.05
 SYNC_TIMEOUT_S = 2.0
 SYNC_ATTEMPTS = 3
 LEAVE_FANOUT = 16
@@ -50,10 +51,13 @@
         self._settings = settings
         self._environment = environment
         self._random = random.Random(environment.identity.boot_id)
-        self._detector = FailureDetector(own_state(settings, environment), self._spread)
+        self._detector_changed = anyio.Event()
+        self._detector = FailureDetector(
+            own_state(settings, environment), self._spread, self._note_change
+        )
         self._heartbeats = Heartbeats(settings, environment, self._detector, self._hear)
         self._servers: dict[str, ServerState] = {}
-        self._suspects: dict[str, SuspectNotice] = {}
+        self.suspects = SuspectTable()
         self._rumor_handlers: list[RumorHandler] = []
         self._vms: tuple[VmState, ...] = ()
         self._seen_updates = -1
@@ -71,6 +75,11 @@
             self._vms = self._detector.states
         return self._vms
 
+    @property
+    def version(self) -> int:
+        """Counts the changes of who is a member and how healthy."""
+        return self._detector.version
+
     @property
     def newest_revision(self) -> tuple[int, str]:
         """The highest configuration revision that heartbeats told, and the VM that has it."""
@@ -100,8 +109,9 @@
 
     def publish(self, rumor: Rumor) -> None:
         """Spreads a rumor to all dispatchers within seconds; heartbeats carry it."""
-        if self._remember(rumor):
-            self._spread(rumor)
+        news = self._remember(rumor)
+        if news is not None:
+            self._spread(news)
 
     def subscribe(self, handler: RumorHandler) -> None:
         """Calls the handler with each rumor that arrives from another dispatcher."""
@@ -119,7 +129,7 @@
 
     def snapshot(self) -> StateSnapshot:
         """Returns all that heartbeats told, for a VM that starts."""
-        servers, suspects = tuple(self._servers.values()), tuple(self._suspects.values())
+        servers, suspects = tuple(self._servers.values()), tuple(self.suspects)
         return StateSnapshot(self._detector.states, servers, suspects)
 
     async def run(self) -> None:
@@ -195,35 +205,36 @@
         for suspect in snapshot.suspects:
             self._hear(suspect, is_spread=False)
 
+    def _note_change(self) -> None:
+        self._detector_changed.set()
+
     async def _watch_detector(self) -> None:
-        version = self._detector.version
         while True:
-            await anyio.sleep(WATCH_INTERVAL_S)
-            if version != self._detector.version:
-                version = self._detector.version
-                self._notify()
+            await self._detector_changed.wait()
+            await anyio.sleep(GATHER_S)
+            self._detector_changed = anyio.Event()
+            self._notify()
 
     def _hear(self, rumor: Rumor, *, is_spread: bool = True) -> None:
-        if not self._remember(rumor):
+        news = self._remember(rumor)
+        if news is None:
             return
         if is_spread:
-            self._spread(rumor)
+            self._spread(news)
         for handler in self._rumor_handlers:
-            handler(rumor)
+            handler(news)
 
-    def _remember(self, rumor: Rumor) -> bool:
+    def _remember(self, rumor: Rumor) -> Rumor | None:
+        """Keeps a rumor and returns what there is to tell further, if it told something new."""
         match rumor:
             case ServerState(backend_server=name, observed_at_ms=observed_at_ms):
                 known = self._servers.get(name)
                 if known is not None and known.observed_at_ms >= observed_at_ms:
-                    return False
+                    return None
                 self._servers[name] = rumor
-            case SuspectNotice(fingerprint=fingerprint):
-                notice = self._suspects.get(fingerprint)
-                if notice is not None and not _is_worse(rumor, notice):
-                    return False
-                self._suspects[fingerprint] = rumor
-        return True
+                return rumor
+            case SuspectNotice():
+                return self.suspects.merge(rumor, self._environment.clock.now_ms())
 
     def _spread(self, rumor: Rumor | VmState) -> None:
         self._heartbeats.announce(rumor)
@@ -234,11 +245,3 @@
             metrics.VMS.set({"health": health.value}, count)
         self._changed.set()
         self._changed = anyio.Event()
-
-
-def _is_worse(notice: SuspectNotice, known: SuspectNotice) -> bool:
-    return (notice.quarantined, notice.crashes, notice.expires_at_ms) > (
-        known.quarantined,
-        known.crashes,
-        known.expires_at_ms,
-    )
--- a/briarvale/metrics.py
+++ b/briarvale/metrics.py
@@ -31,6 +31,13 @@
 OWNER_LINKS_LOST = Counter("briarvale_owner_links_lost_total", "Connections to owners that broke.")
 EJECTIONS = Counter("briarvale_ejections_total", "Ejections by backend server and reason.")
 SERVERS = Gauge("briarvale_servers", "Backend servers by health.")
+QUARANTINED = Counter("briarvale_quarantined_total", "Requests quarantined here.")
+QUARANTINE_REFUSALS = Counter(
+    "briarvale_quarantine_refusals_total", "Refusals of quarantined requests."
+)
+CACHE_EVENT_GAPS = Counter(
+    "briarvale_cache_event_gaps_total", "Prefix indexes dropped for a gap in cache events."
+)
 PEER_BAD_FRAMES = Counter("briarvale_peer_bad_frames_total", "Connections closed for a bad frame.")
 BAD_DATAGRAMS = Counter(
     "briarvale_bad_datagrams_total", "Datagrams dropped for a bad seal or form."
@@ -39,6 +46,8 @@
 STORE_CALLS = Counter("briarvale_store_calls_total", "Object API calls by verb and result.")
 ITEMS = Counter("briarvale_items_total", "Batch items committed by result.")
 CLAIMS = Counter("briarvale_claims_total", "Claims of idempotency keys by result.")
+LEASES_HELD = Gauge("briarvale_leases_held", "1 where this controller holds a service's lease.")
+ORDERS = Counter("briarvale_orders_total", "Orders to engines by service and result.")
 BATCH_BUFFER_BYTES = Gauge(
     "briarvale_batch_buffer_bytes", "Batch results that wait for the Object API."
 )
@@ -48,22 +57,27 @@
 
 __all__ = [
     "ATTEMPTS",
-    "CONFIG_REFUSED",
     "BAD_DATAGRAMS",
     "CLAIMS",
+    "CACHE_EVENT_GAPS",
     "BATCH_BUFFER_BYTES",
+    "CONFIG_REFUSED",
     "CONFIG_REVISION",
     "EJECTIONS",
     "FIRST_TOKEN_S",
-    "SERVERS",
     "ITEMS",
     "JOBS_LATE",
     "LEASES_EXPIRED",
+    "LEASES_HELD",
+    "ORDERS",
     "OWNER_LINKS_LOST",
     "PEER_BAD_FRAMES",
+    "QUARANTINED",
+    "QUARANTINE_REFUSALS",
     "REFUSALS",
     "REQUESTS",
     "RETRIES",
+    "SERVERS",
     "SLOTS_BORROWED",
     "SLOTS_HELD",
     "SLOTS_QUEUED",
--- a/briarvale/standins/engine.py
+++ b/briarvale/standins/engine.py
@@ -6,7 +6,7 @@
 
 import hashlib
 import math
-from collections import OrderedDict
+from collections import Counter, OrderedDict
 from collections.abc import AsyncIterator
 from typing import NamedTuple
 
@@ -26,6 +26,7 @@
 EVENT_LAG_S = 0.5
 EVENTS_KEPT = 2_048
 CRASH_MARK = "<crash>"
+DRAINING_ROLE = "draining"
 IDLE_CHECK_S = 60.0
 
 __all__ = [
@@ -69,6 +70,7 @@
         self.drop_events = False
         self.fail_completions = False
         self.lose_order_answers = False
+        self.lose_orders = False
 
 
 class TokenCounter:
@@ -111,6 +113,7 @@
         self.settings = settings
         self.faults = EngineFaults()
         self.run_counts: dict[str, int] = {}
+        self.first_tokens: Counter[str] = Counter()
         self.starts: list[EngineStart] = []
         self.crashes = 0
         self.tokens_generated = 0
@@ -132,6 +135,7 @@
         """Generates tokens until cancelled."""
         while True:
             if not self._streams:
+                self._record_load([])
                 self._wake = anyio.Event()
                 await self._wake.wait()
             await self._step()
@@ -200,7 +204,7 @@
             adapters=self.adapters,
             role=self.role,
             fencing_number=self.fencing_number,
-            is_draining=self.faults.is_draining,
+            is_draining=self.faults.is_draining or self.role == DRAINING_ROLE,
         )
 
     async def cache_events(self, after: int) -> CacheEvents:
@@ -216,6 +220,8 @@
         self._check_up()
         if self.settings.checks_fencing and order["fencing_number"] < self.fencing_number:
             raise StaleOrder(f"{self.settings.name}: {order['fencing_number']} is old")
+        if self.faults.lose_orders:
+            raise ServerLost(f"{self.settings.name}: the order was lost")
         self.orders_taken.append(order)
         self.fencing_number = order["fencing_number"]
         self.role, self.adapters = order["role"], tuple(order["adapters"])
@@ -282,6 +288,8 @@
             except (anyio.BrokenResourceError, anyio.ClosedResourceError):
                 self._streams.pop(completion.request_id, None)
                 return
+            if stream.next_index == 0:
+                self.first_tokens[completion.prompt] += 1
             stream.next_index += 1
             self.tokens_generated += 1
         if stream.next_index >= completion.max_tokens:
