Tell the owner only the prompt tokens that need prefill

The owner paces online prompts by the prefill that its engine has to do; the gateway told it the whole prompt, also where its prefix is cached.

--- a/briarvale/online.py
+++ b/briarvale/online.py
@@ -213,7 +213,8 @@
     async def _hold_and_stream(self, answer: Answer, server: BackendServer) -> bool:
         async with AsyncExitStack() as stack:
             with tracer.start_as_current_span("slot wait") as span:
-                slot_request = answer.slot_request(server.id)
+                cached_tokens = self._prefix_cache.cached_tokens(server.id, answer.blocks)
+                slot_request = answer.slot_request(server.id, cached_tokens)
                 slot = await self._enter_slot(stack, slot_request)
                 self._describe_load(span, server.id)
             with tracer.start_as_current_span("stream") as span:
--- a/briarvale/online_answer.py
+++ b/briarvale/online_answer.py
@@ -71,9 +71,15 @@
             resume_tokens=tuple(self.tokens),
         )
 
-    def slot_request(self, backend_server: str) -> SlotRequest:
-        """Returns what the running attempt asks of an owner."""
+    def slot_request(self, backend_server: str, cached_tokens: int) -> SlotRequest:
+        """Returns what the running attempt asks of an owner.
+
+        Args:
+            backend_server: Where it shall run.
+            cached_tokens: Prompt tokens that the engine probably has cached and need no prefill.
+        """
         request = self.request
+        prefill_tokens = request.prompt_tokens + len(self.tokens) - cached_tokens
         return SlotRequest(
             request_id=self.attempt_id,
             backend_server=backend_server,
@@ -81,7 +87,7 @@
             work_class=WorkClass.ONLINE,
             slot_count=1,
             cost_tokens=request.prompt_tokens + request.max_tokens,
-            prompt_tokens=request.prompt_tokens + len(self.tokens),
+            prompt_tokens=max(1, prefill_tokens),
             deadline_ms=request.deadline_ms,
             fingerprint=request.fingerprint,
             is_suspect=self.is_suspect,
