--- a/briarvale/online.py
+++ b/briarvale/online.py
@@ -107,8 +107,10 @@
         span.set_attribute("briarvale.request_id", answer.request.request_id)
         span.set_attribute("briarvale.member", answer.request.member)
         span.set_attribute("briarvale.service", answer.request.service)
+        span.set_attribute("briarvale.code", "cancelled")
         try:
             await self._run_until_deadline(answer)
+            span.set_attribute("briarvale.code", "ok")
             self._budgets.note_finished(answer.request.member)
             self._quarantine.note_finish(answer.request.fingerprint)
             return None
--- a/briarvale/request_trace.py
+++ b/briarvale/request_trace.py
@@ -73,7 +73,7 @@
 def _summary(span: Span) -> str:
     code = span.attribute("code", "ok")
     tokens, attempts = span.attribute("tokens", 0), span.attribute("attempts", 0)
-    took = f"{tokens} tokens in {span.duration_ms:.0f} ms and {attempts} attempts"
+    took = f"{tokens} tokens in {span.duration_ms:.0f} ms; attempts: {attempts}"
     return f"Service {span.attribute('service')}: {code}, {took}."
 
 
--- a/features/steps/online_why.py
+++ b/features/steps/online_why.py
@@ -55,7 +55,7 @@
     assert "Attempt 2 on" in text and "probation of a suspect" in text, text
     assert "least cost of two" in text and "of bs-1, bs-2, bs-3" in text, text
     assert text.count("for a slot") == 2 and "as a suspect of a crash" in text, text
-    assert "40 tokens" in text and "2 attempts" in text, text
+    assert "40 tokens" in text and "attempts: 2" in text, text
 
 
 @then("`briarvale why {name}` fails with not_found")
