--- a/briarvale/online.py
+++ b/briarvale/online.py
@@ -107,8 +107,10 @@
         span.set_attribute("briarvale.request_id", answer.request.request_id)
         span.set_attribute("briarvale.member", answer.request.member)
         span.set_attribute("briarvale.service", answer.request.service)
+        span.set_attribute("briarvale.code", "cancelled")
         try:
             await self._run_until_deadline(answer)
+            span.set_attribute("briarvale.code", "ok")
             self._budgets.note_finished(answer.request.member)
             self._quarantine.note_finish(answer.request.fingerprint)
             return None
@@ -213,7 +215,8 @@
     async def _hold_and_stream(self, answer: Answer, server: BackendServer) -> bool:
         async with AsyncExitStack() as stack:
             with tracer.start_as_current_span("slot wait") as span:
-                slot_request = answer.slot_request(server.id)
+                cached_tokens = self._prefix_cache.cached_tokens(server.id, answer.blocks)
+                slot_request = answer.slot_request(server.id, cached_tokens)
                 slot = await self._enter_slot(stack, slot_request)
                 self._describe_load(span, server.id)
             with tracer.start_as_current_span("stream") as span:
