Wait for every program of a VM before it is stopped again

Cause: on a busy machine a controller got SIGTERM before it had installed its handler; the rolling restart counted its exit code -15. Ruled out: a crash (its log had nothing). Change: the demo's fleet waits for the health of all four programs, not of the gateway alone. Conclusion: a service manager should do the same.

--- a/features/steps/process_survival.py
+++ b/features/steps/process_survival.py
@@ -180,8 +180,7 @@
         context.exit_codes.append(process.wait(GIVE_UP_S))
     for program, name in zip(PROGRAMS, names, strict=True):
         context.fleet.spawn(program, f"{vm}.yaml", name=name)
-    while not is_ready(context.fleet.gateway_url(vm)):
-        time.sleep(0.05)
+    context.fleet.wait_ready(vm)
     time.sleep(1)
 
 
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -22,6 +22,7 @@
 BIN = Path(sys.executable).parent
 FOLDER = Path(__file__).resolve().parent.parent / ".demo"
 PROGRAMS = ("dispatcher", "gateway", "batch", "controller")
+PORTS = (7402, 8080, 7403, 7404)
 API_KEY = "demo-key-cyweirio"
 SECRET = "demo-shared-secret-0001"
 JOB_ITEMS = 200
@@ -76,7 +77,12 @@
             for program in PROGRAMS:
                 self.spawn(program, f"{vm}.yaml", name=f"{program}@{vm}")
         for vm in self.vms:
-            self._wait_for(f"{self.gateway_url(vm)}/health/ready")
+            self.wait_ready(vm)
+
+    def wait_ready(self, vm: str) -> None:
+        """Waits until each program of a VM is ready."""
+        for port in PORTS:
+            self._wait_for(f"http://{self.host_of(vm)}:{port}/health/ready")
 
     def spawn(self, program: str, settings: str, name: str = "") -> None:
         """Starts one process with its log in the folder."""
