Trace the dispatcher's part and plain calls as hops of the caller's trace

Cause: the trace of a request ended at the slot wait; what the owner did and plain calls had no span. Ruled out: a span opened at arrival and held in the queue, since a grant is given from another task. Change: a slot request carries the traceparent, and the owner records a span that has ended. Before: features/processes, 'Each hop', lacked dispatcher and plain call. After: it passes, every span's parent is in the trace. Conclusion: each hop of the issue's list has its span.

--- a/briarvale/_generated/messages.py
+++ b/briarvale/_generated/messages.py
@@ -84,6 +84,7 @@
     start_by_ms: int = 0
     prompt_tokens: int = 0
     is_suspect: bool = False
+    traceparent: str = ""
 
 
 class SlotGrant(NamedTuple):
@@ -381,6 +382,7 @@
         reader.startByMs,
         reader.promptTokens,
         reader.isSuspect,
+        reader.traceparent,
     )
 
 
@@ -396,6 +398,7 @@
     builder.startByMs = message.start_by_ms
     builder.promptTokens = message.prompt_tokens
     builder.isSuspect = message.is_suspect
+    builder.traceparent = message.traceparent
 
 
 def _read_slot_grant(reader: Any) -> SlotGrant:
--- a/briarvale/plain_calls.py
+++ b/briarvale/plain_calls.py
@@ -25,6 +25,7 @@
 from .routing import Router, RouteRequest
 from .service_client import READ_TIMEOUT_S, ServiceAnswer, ServiceCall
 from .slot_client import SlotClient, new_request_id
+from .traces import tracer
 
 MAX_SERVERS = 3
 REFUSAL_GRACE_S = 0.25
@@ -205,7 +206,10 @@
                 raise Overloaded("the deadline has passed")
             had_run, attempt.may_have_run = attempt.may_have_run, True
             try:
-                answer = await self._environment.backends.plain_service(server).call(request.call)
+                with tracer.start_as_current_span("plain call") as span:
+                    span.set_attribute("briarvale.backend_server", server.id)
+                    service = self._environment.backends.plain_service(server)
+                    answer = await service.call(request.call)
             except ServerConnectFailed:
                 attempt.may_have_run = had_run
                 raise
--- a/briarvale/schema/messages.capnp
+++ b/briarvale/schema/messages.capnp
@@ -22,6 +22,7 @@
   startByMs @8 :UInt64;
   promptTokens @9 :UInt32;
   isSuspect @10 :Bool;
+  traceparent @11 :Text;
 }
 struct SlotGrant {
   requestId @0 :Text;
--- a/briarvale/slot_client.py
+++ b/briarvale/slot_client.py
@@ -34,6 +34,7 @@
 from .fleet_view import FleetView
 from .owner_link import OwnerLink, PendingRequest
 from .peer import PeerAddress
+from .traces import current_traceparent
 
 KEEP_INTERVAL_S = 0.25
 OWNER_SETTLE_S = 0.1
@@ -138,7 +139,7 @@
         wait_ms = request.deadline_ms - self._environment.clock.now_ms()
         slot: HeldSlot | None = None
         try:
-            link.notify(request)
+            link.notify(request._replace(traceparent=current_traceparent()))
             with anyio.fail_after(max(0.0, wait_ms / MS_PER_S)):
                 await pending.answered.wait()
             if pending.grant is not None:
--- a/briarvale/slots.py
+++ b/briarvale/slots.py
@@ -27,6 +27,7 @@
 from .limits import SlotLimit
 from .online_admission import OnlineAdmission
 from .prefill import PrefillBacklog
+from .traces import record_span
 from .wait_estimate import WaitEstimate
 
 GRANT_TERM_MS = 4_000
@@ -313,6 +314,8 @@
             self.limit,
         )
         waiter.holder.notify(message)
+        attributes = {"briarvale.backend_server": self.server.id, "briarvale.code": "granted"}
+        record_span("dispatcher", request.traceparent, waiter.since_ms, now_ms, attributes)
         log.debug("Granted a slot on {} to {}.", self.server.id, waiter.holder.name)
 
     def _revoke(self, grant: Grant, reason: str) -> None:
--- a/briarvale/traces.py
+++ b/briarvale/traces.py
@@ -18,7 +18,16 @@
 
 from .settings import Settings
 
-__all__ = ["configure", "extract_context", "inject_headers", "tracer"]
+NS_PER_MS = 1_000_000
+
+__all__ = [
+    "configure",
+    "current_traceparent",
+    "extract_context",
+    "inject_headers",
+    "record_span",
+    "tracer",
+]
 
 tracer = trace.get_tracer("briarvale")
 
@@ -67,6 +76,23 @@
     return headers
 
 
+def current_traceparent() -> str:
+    """Returns the current span's `traceparent`; empty where nothing is traced."""
+    return inject_headers({}).get("traceparent", "")
+
+
+def record_span(
+    name: str, traceparent: str, start_ms: int, end_ms: int, attributes: dict[str, str]
+) -> None:
+    """Records a span that has ended already, as a child of a span of another process."""
+    if not traceparent:
+        return
+    context = extract_context({"traceparent": traceparent})
+    start_ns = start_ms * NS_PER_MS
+    span = tracer.start_span(name, context, start_time=start_ns, attributes=attributes)
+    span.end(end_ms * NS_PER_MS)
+
+
 def _span_record(span: ReadableSpan) -> dict[str, object]:
     context = span.get_span_context()
     return {
--- a/features/processes/survival.feature
+++ b/features/processes/survival.feature
@@ -27,6 +27,12 @@
     Then no request was cut or refused
     And every program ended with exit code 0
 
+  Scenario: Each hop has a span in the caller's trace
+    Given the demo's fleet of real processes
+    When a caller streams, calls and submits a job within one trace of its own
+    Then the trace has spans of gateway, slot wait, dispatcher, attempt and plain call
+    And batch items and store calls have spans too
+
   Scenario Outline: Wrong settings start nothing
     When briarvale-<program> starts with settings whose <field> is <value>
     Then it exits with 2 and names the file, line <line> and <field>
--- a/features/steps/process_survival.py
+++ b/features/steps/process_survival.py
@@ -195,6 +195,39 @@
     assert set(context.exit_codes) == {EXIT_CLEAN}, context.exit_codes
 
 
+@when("a caller streams, calls and submits a job within one trace of its own")
+def when_traced(context: Context) -> None:
+    context.trace_id = "4bf92f3577b34da6a3ce929d0e0e4736"
+    HEADERS["traceparent"] = f"00-{context.trace_id}-00f067aa0ba902b7-01"
+    context.add_cleanup(HEADERS.pop, "traceparent")
+    base_url = context.fleet.gateway_url("vm-1")
+    assert stream_text(base_url, 8) == whole_text(8)
+    with client() as http:
+        assert http.post(f"{base_url}/v1/services/orders/lookup", json={}).status_code == 200
+    context.job_url = submit_job(base_url)
+    then_job(context)
+    context.fleet.stop()
+    lines = (context.fleet.folder / "traces.jsonl").read_text().splitlines()
+    context.spans = [json.loads(line) for line in lines]
+
+
+@then("the trace has spans of gateway, slot wait, dispatcher, attempt and plain call")
+def then_traced(context: Context) -> None:
+    own = [span for span in context.spans if span["trace_id"] == context.trace_id]
+    names = {span["name"] for span in own}
+    assert names >= {"gateway", "slot wait", "dispatcher", "attempt", "plain call"}, names
+    ids = {span["span_id"] for span in own} | {"00f067aa0ba902b7"}
+    assert all(span["parent_id"] in ids for span in own), own
+    owners = [span for span in own if span["name"] == "dispatcher"]
+    assert all(span["program"] == "dispatcher" for span in owners), owners
+
+
+@then("batch items and store calls have spans too")
+def then_more_spans(context: Context) -> None:
+    names = [span["name"] for span in context.spans]
+    assert names.count("batch item") >= JOB_ITEMS and "store call" in names, set(names)
+
+
 @when("briarvale-{program} starts with settings whose {field} is {value}")
 def when_wrong_settings(context: Context, program: str, field: str, value: str) -> None:
     settings = {
