Tell routers the load that matters to the class that asks; follow the new router in the benchmark

Cause: owners' answers counted batch in held, so with batch saturating all servers looked equally full to the router of online requests, though batch yields to them.

--- a/benchmarks/online.py
+++ b/benchmarks/online.py
@@ -13,12 +13,12 @@
 from briarvale.config import BackendServer, Rules
 from briarvale.grants import Grant
 from briarvale.slot_client import SlotClient
-from briarvale.slot_owner import QueueFactory, SlotOwner
+from briarvale.slot_owner import QueueFactory
 from briarvale.slots import SlotQueue
 from briarvale.standins.memory_fleet import FleetSettings, MemoryFleet
 from features.support.virtual import run_virtual
 
-from .online_baselines import LaggingSlots
+from .online_baselines import LaggingRouter, LaggingSlots
 from .online_load import (
     Arrival,
     BatchLoad,
@@ -90,7 +90,7 @@
     def start_vm(self, index, tasks):
         """Starts a VM with the scenario's slot queue in its dispatcher."""
         vm = super().start_vm(index, tasks)
-        vm.dispatcher.slot_owner = SlotOwner(self.clock, self._make_queue)
+        vm.dispatcher.slot_owner.use_queues(self._make_queue)
         return vm
 
 
@@ -167,7 +167,7 @@
         tasks.start_soon(lagging.run)
         for vm in fleet.vms.values():
             vm.gateway.online._slots = lagging
-            vm.gateway.online._router = lagging
+            vm.gateway.online._router = LaggingRouter(vm.gateway.view, lagging)
         return [lagging]
     return [
         SlotClient(fleet.environment(name, "batch"), vm.batch.view, tasks)
--- a/benchmarks/online_baselines.py
+++ b/benchmarks/online_baselines.py
@@ -9,8 +9,9 @@
 from briarvale.batch_admission import BatchAdmission
 from briarvale.clock import Clock
 from briarvale.config import BackendServer, Rules
+from briarvale.fleet_view import FleetView
 from briarvale.grants import Grant
-from briarvale.routing import Choice, RouteRequest
+from briarvale.routing import Choice, Router, RouteRequest
 from briarvale.slot_client import HeldSlot
 from briarvale.slots import SlotQueue
 from briarvale.standins.memory_fleet import MemoryFleet
@@ -18,7 +19,7 @@
 LOAD_POLL_S = 0.5
 LOAD_CHECK_S = 0.1
 
-__all__ = ["FifoQueue", "LaggingSlots", "RevokeWhenFullQueue", "SplitQueue"]
+__all__ = ["FifoQueue", "LaggingRouter", "LaggingSlots", "RevokeWhenFullQueue", "SplitQueue"]
 
 
 class FifoQueue(SlotQueue):
@@ -85,8 +86,6 @@
 class LaggingSlots:
     """Independent gateways: no slots, and loads as the engines last reported them.
 
-    It stands in both for the slot client and for the router.
-
     Args:
         fleet: Whose engines it polls.
     """
@@ -102,16 +101,9 @@
                 self._streams[name] = (await engine.load()).streams
             await anyio.sleep(LOAD_POLL_S)
 
-    def pick(self, request: RouteRequest, excluded: object = ()) -> Choice:
-        """Returns the engine that last reported the fewest streams."""
-        view = next(iter(self._fleet.vms.values())).gateway.view
-        servers = view.ready_servers(request.service)
-        server = min(servers, key=lambda each: self._streams.get(each.id, 0))
-        return Choice(server, (), "least load as last reported")
-
-    def takes_work(self, backend_server: str) -> bool:
-        """Whether a server may get work; each one may."""
-        return True
+    def streams(self, backend_server: str) -> int:
+        """Returns the streams that an engine last reported."""
+        return self._streams.get(backend_server, 0)
 
     @asynccontextmanager
     async def hold(self, request: SlotRequest) -> AsyncIterator[HeldSlot]:
@@ -123,3 +115,22 @@
         ):
             await anyio.sleep(LOAD_CHECK_S)
         yield HeldSlot(HeldGrant(request.request_id, request.backend_server))
+
+
+class LaggingRouter(Router):
+    """Sends each request to the engine that last reported the fewest streams.
+
+    Args:
+        view: The fleet as last told.
+        lagging: What the engines reported.
+    """
+
+    def __init__(self, view: FleetView, lagging: LaggingSlots) -> None:
+        super().__init__(view, seed=0)
+        self._lagging = lagging
+
+    def pick(self, request: RouteRequest, excluded: object = ()) -> Choice:
+        """Returns the engine with the fewest streams."""
+        servers = self._view.ready_servers(request.service)
+        server = min(servers, key=lambda each: self._lagging.streams(each.id))
+        return Choice(server, (), "least load as last reported")
--- a/briarvale/slot_owner.py
+++ b/briarvale/slot_owner.py
@@ -48,6 +48,10 @@
         self._early_reports: dict[str, tuple[HeldGrant, Holder]] = {}
         self._changed = anyio.Event()
 
+    def use_queues(self, make_queue: QueueFactory) -> None:
+        """Builds the queues of backend servers taken up from now on in another way."""
+        self._make_queue = make_queue
+
     def settle(self, config: Config, owned: set[str]) -> None:
         """Takes up and gives up backend servers, so that just `owned` remain."""
         for name in self._queues.keys() - owned:
--- a/briarvale/slots.py
+++ b/briarvale/slots.py
@@ -308,13 +308,18 @@
             self.server.id,
             request.slot_count,
             expires_at_ms,
-            self.held,
-            self.queued,
+            *self._load_for(request.work_class),
             self.limit,
         )
         waiter.holder.notify(message)
         log.debug("Granted a slot on {} to {}.", self.server.id, waiter.holder.name)
 
+    def _load_for(self, work_class: WorkClass) -> tuple[int, int]:
+        """Returns slots held and requests queued that matter to a class: batch yields to online."""
+        if work_class is WorkClass.BATCH:
+            return self.held, self.queued
+        return self._grants.slots_of(WorkClass.ONLINE), len(self._waiting[WorkClass.ONLINE])
+
     def _revoke(self, grant: Grant, reason: str) -> None:
         self._grants.mark_revoking(grant.held.grant_id)
         grant.holder.notify(SlotRevoke(grant.held.grant_id, grant.held.slot_count, reason))
@@ -326,7 +331,13 @@
         metrics.SLOT_REFUSALS.inc({"code": code, "work_class": request.work_class.value})
         retry_at_ms = math.ceil(retry_at_ms)
         holder.notify(
-            SlotRefusal(request.request_id, code, retry_at_ms, self.held, self.queued, self.limit)
+            SlotRefusal(
+                request.request_id,
+                code,
+                retry_at_ms,
+                *self._load_for(request.work_class),
+                self.limit,
+            )
         )
 
     def _predicted_wait_ms(self, request: SlotRequest) -> float:
