Count a cancelled holder's slot as cancelled, not as the server's failure

A slot was returned as failed unless its holder said otherwise, so cancelled batch items made owners eject healthy servers and try them with requests of their own. Now only an error that the holder raises counts, and not one that says nothing of the server.

--- a/briarvale/slot_client.py
+++ b/briarvale/slot_client.py
@@ -23,7 +23,9 @@
 from .clock import MS_PER_S
 from .environment import Environment
 from .errors import (
+    BriarvaleError,
     GrantRevoked,
+    InvalidRequest,
     NoServer,
     NotOwner,
     Overloaded,
@@ -40,6 +42,9 @@
 MAX_OWNERS_ASKED = 10
 UNREACHABLE_MS = 500
 
+# Failures that say nothing of the backend server.
+NOT_OF_THE_SERVER = (InvalidRequest, Quarantined, ServerNotReady)
+
 log = logs.part("slots")
 
 __all__ = ["HeldSlot", "LoadHandler", "ServerLoad", "SlotClient"]
@@ -51,7 +56,7 @@
     def __init__(self, grant: HeldGrant) -> None:
         self.grant = grant
         self.revoked = anyio.Event()
-        self.outcome = Outcome.FAILED
+        self.outcome = Outcome.CANCELLED
         self.tokens = 0
         self.time_between_tokens_ms = 0
 
@@ -108,6 +113,12 @@
         slot = await self._acquire_from_owner(request)
         try:
             yield slot
+        except NOT_OF_THE_SERVER:
+            raise
+        except BriarvaleError:
+            if slot.outcome is Outcome.CANCELLED:
+                slot.outcome = Outcome.FAILED
+            raise
         finally:
             self._release(slot)
 
