--- a/briarvale/dispatcher.py
+++ b/briarvale/dispatcher.py
@@ -24,6 +24,7 @@
 )
 from .clock import MS_PER_S
 from .config import BackendServer
+from .config_bundle import delta_since
 from .config_spread import ConfigSpread
 from .environment import Environment
 from .errors import BriarvaleError, ServerNotReady
@@ -147,23 +148,30 @@
             self._settle()
 
     async def _follow_config(self) -> None:
+        told = ConfigBundle()
         while True:
             await self.config_spread.wait_changed()
-            if self.config_spread.config is not None:
-                self._broadcast(self.config_spread.config.bundle)
+            config = self.config_spread.config
+            if config is None or not self.config_spread.is_ready:
+                continue
+            if config.revision > told.revision:
+                changes = delta_since(told, config.bundle) if told.revision else config.bundle
+                self._broadcast(changes)
+                told = config.bundle
             self._settle()
 
     async def _follow_health(self) -> None:
         while True:
             await self.server_health.wait_changed()
             self._refuse_waiting()
-            if self.config_spread.config is not None:
+            if self.config_spread.is_ready:
                 self._feed.mark()
 
     def _settle(self) -> None:
-        if self.config_spread.config is not None:
+        config = self.config_spread.config
+        if config is not None and self.config_spread.is_ready:
             owned = {server.id for server in self.owned_servers()}
-            self.slot_owner.settle(self.config_spread.config, owned)
+            self.slot_owner.settle(config, owned)
             self._feed.mark()
 
     def _spread_suspect(self, notice: SuspectNotice) -> None:
@@ -255,6 +263,7 @@
     def _subscribe(self, connection: PeerConnection, role: str) -> None:
         connection.subscribed_role = role
         self._note_batch()
-        if self.config_spread.config is not None:
-            connection.notify(self.config_spread.config.bundle)
+        config = self.config_spread.config
+        if config is not None and self.config_spread.is_ready:
+            connection.notify(config.bundle)
             connection.notify(self.view())
