--- a/briarvale/item_scheduler.py
+++ b/briarvale/item_scheduler.py
@@ -153,6 +153,10 @@
     def _fill(self, tasks: TaskGroup) -> None:
         room = min(MAX_ITEMS_AT_ONCE, max(MIN_ITEMS_AT_ONCE, self._items_at_once()))
         room -= self.running_count
+        if self._budget.is_full:
+            # What waits is committed now, however little it is.
+            for waiting in self.shards:
+                waiting.notify()
         while room > 0 and not self._budget.is_full:
             shard = self._next_shard()
             if shard is None:
@@ -177,13 +181,12 @@
         return min(own, key=lambda shard: (self._due_dates.start_by_ms(shard.job), shard.job.key))
 
     async def _run_item(self, shard: OpenShard, index: int, scope: anyio.CancelScope) -> None:
-        started_s = anyio.current_time()
-        start_by_ms = self._due_dates.start_by_ms(shard.job)
         try:
             with scope:
+                start_by_ms = self._due_dates.start_by_ms
                 work = ItemWork(shard.job, shard.items[index], index, start_by_ms)
                 result = await self._runner.run(work)
-                self._due_dates.note_item(shard.job, (anyio.current_time() - started_s) * 1_000)
+                self._due_dates.note_item(shard.job)
                 self._keep(shard, result)
         finally:
             del shard.running[index]
--- a/briarvale/slot_client.py
+++ b/briarvale/slot_client.py
@@ -22,16 +22,30 @@
 )
 from .clock import MS_PER_S
 from .environment import Environment
-from .errors import GrantRevoked, NoServer, NotOwner, Overloaded, OwnerUnreachable, ServerNotReady
+from .errors import (
+    BriarvaleError,
+    GrantRevoked,
+    InvalidRequest,
+    NoServer,
+    NotOwner,
+    Overloaded,
+    OwnerUnreachable,
+    Quarantined,
+    ServerNotReady,
+)
 from .fleet_view import FleetView
 from .owner_link import OwnerLink, PendingRequest
 from .peer import PeerAddress
+from .traces import current_traceparent
 
 KEEP_INTERVAL_S = 0.25
 OWNER_SETTLE_S = 0.1
 MAX_OWNERS_ASKED = 10
 UNREACHABLE_MS = 500
 
+# Failures that say nothing of the backend server.
+NOT_OF_THE_SERVER = (InvalidRequest, Quarantined, ServerNotReady)
+
 log = logs.part("slots")
 
 __all__ = ["HeldSlot", "LoadHandler", "ServerLoad", "SlotClient"]
@@ -43,7 +57,7 @@
     def __init__(self, grant: HeldGrant) -> None:
         self.grant = grant
         self.revoked = anyio.Event()
-        self.outcome = Outcome.FAILED
+        self.outcome = Outcome.CANCELLED
         self.tokens = 0
         self.time_between_tokens_ms = 0
 
@@ -100,6 +114,12 @@
         slot = await self._acquire_from_owner(request)
         try:
             yield slot
+        except NOT_OF_THE_SERVER:
+            raise
+        except BriarvaleError:
+            if slot.outcome is Outcome.CANCELLED:
+                slot.outcome = Outcome.FAILED
+            raise
         finally:
             self._release(slot)
 
@@ -130,7 +150,7 @@
         wait_ms = request.deadline_ms - self._environment.clock.now_ms()
         slot: HeldSlot | None = None
         try:
-            link.notify(request)
+            link.notify(request._replace(traceparent=current_traceparent()))
             with anyio.fail_after(max(0.0, wait_ms / MS_PER_S)):
                 await pending.answered.wait()
             if pending.grant is not None:
@@ -296,6 +316,9 @@
         if refusal.code == ServerNotReady.code:
             pending.fail(ServerNotReady(f"{server} takes no new work"))
             return
+        if refusal.code == Quarantined.code:
+            pending.fail(Quarantined("this request crashed several backend servers"))
+            return
         self._note_load(ServerLoad(server, refusal.held, refusal.queued, refusal.limit))
         message = f"the owner refused: {refusal.code}"
         pending.fail(Overloaded(message, retry_at_ms=refusal.retry_at_ms))
