Put the wake-up of waiting tasks in one place, and prove JSON logs and OTLP

Cause: ten classes each swapped an event to say that something changed; the settings of a VM in memory, a row of the VM list and the first by rendezvous stood twice; an error class had no use left. JSON logs and OTLP had no test.

--- a/briarvale/active_jobs.py
+++ b/briarvale/active_jobs.py
@@ -13,6 +13,7 @@
 from . import logs
 from .errors import ObjectNotFound, StoreThrottled, StoreUnavailable
 from .jobs import ACTIVE_PREFIX, JobRecord, job_key
+from .notifier import Notifier
 from .object_store import ObjectStore
 from .store_budget import StoreBudget
 
@@ -54,7 +55,7 @@
         self.pending: set[UploadKey] = set()
         self.unclean: set[UploadKey] = set()
         self.pause_count = 0
-        self._changed = anyio.Event()
+        self._changed = Notifier()
 
     async def run(self) -> None:
         """Follows the jobs until cancelled."""
@@ -153,8 +154,7 @@
         self._notify()
 
     def _notify(self) -> None:
-        self._changed.set()
-        self._changed = anyio.Event()
+        self._changed.notify()
 
     def _jitter(self, interval_s: float) -> float:
         return interval_s * self._random.uniform(0.8, 1.2)
--- a/briarvale/config_spread.py
+++ b/briarvale/config_spread.py
@@ -23,6 +23,7 @@
     SettingsInvalid,
 )
 from .membership import Membership
+from .notifier import Notifier
 from .ownership import rank_by_rendezvous
 from .peer import PeerAddress
 from .settings import Settings
@@ -60,7 +61,7 @@
         self._random = random.Random(environment.identity.boot_id)
         self._config: Config | None = None
         self._recent: dict[int, ConfigBundle] = {}
-        self._changed = anyio.Event()
+        self._changed = Notifier()
         self._has_asked = False
         self._was_ready = False
 
@@ -236,5 +237,4 @@
         self._notify()
 
     def _notify(self) -> None:
-        self._changed.set()
-        self._changed = anyio.Event()
+        self._changed.notify()
--- a/briarvale/errors.py
+++ b/briarvale/errors.py
@@ -222,12 +222,6 @@
     code, http_status = "caller_gone", 499
 
 
-class GrantRevoked(BriarvaleError):
-    """The owner took the slot back."""
-
-    code, http_status = "grant_revoked", 503
-
-
 class OwnerUnreachable(BriarvaleError):
     """The owner of the backend server does not answer; nothing was sent to the server."""
 
--- a/briarvale/fleet_view.py
+++ b/briarvale/fleet_view.py
@@ -20,6 +20,7 @@
 from .config_bundle import apply_delta
 from .environment import Environment
 from .errors import NotReady, OwnerUnreachable, PeerClosed, PeerProtocolError
+from .notifier import Notifier
 from .peer import MessageStream, PeerAddress
 from .settings import Settings
 
@@ -48,7 +49,7 @@
         self._config: Config | None = None
         self._servers: dict[str, ServerState] = {}
         self._vms: dict[str, VmState] = {}
-        self._changed = anyio.Event()
+        self._changed = Notifier()
         self._stream: MessageStream | None = None
         self._role = environment.identity.role
         self._suspect_handlers: list[SuspectHandler] = []
@@ -163,8 +164,7 @@
         return True
 
     def _notify(self) -> None:
-        self._changed.set()
-        self._changed = anyio.Event()
+        self._changed.notify()
 
     def _is_server_ready(self, backend_server: str) -> bool:
         state = self._servers.get(backend_server)
--- a/briarvale/item_scheduler.py
+++ b/briarvale/item_scheduler.py
@@ -13,6 +13,7 @@
 from .due_dates import DueDates
 from .item_runner import ItemRunner, ItemWork
 from .jobs import Item, JobRecord
+from .notifier import Notifier
 from .shard_log import ItemResult
 from .store_budget import StoreBudget
 
@@ -42,7 +43,7 @@
         self.result_bytes = 0
         self.is_held = False
         self.oldest_result_at_s = math.inf
-        self._changed = anyio.Event()
+        self._changed = Notifier()
 
     @property
     def unfinished_count(self) -> int:
@@ -56,8 +57,7 @@
 
     def notify(self) -> None:
         """Wakes who waits for a change."""
-        self._changed.set()
-        self._changed = anyio.Event()
+        self._changed.notify()
 
     def add(self, result: ItemResult) -> None:
         """Takes the result of an item that ran."""
--- a/briarvale/membership.py
+++ b/briarvale/membership.py
@@ -18,6 +18,7 @@
 from .errors import OwnerUnreachable, PeerClosed, PeerProtocolError
 from .failure_detector import FailureDetector
 from .heartbeats import Heartbeats, own_state
+from .notifier import Notifier
 from .peer import PeerAddress
 from .quarantine import SuspectTable
 from .settings import Settings
@@ -64,7 +65,7 @@
         self._rumor_handlers: list[RumorHandler] = []
         self._vms: tuple[VmState, ...] = ()
         self._seen_updates = -1
-        self._changed = anyio.Event()
+        self._changed = Notifier()
         self._has_list = False
         self.leaving_vms: frozenset[str] = frozenset()
 
@@ -269,5 +270,4 @@
         for health in VmHealth:
             count = sum(vm.health is health for vm in self.vms)
             metrics.VMS.set({"health": health.value}, count)
-        self._changed.set()
-        self._changed = anyio.Event()
+        self._changed.notify()
--- a/briarvale/ownership.py
+++ b/briarvale/ownership.py
@@ -46,7 +46,7 @@
             candidates = places.candidates(server)
             known = self._owners.get(name)
             if known is None or known[0] is not candidates:
-                known = (candidates, _first_by_rendezvous(name, candidates))
+                known = (candidates, next(iter(first_by_rendezvous(name, candidates, 1)), ""))
             owners[name] = known
         self._owners = owners
         self.owned = tuple(s for name, s in servers.items() if owners[name][1] == self._vm)
@@ -84,11 +84,6 @@
         return groups.get(zone) or groups.get(region) or groups.get(()) or NOBODY
 
 
-def _first_by_rendezvous(key: str, names: Iterable[str]) -> str:
-    prefix = f"{key}\0"
-    return max(names, key=lambda vm: xxhash.xxh3_64_intdigest((prefix + vm).encode()), default="")
-
-
 def rank_by_rendezvous(key: str, names: Iterable[str]) -> list[str]:
     """Orders names for a key, best first; the order moves little when names come and go."""
     return sorted(
--- a/briarvale/quarantine.py
+++ b/briarvale/quarantine.py
@@ -25,6 +25,7 @@
     VersionConflict,
 )
 from .fleet_view import FleetView
+from .notifier import Notifier
 
 OBJECT_KEY = "quarantine/suspects"
 QUARANTINE_CRASHES = 2
@@ -132,7 +133,7 @@
         self._unreported: dict[str, SuspectNotice] = {}
         self._handlers: list[NoticeHandler] = []
         self._is_unsaved = False
-        self._changed = anyio.Event()
+        self._changed = Notifier()
         self._loaded_at_ms = 0
         self.is_loaded = False
         view.subscribe_suspects(self.take_notice)
@@ -215,8 +216,7 @@
             log.warning("Quarantined {}: {} crashes.", notice.fingerprint, merged.crashes)
         self._unreported[notice.fingerprint] = merged
         self._is_unsaved = True
-        self._changed.set()
-        self._changed = anyio.Event()
+        self._changed.notify()
         for handler in self._handlers:
             handler(merged)
 
--- a/briarvale/request_count.py
+++ b/briarvale/request_count.py
@@ -1,8 +1,9 @@
 """Counts the requests in progress, so that a gateway can end after its last one."""
 
-import anyio
 from starlette.types import ASGIApp, Receive, Scope, Send
 
+from .notifier import Notifier
+
 __all__ = ["RequestCount", "RequestCountMiddleware"]
 
 
@@ -11,7 +12,7 @@
 
     def __init__(self) -> None:
         self.in_progress = 0
-        self._changed = anyio.Event()
+        self._changed = Notifier()
 
     async def wait_idle(self) -> None:
         """Waits until no request is in progress."""
@@ -25,8 +26,7 @@
     def leave(self) -> None:
         """Notes the end of a request, its body sent."""
         self.in_progress -= 1
-        self._changed.set()
-        self._changed = anyio.Event()
+        self._changed.notify()
 
 
 class RequestCountMiddleware:
--- a/briarvale/server_health.py
+++ b/briarvale/server_health.py
@@ -13,6 +13,7 @@
 from .engine_client import Completion, Engine, EngineLoad
 from .environment import Environment
 from .errors import BriarvaleError
+from .notifier import Notifier
 from .outliers import (
     SLOW_FACTOR,
     TOKEN_TARGET_MS,
@@ -81,7 +82,7 @@
         self._random = random.Random(environment.identity.boot_id)
         self._records: dict[str, _Record] = {}
         self._checks: dict[str, anyio.CancelScope] = {}
-        self._changed = anyio.Event()
+        self._changed = Notifier()
         self._leaving: frozenset[str] = frozenset()
 
     def health(self, backend_server: str) -> ServerHealth:
@@ -329,5 +330,4 @@
         for health in ServerHealth:
             count = sum(record.health is health for record in self._records.values())
             metrics.SERVERS.set({"health": health.value}, count)
-        self._changed.set()
-        self._changed = anyio.Event()
+        self._changed.notify()
--- a/briarvale/slot_client.py
+++ b/briarvale/slot_client.py
@@ -24,7 +24,6 @@
 from .environment import Environment
 from .errors import (
     BriarvaleError,
-    GrantRevoked,
     InvalidRequest,
     NoServer,
     NotOwner,
@@ -331,8 +330,3 @@
 def new_request_id() -> str:
     """Returns a fresh id for a slot request or a completion."""
     return secrets.token_hex(8)
-
-
-def revoked_error() -> GrantRevoked:
-    """Returns the error of work whose slot was taken back."""
-    return GrantRevoked("the owner took the slot back")
--- a/briarvale/standins/memory_dispatchers.py
+++ b/briarvale/standins/memory_dispatchers.py
@@ -16,7 +16,7 @@
 from ..settings import Settings
 from ..vm_list import VmEntry, VmStatus
 from .engine import EngineSettings, StandinEngine
-from .memory_fleet import EPOCH_MS, SHARED_SECRET, MemoryBackends
+from .memory_fleet import EPOCH_MS, MemoryBackends, settings_of
 from .memory_network import MemoryNetwork
 from .object_api import StandinObjectApi
 from .vm_list import StandinVmList
@@ -83,7 +83,7 @@
     def start_vm(self, vm: str, tasks: TaskGroup) -> Dispatcher:
         """Starts, or starts again, the dispatcher of a VM."""
         self._boots += 1
-        settings = _settings_of(self.entries[vm])
+        settings = settings_of(self.entries[vm])
         identity = PeerIdentity(vm, "dispatcher", f"boot-{self.settings.seed}-{self._boots}")
         environment = Environment(
             clock=self.clock,
@@ -164,15 +164,3 @@
 async def _run_within(scope: anyio.CancelScope, dispatcher: Dispatcher) -> None:
     with scope:
         await dispatcher.run()
-
-
-def _settings_of(entry: VmEntry) -> Settings:
-    return Settings(
-        vm=entry.vm,
-        region=entry.region,
-        availability_zone=entry.availability_zone,
-        host=entry.host,
-        shared_secret=SHARED_SECRET,
-        object_api_url="http://127.0.0.1:9000",
-        vm_list_url="http://127.0.0.1:9001/vms",
-    )
--- a/briarvale/standins/memory_fleet.py
+++ b/briarvale/standins/memory_fleet.py
@@ -119,7 +119,7 @@
     def start_vm(self, index: int, tasks: TaskGroup) -> MemoryVm:
         """Starts, or starts again, the VM of this index."""
         entry = self._vm_entry(index)
-        settings = self._settings_of(entry)
+        settings = settings_of(entry)
         environments = {part: self._environment(settings, part) for part in PARTS}
         vm = MemoryVm(settings, environments)
         self.vms[settings.vm] = vm
@@ -189,17 +189,6 @@
         zone = ZONES[index % len(ZONES)]
         return VmEntry(f"vm-{index + 1}", f"127.0.0.{index + 1}", "wales", zone, VmStatus.LIVE)
 
-    def _settings_of(self, entry: VmEntry) -> Settings:
-        return Settings(
-            vm=entry.vm,
-            region=entry.region,
-            availability_zone=entry.availability_zone,
-            host=entry.host,
-            shared_secret=SHARED_SECRET,
-            object_api_url="http://127.0.0.1:9000",
-            vm_list_url="http://127.0.0.1:9001/vms",
-        )
-
     def _server_row(self, name: str, service: str, index: int) -> dict[str, Any]:
         return {
             "id": name,
@@ -213,3 +202,16 @@
 
 def _digest(member: str) -> str:
     return hashlib.sha256(f"key-{member}".encode()).hexdigest()
+
+
+def settings_of(entry: VmEntry) -> Settings:
+    """Returns the settings of a VM of a fleet in memory."""
+    return Settings(
+        vm=entry.vm,
+        region=entry.region,
+        availability_zone=entry.availability_zone,
+        host=entry.host,
+        shared_secret=SHARED_SECRET,
+        object_api_url="http://127.0.0.1:9000",
+        vm_list_url="http://127.0.0.1:9001/vms",
+    )
--- a/briarvale/standins/object_api.py
+++ b/briarvale/standins/object_api.py
@@ -14,6 +14,7 @@
     StoreUnavailable,
     VersionConflict,
 )
+from ..notifier import Notifier
 from ..object_store import MAX_VALUE_BYTES, StoredObject, WatchResult
 
 HISTORY_KEPT = 10_000
@@ -89,7 +90,7 @@
         self._sorted_keys: list[str] = []
         self._version = 0
         self._history: list[tuple[int, str]] = []
-        self._changed = anyio.Event()
+        self._changed = Notifier()
         self._writes = _TokenBucket(self.faults.writes_per_s)
         self._reads = _TokenBucket(self.faults.reads_per_s)
         self._late_writes: list[tuple[float, str, bytes, int | None]] = []
@@ -211,8 +212,7 @@
         self._version += 1
         self._history.append((self._version, key))
         del self._history[:-HISTORY_KEPT]
-        self._changed.set()
-        self._changed = anyio.Event()
+        self._changed.notify()
 
     def _changed_keys(self, prefix: str, after_version: int) -> tuple[str, ...]:
         recent = reversed(self._history)
--- a/briarvale/standins/program.py
+++ b/briarvale/standins/program.py
@@ -8,7 +8,7 @@
 import yaml
 
 from ..http_server import serve_app, wait_forever
-from ..vm_list import VmEntry, VmStatus
+from ..vm_list import entry_from_row
 from .engine import EngineSettings, StandinEngine
 from .http import engine_app, object_api_app, plain_service_app, vm_list_app
 from .object_api import StandinObjectApi
@@ -32,7 +32,7 @@
         object_api = object_api_app(StandinObjectApi())
         tasks.start_soon(serve_app, object_api, api["host"], api["port"], wait_forever)
         vms = fleet["vm_list"]
-        entries = tuple(_vm_entry(row) for row in vms["vms"])
+        entries = tuple(entry_from_row(row) for row in vms["vms"])
         vm_list = vm_list_app(StandinVmList(entries))
         tasks.start_soon(serve_app, vm_list, vms["host"], vms["port"], wait_forever)
         for row in fleet["engines"]:
@@ -44,16 +44,6 @@
             tasks.start_soon(serve_app, service, row["host"], row["port"], wait_forever)
 
 
-def _vm_entry(row: dict[str, str]) -> VmEntry:
-    return VmEntry(
-        vm=row["vm"],
-        host=row["host"],
-        region=row["region"],
-        availability_zone=row["availability_zone"],
-        status=VmStatus(row["status"]),
-    )
-
-
 def main() -> None:
     """Entry point."""
     app()
--- a/briarvale/streams.py
+++ b/briarvale/streams.py
@@ -3,11 +3,10 @@
 from collections import deque
 from collections.abc import AsyncIterator
 
-import anyio
-
 from .clock import MS_PER_S
 from .engine_client import Token
 from .errors import BriarvaleError, ServerLost
+from .notifier import Notifier
 
 MAX_REORDERED_TOKENS = 64
 MAX_UNREAD_TOKENS = 512
@@ -65,7 +64,7 @@
     def __init__(self, max_tokens: int = MAX_UNREAD_TOKENS) -> None:
         self._max_tokens = max_tokens
         self._tokens: deque[Token] = deque()
-        self._changed = anyio.Event()
+        self._changed = Notifier()
         self._is_closed = False
         self._error: BriarvaleError | None = None
 
@@ -109,8 +108,7 @@
             raise self._error
 
     def _notify(self) -> None:
-        self._changed.set()
-        self._changed = anyio.Event()
+        self._changed.notify()
 
 
 def first_token_timeout_s(prompt_tokens: int, remaining_ms: float) -> float:
--- a/briarvale/vm_list.py
+++ b/briarvale/vm_list.py
@@ -9,7 +9,7 @@
 
 LIST_TIMEOUT_S = 3.0
 
-__all__ = ["HttpVmList", "VmEntry", "VmList", "VmListUnavailable", "VmStatus"]
+__all__ = ["HttpVmList", "VmEntry", "VmList", "VmListUnavailable", "VmStatus", "entry_from_row"]
 
 
 class VmListUnavailable(BriarvaleError):
@@ -62,10 +62,11 @@
             rows = response.json()["vms"]
         except (httpx.HTTPError, ValueError, KeyError) as error:
             raise VmListUnavailable(f"VM list: {type(error).__name__}") from error
-        return tuple(_entry_from_row(row) for row in rows)
+        return tuple(entry_from_row(row) for row in rows)
 
 
-def _entry_from_row(row: dict[str, str]) -> VmEntry:
+def entry_from_row(row: dict[str, str]) -> VmEntry:
+    """Reads one row of the list's JSON."""
     return VmEntry(
         vm=row["vm"],
         host=row["host"],
--- a/features/processes/survival.feature
+++ b/features/processes/survival.feature
@@ -33,6 +33,12 @@
     Then the trace has spans of gateway, slot wait, dispatcher, attempt and plain call
     And batch items and store calls have spans too
 
+  Scenario: Logs are JSON and spans go by OTLP where the operator says so
+    Given a collector of spans that speaks OTLP
+    When a gateway with that collector and JSON logs is stopped after one request
+    Then each log line is a JSON object with its part
+    And the collector got the gateway's spans
+
   Scenario Outline: Wrong settings start nothing
     When briarvale-<program> starts with settings whose <field> is <value>
     Then it exits with 2 and names the file, line <line> and <field>
--- a/features/steps/process_survival.py
+++ b/features/steps/process_survival.py
@@ -8,7 +8,9 @@
 import threading
 import time
 from collections.abc import Callable
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from pathlib import Path
+from typing import ClassVar
 
 import httpx
 import yaml
@@ -228,6 +230,62 @@
     assert names.count("batch item") >= JOB_ITEMS and "store call" in names, set(names)
 
 
+class Collector(BaseHTTPRequestHandler):
+    """Notes the path and the size of each request."""
+
+    received: ClassVar[list[tuple[str, int]]] = []
+
+    def do_POST(self) -> None:
+        body = self.rfile.read(int(self.headers["content-length"]))
+        self.received.append((self.path, len(body)))
+        self.send_response(200)
+        self.end_headers()
+
+    def log_message(self, *args: object) -> None:
+        """Keeps the test's output clean."""
+
+
+@given("a collector of spans that speaks OTLP")
+def given_collector(context: Context) -> None:
+    Collector.received.clear()
+    context.collector = ThreadingHTTPServer(("127.0.0.1", 0), Collector)
+    threading.Thread(target=context.collector.serve_forever, daemon=True).start()
+    context.add_cleanup(context.collector.shutdown)
+
+
+@when("a gateway with that collector and JSON logs is stopped after one request")
+def when_collected(context: Context) -> None:
+    given_processes(context)
+    fleet = context.fleet
+    path = fleet.folder / "vm-1.yaml"
+    settings = yaml.safe_load(path.read_text())
+    settings["otlp_url"] = f"http://127.0.0.1:{context.collector.server_port}/v1/traces"
+    settings["gateway_port"] = 8090
+    (fleet.folder / "otlp.yaml").write_text(yaml.safe_dump(settings))
+    log = (fleet.folder / "otlp.log").open("wb")
+    command = [str(BIN / "briarvale-gateway"), "otlp.yaml", "--log-format", "json"]
+    process = subprocess.Popen(command, cwd=fleet.folder, stderr=log)
+    fleet.processes["otlp"] = process
+    base_url = f"http://{fleet.host_of('vm-1')}:8090"
+    while not is_ready(base_url):
+        time.sleep(0.05)
+    assert stream_text(base_url, 8) == whole_text(8)
+    process.send_signal(signal.SIGTERM)
+    assert process.wait(GIVE_UP_S) == EXIT_CLEAN
+
+
+@then("each log line is a JSON object with its part")
+def then_json_logs(context: Context) -> None:
+    lines = (context.fleet.folder / "otlp.log").read_text().splitlines()
+    records = [json.loads(line)["record"] for line in lines]
+    assert records and all(record["extra"]["part"] for record in records), lines
+
+
+@then("the collector got the gateway's spans")
+def then_collected(context: Context) -> None:
+    assert any(path == "/v1/traces" and size > 0 for path, size in Collector.received)
+
+
 @when("briarvale-{program} starts with settings whose {field} is {value}")
 def when_wrong_settings(context: Context, program: str, field: str, value: str) -> None:
     settings = {
