Rank by rendezvous only as far as is asked, and drop the second working-out of owners

Cause: owner_of had no caller left and repeated what OwnershipTable works out; four callers that want one or a few names sorted all of them, the batch program once for each shard each second; its list of VMs was sorted twice; one more event was swapped by hand. Change: owner_of is gone, callers use first_by_rendezvous, heartbeats use Notifier. nlargest gives the names that the sort gave, so no behaviour changes. Left: engines are cancelled quietly in online.py and item_runner.py with other time-outs and shielding, which would change if they were made one. The cost itself was not measured.

--- a/briarvale/batch.py
+++ b/briarvale/batch.py
@@ -17,7 +17,7 @@
 from .item_runner import ItemRunner
 from .item_scheduler import ItemScheduler
 from .jobs import JobRecord, JobState, late_key
-from .ownership import batch_vms, rank_by_rendezvous
+from .ownership import batch_vms, first_by_rendezvous
 from .quarantine import Quarantine
 from .retention import Retention
 from .routing import Router
@@ -156,7 +156,7 @@
     def is_mine(self, key: str) -> bool:
         """Whether this VM is the one that should see to what the key names."""
         alive = self._alive_vms()
-        return bool(alive) and rank_by_rendezvous(key, alive)[0] == self._settings.vm
+        return bool(alive) and first_by_rendezvous(key, alive, 1)[0] == self._settings.vm
 
     def _is_first_by_name(self, key: str) -> bool:
         """Whether this VM would come first if all known VMs were alive.
@@ -164,10 +164,10 @@
         Others run a shard's items from its end, so that two runners seldom run the same ones.
         """
         names = [vm.vm for vm in self.view.vms]
-        return not names or rank_by_rendezvous(key, names)[0] == self._settings.vm
+        return not names or first_by_rendezvous(key, names, 1)[0] == self._settings.vm
 
     def _alive_vms(self) -> tuple[str, ...]:
-        return tuple(sorted(batch_vms(self.view.vms)))
+        return tuple(batch_vms(self.view.vms))
 
     def _follow_vms(self) -> None:
         """Forgets which shards are this VM's when the VMs that are alive change."""
--- a/briarvale/config_spread.py
+++ b/briarvale/config_spread.py
@@ -24,7 +24,7 @@
 )
 from .membership import Membership
 from .notifier import Notifier
-from .ownership import rank_by_rendezvous
+from .ownership import first_by_rendezvous
 from .peer import PeerAddress
 from .settings import Settings
 
@@ -221,7 +221,8 @@
             for vm in self._membership.vms
             if vm.region == self._settings.region and vm.health is VmHealth.ALIVE
         ]
-        return self._settings.vm in rank_by_rendezvous(HEAD_KEY, region)[:WATCHERS_PER_REGION]
+        watchers = first_by_rendezvous(HEAD_KEY, region, WATCHERS_PER_REGION)
+        return self._settings.vm in watchers
 
     def _take_config(self, config: Config) -> None:
         if config.revision > self.revision:
--- a/briarvale/handover.py
+++ b/briarvale/handover.py
@@ -6,7 +6,7 @@
 import anyio
 
 from ._generated.messages import VmState
-from .ownership import batch_vms, rank_by_rendezvous
+from .ownership import batch_vms, first_by_rendezvous
 
 HANDOVER_S = 15.0
 SAME_START_MS = 10_000
@@ -46,7 +46,7 @@
         """Whether no other VM that still runs had this shard before the last change."""
         if not self._before or anyio.current_time() >= self._over_at_s:
             return True
-        return rank_by_rendezvous(shard, self._before)[0] == self._vm
+        return first_by_rendezvous(shard, self._before, 1)[0] == self._vm
 
     def _earlier_vms(self, vms: Sequence[VmState]) -> tuple[str, ...]:
         """Returns the VMs that started well before this one; incarnations start as instants."""
--- a/briarvale/heartbeats.py
+++ b/briarvale/heartbeats.py
@@ -27,6 +27,7 @@
 from .environment import Environment
 from .errors import PeerProtocolError
 from .failure_detector import FailureDetector
+from .notifier import Notifier
 from .peer import PeerAddress
 from .rumors import FRESH_SENDS, AnyRumor, RumorBatch, RumorQueue, size_bytes
 from .settings import Settings
@@ -112,7 +113,7 @@
         self._pushed = anyio.Event()
         self._tasks: TaskGroup | None = None
         self.config_revision = 0
-        self.revision_heard = anyio.Event()
+        self.revision_heard = Notifier()
         self.newest_seen: tuple[int, str] = (0, "")
         self._zone_checked_ms = 0
 
@@ -251,8 +252,7 @@
         self._detector.note_heard(message.source, message.config_revision, now_ms)
         if message.config_revision > self.newest_seen[0]:
             self.newest_seen = (message.config_revision, message.source)
-            self.revision_heard.set()
-            self.revision_heard = anyio.Event()
+            self.revision_heard.notify()
         for server in message.servers:
             self._on_rumor(server)
         for suspect in message.suspects:
--- a/briarvale/ownership.py
+++ b/briarvale/ownership.py
@@ -14,7 +14,6 @@
     "OwnershipTable",
     "batch_vms",
     "first_by_rendezvous",
-    "owner_of",
     "rank_by_rendezvous",
 ]
 
@@ -105,17 +104,3 @@
     them again.
     """
     return sorted(vm.vm for vm in vms if vm.runs_batch and vm.health is not VmHealth.DEAD)
-
-
-def owner_of(server: BackendServer, vms: Sequence[VmState]) -> VmState | None:
-    """Returns the VM that owns a backend server, or none if no VM is alive.
-
-    VMs of the server's availability zone come first, then those of its region, then all.
-    """
-    alive = [vm for vm in vms if vm.health in (VmHealth.ALIVE, VmHealth.SUSPECT)]
-    in_region = [vm for vm in alive if vm.region == server.region]
-    in_zone = [vm for vm in in_region if vm.availability_zone == server.availability_zone]
-    candidates = {vm.vm: vm for vm in in_zone or in_region or alive}
-    if not candidates:
-        return None
-    return candidates[rank_by_rendezvous(server.id, candidates)[0]]
--- a/briarvale/routing.py
+++ b/briarvale/routing.py
@@ -8,7 +8,7 @@
 from .config import BackendServer
 from .errors import NoServer
 from .fleet_view import FleetView
-from .ownership import first_by_rendezvous, rank_by_rendezvous
+from .ownership import first_by_rendezvous
 from .prefix_cache import PrefixCache, prefix_blocks
 from .server_loads import ServerLoads
 
@@ -114,7 +114,7 @@
         if not candidates:
             raise NoServer(f"no backend server of {request.service} is ready")
         names = {server.id: server for server in candidates}
-        first = rank_by_rendezvous(request.fingerprint, names)[0]
+        first = first_by_rendezvous(request.fingerprint, names, 1)[0]
         return Choice(names[first], tuple(names), "probation of a suspect")
 
     def takes_work(self, backend_server: str) -> bool:
