--- a/briarvale/work_items.py
+++ b/briarvale/work_items.py
@@ -156,6 +156,7 @@
         """Runs at one server until the item is whole, or the slot is wanted back."""
         with tracer.start_as_current_span("batch item") as span:
             span.set_attribute("briarvale.backend_server", server.id)
+            error: BriarvaleError | None = None
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(_cancel_when_revoked, slot, tasks.cancel_scope)
                 error = await self._stream(job, request, progress, server)
