--- a/briarvale/ingress.py
+++ b/briarvale/ingress.py
@@ -5,6 +5,7 @@
 
 from collections.abc import Callable
 from contextlib import suppress
+from enum import Enum
 from typing import NamedTuple, Protocol
 
 import anyio
@@ -12,7 +13,14 @@
 from anyio.abc import SocketStream
 
 from . import logs
-from .errors import BodyTooLarge, BriarvaleError, CallerGone, HeadersTooLarge, InvalidRequest
+from .errors import (
+    BodyTooLarge,
+    BriarvaleError,
+    CallerGone,
+    HeadersTooLarge,
+    InvalidRequest,
+    NotReady,
+)
 from .http_wire import READ_BYTES, AnswerHead, Headers, end_to_end_headers, watch_for_loss
 from .peer import PeerAddress
 from .routes import IngressLimits
@@ -25,7 +33,7 @@
 
 log = logs.part("ingress")
 
-__all__ = ["Ingress", "IngressHandler", "IngressRequest", "Responder"]
+__all__ = ["Ingress", "IngressHandler", "IngressRequest", "IngressState", "Responder"]
 
 
 class IngressRequest(NamedTuple):
@@ -111,6 +119,16 @@
         """Answers with a failure."""
 
 
+class IngressState(Enum):
+    """What becomes of connections and requests."""
+
+    SERVING = "serving"
+    # Requests are answered, and each connection ends with its answer.
+    CLOSING = "closing"
+    # Further requests are refused, as not run.
+    REFUSING = "refusing"
+
+
 class Ingress:
     """Serves callers at one address.
 
@@ -121,7 +139,7 @@
     def __init__(self, handler: IngressHandler) -> None:
         self._handler = handler
         self._connections: set[_CallerConnection] = set()
-        self.is_stopping = False
+        self.state = IngressState.SERVING
 
     @property
     def active_count(self) -> int:
@@ -138,7 +156,7 @@
 
     async def _serve_connection(self, stream: SocketStream) -> None:
         watch_for_loss(stream)
-        connection = _CallerConnection(stream, self._handler, lambda: self.is_stopping)
+        connection = _CallerConnection(stream, self._handler, lambda: self.state)
         self._connections.add(connection)
         try:
             await connection.run()
@@ -154,11 +172,11 @@
     """One connection of a caller."""
 
     def __init__(
-        self, stream: SocketStream, handler: IngressHandler, is_stopping: Callable[[], bool]
+        self, stream: SocketStream, handler: IngressHandler, state: Callable[[], IngressState]
     ) -> None:
         self._stream = stream
         self._handler = handler
-        self._is_stopping = is_stopping
+        self._state = state
         self._h11 = self._new_h11()
         self.is_active = False
 
@@ -169,7 +187,7 @@
     async def run(self) -> None:
         """Serves requests until the connection ends."""
         while True:
-            responder = Responder(self._h11, self._stream, self._is_stopping)
+            responder = Responder(self._h11, self._stream, self._is_closing)
             try:
                 request = await self._read_request()
                 if request is None:
@@ -187,6 +205,9 @@
                 await self._close_gently()
                 return
 
+    def _is_closing(self) -> bool:
+        return self._state() is not IngressState.SERVING
+
     async def _read_request(self) -> IngressRequest | None:
         """Reads a request whole; none if the caller closes or stays idle."""
         limits = self._handler.limits
@@ -233,6 +254,8 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._watch_caller, tasks.cancel_scope)
             try:
+                if self._state() is IngressState.REFUSING:
+                    raise NotReady("this node stops", retry_at_ms=0)
                 await self._handler.handle(request, responder)
             except CallerGone:
                 log.info("The caller left.", target=request.target.decode("latin-1"))
--- a/briarvale/platform/node.py
+++ b/briarvale/platform/node.py
@@ -13,7 +13,7 @@
 from ..environment import Environment
 from ..errors import BriarvaleError
 from ..forwarding import Forwarder
-from ..ingress import Ingress, IngressRequest, Responder
+from ..ingress import Ingress, IngressRequest, IngressState, Responder
 from ..live_servers import LiveServers
 from ..node_cluster import NodeCluster
 from ..node_settings import NodeSettings
@@ -23,7 +23,7 @@
 from ..routes import IngressLimits
 from ..routes_in_force import RoutesInForce
 from ..slot_client import SlotClient
-from ..store_budget import BackOff, StoreBudget
+from ..store_budget import BackOff, CallRates, StoreBudget
 from ..vm_directory import VMS_KIND, VmDirectory
 from ..work_items import WorkItemRunner
 from ..work_jobs import JOBS_KIND, JobDirectory
@@ -100,8 +100,11 @@
         self.cluster = NodeCluster(settings.parts, self._environment, self.servers)
         self.jobs = JobDirectory()
         self._budget = StoreBudget(
-            give_up_after_s=STORE_GIVE_UP_S, back_off=BackOff(start_s=0.1, max_s=1.0)
+            give_up_after_s=STORE_GIVE_UP_S,
+            back_off=BackOff(start_s=0.1, max_s=1.0),
+            rates=CallRates(min_per_s=10.0),
         )
+        self._feeds: dict[str, ObjectFeed] = {}
         self._is_stopping = False
         self._ingress: Ingress | None = None
         self._runner: WorkRunner | None = None
@@ -133,6 +136,7 @@
             (RETIREMENTS_KIND, retirements),
         ):
             feed = ObjectFeed(self._store, kind, handler, self._clock.now_ms)
+            self._feeds[kind] = feed
             tasks.start_soon(feed.run)
         tasks.start_soon(self._directory.enter)
         tasks.start_soon(retirements.run)
@@ -143,7 +147,13 @@
         slots = SlotClient(self._environment, self.cluster, tasks)
         engines = EngineClient(BackendConnections(), PlatformDialect(), self._clock)
         forwarder = Forwarder(self._clock, self.servers, slots, engines, zone)
-        service = WorkService(self._store, self._budget, self.jobs, self._clock)
+        service = WorkService(
+            self._store,
+            self._budget,
+            self.jobs,
+            self._clock,
+            lambda: self._feeds[JOBS_KIND].is_current,
+        )
         items = WorkItemRunner(
             self._clock, self.servers, slots, engines, ItemRequests(self._clock), zone
         )
@@ -163,24 +173,27 @@
             tasks.start_soon(exporter.serve, settings.metrics)
 
     async def _drain(self) -> None:
-        """Hands work over, and goes on answering callers until none is left or time is up."""
+        """Hands work over; answers callers until the balancer sends none; refuses the rest."""
         now_ms = self._clock.now_ms()
         self._is_stopping = True
         log.info("Stops gracefully.", active=self._active_count())
-        if self._ingress is not None:
-            self._ingress.is_stopping = True
-        leave_at_ms = now_ms + BALANCER_LAG_MS
+        self._set_ingress(IngressState.CLOSING)
+        refuse_at_ms = now_ms + BALANCER_LAG_MS
         kill_at_ms = now_ms + self._settings.bounds.grace_ms - GRACE_RESERVE_MS
         await self.cluster.membership.leave()
         if self._runner is not None:
             with anyio.move_on_after(BALANCER_LAG_MS / MS_PER_S):
                 await self._runner.drain()
-        while self._clock.now_ms() < kill_at_ms:
-            if self._clock.now_ms() >= leave_at_ms and not self._active_count():
-                break
+        await self._clock.sleep_until(refuse_at_ms)
+        self._set_ingress(IngressState.REFUSING)
+        while self._active_count() and self._clock.now_ms() < kill_at_ms:
             await anyio.sleep(IDLE_POLL_S)
         log.info("Ends.", active=self._active_count())
 
+    def _set_ingress(self, state: IngressState) -> None:
+        if self._ingress is not None:
+            self._ingress.state = state
+
     def _active_count(self) -> int:
         return self._ingress.active_count if self._ingress is not None else 0
 
--- a/briarvale/store_budget.py
+++ b/briarvale/store_budget.py
@@ -20,7 +20,7 @@
 
 T = TypeVar("T")
 
-__all__ = ["BackOff", "MAX_BUFFER_BYTES", "StoreBudget"]
+__all__ = ["BackOff", "CallRates", "MAX_BUFFER_BYTES", "StoreBudget"]
 
 
 class BackOff(NamedTuple):
@@ -30,6 +30,13 @@
     max_s: float = BACK_OFF_MAX_S
 
 
+class CallRates(NamedTuple):
+    """Calls a second that one process makes at least, after failures, and at most."""
+
+    min_per_s: float = MIN_CALLS_PER_S
+    max_per_s: float = MAX_CALLS_PER_S
+
+
 class StoreBudget:
     """Paces and retries calls: additive increase of the rate, halved by each failure.
 
@@ -40,6 +47,7 @@
         max_buffer_bytes: Bytes of results that may wait.
         give_up_after_s: Time after which a call that keeps failing is given up; never by default.
         back_off: Pauses between the attempts of a call.
+        rates: Least and greatest rate of calls.
     """
 
     def __init__(
@@ -47,11 +55,13 @@
         max_buffer_bytes: int = MAX_BUFFER_BYTES,
         give_up_after_s: float = math.inf,
         back_off: BackOff = BackOff(),
+        rates: CallRates = CallRates(),
     ) -> None:
         self._give_up_after_s = give_up_after_s
         self._back_off = back_off
+        self._rates = rates
         self._max_buffer_bytes = max_buffer_bytes
-        self._rate_per_s = MAX_CALLS_PER_S
+        self._rate_per_s = rates.max_per_s
         self._next_at_s = 0.0
         self._slowed_at_s = -math.inf
         self._buffered_bytes = 0
@@ -64,7 +74,7 @@
     @property
     def entry_factor(self) -> float:
         """How many times larger than usual log entries should be: grows as the rate falls."""
-        return min(8.0, MAX_CALLS_PER_S / self._rate_per_s)
+        return min(8.0, self._rates.max_per_s / self._rate_per_s)
 
     def buffer(self, size_bytes: int) -> None:
         """Counts results that now wait, or with a negative size no longer wait."""
@@ -98,7 +108,7 @@
             raise
         # A step a second, however many calls succeed in it.
         faster_per_s = self._rate_per_s + RATE_STEP_PER_S / self._rate_per_s
-        self._rate_per_s = min(MAX_CALLS_PER_S, faster_per_s)
+        self._rate_per_s = min(self._rates.max_per_s, faster_per_s)
         return result
 
     def _slow_down(self) -> None:
@@ -106,7 +116,7 @@
         now_s = anyio.current_time()
         if now_s - self._slowed_at_s >= SLOW_DOWN_INTERVAL_S:
             self._slowed_at_s = now_s
-            self._rate_per_s = max(MIN_CALLS_PER_S, self._rate_per_s / 2)
+            self._rate_per_s = max(self._rates.min_per_s, self._rate_per_s / 2)
 
     async def _wait_turn(self) -> None:
         now_s = anyio.current_time()
--- a/briarvale/work_runner.py
+++ b/briarvale/work_runner.py
@@ -9,11 +9,11 @@
 
 from . import logs, metrics
 from .clock import Clock
-from .errors import BriarvaleError, ShardSealed
+from .errors import ShardSealed, StoreThrottled, StoreUnavailable
 from .node_cluster import NodeCluster
 from .shard_log import ItemResult, ShardLog
 from .work_items import WorkItemRunner
-from .work_jobs import JobDirectory, KnownJob
+from .work_jobs import JobDirectory, KnownJob, WorkJob
 from .work_service import WorkService
 
 LOOK_INTERVAL_S = 0.5
@@ -23,6 +23,7 @@
 # Another node may still be taking over or handing over.
 NOT_MINE_GRACE_S = 1.0
 RETRY_S = 1.0
+STORE_PAUSE_S = 0.2
 
 log = logs.part("batch")
 
@@ -124,7 +125,7 @@
         shard_log = self._service.open_log(job.job_id)
         try:
             with running.scope:
-                await shard_log.replay()
+                await self._replay(shard_log)
                 async with anyio.create_task_group() as tasks:
                     for index in range(len(job.items)):
                         if index not in shard_log.done:
@@ -134,14 +135,23 @@
             if running.results:
                 with anyio.CancelScope(shield=True), anyio.move_on_after(RETRY_S):
                     await self._append(running, shard_log)
-        except ShardSealed:
-            log.info("The job has ended.", job_id=job.job_id)
-        except BriarvaleError as error:
-            log.warning("A job stopped: {}.", error, job_id=job.job_id, code=error.code)
+        except Exception as error:
+            # A fault here must cost this run of the job, not the process.
+            log.exception("A job stopped: {!r}.", error, job_id=job.job_id)
         finally:
             del self._running[job.job_id]
             self._retry_at_s[job.job_id] = anyio.current_time() + RETRY_S
 
+    async def _replay(self, shard_log: ShardLog) -> None:
+        """Reads the log, however long the store is away."""
+        while True:
+            try:
+                await shard_log.replay()
+                return
+            except (StoreThrottled, StoreUnavailable) as error:
+                log.info("Can't read a log yet: {}.", error)
+                await anyio.sleep(STORE_PAUSE_S)
+
     async def _run_item(self, running: _RunningJob, index: int) -> None:
         try:
             running.add(await self._items.run(running.known.job, index))
@@ -159,25 +169,34 @@
             await self._append(running, shard_log)
 
     async def _append(self, running: _RunningJob, shard_log: ShardLog) -> None:
+        """Appends what is there; what the store does not take now stays for the next time."""
         running.arrived = anyio.Event()
-        entry = [one for one in running.results if one.item_index not in shard_log.done]
-        entry = _fitting(entry)
-        if entry and await shard_log.append(entry):
-            failed = sum(bool(result.error_code) for result in entry)
-            metrics.ITEMS.add({"result": "done"}, len(entry) - failed)
-            metrics.ITEMS.add({"result": "failed"}, failed)
-            for result in entry:
-                log.info(
-                    "Listed an item.",
-                    job_id=running.known.job.job_id,
-                    item_id=running.known.job.items[result.item_index].id,
-                    code=result.error_code or "done",
-                    due_in_ms=running.known.job.due_at_ms - self._clock.now_ms(),
-                )
+        entry = _fitting([r for r in running.results if r.item_index not in shard_log.done])
+        try:
+            if entry and await shard_log.append(entry):
+                self._note_listed(running.known.job, entry)
+        except ShardSealed:
+            log.info("The job has ended.", job_id=running.known.job.job_id)
+        except (StoreThrottled, StoreUnavailable) as error:
+            log.info("Can't list results yet: {}.", error, job_id=running.known.job.job_id)
+            await anyio.sleep(STORE_PAUSE_S)
         running.results = [r for r in running.results if r.item_index not in shard_log.done]
         if running.results:
             running.arrived.set()
 
+    def _note_listed(self, job: WorkJob, entry: list[ItemResult]) -> None:
+        failed = sum(bool(result.error_code) for result in entry)
+        metrics.ITEMS.add({"result": "done"}, len(entry) - failed)
+        metrics.ITEMS.add({"result": "failed"}, failed)
+        for result in entry:
+            log.info(
+                "Listed an item.",
+                job_id=job.job_id,
+                item_id=job.items[result.item_index].id,
+                code=result.error_code or "done",
+                due_in_ms=job.due_at_ms - self._clock.now_ms(),
+            )
+
 
 def _fitting(results: list[ItemResult]) -> list[ItemResult]:
     """Returns as many of the results as fit into one entry, at least one."""
--- a/briarvale/work_service.py
+++ b/briarvale/work_service.py
@@ -1,6 +1,7 @@
 """Accepts jobs of opaque items, reads their results and ends them; any node may do each."""
 
 import json
+from collections.abc import Callable
 from typing import NamedTuple
 
 import anyio
@@ -38,8 +39,6 @@
 RETRY_PAUSE_S = 0.1
 # The time kept back from a caller's deadline, so that the answer still reaches it.
 ANSWER_RESERVE_MS = 300
-# A silent feed is trusted this long before a reader's position is looked up in the store.
-FEED_TRUST_MS = 500
 
 log = logs.part("jobs")
 
@@ -62,15 +61,22 @@
         budget: Paces and retries reads.
         directory: The jobs that this node knows of.
         clock: Source of instants.
+        is_feed_current: Says whether the directory hears of changes at once.
     """
 
     def __init__(
-        self, store: ObjectStore, budget: StoreBudget, directory: JobDirectory, clock: Clock
+        self,
+        store: ObjectStore,
+        budget: StoreBudget,
+        directory: JobDirectory,
+        clock: Clock,
+        is_feed_current: Callable[[], bool],
     ) -> None:
         self._store = store
         self._budget = budget
         self._directory = directory
         self._clock = clock
+        self._is_feed_current = is_feed_current
 
     async def accept(self, job: WorkJob, answer_by_ms: int) -> None:
         """Keeps a job; returns once it is the system's, also for a job that was sent before.
@@ -98,10 +104,11 @@
             left_s = (wait_until_ms - self._clock.now_ms()) / MS_PER_S
             if left_s <= 0:
                 break
-            with anyio.move_on_after(min(left_s, FEED_TRUST_MS / MS_PER_S)):
+            with anyio.move_on_after(left_s):
                 await known.changed.wait()
-        if len(known.results) <= after and not known.is_complete:
-            await self._catch_up(known, is_needed=after > len(known.results))
+        is_behind = after > len(known.results)
+        if not known.is_complete and (is_behind or not self._is_feed_current()):
+            await self._catch_up(known, is_needed=is_behind)
         return _page(known, after)
 
     async def body(self, job_id: str, item_id: str) -> WorkItem:
