--- a/briarvale/ingress.py
+++ b/briarvale/ingress.py
@@ -89,6 +89,10 @@
             await self.send(body)
         await self.finish()
 
+    async def write_raw(self, data: bytes) -> None:
+        """Sends bytes as they are; stand-ins break the protocol with it."""
+        await self._write(data)
+
     async def _send_head(self, status: int, headers: list[tuple[bytes, bytes]]) -> None:
         if self._may_close():
             headers.append((b"connection", b"close"))
--- a/briarvale/slot_pool.py
+++ b/briarvale/slot_pool.py
@@ -285,9 +285,13 @@
                 return
 
     def _choose(self, request: SlotRequest, now_ms: int) -> _PoolServer | None:
-        """Returns the free server with the least load, less what its cache and nearness save."""
-        excluded = set(request.excluded)
-        free = [s for s in self._servers.values() if s.free > 0 and s.server.id not in excluded]
+        """Returns the free server with the least load, less what its cache and nearness save.
+
+        Excluded servers are used only where there are no others.
+        """
+        ready = [server for server in self._servers.values() if server.is_ready]
+        others = [server for server in ready if server.server.id not in request.excluded]
+        free = [server for server in others or ready if server.free > 0]
         sound = [server for server in free if server.avoid_until_ms <= now_ms]
         return min(sound or free, key=lambda server: _cost(server, request), default=None)
 
--- /dev/null
+++ b/features/platform/batch.feature
@@ -0,0 +1,50 @@
+Feature: Batch jobs of opaque items, kept in the platform's store
+
+  Scenario: A job is accepted once and read the same at every node
+    When a caller submits a job to two nodes at once and reads it at both
+    Then both accept it, each item runs once, and both list the same results in the same positions
+    And the bodies of items come back byte for byte before the end
+
+  Scenario: Items that fail end as the page says
+    When items can never be done, fail at each run, or fail once
+    Then the first two are dead-lettered after 1 and 3 runs, and the third is done
+
+  Scenario: An item that is cut goes on after its last event
+    When the backend server breaks off an item midway
+    Then its text is whole and the second run went on after the last event
+
+  Scenario: An ended job stops and keeps what it listed
+    When a caller ends a job that runs, at another node, twice
+    Then its items stop at the backend servers and nothing more is listed
+
+  Scenario: A job outlives its runner
+    When the node that runs a job is killed
+    Then another node finishes it
+
+  Scenario: A node that stops hands its job over
+    When the node that runs a job stops gracefully
+    Then another node finishes it
+
+  Scenario: An unknown job is not found; without the store nobody can say
+    When a job that does not exist is read, with the store and without
+    Then the answers are 404 and 503
+
+  Scenario: A job is refused as not run only if surely nothing was kept
+    When the store turns every write away while a job is submitted
+    Then the caller gets 503 and nothing of the job is kept
+
+  Scenario: A job whose acceptance was written and not answered is accepted
+    When the store writes the job and loses the answer
+    Then the caller gets 202 and the job is done
+
+  Scenario: Results wait for a store that is away
+    When the store is away while a job runs, and comes back
+    Then the job is done, and no node has ended
+
+  Scenario: A job larger than one object
+    When a caller submits a job of 1.5 MB
+    Then it is done and its bodies come back whole
+
+  Scenario: A malformed job is refused with its field
+    When jobs with faults of every kind are submitted
+    Then each is answered 400 and names the field, and nothing is kept
--- /dev/null
+++ b/features/platform/forwarding.feature
@@ -0,0 +1,75 @@
+Feature: A node forwards opaque requests byte for byte, and says truly what became of them
+
+  Scenario: An idempotent request gets the backend server's whole answer
+    When a caller asks a plain service over one connection three times
+    Then each answer is the server's, with its signature, and one connection was enough
+    And the server got the caller's method, path, body and id, its own name, and the time left
+
+  Scenario: A path without a route is not found, and nothing runs
+    When a caller asks for a path without a route
+    Then the answer is 404 and no server saw a request
+
+  Scenario: A server that did not run a request is passed over
+    When the first answers say that the request was not run
+    Then the caller gets a whole answer
+
+  Scenario: All servers are full
+    When every answer says that the request was not run
+    Then the caller gets 503 with Retry-After, and no server ran it
+
+  Scenario: An idempotent request whose answer is lost runs again
+    When the answer to an idempotent request is lost once
+    Then the caller gets a whole answer
+    And the request reached servers 2 times
+
+  Scenario: A non-idempotent request whose answer is lost never runs again
+    When the answer to a non-idempotent request is lost once
+    Then the caller gets 502
+    And the request reached servers 1 times
+
+  Scenario: An answer to another request is not the caller's
+    When an answer to another request arrives first
+    Then the caller gets a whole answer
+
+  Scenario: A success without a signature is no success
+    When every answer lacks a signature
+    Then the caller gets 502
+
+  Scenario: The route's time-out ends the wait and the run
+    When a server never answers on a route with a short time-out
+    Then the caller gets 504 within the time-out and a little, and the run has ended
+
+  Scenario: A caller that leaves ends its run
+    When a caller leaves while a server works
+    Then the run has ended soon after
+
+  Scenario: A stream arrives whole
+    When a caller asks for a stream
+    Then the caller gets every event once, in order, as a whole answer
+
+  Scenario: A resumable stream goes on at another server
+    When a resumable stream breaks midway
+    Then the caller gets every event once, in order, as a whole answer
+    And the second server was asked to go on after the last event
+
+  Scenario: A stream that may not be resumed is broken off, and never looks complete
+    When a stream that may not be resumed breaks midway
+    Then the caller gets the first events and no end
+
+  Scenario: Entries that can't be read harm no other
+    When entries of servers with faults of every kind are written
+    Then the caller gets a whole answer
+
+  Scenario: A draining server gets no new request
+    When one of two servers is draining
+    Then only the other server gets requests
+
+  Scenario: A newer configuration is in force, an older or unreadable one never
+    When a newer, an older and an unreadable configuration are written
+    Then the newer one stays in force
+
+  Scenario: A node that stops answers its callers, then refuses as not run
+    When a node stops while a caller keeps its connection
+    Then the running request is answered whole and the connection ends with it
+    And later requests on open connections are refused as not run
+    And the node ends within its grace
--- /dev/null
+++ b/features/steps/platform_batch.py
@@ -0,0 +1,369 @@
+"""Steps of batch jobs: real nodes between callers and stand-ins, on loopback."""
+
+import base64
+import json
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import anyio
+from behave import then, when
+from behave.runner import Context
+
+from features.support.platform_engine import Behaviour, whole_text
+from features.support.platform_fleet import (
+    MODEL,
+    Answer,
+    Caller,
+    FleetNode,
+    PlatformFleet,
+    job_body,
+    platform_fleet,
+)
+
+JOB = "job-1"
+ITEMS = ["item-a", "item-b", "item-c"]
+DONE_TIMEOUT_S = 25.0
+BIG_ITEM_BYTES = 100_000
+BIG_ITEMS = 15
+
+Play = Callable[[PlatformFleet, dict[str, Any]], Awaitable[None]]
+
+
+def play(context: Context, behave_as: Play, *, nodes: int = 2, engines: int = 2) -> None:
+    """Runs `behave_as(fleet, facts)` against some nodes and model engines."""
+
+    async def run() -> dict[str, Any]:
+        facts: dict[str, Any] = {}
+        async with platform_fleet(nodes) as fleet:
+            facts["engines"] = [await fleet.add_engine(f"i-{n}", MODEL) for n in range(engines)]
+            await behave_as(fleet, facts)
+            facts["ended nodes"] = [n.name for n in fleet.nodes.values() if n.ended.is_set()]
+        return facts
+
+    context.facts = anyio.run(run)
+
+
+async def submit(node: FleetNode, body: bytes, job_id: str = JOB) -> Answer:
+    """Submits a job on a new connection."""
+    answer = await Caller(node).call("POST", "/lot/", body, request_id=job_id)
+    assert answer is not None
+    return answer
+
+
+async def read(node: FleetNode, after: int = 0, job_id: str = JOB) -> Answer:
+    """Reads a job's results on a new connection."""
+    headers = {"Briarvale-Wait-Ms": "1000"}
+    path = f"/briarvale/lots/{job_id}?after={after}"
+    answer = await Caller(node).call("GET", path, headers=headers)
+    assert answer is not None
+    return answer
+
+
+async def read_all(node: FleetNode, count: int = len(ITEMS)) -> list[dict[str, str]]:
+    """Reads results until all are listed."""
+    results: list[dict[str, str]] = []
+    with anyio.fail_after(DONE_TIMEOUT_S):
+        while len(results) < count:
+            answer = await read(node, len(results))
+            if answer.status != 200:
+                await anyio.sleep(0.2)
+                continue
+            page = answer.json()
+            assert page["total"] == count and page["next_token"] == len(results) + len(
+                page["results"]
+            )
+            results += page["results"]
+    return results
+
+
+def runs_of(facts: dict[str, Any], item_id: str) -> list[Any]:
+    """Returns the runs of an item at all engines."""
+    return [seen for e in facts["engines"] for seen in e.seen if seen.request_id == item_id]
+
+
+async def runner_of(fleet: PlatformFleet, facts: dict[str, Any]) -> FleetNode:
+    """Waits until a job runs; returns the node that runs it."""
+    with anyio.fail_after(DONE_TIMEOUT_S):
+        while True:
+            for node in fleet.nodes.values():
+                runner = node.node._runner if node.node else None
+                if runner and runner.running_count and any(e.running for e in facts["engines"]):
+                    return node
+            await anyio.sleep(0.01)
+
+
+def other_than(fleet: PlatformFleet, node: FleetNode) -> FleetNode:
+    """Returns another node."""
+    return next(other for other in fleet.nodes.values() if other is not node)
+
+
+@when("a caller submits a job to two nodes at once and reads it at both")
+def when_two(context: Context) -> None:
+    async def behave_as(fleet: PlatformFleet, facts: dict[str, Any]) -> None:
+        nodes = list(fleet.nodes.values())
+        answers: list[Answer] = []
+
+        async def send(node: FleetNode) -> None:
+            answers.append(await submit(node, job_body(ITEMS)))
+
+        async with anyio.create_task_group() as tasks:
+            for node in nodes:
+                tasks.start_soon(send, node)
+        path = f"/briarvale/items/{JOB}?id=item-b"
+        body = await Caller(nodes[1]).call("GET", path)
+        facts["body"] = body
+        facts["statuses"] = [answer.status for answer in answers]
+        facts["lists"] = [await read_all(node) for node in nodes]
+
+    play(context, behave_as)
+
+
+@then("both accept it, each item runs once, and both list the same results in the same positions")
+def then_both(context: Context) -> None:
+    facts = context.facts
+    assert facts["statuses"] == [202, 202]
+    assert facts["lists"][0] == facts["lists"][1]
+    assert sorted(row["id"] for row in facts["lists"][0]) == ITEMS
+    for row in facts["lists"][0]:
+        assert row["state"] == "done" and row["text"] == whole_text(6), row
+    for item_id in ITEMS:
+        runs = runs_of(facts, item_id)
+        assert len(runs) == 1, (item_id, len(runs))
+        assert runs[0].body == f"prompt of {item_id}".encode()
+        assert runs[0].target == f"/lot/{item_id}".encode()
+        assert runs[0].header(b"host") == "desk.example"
+
+
+@then("the bodies of items come back byte for byte before the end")
+def then_bodies(context: Context) -> None:
+    body = context.facts["body"]
+    assert body.status == 200 and body.body == b"prompt of item-b", body
+
+
+@when("items can never be done, fail at each run, or fail once")
+def when_fail(context: Context) -> None:
+    async def behave_as(fleet: PlatformFleet, facts: dict[str, Any]) -> None:
+        engine = facts["engines"][0]
+        serve = engine._answer
+        failures = {"item-a": Behaviour.CAN_NEVER, "item-b": Behaviour.FAIL}
+
+        async def answer(behaviour: Behaviour, seen: Any, responder: Any) -> None:
+            usual = behaviour
+            if seen.request_id == "item-c" and len(runs_of(facts, "item-c")) == 1:
+                usual = Behaviour.FAIL
+            await serve(failures.get(seen.request_id, usual), seen, responder)
+
+        engine._answer = answer
+        await submit(fleet.nodes["vm-1"], job_body(ITEMS))
+        facts["results"] = await read_all(fleet.nodes["vm-2"])
+
+    play(context, behave_as, engines=1)
+
+
+@then("the first two are dead-lettered after 1 and 3 runs, and the third is done")
+def then_dead(context: Context) -> None:
+    states = {row["id"]: row["state"] for row in context.facts["results"]}
+    assert states == {"item-a": "dead_lettered", "item-b": "dead_lettered", "item-c": "done"}
+    counts = [len(runs_of(context.facts, item_id)) for item_id in ITEMS]
+    assert counts == [1, 3, 2], counts
+
+
+@when("the backend server breaks off an item midway")
+def when_cut(context: Context) -> None:
+    async def behave_as(fleet: PlatformFleet, facts: dict[str, Any]) -> None:
+        facts["engines"][0].behaviours.append(Behaviour.BREAK_MIDWAY)
+        await submit(fleet.nodes["vm-1"], job_body(ITEMS[:1]))
+        facts["results"] = await read_all(fleet.nodes["vm-1"], 1)
+
+    play(context, behave_as, engines=1)
+
+
+@then("its text is whole and the second run went on after the last event")
+def then_on(context: Context) -> None:
+    assert context.facts["results"][0]["text"] == whole_text(6)
+    asked = [seen.header(b"last-event-id") for seen in runs_of(context.facts, "item-a")]
+    assert asked == ["", "3"], asked
+
+
+@when("a caller ends a job that runs, at another node, twice")
+def when_ends(context: Context) -> None:
+    async def behave_as(fleet: PlatformFleet, facts: dict[str, Any]) -> None:
+        for engine in facts["engines"]:
+            engine.event_gap_s = 1.0
+        await submit(fleet.nodes["vm-1"], job_body(ITEMS))
+        runner = await runner_of(fleet, facts)
+        other = other_than(fleet, runner)
+        ends = [await Caller(other).call("DELETE", f"/briarvale/lots/{JOB}") for _ in range(2)]
+        facts["ends"] = [end.status for end in ends if end]
+        await anyio.sleep(0.5)
+        facts["running"] = sum(engine.running for engine in facts["engines"])
+        runs = [len(runs_of(facts, item_id)) for item_id in ITEMS]
+        await anyio.sleep(1.5)
+        facts["more runs"] = [len(runs_of(facts, item_id)) for item_id in ITEMS] != runs
+        facts["page"] = (await read(runner)).json()
+
+    play(context, behave_as)
+
+
+@then("its items stop at the backend servers and nothing more is listed")
+def then_stopped(context: Context) -> None:
+    facts = context.facts
+    assert facts["ends"] == [200, 200]
+    assert facts["running"] == 0 and not facts["more runs"], facts
+    assert facts["page"]["results"] == []
+
+
+def lose_runner(lose: Callable[[FleetNode], None]) -> Play:
+    """Returns a play in which the node that runs a job is lost."""
+
+    async def behave_as(fleet: PlatformFleet, facts: dict[str, Any]) -> None:
+        for engine in facts["engines"]:
+            engine.event_gap_s = 0.4
+        await submit(fleet.nodes["vm-1"], job_body(ITEMS))
+        runner = await runner_of(fleet, facts)
+        facts["lost"] = runner.name
+        lose(runner)
+        facts["results"] = await read_all(other_than(fleet, runner))
+
+    return behave_as
+
+
+@when("the node that runs a job is killed")
+def when_killed(context: Context) -> None:
+    play(context, lose_runner(FleetNode.kill), nodes=3)
+
+
+@when("the node that runs a job stops gracefully")
+def when_stopped(context: Context) -> None:
+    play(context, lose_runner(lambda node: node.stopped.set()), nodes=3)
+
+
+@then("another node finishes it")
+def then_finishes(context: Context) -> None:
+    results = context.facts["results"]
+    assert sorted(row["id"] for row in results) == ITEMS
+    assert all(row["text"] == whole_text(6) for row in results), results
+
+
+@when("a job that does not exist is read, with the store and without")
+def when_unknown(context: Context) -> None:
+    async def behave_as(fleet: PlatformFleet, facts: dict[str, Any]) -> None:
+        node = fleet.nodes["vm-1"]
+        first = await read(node, job_id="nothing")
+        fleet.store.faults.refuse_status = 503
+        second = await read(node, job_id="nothing")
+        facts["statuses"] = [first.status, second.status]
+
+    play(context, behave_as, nodes=1, engines=1)
+
+
+@then("the answers are 404 and 503")
+def then_unknown(context: Context) -> None:
+    assert context.facts["statuses"] == [404, 503], context.facts["statuses"]
+
+
+@when("the store turns every write away while a job is submitted")
+def when_refused(context: Context) -> None:
+    async def behave_as(fleet: PlatformFleet, facts: dict[str, Any]) -> None:
+        fleet.store.faults.refused_verbs = {b"POST", b"PUT"}
+        fleet.store.faults.refuse_status = 429
+        body, headers = job_body(ITEMS), {"Briarvale-Deadline-Ms": "1500"}
+        caller = Caller(fleet.nodes["vm-1"])
+        facts["answer"] = await caller.call("POST", "/lot/", body, request_id=JOB, headers=headers)
+        fleet.store.faults.refuse_status = 0
+        await anyio.sleep(0.5)
+        facts["kept"] = fleet.store.names("workjobs")
+
+    play(context, behave_as, nodes=1, engines=1)
+
+
+@then("the caller gets 503 and nothing of the job is kept")
+def then_refused(context: Context) -> None:
+    answer = context.facts["answer"]
+    assert answer.status == 503 and "retry-after" in answer.headers, answer
+    assert context.facts["kept"] == []
+
+
+@when("the store writes the job and loses the answer")
+def when_lost(context: Context) -> None:
+    async def behave_as(fleet: PlatformFleet, facts: dict[str, Any]) -> None:
+        fleet.store.faults.lose_next_writes = 1
+        facts["answer"] = await submit(fleet.nodes["vm-1"], job_body(ITEMS))
+        facts["results"] = await read_all(fleet.nodes["vm-1"])
+
+    play(context, behave_as, nodes=1)
+
+
+@then("the caller gets 202 and the job is done")
+def then_accepted(context: Context) -> None:
+    assert context.facts["answer"].status == 202
+    assert len(context.facts["results"]) == len(ITEMS)
+
+
+@when("the store is away while a job runs, and comes back")
+def when_away(context: Context) -> None:
+    async def behave_as(fleet: PlatformFleet, facts: dict[str, Any]) -> None:
+        for engine in facts["engines"]:
+            engine.event_gap_s = 0.1
+        await submit(fleet.nodes["vm-1"], job_body(ITEMS))
+        await runner_of(fleet, facts)
+        fleet.store.faults.refuse_status = 503
+        await anyio.sleep(4.5)
+        fleet.store.faults.refuse_status = 0
+        facts["results"] = await read_all(fleet.nodes["vm-2"])
+
+    play(context, behave_as)
+
+
+@then("the job is done, and no node has ended")
+def then_back(context: Context) -> None:
+    assert len(context.facts["results"]) == len(ITEMS)
+    assert context.facts["ended nodes"] == []
+
+
+@when("a caller submits a job of 1.5 MB")
+def when_big(context: Context) -> None:
+    async def behave_as(fleet: PlatformFleet, facts: dict[str, Any]) -> None:
+        rows = json.loads(job_body([f"item-{n}" for n in range(BIG_ITEMS)]))
+        for number, row in enumerate(rows["items"]):
+            row["body"] = base64.b64encode(bytes([number]) * BIG_ITEM_BYTES).decode()
+        facts["answer"] = await submit(fleet.nodes["vm-1"], json.dumps(rows).encode())
+        path = f"/briarvale/items/{JOB}?id=item-7"
+        facts["body"] = await Caller(fleet.nodes["vm-2"]).call("GET", path)
+        facts["results"] = await read_all(fleet.nodes["vm-2"], BIG_ITEMS)
+
+    play(context, behave_as)
+
+
+@then("it is done and its bodies come back whole")
+def then_big(context: Context) -> None:
+    facts = context.facts
+    assert facts["answer"].status == 202
+    assert facts["body"].body == bytes([7]) * BIG_ITEM_BYTES
+    assert all(row["state"] == "done" for row in facts["results"])
+
+
+@when("jobs with faults of every kind are submitted")
+def when_malformed(context: Context) -> None:
+    bodies = [
+        b"",
+        b"[]",
+        b'{"items": 3}',
+        b'{"items": []}',
+        b'{"items": [{"id": "a"}]}',
+        b'{"items": [{"id": "a", "path": "/lot/a", "body": "%%%"}]}',
+        json.dumps({"items": [{"id": "a", "path": "/lot/a"}] * 201}).encode(),
+    ]
+
+    async def behave_as(fleet: PlatformFleet, facts: dict[str, Any]) -> None:
+        facts["answers"] = [await submit(fleet.nodes["vm-1"], body) for body in bodies]
+        facts["kept"] = fleet.store.names("workjobs")
+
+    play(context, behave_as, nodes=1, engines=1)
+
+
+@then("each is answered 400 and names the field, and nothing is kept")
+def then_malformed(context: Context) -> None:
+    for answer in context.facts["answers"]:
+        assert answer.status == 400 and "items" in answer.json()["message"], answer
+    assert context.facts["kept"] == []
--- /dev/null
+++ b/features/support/platform_engine.py
@@ -0,0 +1,144 @@
+"""A backend server of the platform in little, with switches for how it answers."""
+
+from collections import deque
+from enum import Enum
+from typing import NamedTuple
+
+import anyio
+
+from briarvale.errors import BriarvaleError, CallerGone
+from briarvale.http_wire import AnswerHead, find_header
+from briarvale.ingress import IngressRequest, Responder
+from briarvale.routes import IngressLimits
+
+EVENT_GAP_S = 0.01
+
+
+class Behaviour(Enum):
+    """How a backend server answers one request."""
+
+    SERVE = "serve"
+    BREAK_MIDWAY = "break midway"
+    BREAK_AT_ONCE = "break at once"
+    SAY_FULL = "say full"
+    STRAY_ANSWER = "stray answer first"
+    FAIL = "fail"
+    CAN_NEVER = "can never"
+    HANG = "hang"
+    UNSIGNED = "unsigned"
+
+
+class SeenRequest(NamedTuple):
+    """A request that reached the server."""
+
+    request_id: str
+    method: bytes
+    target: bytes
+    headers: tuple[tuple[bytes, bytes], ...]
+    body: bytes
+
+    def header(self, name: bytes) -> str:
+        """Returns a header's value; empty if it isn't there."""
+        return (find_header(self.headers, name) or b"").decode()
+
+
+class PlatformEngineStandin:
+    """One backend server; it serves `event_count` events or a fixed body."""
+
+    limits = IngressLimits()
+
+    def __init__(self, server_id: str, *, is_model: bool, event_count: int = 6) -> None:
+        self.id = server_id
+        self.is_model = is_model
+        self.event_count = event_count
+        self.event_gap_s = EVENT_GAP_S
+        self.behaviours: deque[Behaviour] = deque()
+        self.usual = Behaviour.SERVE
+        self.seen: list[SeenRequest] = []
+        self.running = 0
+        self.finished = 0
+
+    async def refuse(self, error: BriarvaleError, responder: Responder) -> None:
+        """Answers what can't be read."""
+        await responder.answer(400, (), b"")
+
+    async def handle(self, request: IngressRequest, responder: Responder) -> None:
+        """Answers a request in the next way that was set."""
+        seen = SeenRequest(
+            (find_header(request.headers, b"briarvale-request-attempt-id") or b"").decode(),
+            request.method,
+            request.target,
+            request.headers,
+            request.body,
+        )
+        if seen.header(b"briarvale-expect-instance") != self.id:
+            await responder.answer(421, ((b"briarvale-instance-id", self.id.encode()),), b"")
+            return
+        self.seen.append(seen)
+        behaviour = self.behaviours.popleft() if self.behaviours else self.usual
+        self.running += 1
+        try:
+            await self._answer(behaviour, seen, responder)
+            self.finished += 1
+        finally:
+            self.running -= 1
+
+    async def _answer(self, behaviour: Behaviour, seen: SeenRequest, responder: Responder) -> None:
+        signed = ((b"briarvale-request-attempt-id", seen.request_id.encode()),)
+        signed += ((b"briarvale-server-signature", f"{self.id}.{seen.request_id}".encode()),)
+        match behaviour:
+            case Behaviour.SAY_FULL:
+                await responder.answer(503, ((b"briarvale-not-executed", b"1"),), b"")
+            case Behaviour.BREAK_AT_ONCE:
+                raise CallerGone("breaks off")
+            case Behaviour.FAIL:
+                await responder.answer(500, signed, b"failed")
+            case Behaviour.CAN_NEVER:
+                await responder.answer(422, signed, b"never")
+            case Behaviour.HANG:
+                await anyio.sleep_forever()
+            case Behaviour.UNSIGNED:
+                await responder.answer(200, signed[:1], b"forged")
+            case Behaviour.STRAY_ANSWER:
+                await responder.write_raw(
+                    b"HTTP/1.1 200 OK\r\nBriarvale-Request-Attempt-Id: other\r\n"
+                    b"Briarvale-Server-Signature: other\r\nContent-Length: 5\r\n\r\nstray"
+                )
+                await self._serve(seen, signed, responder, self.event_count)
+            case Behaviour.BREAK_MIDWAY:
+                await self._serve(seen, signed, responder, self.event_count // 2)
+                raise CallerGone("breaks off")
+            case _:
+                await self._serve(seen, signed, responder, self.event_count)
+
+    async def _serve(
+        self,
+        seen: SeenRequest,
+        signed: tuple[tuple[bytes, bytes], ...],
+        responder: Responder,
+        until: int,
+    ) -> None:
+        if not self.is_model:
+            body = b"body of " + seen.request_id.encode()
+            if until == self.event_count:
+                await responder.answer(200, signed, body)
+            return
+        await responder.start(AnswerHead(200, (*signed, (b"content-type", b"text/event-stream"))))
+        after = int(seen.header(b"last-event-id") or 0)
+        for number in range(after + 1, until + 1):
+            await responder.send(event(number))
+            await anyio.sleep(self.event_gap_s)
+        if until == self.event_count:
+            await responder.finish()
+        else:
+            await responder.send(b"id: 99\nda")
+
+
+def event(number: int) -> bytes:
+    """Returns the bytes of one event."""
+    return f"id: {number}\ndata: piece {number}\n\n".encode()
+
+
+def whole_text(event_count: int) -> str:
+    """Returns the text of an item that was done."""
+    return "\n".join(f"piece {number}" for number in range(1, event_count + 1))
--- /dev/null
+++ b/features/support/platform_fleet.py
@@ -0,0 +1,277 @@
+"""Real nodes against the platform's stand-ins, on loopback, in one event loop."""
+
+import base64
+import json
+import socket
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from typing import Any, NamedTuple
+
+import anyio
+import h11
+from anyio.abc import SocketStream, TaskGroup
+
+from briarvale.ingress import Ingress
+from briarvale.node_settings import NodeBounds, NodeSettings, StoreLimits
+from briarvale.peer import PeerAddress
+from briarvale.platform.node import Node
+from briarvale.settings import Settings
+from features.support.platform_engine import PlatformEngineStandin
+from features.support.platform_store import PlatformStoreStandin
+
+HOST = "desk.example"
+MODEL, PLAIN = "desk", "orders"
+START_TIMEOUT_S = 15.0
+CALL_TIMEOUT_S = 15.0
+GRACE_MS = 5_000
+
+
+class Answer(NamedTuple):
+    """What a caller got; `is_whole` is false where the connection ended before the answer."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    is_whole: bool = True
+
+    def json(self) -> Any:
+        """Returns the body's JSON."""
+        return json.loads(self.body)
+
+
+class FleetNode:
+    """One node that runs; `kill` ends it without a goodbye."""
+
+    def __init__(self, name: str, settings: NodeSettings) -> None:
+        self.name = name
+        self.settings = settings
+        self.stopped = anyio.Event()
+        self.ended = anyio.Event()
+        self.scope = anyio.CancelScope()
+        self.node: Node | None = None
+
+    async def run(self) -> None:
+        """Runs the node until it ends."""
+        with self.scope:
+            self.node = Node(self.settings, self.stopped)
+            await self.node.run()
+        self.ended.set()
+
+    def kill(self) -> None:
+        """Ends it at once."""
+        self.scope.cancel()
+
+
+class PlatformFleet:
+    """Stand-ins and nodes."""
+
+    def __init__(self, tasks: TaskGroup, node_count: int) -> None:
+        self._tasks = tasks
+        self.store = PlatformStoreStandin()
+        self.engines: dict[str, PlatformEngineStandin] = {}
+        self.nodes: dict[str, FleetNode] = {}
+        self._node_count = node_count
+        self._store_address = PeerAddress("127.0.0.1", free_port())
+        self._routes: list[dict[str, Any]] = []
+        self.version = 3
+
+    async def start(self) -> None:
+        """Starts the store and the nodes, and waits until all are ready."""
+        self._tasks.start_soon(Ingress(self.store).serve, self._store_address)
+        self.store.put("config", "main", self.config())
+        for index in range(self._node_count):
+            self.start_node(f"vm-{index + 1}", f"127.0.0.{index + 11}")
+        with anyio.fail_after(START_TIMEOUT_S):
+            while not all(self._is_settled(node) for node in self.nodes.values()):
+                await anyio.sleep(0.02)
+
+    def start_node(self, name: str, host: str) -> FleetNode:
+        """Starts one node."""
+        parts = Settings(
+            vm=name,
+            region="cymru",
+            availability_zone="caerdydd",
+            host=host,
+            shared_secret="test",
+            object_api_url="",
+            vm_list_url="",
+            peer_port=free_port(),
+            heartbeat_port=free_port(),
+            log_level="ERROR",
+        )
+        first = next(iter(self.nodes.values()), None)
+        if first is not None:
+            ports = first.settings.parts
+            parts = parts._replace(peer_port=ports.peer_port, heartbeat_port=ports.heartbeat_port)
+        settings = NodeSettings(
+            parts=parts,
+            store=StoreLimits(self._store_address),
+            bounds=NodeBounds(grace_ms=GRACE_MS),
+            front=PeerAddress(host, free_port()),
+            readiness=PeerAddress(host, free_port()),
+        )
+        node = FleetNode(name, settings)
+        self.nodes[name] = node
+        self._tasks.start_soon(node.run)
+        return node
+
+    async def add_engine(
+        self, server_id: str, service: str, *, slots: int = 4, event_count: int = 6
+    ) -> PlatformEngineStandin:
+        """Starts a backend server and writes its entry."""
+        is_model = service == MODEL
+        engine = PlatformEngineStandin(server_id, is_model=is_model, event_count=event_count)
+        address = PeerAddress("127.0.0.1", free_port())
+        self._tasks.start_soon(Ingress(engine).serve, address)
+        self.engines[server_id] = engine
+        self.store.put(
+            "servers",
+            server_id,
+            {
+                "service": service,
+                "address": f"{address.host}:{address.port}",
+                "zone": "caerdydd",
+                "slots": slots,
+                "state": "ready",
+                "sequence": 1,
+                "born": 1_700_000_000_000,
+            },
+        )
+        await self.wait_servers(len(self.engines))
+        return engine
+
+    async def wait_servers(self, count: int) -> None:
+        """Waits until all nodes know so many servers."""
+        with anyio.fail_after(START_TIMEOUT_S):
+            while any(n.node and len(n.node.servers) < count for n in self.nodes.values()):
+                await anyio.sleep(0.02)
+
+    def config(self, **changes: Any) -> dict[str, Any]:
+        """Returns a configuration with one route of each kind."""
+
+        def route(name: str, kind: str, service: str, **more: Any) -> dict[str, Any]:
+            row = {"name": name, "host": HOST, "path_prefix": f"/{name}/", "kind": kind}
+            row |= {"service": service, "timeout_ms": 5_000, "target_latency_ms": 300}
+            return row | {"max_attempts": 3, "priority": 0} | more
+
+        routes = [
+            route("look", "safe", PLAIN),
+            route("pay", "unsafe", PLAIN),
+            route("ask", "streaming", MODEL, gap_aim_ms=300),
+            route("go-on", "streaming", MODEL, resumable=True, gap_aim_ms=300),
+            route("brief", "safe", PLAIN, timeout_ms=300),
+            route("lot", "batch", MODEL, completion_target_ms=8_000, retention_s=30, priority=2),
+        ]
+        return {"version": self.version, "routes": routes, "services": [], "limits": {}} | changes
+
+    def _is_settled(self, node: FleetNode) -> bool:
+        if node.node is None or not node.node.is_ready:
+            return False
+        return len(node.node.cluster.alive()) == len(self.nodes)
+
+
+@asynccontextmanager
+async def platform_fleet(node_count: int = 1) -> AsyncIterator[PlatformFleet]:
+    """Runs a fleet inside the block."""
+    async with anyio.create_task_group() as tasks:
+        fleet = PlatformFleet(tasks, node_count)
+        await fleet.start()
+        yield fleet
+        tasks.cancel_scope.cancel()
+
+
+class Caller:
+    """A caller's connection to a node; carries several requests."""
+
+    def __init__(self, node: FleetNode) -> None:
+        self._node = node
+        self._stream: SocketStream | None = None
+        self._h11 = h11.Connection(h11.CLIENT)
+        self._ids = 0
+
+    async def call(
+        self,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        *,
+        request_id: str = "",
+        headers: dict[str, str] | None = None,
+        leave_after_s: float | None = None,
+    ) -> Answer | None:
+        """Sends a request and reads its answer; none if the caller left before."""
+        if self._stream is None:
+            address = self._node.settings.front
+            assert address is not None
+            self._stream = await anyio.connect_tcp(address.host, address.port)
+        self._ids += 1
+        rows = {
+            "Host": HOST,
+            "Briarvale-Request-Attempt-Id": request_id or f"r{id(self)}{self._ids}",
+        }
+        rows |= {"Briarvale-Deadline-Ms": "10000"} | (headers or {})
+        if body:
+            rows["Content-Length"] = str(len(body))
+        request = h11.Request(method=method, target=path, headers=list(rows.items()))
+        data = (self._h11.send(request) or b"") + (self._h11.send(h11.Data(data=body)) or b"")
+        await self._stream.send(data + (self._h11.send(h11.EndOfMessage()) or b""))
+        if leave_after_s is not None:
+            await anyio.sleep(leave_after_s)
+            await self._stream.aclose()
+            return None
+        with anyio.fail_after(CALL_TIMEOUT_S):
+            return await self._read()
+
+    async def _read(self) -> Answer:
+        assert self._stream is not None
+        status, headers, chunks, is_whole = 0, {}, [], False
+        while True:
+            try:
+                event = self._h11.next_event()
+            except h11.RemoteProtocolError:
+                break
+            if event is h11.NEED_DATA:
+                try:
+                    self._h11.receive_data(await self._stream.receive())
+                except (anyio.EndOfStream, anyio.BrokenResourceError):
+                    self._h11.receive_data(b"")
+                continue
+            if isinstance(event, h11.Response):
+                status = event.status_code
+                headers = {k.decode(): v.decode() for k, v in event.headers}
+            elif isinstance(event, h11.Data):
+                chunks.append(bytes(event.data))
+            elif isinstance(event, h11.EndOfMessage):
+                is_whole = True
+                break
+            elif isinstance(event, h11.ConnectionClosed):
+                break
+        if is_whole and self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE:
+            self._h11.start_next_cycle()
+        else:
+            await self._stream.aclose()
+            self._stream, self._h11 = None, h11.Connection(h11.CLIENT)
+        return Answer(status, headers, b"".join(chunks), is_whole)
+
+
+def job_body(item_ids: list[str]) -> bytes:
+    """Returns the body of a batch job."""
+    items = [
+        {
+            "id": item_id,
+            "path": f"/lot/{item_id}",
+            "headers": {"Briarvale-Model": "m", "Briarvale-Token-Usage": "100,50"},
+            "body": base64.b64encode(f"prompt of {item_id}".encode()).decode(),
+            "tokens": 150,
+        }
+        for item_id in item_ids
+    ]
+    return json.dumps({"items": items}).encode()
+
+
+def free_port() -> int:
+    """Returns a port that is free now on all loopback addresses that tests use."""
+    with socket.socket() as probe:
+        probe.bind(("0.0.0.0", 0))
+        port: int = probe.getsockname()[1]
+        return port
--- /dev/null
+++ b/features/support/platform_store.py
@@ -0,0 +1,168 @@
+"""The platform's store in little, over HTTP on loopback: conditions, watches, history, faults."""
+
+import json
+from typing import Any, NamedTuple
+from urllib.parse import parse_qs, unquote
+
+import anyio
+
+from briarvale.errors import BriarvaleError
+from briarvale.ingress import IngressRequest, Responder
+from briarvale.notifier import Notifier
+from briarvale.routes import IngressLimits
+
+PREFIX = "/briarvale/objects/"
+PAGE_ITEMS = 3
+
+Row = dict[str, Any]
+
+
+class StoreEvent(NamedTuple):
+    """One change of the history."""
+
+    revision: int
+    kind: str
+    row: Row
+    is_deleted: bool
+
+
+class StoreFaults:
+    """Switches for what goes wrong; all off at the start."""
+
+    def __init__(self) -> None:
+        self.refuse_status = 0
+        self.refused_verbs: set[bytes] = {b"GET", b"POST", b"PUT", b"DELETE"}
+        self.lose_next_writes = 0
+
+
+class PlatformStoreStandin:
+    """Objects by kind and name, with one revision counter."""
+
+    limits = IngressLimits(max_body_bytes=8_000_000)
+
+    def __init__(self) -> None:
+        self.kinds: dict[str, dict[str, Row]] = {}
+        self.revision = 1
+        self.oldest_revision = 0
+        self.history: list[StoreEvent] = []
+        self.faults = StoreFaults()
+        self.calls = 0
+        self._changed = Notifier()
+
+    def put(self, kind: str, name: str, spec: Any) -> None:
+        """Writes as an operator or a backend server does."""
+        row = self.kinds.setdefault(kind, {}).get(name, {"metadata": {"name": name}})
+        self._write(kind, {**row, "spec": spec})
+
+    def remove(self, kind: str, name: str) -> None:
+        """Removes an object, as an entry that has lapsed."""
+        row = self.kinds[kind].pop(name)
+        self._note(kind, row, is_deleted=True)
+
+    def compact(self) -> None:
+        """Drops the history."""
+        self.oldest_revision = self.revision
+        self._changed.notify()
+
+    def names(self, kind: str) -> list[str]:
+        """Returns the names of all objects of a kind."""
+        return sorted(self.kinds.get(kind, {}))
+
+    async def refuse(self, error: BriarvaleError, responder: Responder) -> None:
+        """Answers what can't be read."""
+        await responder.answer(400, (), b"{}")
+
+    async def handle(self, request: IngressRequest, responder: Responder) -> None:
+        """Answers a call."""
+        self.calls += 1
+        if self.faults.refuse_status and request.method in self.faults.refused_verbs:
+            await _answer(responder, self.faults.refuse_status, {})
+            return
+        path, _, query = request.target.decode().partition("?")
+        kind, _, name = path.removeprefix(PREFIX).partition("/")
+        fields = {key: values[0] for key, values in parse_qs(query).items()}
+        body = json.loads(request.body) if request.body else {}
+        if request.method == b"GET":
+            await self._read(kind, unquote(name), fields, responder)
+            return
+        status, row = self._change(request.method, kind, unquote(name), fields, body)
+        if self.faults.lose_next_writes:
+            self.faults.lose_next_writes -= 1
+            raise BriarvaleError("the answer is lost")
+        await _answer(responder, status, row)
+
+    async def _read(
+        self, kind: str, name: str, fields: dict[str, str], responder: Responder
+    ) -> None:
+        rows = self.kinds.get(kind, {})
+        if name:
+            row = rows.get(name)
+            await _answer(responder, 200 if row else 404, row or {})
+        elif "watch" in fields:
+            await self._watch(kind, fields, responder)
+        else:
+            names = sorted(key for key in rows if key > fields.get("after", ""))
+            page = {
+                "items": [rows[key] for key in names[:PAGE_ITEMS]],
+                "has_more": len(names) > PAGE_ITEMS,
+                "as_of": self.revision,
+            }
+            await _answer(responder, 200, page)
+
+    async def _watch(self, kind: str, fields: dict[str, str], responder: Responder) -> None:
+        since = int(fields["watch"])
+        with anyio.move_on_after(int(fields["wait_ms"]) / 1_000):
+            while since >= self.oldest_revision and not self._events(kind, since):
+                await self._changed.wait()
+        if since < self.oldest_revision:
+            await _answer(responder, 410, {})
+            return
+        events = [
+            {"object": event.row, "deleted": event.is_deleted}
+            for event in self._events(kind, since)
+        ]
+        await _answer(responder, 200, {"events": events, "as_of": self.revision})
+
+    def _events(self, kind: str, since: int) -> list[StoreEvent]:
+        return [e for e in self.history if e.kind == kind and e.revision > since]
+
+    def _change(
+        self, verb: bytes, kind: str, name: str, fields: dict[str, str], body: Row
+    ) -> tuple[int, Row]:
+        rows = self.kinds.setdefault(kind, {})
+        name, _, part = name.partition("/")
+        name = name or body["metadata"]["name"]
+        known = rows.get(name)
+        if verb == b"POST":
+            if known is not None:
+                return 409, known
+            return 201, self._write(kind, {"metadata": {"name": name}, "spec": body["spec"]})
+        if known is None:
+            return 404, {}
+        wanted = body.get("metadata", {}).get("revision", fields.get("revision"))
+        if wanted is not None and int(wanted) != known["metadata"]["revision"]:
+            return 409, known
+        if verb == b"DELETE":
+            self._note(kind, rows.pop(name), is_deleted=True)
+            return 200, {}
+        field = "status" if part == "status" else "spec"
+        return 200, self._write(kind, {**known, field: body[field]})
+
+    def _write(self, kind: str, row: Row) -> Row:
+        self.revision += 1
+        row = {**row, "metadata": {**row["metadata"], "revision": self.revision}}
+        self.kinds.setdefault(kind, {})[row["metadata"]["name"]] = row
+        self._note(kind, row, is_deleted=False)
+        return row
+
+    def _note(self, kind: str, row: Row, *, is_deleted: bool) -> None:
+        if is_deleted:
+            self.revision += 1
+        self.history.append(StoreEvent(self.revision, kind, row, is_deleted))
+        self._changed.notify()
+
+
+async def _answer(responder: Responder, status: int, row: Row) -> None:
+    await responder.answer(
+        status, ((b"content-type", b"application/json"),), json.dumps(row).encode()
+    )
