--- a/briarvale/heartbeats.py
+++ b/briarvale/heartbeats.py
@@ -24,11 +24,11 @@
     VmState,
 )
 from .datagrams import MAX_DATAGRAM_BYTES, SEAL_BYTES, DatagramSeal
-from .environment import Environment
 from .errors import PeerProtocolError
 from .failure_detector import FailureDetector
 from .notifier import Notifier
 from .peer import PeerAddress
+from .peer_environment import PeerEnvironment
 from .rumors import FRESH_SENDS, AnyRumor, RumorBatch, RumorQueue, size_bytes
 from .settings import Settings
 
@@ -96,7 +96,7 @@
     def __init__(
         self,
         settings: Settings,
-        environment: Environment,
+        environment: PeerEnvironment,
         detector: FailureDetector,
         on_rumor: HeardRumor,
     ) -> None:
@@ -326,12 +326,12 @@
         return self._environment.clock.now_ms()
 
 
-def first_incarnation(environment: Environment) -> int:
+def first_incarnation(environment: PeerEnvironment) -> int:
     """Returns the incarnation of a process that starts now: higher than any earlier one's."""
     return environment.clock.now_ms()
 
 
-def own_state(settings: Settings, environment: Environment) -> VmState:
+def own_state(settings: Settings, environment: PeerEnvironment) -> VmState:
     """Returns the state of this VM at its start."""
     return VmState(
         settings.vm,
--- a/briarvale/http_wire.py
+++ b/briarvale/http_wire.py
@@ -190,7 +190,7 @@
         with anyio.CancelScope(shield=True):
             await anyio.aclose_forcefully(self._stream)
 
-    async def _next_event(self) -> h11.Event | type[h11.PAUSED]:
+    async def _next_event(self) -> h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]:
         try:
             while True:
                 event = self._h11.next_event()
--- a/briarvale/ingress.py
+++ b/briarvale/ingress.py
@@ -294,7 +294,7 @@
             ahead_bytes += len(data)
             self._h11.receive_data(data)
 
-    async def _next_event(self) -> h11.Event | type[h11.PAUSED]:
+    async def _next_event(self) -> h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]:
         while True:
             try:
                 event = self._h11.next_event()
--- a/briarvale/membership.py
+++ b/briarvale/membership.py
@@ -14,12 +14,12 @@
     VmHealth,
     VmState,
 )
-from .environment import Environment
 from .errors import OwnerUnreachable, PeerClosed, PeerProtocolError
 from .failure_detector import FailureDetector
 from .heartbeats import Heartbeats, own_state
 from .notifier import Notifier
 from .peer import PeerAddress
+from .peer_environment import PeerEnvironment
 from .quarantine import SuspectTable
 from .settings import Settings
 from .vm_list import VmEntry, VmListUnavailable, VmStatus
@@ -51,7 +51,7 @@
         environment: The outside interfaces.
     """
 
-    def __init__(self, settings: Settings, environment: Environment) -> None:
+    def __init__(self, settings: Settings, environment: PeerEnvironment) -> None:
         self._settings = settings
         self._environment = environment
         self._random = random.Random(environment.identity.boot_id)
--- a/briarvale/node_cluster.py
+++ b/briarvale/node_cluster.py
@@ -14,17 +14,18 @@
     StateFetch,
     VmHealth,
 )
-from .environment import Environment
 from .errors import BriarvaleError
 from .live_servers import LiveServers
 from .membership import Membership
 from .ownership import first_by_rendezvous
 from .peer import MessageStream, PeerAddress, PeerIdentity
 from .peer_connection import PeerConnection
+from .peer_environment import PeerEnvironment
 from .settings import Settings
 from .slot_owner import PoolOwner
 
 EXPIRE_INTERVAL_S = 0.25
+SETTLE_MS = 3_000
 
 log = logs.part("cluster")
 
@@ -40,7 +41,9 @@
         servers: The backend servers that have an entry.
     """
 
-    def __init__(self, settings: Settings, environment: Environment, servers: LiveServers) -> None:
+    def __init__(
+        self, settings: Settings, environment: PeerEnvironment, servers: LiveServers
+    ) -> None:
         self._settings = settings
         self._environment = environment
         self._servers = servers
@@ -58,8 +61,23 @@
         return self.owner(key) == self._settings.vm
 
     def owner(self, key: str) -> str | None:
-        """Returns the node that should see to what the key names."""
-        return next(iter(first_by_rendezvous(key, self.alive(), 1)), None)
+        """Returns the node that should see to what the key names.
+
+        A node that has just started is passed over where there are others, so that ownership does
+        not move to one that does not know the fleet yet.
+        """
+        return next(iter(first_by_rendezvous(key, self._settled() or self.alive(), 1)), None)
+
+    def _settled(self) -> list[str]:
+        """Returns the nodes that take part and started a while ago."""
+        started_by_ms = self._environment.clock.now_ms() - SETTLE_MS
+        sound = (VmHealth.ALIVE, VmHealth.SUSPECT)
+        return [
+            vm.vm
+            for vm in self.membership.vms
+            # The incarnation of a VM is the instant of its start.
+            if vm.health in sound and vm.incarnation <= started_by_ms
+        ]
 
     def owner_address(self, backend_server: str) -> PeerAddress | None:
         """Returns where the owner of a service's pool listens."""
@@ -107,7 +125,9 @@
                 while True:
                     self._handle(connection, await stream.receive())
         except* BriarvaleError as errors:
-            log.info("Lost {}.", connection.name, peer=connection.name, reason=str(errors))
+            log.info(
+                "Lost {}.", connection.name, peer=connection.name, reason=str(errors.exceptions[0])
+            )
         finally:
             self._connections.remove(connection)
             connection.close()
--- a/briarvale/owner_link.py
+++ b/briarvale/owner_link.py
@@ -52,9 +52,21 @@
         address: The owner.
         stream: The connection.
         clock: Source of instants.
+        probe_interval_ms: How often heartbeats are sent while a request waits.
+        max_silence_ms: How long an owner may leave those unanswered.
     """
 
-    def __init__(self, address: PeerAddress, stream: MessageStream, clock: Clock) -> None:
+    def __init__(
+        self,
+        address: PeerAddress,
+        stream: MessageStream,
+        clock: Clock,
+        *,
+        probe_interval_ms: int = HEARTBEAT_INTERVAL_MS,
+        max_silence_ms: int = MAX_SILENCE_MS,
+    ) -> None:
+        self._probe_interval_ms = probe_interval_ms
+        self._max_silence_ms = max_silence_ms
         self.address = address
         self.waiting: dict[str, PendingRequest] = {}
         self.revoked_early: deque[str] = deque(maxlen=EARLY_REVOCATIONS)
@@ -79,7 +91,9 @@
     def keep_alive(self, *, is_holding: bool) -> None:
         """Sends a heartbeat if one is due; closes a connection that is silent or idle."""
         now_ms = self._clock.now_ms()
-        if self._silent_since_ms is not None and now_ms - self._silent_since_ms > MAX_SILENCE_MS:
+        silent_since_ms = now_ms if self._silent_since_ms is None else self._silent_since_ms
+        max_silence_ms = self._max_silence_ms if self.waiting else MAX_SILENCE_MS
+        if now_ms - silent_since_ms > max_silence_ms:
             log.info("The owner at {} is silent.", self.address.host)
             self.close()
         elif is_holding or self.waiting:
@@ -115,7 +129,8 @@
     def _beat(self, now_ms: int) -> None:
         if now_ms < self._next_beat_ms:
             return
-        self._next_beat_ms = now_ms + HEARTBEAT_INTERVAL_MS
+        interval_ms = self._probe_interval_ms if self.waiting else HEARTBEAT_INTERVAL_MS
+        self._next_beat_ms = now_ms + interval_ms
         self._sequence += 1
         if self._silent_since_ms is None:
             self._silent_since_ms = now_ms
--- /dev/null
+++ b/briarvale/peer_environment.py
@@ -0,0 +1,44 @@
+"""The outside interfaces of what nodes do together; tests put fakes in their place."""
+
+from typing import NamedTuple, Protocol
+
+from .clock import Clock
+from .datagrams import Datagrams
+from .peer import PeerIdentity, PeerTransport
+from .vm_list import VmList
+
+__all__ = ["NodeEnvironment", "PeerEnvironment"]
+
+
+class PeerEnvironment(Protocol):
+    """Clock, VM list and peers."""
+
+    @property
+    def clock(self) -> Clock:
+        """Source of instants."""
+
+    @property
+    def vm_list(self) -> VmList:
+        """The list of VMs."""
+
+    @property
+    def transport(self) -> PeerTransport:
+        """Connections between processes."""
+
+    @property
+    def datagrams(self) -> Datagrams:
+        """Datagrams between processes."""
+
+    @property
+    def identity(self) -> PeerIdentity:
+        """Who this process is."""
+
+
+class NodeEnvironment(NamedTuple):
+    """Clock, VM list and peers of one node."""
+
+    clock: Clock
+    vm_list: VmList
+    transport: PeerTransport
+    datagrams: Datagrams
+    identity: PeerIdentity
--- a/briarvale/platform/node.py
+++ b/briarvale/platform/node.py
@@ -10,7 +10,6 @@
 from ..clock import MS_PER_S, Clock
 from ..datagrams import UdpDatagrams
 from ..engine_run import EngineClient
-from ..environment import Environment
 from ..errors import BriarvaleError
 from ..forwarding import Forwarder
 from ..ingress import Ingress, IngressRequest, IngressState, Responder
@@ -19,10 +18,11 @@
 from ..node_settings import NodeSettings
 from ..object_feed import ObjectFeed
 from ..peer import PeerIdentity, TcpTransport
+from ..peer_environment import NodeEnvironment
 from ..retirements import Retirements
 from ..routes import IngressLimits
 from ..routes_in_force import RoutesInForce
-from ..slot_client import SlotClient
+from ..slot_client import OwnerPatience, SlotClient
 from ..store_budget import BackOff, CallRates, StoreBudget
 from ..vm_directory import VMS_KIND, VmDirectory
 from ..work_items import WorkItemRunner
@@ -43,6 +43,10 @@
 # What is kept back of the time until the process is killed.
 GRACE_RESERVE_MS = 700
 IDLE_POLL_S = 0.1
+# An owner that is lost must cost a request less than its latency objective.
+OWNER_PATIENCE = OwnerPatience(
+    connect_s=0.1, max_owners=2, probe_interval_ms=200, max_silence_ms=400
+)
 
 log = logs.part("node")
 
@@ -86,11 +90,9 @@
         self._store = PlatformStore(settings.store)
         self._directory = VmDirectory(settings.parts, self._store)
         identity = PeerIdentity(settings.parts.vm, ROLE, secrets.token_hex(8))
-        self._environment = Environment(
+        self._environment = NodeEnvironment(
             clock=self._clock,
-            store=self._store,
             vm_list=self._directory,
-            backends=None,
             transport=TcpTransport(identity, settings.parts.shared_secret),
             datagrams=UdpDatagrams(),
             identity=identity,
@@ -144,7 +146,7 @@
     def _start_serving(self, tasks: TaskGroup) -> None:
         settings = self._settings
         zone = settings.parts.availability_zone
-        slots = SlotClient(self._environment, self.cluster, tasks)
+        slots = SlotClient(self._environment, self.cluster, tasks, OWNER_PATIENCE)
         engines = EngineClient(BackendConnections(), PlatformDialect(), self._clock)
         forwarder = Forwarder(self._clock, self.servers, slots, engines, zone)
         service = WorkService(
@@ -153,11 +155,13 @@
             self.jobs,
             self._clock,
             lambda: self._feeds[JOBS_KIND].is_current,
+            self._environment.identity,
         )
         items = WorkItemRunner(
             self._clock, self.servers, slots, engines, ItemRequests(self._clock), zone
         )
-        self._runner = WorkRunner(self.cluster, self.jobs, service, items, self._clock)
+        identity = self._environment.identity
+        self._runner = WorkRunner(self.cluster, identity, self.jobs, service, items, self._clock)
         tasks.start_soon(self._runner.run)
         door = FrontDoor(
             self._clock, lambda: self.routes.table, forwarder, BatchDoor(service, self._clock)
@@ -180,10 +184,10 @@
         self._set_ingress(IngressState.CLOSING)
         refuse_at_ms = now_ms + BALANCER_LAG_MS
         kill_at_ms = now_ms + self._settings.bounds.grace_ms - GRACE_RESERVE_MS
-        await self.cluster.membership.leave()
         if self._runner is not None:
             with anyio.move_on_after(BALANCER_LAG_MS / MS_PER_S):
                 await self._runner.drain()
+        await self.cluster.membership.leave()
         await self._clock.sleep_until(refuse_at_ms)
         self._set_ingress(IngressState.REFUSING)
         while self._active_count() and self._clock.now_ms() < kill_at_ms:
--- a/briarvale/shard_log.py
+++ b/briarvale/shard_log.py
@@ -11,7 +11,7 @@
 from .object_store import ObjectStore
 from .store_budget import StoreBudget
 
-__all__ = ["ItemResult", "LogEntry", "ShardLog"]
+__all__ = ["ItemProgress", "ItemResult", "LogEntry", "NO_RUNNER", "RunnerId", "ShardLog"]
 
 
 class ItemResult(NamedTuple):
@@ -27,13 +27,38 @@
         return len(json.dumps(self))
 
 
+class ItemProgress(NamedTuple):
+    """How far an item has come: the text up to and with an event, after which it may go on."""
+
+    item_index: int
+    last_event_id: int
+    text: str
+
+
+class RunnerId(NamedTuple):
+    """One life of a process that runs items."""
+
+    vm: str
+    boot_id: str
+
+
+NO_RUNNER = RunnerId("", "")
+
+
 class LogEntry(NamedTuple):
-    """One immutable object of the log."""
+    """One immutable object of the log.
+
+    Attributes:
+        progress: How far unfinished items have come, for the next runner.
+        runner: Who runs the shard from here on; none if that doesn't change.
+    """
 
     sequence: int
     nonce: str
     results: tuple[ItemResult, ...]
     is_seal: bool = False
+    progress: tuple[ItemProgress, ...] = ()
+    runner: RunnerId | None = None
 
     def encode(self) -> bytes:
         """Returns the JSON that the Object API keeps."""
@@ -43,7 +68,10 @@
     def decode(cls, value: bytes) -> "LogEntry":
         """Reads the JSON that the Object API keeps."""
         row = json.loads(value)
-        return cls(**row | {"results": tuple(ItemResult(*result) for result in row["results"])})
+        row["results"] = tuple(ItemResult(*result) for result in row["results"])
+        row["progress"] = tuple(ItemProgress(*item) for item in row.get("progress", ()))
+        row["runner"] = RunnerId(*row["runner"]) if row.get("runner") else None
+        return cls(**row)
 
 
 class ShardLog:
@@ -64,6 +92,8 @@
         self.next_sequence = 0
         self.is_sealed = False
         self.has_appended = False
+        self.progress: dict[int, ItemProgress] = {}
+        self.runner: RunnerId | None = None
 
     async def replay(self) -> None:
         """Reads all entries that it has not read yet."""
@@ -73,7 +103,14 @@
             except ObjectNotFound:
                 return
 
-    async def append(self, results: list[ItemResult], *, is_seal: bool = False) -> bool:
+    async def append(
+        self,
+        results: list[ItemResult],
+        *,
+        is_seal: bool = False,
+        progress: tuple[ItemProgress, ...] = (),
+        runner: RunnerId | None = None,
+    ) -> bool:
         """Commits results at the next sequence number; returns whether this entry stands.
 
         If another writer's entry stands there, it is read, and nothing of this call was committed.
@@ -84,7 +121,10 @@
         """
         if self.is_sealed:
             raise ShardSealed(self._prefix)
-        entry = LogEntry(self.next_sequence, secrets.token_hex(8), tuple(results), is_seal)
+        nonce = secrets.token_hex(8)
+        entry = LogEntry(
+            self.next_sequence, nonce, tuple(results), is_seal, progress=progress, runner=runner
+        )
         standing = entry if await self._create(entry) else await self.read_entry(entry.sequence)
         self._take(standing)
         self.has_appended = standing.nonce == entry.nonce
@@ -114,6 +154,8 @@
         for result in entry.results:
             self.done.add(result.item_index)
             self.failed_count += bool(result.error_code)
+        self.progress |= {item.item_index: item for item in entry.progress}
+        self.runner = self.runner if entry.runner is None else entry.runner
         self.is_sealed = entry.is_seal
         self.next_sequence = entry.sequence + 1
 
--- a/briarvale/slot_client.py
+++ b/briarvale/slot_client.py
@@ -21,7 +21,6 @@
     SlotWithdraw,
 )
 from .clock import MS_PER_S
-from .environment import Environment
 from .errors import (
     BriarvaleError,
     InvalidRequest,
@@ -32,8 +31,9 @@
     Quarantined,
     ServerNotReady,
 )
-from .owner_link import OwnerLink, PendingRequest
-from .peer import PeerAddress
+from .owner_link import HEARTBEAT_INTERVAL_MS, MAX_SILENCE_MS, OwnerLink, PendingRequest
+from .peer import CONNECT_TIMEOUT_S, PeerAddress
+from .peer_environment import PeerEnvironment
 from .traces import current_traceparent
 
 KEEP_INTERVAL_S = 0.25
@@ -46,7 +46,7 @@
 
 log = logs.part("slots")
 
-__all__ = ["HeldSlot", "LoadHandler", "OwnerView", "ServerLoad", "SlotClient"]
+__all__ = ["HeldSlot", "LoadHandler", "OwnerPatience", "OwnerView", "ServerLoad", "SlotClient"]
 
 
 class OwnerView(Protocol):
@@ -82,6 +82,22 @@
 LoadHandler = Callable[[ServerLoad], None]
 
 
+class OwnerPatience(NamedTuple):
+    """How long owners are waited for before a request fails as `OwnerUnreachable`.
+
+    Attributes:
+        connect_s: Until a connection stands.
+        max_owners: How many owners are asked while ownership moves.
+        probe_interval_ms: How often an owner that does not answer is probed.
+        max_silence_ms: How long it may leave probes unanswered.
+    """
+
+    connect_s: float = CONNECT_TIMEOUT_S
+    max_owners: int = MAX_OWNERS_ASKED
+    probe_interval_ms: int = HEARTBEAT_INTERVAL_MS
+    max_silence_ms: int = MAX_SILENCE_MS
+
+
 class SlotClient:
     """Holds slots on backend servers for one program.
 
@@ -92,9 +108,17 @@
         environment: The outside interfaces.
         view: Says who owns which backend server.
         tasks: Runs the tasks of the connections to owners.
+        patience: How long owners are waited for.
     """
 
-    def __init__(self, environment: Environment, view: OwnerView, tasks: TaskGroup) -> None:
+    def __init__(
+        self,
+        environment: PeerEnvironment,
+        view: OwnerView,
+        tasks: TaskGroup,
+        patience: OwnerPatience = OwnerPatience(),
+    ) -> None:
+        self._patience = patience
         self._environment = environment
         self._view = view
         self._tasks = tasks
@@ -132,7 +156,7 @@
             self._release(slot)
 
     async def _acquire_from_owner(self, request: SlotRequest) -> HeldSlot:
-        for _ in range(MAX_OWNERS_ASKED):
+        for _ in range(self._patience.max_owners):
             address = self._owner_address(request.backend_server)
             try:
                 link = await self._link_to(address)
@@ -225,7 +249,11 @@
             link = self._links.get(address)
             if link is not None and not link.is_closed:
                 return link
-            return await self._connect(address)
+            with anyio.move_on_after(self._patience.connect_s):
+                return await self._connect(address)
+            now_ms = self._environment.clock.now_ms()
+            self._unreachable_until_ms[address] = now_ms + UNREACHABLE_MS
+            raise OwnerUnreachable(f"{address.host} does not take a connection")
 
     async def _connect(self, address: PeerAddress) -> OwnerLink:
         now_ms = self._environment.clock.now_ms()
@@ -237,7 +265,13 @@
             now_ms = self._environment.clock.now_ms()
             self._unreachable_until_ms[address] = now_ms + UNREACHABLE_MS
             raise
-        link = OwnerLink(address, stream, self._environment.clock)
+        link = OwnerLink(
+            address,
+            stream,
+            self._environment.clock,
+            probe_interval_ms=self._patience.probe_interval_ms,
+            max_silence_ms=self._patience.max_silence_ms,
+        )
         self._links[address] = link
         self._report(link)
         self._tasks.start_soon(link.run, self._handle)
@@ -322,6 +356,9 @@
             pending.fail(NotOwner(pending.request.backend_server))
             return
         server = pending.request.backend_server
+        if refusal.code == OwnerUnreachable.code:
+            pending.fail(OwnerUnreachable("the owner does not know yet what is held"))
+            return
         if refusal.code == ServerNotReady.code:
             pending.fail(ServerNotReady(f"{server} takes no new work"))
             return
--- a/briarvale/slot_pool.py
+++ b/briarvale/slot_pool.py
@@ -23,7 +23,7 @@
     WorkClass,
 )
 from .clock import MS_PER_S, Clock
-from .errors import NotOwner, Overloaded
+from .errors import NotOwner, Overloaded, OwnerUnreachable
 from .grants import Grant, GrantTable
 from .headroom import PeakDemand
 from .holder import Holder
@@ -172,6 +172,10 @@
     def submit(self, request: SlotRequest, holder: Holder) -> None:
         """Queues a request; the holder is told of the grant or the refusal."""
         now_ms = self._clock.now_ms()
+        if now_ms < self._grant_from_ms and request.work_class is WorkClass.ONLINE:
+            # The holder goes on without an owner rather than wait for the reports.
+            self._refuse(request, holder, now_ms, OwnerUnreachable.code)
+            return
         queue = self._waiting[request.work_class]
         if len(queue) >= MAX_QUEUED:
             self._refuse(request, holder, now_ms + RETRY_DELAY_MS)
--- a/briarvale/vm_directory.py
+++ b/briarvale/vm_directory.py
@@ -13,6 +13,7 @@
 
 VMS_KIND = "vms"
 RETRY_S = 0.5
+FIRST_LIST_S = 5.0
 
 log = logs.part("membership")
 
@@ -37,11 +38,17 @@
         )
         self._store = store
         self._entries: dict[str, VmEntry] = {}
-        self._is_known = False
+        self._listed = anyio.Event()
 
     async def fetch(self) -> tuple[VmEntry, ...]:
-        """Returns the VMs as last known; raises `VmListUnavailable` before the first list."""
-        if not self._is_known:
+        """Returns the VMs as last known, once they have been listed.
+
+        Raises:
+            VmListUnavailable: If that takes too long.
+        """
+        with anyio.move_on_after(FIRST_LIST_S):
+            await self._listed.wait()
+        if not self._listed.is_set():
             raise VmListUnavailable("the entries of VMs have not been listed yet")
         return tuple((self._entries | {self._own.vm: self._own}).values())
 
@@ -50,7 +57,7 @@
         self._entries.clear()
         for row in objects:
             self._take(row)
-        self._is_known = True
+        self._listed.set()
 
     def take_change(self, change: FeedChange) -> None:
         """Takes one change."""
--- a/briarvale/work_items.py
+++ b/briarvale/work_items.py
@@ -20,7 +20,7 @@
 from .event_stream import EventSplitter
 from .forward_request import ForwardRequest
 from .live_servers import LiveServer, LiveServers
-from .shard_log import ItemResult
+from .shard_log import ItemProgress, ItemResult
 from .slot_client import HeldSlot, SlotClient, new_request_id
 from .traces import tracer
 from .work_jobs import WorkItem, WorkJob
@@ -34,7 +34,7 @@
 
 log = logs.part("batch")
 
-__all__ = ["ItemDecoder", "WorkItemRunner"]
+__all__ = ["ItemDecoder", "ItemState", "WorkItemRunner"]
 
 
 class ItemDecoder(Protocol):
@@ -44,12 +44,18 @@
         """Returns the request that a backend server gets."""
 
 
-class _Progress:
-    """What is known of an item between its runs."""
+class ItemState:
+    """What is known of an item between its runs.
 
-    def __init__(self) -> None:
-        self.data: list[str] = []
-        self.last_event_id: int | None = None
+    Args:
+        index: Which item of its job.
+        progress: How far an earlier runner has come; none if it is not known.
+    """
+
+    def __init__(self, index: int, progress: ItemProgress | None = None) -> None:
+        self.index = index
+        self.data: list[str] = [] if progress is None else [progress.text]
+        self.last_event_id: int | None = None if progress is None else progress.last_event_id
         self.failures = 0
         self.refusals = 0
         self.waits = 0
@@ -57,6 +63,13 @@
         self.is_whole = False
         self.error_code = ""
 
+    @property
+    def progress(self) -> ItemProgress | None:
+        """How far it has come; none if another runner could not go on from there."""
+        if self.last_event_id is None:
+            return None
+        return ItemProgress(self.index, self.last_event_id, "\n".join(self.data))
+
 
 class WorkItemRunner:
     """Runs items.
@@ -86,49 +99,46 @@
         self._decoder = decoder
         self._availability_zone = availability_zone
 
-    async def run(self, job: WorkJob, index: int) -> ItemResult:
+    async def run(self, job: WorkJob, state: ItemState) -> ItemResult:
         """Runs an item until it has a result; an error code says why it was given up."""
-        item = job.items[index]
-        progress = _Progress()
+        item = job.items[state.index]
         request = self._decoder.item_request(job, item, base64.b64decode(item.body_base64))
-        while not progress.is_whole and not progress.error_code:
+        while not state.is_whole and not state.error_code:
             if self._clock.now_ms() >= job.give_up_at_ms:
-                progress.error_code = GIVEN_UP
+                state.error_code = GIVEN_UP
                 break
             try:
-                await self._run_once(job, request, progress)
-                progress.waits = 0
+                await self._run_once(job, request, state)
+                state.waits = 0
             except BriarvaleError as error:
-                progress.waits += 1
+                state.waits += 1
                 log.info(
                     "A run of an item ended early.",
                     job_id=job.job_id,
                     item_id=item.id,
                     code=error.code,
                     reason=str(error),
-                    events=len(progress.data),
+                    events=len(state.data),
                 )
-                limit_s = min(RETRY_MAX_S, RETRY_START_S * 2**progress.waits)
+                limit_s = min(RETRY_MAX_S, RETRY_START_S * 2**state.waits)
                 await anyio.sleep(limit_s * random.uniform(0.5, 1.0))
-        text = "" if progress.error_code else "\n".join(progress.data)
-        return ItemResult(index, text, progress.error_code)
+        text = "" if state.error_code else "\n".join(state.data)
+        return ItemResult(state.index, text, state.error_code)
 
-    async def _run_once(self, job: WorkJob, request: ForwardRequest, progress: _Progress) -> None:
-        async with self._slots.hold(self._slot_request(job, request, progress)) as slot:
+    async def _run_once(self, job: WorkJob, request: ForwardRequest, state: ItemState) -> None:
+        async with self._slots.hold(self._slot_request(job, request, state)) as slot:
             server = self._servers.get(slot.grant.backend_server)
             if server is None:
                 raise ServerConnectFailed("the granted server has no entry here")
-            progress.excluded = []
+            state.excluded = []
             try:
-                await self._run_at(job, request, progress, slot, server)
+                await self._run_at(job, request, state, slot, server)
             except (ServerLost, ServerConnectFailed, ServerFull):
                 slot.outcome = Outcome.FAILED
-                progress.excluded = [server.id]
+                state.excluded = [server.id]
                 raise
 
-    def _slot_request(
-        self, job: WorkJob, request: ForwardRequest, progress: _Progress
-    ) -> SlotRequest:
+    def _slot_request(self, job: WorkJob, request: ForwardRequest, state: ItemState) -> SlotRequest:
         now_ms = self._clock.now_ms()
         return SlotRequest(
             request_id=new_request_id(),
@@ -140,7 +150,7 @@
             start_by_ms=max(0, job.due_at_ms),
             prompt_tokens=request.prompt_tokens,
             prefix_ids=tuple(part.id for part in request.prompt_parts),
-            excluded=tuple(progress.excluded),
+            excluded=tuple(state.excluded),
             priority=job.priority,
             availability_zone=self._availability_zone,
         )
@@ -149,7 +159,7 @@
         self,
         job: WorkJob,
         request: ForwardRequest,
-        progress: _Progress,
+        state: ItemState,
         slot: HeldSlot,
         server: LiveServer,
     ) -> None:
@@ -159,23 +169,23 @@
             error: BriarvaleError | None = None
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(_cancel_when_revoked, slot, tasks.cancel_scope)
-                error = await self._stream(job, request, progress, server)
+                error = await self._stream(job, request, state, server)
                 tasks.cancel_scope.cancel()
             if error is not None:
                 raise error
-        if progress.is_whole:
+        if state.is_whole:
             slot.outcome = Outcome.FINISHED
         elif slot.revoked.is_set():
             slot.outcome = Outcome.REVOKED
 
     async def _stream(
-        self, job: WorkJob, request: ForwardRequest, progress: _Progress, server: LiveServer
+        self, job: WorkJob, request: ForwardRequest, state: ItemState, server: LiveServer
     ) -> BriarvaleError | None:
         """Reads events; returns a failure, so that the task group doesn't wrap it."""
         left_s = (request.deadline_at_ms - self._clock.now_ms()) / MS_PER_S
         try:
             with anyio.fail_after(max(0.0, left_s)):
-                await self._read_events(job, request, progress, server)
+                await self._read_events(job, request, state, server)
         except TimeoutError:
             return DeadlineExceeded("the item was given up")
         except BriarvaleError as error:
@@ -183,32 +193,32 @@
         return None
 
     async def _read_events(
-        self, job: WorkJob, request: ForwardRequest, progress: _Progress, server: LiveServer
+        self, job: WorkJob, request: ForwardRequest, state: ItemState, server: LiveServer
     ) -> None:
         splitter = EventSplitter()
-        async with self._engines.run(request, server, progress.last_event_id) as run:
+        async with self._engines.run(request, server, state.last_event_id) as run:
             if run.head.status != 200:
                 while await run.read():
                     pass
-                self._note_failure(job, run.head.status, progress)
+                self._note_failure(job, run.head.status, state)
                 return
             if not run.facts.is_signed:
                 raise ServerLost("a success without a signature")
             while data := await run.read():
                 for event in splitter.feed(data):
-                    _take_event(event.id, event.data, progress)
+                    _take_event(event.id, event.data, state)
             if splitter.has_rest:
                 raise ServerLost("the stream ended within an event")
-            progress.is_whole = True
+            state.is_whole = True
 
-    def _note_failure(self, job: WorkJob, status: int, progress: _Progress) -> None:
+    def _note_failure(self, job: WorkJob, status: int, state: ItemState) -> None:
         match status:
             case 422:
-                progress.error_code = ITEM_REFUSED
+                state.error_code = ITEM_REFUSED
             case 500:
-                progress.failures += 1
-                if progress.failures >= job.max_attempts:
-                    progress.error_code = ATTEMPTS_EXHAUSTED
+                state.failures += 1
+                if state.failures >= job.max_attempts:
+                    state.error_code = ATTEMPTS_EXHAUSTED
             case _:
                 raise ServerLost(f"status {status}")
 
@@ -218,15 +228,15 @@
     scope.cancel()
 
 
-def _take_event(event_id: int | None, data: str, progress: _Progress) -> None:
+def _take_event(event_id: int | None, data: str, state: ItemState) -> None:
     """Takes one event; one that was had already changes nothing."""
     if event_id is None:
-        progress.data.append(data)
+        state.data.append(data)
         return
-    last = progress.last_event_id
+    last = state.last_event_id
     if last is not None and event_id <= last:
         return
     if last is not None and event_id > last + 1:
         raise ServerLost(f"event {event_id} came after {last}")
-    progress.last_event_id = event_id
-    progress.data.append(data)
+    state.last_event_id = event_id
+    state.data.append(data)
--- a/briarvale/work_jobs.py
+++ b/briarvale/work_jobs.py
@@ -5,13 +5,13 @@
 """
 
 import json
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from typing import NamedTuple
 
 from . import logs
 from .notifier import Notifier
 from .object_feed import FeedChange, FeedObject
-from .shard_log import ItemResult, LogEntry
+from .shard_log import NO_RUNNER, ItemResult, LogEntry, RunnerId
 
 JOBS_KIND = "workjobs"
 PART_BYTES = 800_000
@@ -48,7 +48,11 @@
 
 
 class WorkJob(NamedTuple):
-    """The head of an accepted job; its items are inline or in `part_count` further objects."""
+    """The head of an accepted job; its items are inline or in `part_count` further objects.
+
+    Attributes:
+        runner: Who runs it first: the process that accepted it.
+    """
 
     job_id: str
     host: str
@@ -60,6 +64,7 @@
     max_attempts: int
     items: tuple[WorkItem, ...]
     part_count: int = 0
+    runner: RunnerId = NO_RUNNER
 
     def encode(self) -> bytes:
         """Returns the JSON that the store keeps."""
@@ -69,7 +74,9 @@
     def decode(cls, value: bytes) -> "WorkJob":
         """Reads the JSON that the store keeps."""
         row = json.loads(value)
-        return cls(**row | {"items": decode_items(row["items"])})
+        row["items"] = decode_items(row["items"])
+        row["runner"] = RunnerId(*row["runner"])
+        return cls(**row)
 
 
 class KnownJob:
@@ -80,6 +87,7 @@
         self.results: list[ItemResult] = []
         self.next_sequence = 0
         self.is_ended = False
+        self.runner = job.runner
         self.changed = Notifier()
         self._early: dict[int, LogEntry] = {}
 
@@ -96,6 +104,7 @@
             following = self._early.pop(self.next_sequence)
             self.results += following.results
             self.is_ended = self.is_ended or following.is_seal
+            self.runner = self.runner if following.runner is None else following.runner
             self.next_sequence += 1
             is_news = True
         if is_news:
@@ -112,7 +121,7 @@
         self.changed = Notifier()
         self.is_known = False
 
-    def __iter__(self) -> Iterable[KnownJob]:  # type: ignore[override]
+    def __iter__(self) -> Iterator[KnownJob]:
         return iter(list(self._jobs.values()))
 
     def get(self, job_id: str) -> KnownJob | None:
--- a/briarvale/work_runner.py
+++ b/briarvale/work_runner.py
@@ -1,7 +1,8 @@
 """Runs the jobs that are this node's, and lists the results of their items.
 
-Each job has one runner: the first node by rendezvous among those alive. Two runners at a time cost
-work, never truth, since creating a log entry is what lists a result.
+Each job has one runner: the process that accepted it, or one that claimed it in its log after the
+runner before was lost or gave it back. Two runners at a time cost work, never truth, since creating
+a log entry is what lists a result.
 """
 
 import anyio
@@ -11,8 +12,9 @@
 from .clock import Clock
 from .errors import BriarvaleError, ShardSealed, StoreThrottled, StoreUnavailable
 from .node_cluster import NodeCluster
-from .shard_log import ItemResult, ShardLog
-from .work_items import WorkItemRunner
+from .peer import PeerIdentity
+from .shard_log import NO_RUNNER, ItemResult, RunnerId, ShardLog
+from .work_items import ItemState, WorkItemRunner
 from .work_jobs import JobDirectory, KnownJob, WorkJob
 from .work_service import WorkService
 
@@ -20,10 +22,9 @@
 # Results that come close together share one entry of the log.
 GATHER_S = 0.15
 MAX_ENTRY_BYTES = 700_000
-# Another node may still be taking over or handing over.
-NOT_MINE_GRACE_S = 1.0
 RETRY_S = 1.0
 STORE_PAUSE_S = 0.2
+HAND_OVER_S = 2.0
 
 log = logs.part("batch")
 
@@ -35,10 +36,11 @@
 
     def __init__(self, known: KnownJob) -> None:
         self.known = known
+        self.claimed_from = known.runner
         self.results: list[ItemResult] = []
+        self.states: dict[int, ItemState] = {}
         self.scope = anyio.CancelScope()
         self.arrived = anyio.Event()
-        self.not_mine_since_s: float | None = None
 
     def add(self, result: ItemResult) -> None:
         """Takes the result of an item that ran."""
@@ -50,7 +52,8 @@
     """Runs jobs; `run` is its life.
 
     Args:
-        cluster: Says which jobs are this node's.
+        cluster: Says which nodes are alive, and who claims what a lost one ran.
+        identity: This process.
         directory: The jobs that this node knows of.
         service: Opens the logs.
         items: Runs single items.
@@ -60,12 +63,14 @@
     def __init__(
         self,
         cluster: NodeCluster,
+        identity: PeerIdentity,
         directory: JobDirectory,
         service: WorkService,
         items: WorkItemRunner,
         clock: Clock,
     ) -> None:
         self._cluster = cluster
+        self._own = RunnerId(identity.vm, identity.boot_id)
         self._directory = directory
         self._service = service
         self._items = items
@@ -98,15 +103,9 @@
             await anyio.sleep(0.05)
 
     def _follow(self) -> None:
-        now_s = anyio.current_time()
-        for job_id, running in self._running.items():
-            if running.known.is_ended:
-                running.scope.cancel()
-            elif self._cluster.is_mine(job_id):
-                running.not_mine_since_s = None
-            elif running.not_mine_since_s is None:
-                running.not_mine_since_s = now_s
-            elif now_s - running.not_mine_since_s > NOT_MINE_GRACE_S:
+        for running in self._running.values():
+            is_lost = running.known.runner not in (self._own, running.claimed_from)
+            if running.known.is_ended or is_lost:
                 running.scope.cancel()
 
     def _start(self, tasks: TaskGroup) -> None:
@@ -116,10 +115,22 @@
             is_due = self._retry_at_s.get(job_id, 0.0) <= now_s
             if known.is_complete or job_id in self._running or self._is_stopping or not is_due:
                 continue
-            if self._cluster.is_mine(job_id):
+            if known.runner == self._own or self._may_claim(known):
                 self._running[job_id] = _RunningJob(known)
                 tasks.start_soon(self._run_job, self._running[job_id])
 
+    def _may_claim(self, known: KnownJob) -> bool:
+        """Whether the job has no runner that lives, and falls to this node.
+
+        A node whose earlier life ran the job claims it itself; the others can't tell its lives
+        apart.
+        """
+        if known.runner.vm == self._own.vm:
+            return True
+        if known.runner.vm in self._cluster.alive():
+            return False
+        return self._cluster.is_mine(known.job.job_id)
+
     async def _load_heads(self) -> None:
         """Reads the items of large jobs, of which the feed brought only the head."""
         for job_id in self._directory.take_unloaded():
@@ -131,20 +142,14 @@
 
     async def _run_job(self, running: _RunningJob) -> None:
         job = running.known.job
-        log.info("Runs a job.", job_id=job.job_id, listed=len(running.known.results))
         shard_log = self._service.open_log(job.job_id)
         try:
             with running.scope:
                 await self._replay(shard_log)
-                async with anyio.create_task_group() as tasks:
-                    for index in range(len(job.items)):
-                        if index not in shard_log.done:
-                            tasks.start_soon(self._run_item, running, index)
-                    await self._list_results(running, shard_log)
-                    tasks.cancel_scope.cancel()
-            if running.results:
-                with anyio.CancelScope(shield=True), anyio.move_on_after(RETRY_S):
-                    await self._append(running, shard_log)
+                if await self._claim(running, shard_log):
+                    await self._run_items(running, shard_log)
+            with anyio.CancelScope(shield=True), anyio.move_on_after(HAND_OVER_S):
+                await self._hand_over(running, shard_log)
         except Exception as error:
             # A fault here must cost this run of the job, not the process.
             log.exception("A job stopped: {!r}.", error, job_id=job.job_id)
@@ -152,6 +157,58 @@
             del self._running[job.job_id]
             self._retry_at_s[job.job_id] = anyio.current_time() + RETRY_S
 
+    async def _claim(self, running: _RunningJob, shard_log: ShardLog) -> bool:
+        """Writes that this process runs the job from here on, unless it does already."""
+        standing = shard_log.runner or running.known.job.runner
+        if shard_log.is_sealed or (standing != self._own and standing != running.claimed_from):
+            return False
+        is_ours = standing == self._own
+        while not is_ours:
+            try:
+                is_ours = await shard_log.append([], runner=self._own)
+            except (StoreThrottled, StoreUnavailable) as error:
+                log.info("Can't claim a job yet: {}.", error, job_id=running.known.job.job_id)
+                await anyio.sleep(STORE_PAUSE_S)
+                continue
+            if not is_ours:
+                return False
+        log.info(
+            "Runs a job.",
+            job_id=running.known.job.job_id,
+            listed=len(shard_log.done),
+            runner_before=standing.vm,
+            resumed=len(shard_log.progress),
+        )
+        return True
+
+    async def _run_items(self, running: _RunningJob, shard_log: ShardLog) -> None:
+        async with anyio.create_task_group() as tasks:
+            for index in range(len(running.known.job.items)):
+                if index not in shard_log.done:
+                    running.states[index] = ItemState(index, shard_log.progress.get(index))
+                    tasks.start_soon(self._run_item, running, running.states[index])
+            await self._list_results(running, shard_log)
+            tasks.cancel_scope.cancel()
+
+    async def _hand_over(self, running: _RunningJob, shard_log: ShardLog) -> None:
+        """Lists what is done; a node that stops also tells the next runner how far items are."""
+        is_ours = (shard_log.runner or running.known.job.runner) == self._own
+        if shard_log.is_sealed or not is_ours:
+            return
+        if not self._is_stopping:
+            if running.results:
+                await self._append(running, shard_log)
+            return
+        states = [s for i, s in running.states.items() if i not in shard_log.done]
+        listed = {result.item_index for result in running.results}
+        progress = [s.progress for s in states if s.index not in listed]
+        entry = [r for r in running.results if r.item_index not in shard_log.done]
+        await shard_log.append(
+            entry, progress=tuple(item for item in progress if item), runner=NO_RUNNER
+        )
+        self._note_listed(running.known.job, entry)
+        log.info("Handed a job over.", job_id=running.known.job.job_id, unfinished=len(progress))
+
     async def _replay(self, shard_log: ShardLog) -> None:
         """Reads the log, however long the store is away."""
         while True:
@@ -162,9 +219,9 @@
                 log.info("Can't read a log yet: {}.", error)
                 await anyio.sleep(STORE_PAUSE_S)
 
-    async def _run_item(self, running: _RunningJob, index: int) -> None:
+    async def _run_item(self, running: _RunningJob, state: ItemState) -> None:
         try:
-            running.add(await self._items.run(running.known.job, index))
+            running.add(await self._items.run(running.known.job, state))
         except Exception as error:
             # The item stays open, and the job's next run takes it up again.
             log.exception("An item failed: {!r}.", error, job_id=running.known.job.job_id)
--- a/briarvale/work_service.py
+++ b/briarvale/work_service.py
@@ -21,7 +21,8 @@
     StoreUnavailable,
 )
 from .object_store import ObjectStore
-from .shard_log import ItemResult, ShardLog
+from .peer import PeerIdentity
+from .shard_log import ItemResult, RunnerId, ShardLog
 from .store_budget import StoreBudget
 from .work_jobs import (
     JobDirectory,
@@ -62,6 +63,7 @@
         directory: The jobs that this node knows of.
         clock: Source of instants.
         is_feed_current: Says whether the directory hears of changes at once.
+        identity: This process, which runs the jobs that it accepts.
     """
 
     def __init__(
@@ -71,12 +73,14 @@
         directory: JobDirectory,
         clock: Clock,
         is_feed_current: Callable[[], bool],
+        identity: PeerIdentity,
     ) -> None:
         self._store = store
         self._budget = budget
         self._directory = directory
         self._clock = clock
         self._is_feed_current = is_feed_current
+        self._own = RunnerId(identity.vm, identity.boot_id)
 
     async def accept(self, job: WorkJob, answer_by_ms: int) -> None:
         """Keeps a job; returns once it is the system's, also for a job that was sent before.
@@ -87,8 +91,13 @@
         """
         if self._directory.get(job.job_id) is not None:
             return
+        job = job._replace(runner=self._own)
         stored = await self._create_parts(job, answer_by_ms)
-        await self._create(job_key(job.job_id), stored.encode(), answer_by_ms, is_head=True)
+        key = job_key(job.job_id)
+        if not await self._create(key, stored.encode(), answer_by_ms, is_head=True):
+            # Another node accepted it first, or an earlier attempt of this one took effect.
+            log.info("The job stands already.", job_id=job.job_id)
+            return
         self._directory.put(job)
         log.info(
             "Accepted a job.",
@@ -192,15 +201,15 @@
             await self._create(part_key(job.job_id, index), value, answer_by_ms, is_head=False)
         return job._replace(items=(), part_count=len(parts))
 
-    async def _create(self, key: str, value: bytes, answer_by_ms: int, *, is_head: bool) -> None:
-        """Creates an object; one that stands already is the same or says the same."""
+    async def _create(self, key: str, value: bytes, answer_by_ms: int, *, is_head: bool) -> bool:
+        """Creates an object; false if one stands already, which says the same."""
         may_stand = False
         while True:
             try:
                 await self._store.create(key, value)
-                return
+                return True
             except ObjectExists:
-                return
+                return False
             except StoreUnavailable as error:
                 may_stand, failure = True, str(error)
             except StoreThrottled as error:
--- a/features/platform/pool_policy.feature
+++ b/features/platform/pool_policy.feature
@@ -21,7 +21,7 @@
 
   Scenario: A lost owner's grants are known to the next before it grants
     When a holder reports its grants to a fresh pool that is asked at once
-    Then the fresh pool grants no slot that is taken
+    Then the fresh pool has online requests go on alone, and grants no slot that is taken
 
   Scenario: A failing server is left alone for a while
     When one of two servers fails each run
--- a/features/steps/pool_policy.py
+++ b/features/steps/pool_policy.py
@@ -16,6 +16,7 @@
     SlotRevoke,
     WorkClass,
 )
+from briarvale.errors import OwnerUnreachable
 from briarvale.live_servers import LiveServer
 from briarvale.peer import PeerAddress
 from briarvale.slot_pool import REPORT_GRACE_MS, SlotPool
@@ -162,15 +163,18 @@
     pool = SlotPool("desk", clock)
     pool.configure([server("i-0", 3)])
     for number in range(3):
-        pool.submit(asked(f"r-{number}", clock), context.holder)
+        pool.submit(asked(f"item-{number}", clock, work_class=WorkClass.BATCH), context.holder)
+    pool.submit(asked("online", clock), context.holder)
     assert not context.holder.of(SlotGrant)
+    refusals = [(r.request_id, r.code) for r in context.holder.of(SlotRefusal)]
+    assert refusals == [("online", OwnerUnreachable.code)], refusals
     held = [HeldGrant(f"old-{n}", "i-0", slot_count=1, pool="desk") for n in range(2)]
     pool.report(Holder(), tuple(held))
     clock.ms += REPORT_GRACE_MS
     pool.tick()
 
 
-@then("the fresh pool grants no slot that is taken")
+@then("the fresh pool has online requests go on alone, and grants no slot that is taken")
 def then_taken(context: Context) -> None:
     assert len(context.holder.of(SlotGrant)) == 1
 
