--- a/briarvale/node_cluster.py
+++ b/briarvale/node_cluster.py
@@ -13,6 +13,7 @@
     SlotWithdraw,
     StateFetch,
     VmHealth,
+    VmState,
 )
 from .errors import BriarvaleError
 from .live_servers import LiveServers
@@ -53,8 +54,7 @@
 
     def alive(self) -> list[str]:
         """Returns the nodes that take part, this one included unless it leaves."""
-        sound = (VmHealth.ALIVE, VmHealth.SUSPECT)
-        return [vm.vm for vm in self.membership.vms if vm.health in sound]
+        return [vm.vm for vm in self._sound()]
 
     def is_mine(self, key: str) -> bool:
         """Whether this node is the one that should see to what the key names."""
@@ -71,13 +71,17 @@
     def _settled(self) -> list[str]:
         """Returns the nodes that take part and started a while ago."""
         started_by_ms = self._environment.clock.now_ms() - SETTLE_MS
+        # The incarnation of a VM is the instant of its start.
+        return [vm.vm for vm in self._sound() if vm.incarnation <= started_by_ms]
+
+    def _sound(self) -> list[VmState]:
+        """Returns the VMs that were heard of and live; the list may name some that are gone."""
         sound = (VmHealth.ALIVE, VmHealth.SUSPECT)
-        return [
-            vm.vm
-            for vm in self.membership.vms
-            # The incarnation of a VM is the instant of its start.
-            if vm.health in sound and vm.incarnation <= started_by_ms
-        ]
+        return [vm for vm in self.membership.vms if vm.health in sound and vm.incarnation > 0]
+
+    def dead(self) -> list[str]:
+        """Returns the VMs that are listed and dead."""
+        return [vm.vm for vm in self.membership.vms if vm.health is VmHealth.DEAD]
 
     def owner_address(self, backend_server: str) -> PeerAddress | None:
         """Returns where the owner of a service's pool listens."""
--- a/briarvale/platform/node.py
+++ b/briarvale/platform/node.py
@@ -140,9 +140,13 @@
             feed = ObjectFeed(self._store, kind, handler, self._clock.now_ms)
             self._feeds[kind] = feed
             tasks.start_soon(feed.run)
-        tasks.start_soon(self._directory.enter)
+        tasks.start_soon(self._directory.keep_entry)
+        tasks.start_soon(self._directory.remove_dead, self._dead_of_mine)
         tasks.start_soon(retirements.run)
 
+    def _dead_of_mine(self) -> list[str]:
+        return [vm for vm in self.cluster.dead() if self.cluster.is_mine(vm)]
+
     def _start_serving(self, tasks: TaskGroup) -> None:
         settings = self._settings
         zone = settings.parts.availability_zone
--- a/briarvale/vm_directory.py
+++ b/briarvale/vm_directory.py
@@ -1,6 +1,7 @@
 """The fleet's own list of VMs: each node keeps an entry in the store and follows all entries."""
 
 import json
+from collections.abc import Callable
 
 import anyio
 
@@ -14,6 +15,9 @@
 VMS_KIND = "vms"
 RETRY_S = 0.5
 FIRST_LIST_S = 5.0
+LOOK_INTERVAL_S = 2.0
+# A VM that is cut off for long is still itself; only one that is gone needs no entry.
+REMOVE_AFTER_S = 20.0
 
 log = logs.part("membership")
 
@@ -39,6 +43,7 @@
         self._store = store
         self._entries: dict[str, VmEntry] = {}
         self._listed = anyio.Event()
+        self._own_removed = anyio.Event()
 
     async def fetch(self) -> tuple[VmEntry, ...]:
         """Returns the VMs as last known, once they have been listed.
@@ -63,11 +68,45 @@
         """Takes one change."""
         if change.is_deleted:
             self._entries.pop(change.object.name, None)
+            if change.object.name == self._own.vm:
+                self._own_removed.set()
         else:
             self._take(change.object)
 
-    async def enter(self) -> None:
-        """Writes this node's entry, however long the store is away."""
+    async def keep_entry(self) -> None:
+        """Writes this node's entry, however long the store is away, and again if it is removed."""
+        while True:
+            self._own_removed = anyio.Event()
+            await self._enter()
+            await self._own_removed.wait()
+            log.warning("This node's entry was removed; writes it again.")
+
+    async def remove_dead(self, dead: Callable[[], list[str]]) -> None:
+        """Removes entries of VMs that have long been dead, until cancelled.
+
+        Args:
+            dead: Returns the dead VMs whose entries this node should see to.
+        """
+        since_s: dict[str, float] = {}
+        while True:
+            await anyio.sleep(LOOK_INTERVAL_S)
+            now_s = anyio.current_time()
+            since_s = {vm: since_s.get(vm, now_s) for vm in dead() if vm in self._entries}
+            for vm, dead_since_s in since_s.items():
+                if now_s - dead_since_s >= REMOVE_AFTER_S:
+                    await self._remove(vm)
+
+    async def _remove(self, vm: str) -> None:
+        try:
+            await self._store.delete(f"{VMS_KIND}/{vm}")
+        except ObjectNotFound:
+            return
+        except (StoreThrottled, StoreUnavailable) as error:
+            log.info("Can't remove the entry of {} yet: {}.", vm, error)
+            return
+        log.info("Removed the entry of {}, which is dead.", vm, removed_vm=vm)
+
+    async def _enter(self) -> None:
         while True:
             try:
                 await self._write_entry()
--- a/features/platform/batch.feature
+++ b/features/platform/batch.feature
@@ -45,6 +45,11 @@
     When a caller submits a job of 1.5 MB
     Then it is done and its bodies come back whole
 
+  Scenario: All nodes are killed at once, and one of them never comes back
+    When every node is killed while a job runs, and all but its runner start again
+    Then another node finishes it
+    And a request is served with a slot of the pool's owner within 2 s of the start
+
   Scenario: A large job outlives its runner
     When the node that runs a job larger than one object is killed
     Then another node finishes it
--- a/features/steps/platform_batch.py
+++ b/features/steps/platform_batch.py
@@ -246,6 +246,37 @@
     play(context, lose_runner(FleetNode.kill, large_job()), nodes=3)
 
 
+@when("every node is killed while a job runs, and all but its runner start again")
+def when_all_killed(context: Context) -> None:
+    async def behave_as(fleet: PlatformFleet, facts: dict[str, Any]) -> None:
+        for engine in facts["engines"]:
+            engine.event_gap_s = 0.4
+        await submit(fleet.nodes["vm-1"], job_body(ITEMS))
+        runner = await runner_of(fleet, facts)
+        for node in list(fleet.nodes.values()):
+            node.kill()
+            await node.ended.wait()
+        for node in list(fleet.nodes.values()):
+            if node is not runner:
+                fleet.restart(node)
+        del fleet.nodes[runner.name]
+        with anyio.move_on_after(2):
+            while not any(
+                n.node and n.node.cluster.pools.queue(MODEL) for n in fleet.nodes.values()
+            ):
+                await anyio.sleep(0.02)
+        nodes = [node.node for node in fleet.nodes.values() if node.node]
+        facts["owners"] = sum(node.cluster.pools.queue(MODEL) is not None for node in nodes)
+        facts["results"] = await read_all(next(iter(fleet.nodes.values())))
+
+    play(context, behave_as, nodes=3)
+
+
+@then("a request is served with a slot of the pool's owner within 2 s of the start")
+def then_owner(context: Context) -> None:
+    assert context.facts["owners"] >= 1
+
+
 @when("the node that runs a job stops gracefully")
 def when_stopped(context: Context) -> None:
     play(context, lose_runner(lambda node: node.stopped.set()), nodes=3)
--- a/features/support/platform_fleet.py
+++ b/features/support/platform_fleet.py
@@ -115,6 +115,13 @@
         self._tasks.start_soon(node.run)
         return node
 
+    def restart(self, node: FleetNode) -> FleetNode:
+        """Starts a node again that has ended, at the same addresses."""
+        again = FleetNode(node.name, node.settings)
+        self.nodes[node.name] = again
+        self._tasks.start_soon(again.run)
+        return again
+
     async def add_engine(
         self, server_id: str, service: str, *, slots: int = 4, event_count: int = 6
     ) -> PlatformEngineStandin:
