--- a/briarvale/batch.py
+++ b/briarvale/batch.py
@@ -17,8 +17,9 @@
 from .item_runner import ItemRunner
 from .item_scheduler import ItemScheduler
 from .jobs import JobRecord, JobState, late_key
-from .ownership import batch_vms, first_by_rendezvous
+from .ownership import batch_vms
 from .quarantine import Quarantine
+from .rendezvous import first_by_rendezvous
 from .retention import Retention
 from .routing import Router
 from .settings import Settings
--- a/briarvale/commands/_common.py
+++ b/briarvale/commands/_common.py
@@ -15,9 +15,11 @@
 from ..clock import MS_PER_S
 from ..errors import BriarvaleError, SettingsInvalid
 from ..fleet_status import HttpReports, Reports
-from ..object_store import HttpObjectStore, ObjectStore
-from ..settings import load_settings
-from ..vm_list import HttpVmList, VmList
+from ..http_object_store import HttpObjectStore
+from ..http_vm_list import HttpVmList
+from ..object_store import ObjectStore
+from ..settings_file import load_settings
+from ..vm_list import VmList
 
 EXIT_FAILED = 1
 EXIT_INVALID = 2
--- a/briarvale/commands/why.py
+++ b/briarvale/commands/why.py
@@ -7,7 +7,7 @@
 
 from ..errors import NotFound, SettingsInvalid
 from ..request_trace import explain, read_request
-from ..settings import load_settings
+from ..settings_file import load_settings
 from ._common import console, or_exit
 
 TraceOption = Annotated[
--- a/briarvale/config_spread.py
+++ b/briarvale/config_spread.py
@@ -24,8 +24,8 @@
 )
 from .membership import Membership
 from .notifier import Notifier
-from .ownership import first_by_rendezvous
 from .peer import PeerAddress
+from .rendezvous import first_by_rendezvous
 from .settings import Settings
 
 WATCHERS_PER_REGION = 2
--- a/briarvale/controller.py
+++ b/briarvale/controller.py
@@ -9,7 +9,7 @@
 from .fleet_view import FleetView
 from .leases import Lease
 from .orders import Orders
-from .ownership import rank_by_rendezvous
+from .rendezvous import rank_by_rendezvous
 from .settings import Settings
 from .weight_store import WeightStoreBudget
 
--- /dev/null
+++ b/briarvale/crash_guard.py
@@ -0,0 +1,70 @@
+"""Refuses requests whose content crashed backend servers, whoever sends them again.
+
+A run that was lost may also have lost its answer alone, so a loss counts as a crash only if the
+server takes no connection right after it.
+"""
+
+from collections.abc import Callable
+
+from . import logs, metrics
+from ._generated.messages import CrashSite, SuspectNotice
+from .clock import Clock
+from .errors import Quarantined, ServerConnectFailed
+from .http_wire import ClientConnection
+from .live_servers import LiveServer
+from .suspects import QUARANTINE_TERM_MS, SUSPECT_TERM_MS, SuspectTable
+
+CONFIRM_TIMEOUT_S = 0.3
+
+log = logs.part("quarantine")
+
+__all__ = ["CrashGuard"]
+
+
+class CrashGuard:
+    """Knows the content that crashes servers.
+
+    Args:
+        clock: Source of instants.
+        suspects: What all nodes know of such content.
+        publish: Spreads a notice to the other nodes.
+    """
+
+    def __init__(
+        self, clock: Clock, suspects: SuspectTable, publish: Callable[[SuspectNotice], None]
+    ) -> None:
+        self._clock = clock
+        self._suspects = suspects
+        self._publish = publish
+
+    def check(self, fingerprint: str) -> None:
+        """Raises `Quarantined` if the content crashed several servers."""
+        notice = self._suspects.get(fingerprint, self._clock.now_ms())
+        if notice is not None and notice.quarantined:
+            metrics.QUARANTINE_REFUSALS.inc({})
+            raise Quarantined("this request crashed several backend servers")
+
+    async def note_loss(self, fingerprint: str, server: LiveServer, began_at_ms: int) -> None:
+        """Takes that a run was lost; spreads it if the server has crashed."""
+        if not await _is_down(server):
+            return
+        now_ms = self._clock.now_ms()
+        known = self._suspects.get(fingerprint, now_ms)
+        term_ms = QUARANTINE_TERM_MS if known else SUSPECT_TERM_MS
+        site = CrashSite(server.id, now_ms, began_at_ms)
+        self._publish(SuspectNotice(fingerprint, 1, False, now_ms + term_ms, (site,)))
+        log.info(
+            "A server crashed under a request.",
+            fingerprint=fingerprint,
+            backend_server=server.id,
+            crashes_before=len(known.sites) if known else 0,
+        )
+
+
+async def _is_down(server: LiveServer) -> bool:
+    try:
+        connection = await ClientConnection.open(server.address, CONFIRM_TIMEOUT_S)
+    except ServerConnectFailed:
+        return True
+    await connection.aclose()
+    return False
--- a/briarvale/environment.py
+++ b/briarvale/environment.py
@@ -9,11 +9,13 @@
 from .config import BackendServer
 from .datagrams import Datagrams, UdpDatagrams
 from .engine_client import Engine, HttpEngine
-from .object_store import HttpObjectStore, ObjectStore
+from .http_object_store import HttpObjectStore
+from .http_vm_list import HttpVmList
+from .object_store import ObjectStore
 from .peer import PeerIdentity, PeerTransport, TcpTransport
 from .service_client import HttpPlainService, PlainService
 from .settings import Settings
-from .vm_list import HttpVmList, VmList
+from .vm_list import VmList
 
 MAX_CONNECTIONS = 2_000
 KEEPALIVE_EXPIRY_S = 30.0
--- /dev/null
+++ b/briarvale/feed_relay.py
@@ -0,0 +1,87 @@
+"""Peers tell a node that the store turns away what they know from the store."""
+
+import json
+import random
+from collections.abc import Callable, Mapping
+
+import anyio
+
+from . import logs
+from ._generated.messages import ConfigBundle, ConfigDocument, ConfigFetch
+from .errors import OwnerUnreachable, PeerClosed, PeerProtocolError
+from .object_feed import FeedObject, ObjectFeed, ObjectList
+from .peer import PeerAddress, PeerTransport
+
+ASK_INTERVAL_S = 0.5
+ASK_TIMEOUT_S = 1.0
+
+log = logs.part("relay")
+
+__all__ = ["FeedRelay"]
+
+
+class FeedRelay:
+    """Asks peers while feeds are stale, and answers those that ask.
+
+    Args:
+        feeds: The feeds that are relayed, by kind.
+        transport: Connections to peers.
+        peers: Returns the addresses of other nodes that live.
+    """
+
+    def __init__(
+        self,
+        feeds: Mapping[str, ObjectFeed],
+        transport: PeerTransport,
+        peers: Callable[[], list[PeerAddress]],
+    ) -> None:
+        self._feeds = feeds
+        self._transport = transport
+        self._peers = peers
+
+    def bundle(self) -> ConfigBundle:
+        """Returns one document a kind: its revision and its objects."""
+        documents = []
+        for kind, feed in self._feeds.items():
+            listed = feed.snapshot()
+            rows = [[row.name, row.value, row.revision] for row in listed.objects]
+            body = json.dumps({"revision": listed.revision, "objects": rows}).encode()
+            documents.append(ConfigDocument(kind, "", body))
+        return ConfigBundle(documents=tuple(documents))
+
+    async def run(self) -> None:
+        """Asks a peer now and then while a feed is stale, until cancelled."""
+        while True:
+            await anyio.sleep(ASK_INTERVAL_S * random.uniform(0.8, 1.2))
+            peers = self._peers()
+            if peers and any(feed.is_stale for feed in self._feeds.values()):
+                await self._ask(random.choice(peers))
+
+    async def _ask(self, address: PeerAddress) -> None:
+        try:
+            with anyio.fail_after(ASK_TIMEOUT_S):
+                bundle = await self._fetch(address)
+        except (OwnerUnreachable, PeerClosed, PeerProtocolError, TimeoutError) as error:
+            log.info("No answer from {}: {!r}.", address.host, error)
+            return
+        for document in bundle.documents:
+            feed = self._feeds.get(document.name)
+            if feed is not None and feed.is_stale:
+                feed.offer(_decode(document), address.host)
+
+    async def _fetch(self, address: PeerAddress) -> ConfigBundle:
+        stream = await self._transport.connect(address)
+        try:
+            await stream.send(ConfigFetch())
+            while True:
+                message = await stream.receive()
+                if isinstance(message, ConfigBundle):
+                    return message
+        finally:
+            await stream.aclose()
+
+
+def _decode(document: ConfigDocument) -> ObjectList:
+    content = json.loads(document.body)
+    rows = tuple(FeedObject(*row) for row in content["objects"])
+    return ObjectList(rows, content["revision"])
--- a/briarvale/forwarding.py
+++ b/briarvale/forwarding.py
@@ -8,6 +8,7 @@
 from . import logs, metrics
 from ._generated.messages import Outcome, SlotRequest, WorkClass
 from .clock import MS_PER_S, Clock
+from .crash_guard import CrashGuard
 from .engine_run import EngineClient, EngineRun
 from .errors import (
     AttemptsExhausted,
@@ -86,6 +87,7 @@
         servers: The backend servers that have an entry.
         slots: Asks the owners of pools for slots.
         engines: Runs requests at backend servers.
+        crashes: Knows requests that crash backend servers.
         availability_zone: This node's place.
     """
 
@@ -95,12 +97,14 @@
         servers: LiveServers,
         slots: SlotClient,
         engines: EngineClient,
+        crashes: CrashGuard,
         availability_zone: str,
     ) -> None:
         self._clock = clock
         self._servers = servers
         self._slots = slots
         self._engines = engines
+        self._crashes = crashes
         self._availability_zone = availability_zone
         self._own_runs: dict[str, int] = {}
 
@@ -127,6 +131,7 @@
         self, request: ForwardRequest, sink: AnswerSink, progress: _Progress
     ) -> None:
         while True:
+            self._crashes.check(request.fingerprint)
             try:
                 await self._attempt(request, sink, progress)
                 return
@@ -203,6 +208,7 @@
         server, slot = attempt.server, attempt.slot
         progress.excluded = [*progress.excluded, server.id][-2:]
         self._own_runs[server.id] = self._own_runs.get(server.id, 0) + 1
+        began_at_ms = self._clock.now_ms()
         try:
             with tracer.start_as_current_span("backend server") as span:
                 span.set_attribute("briarvale.backend_server", server.id)
@@ -211,6 +217,8 @@
             _set_outcome(slot, Outcome.FINISHED)
             metrics.ATTEMPTS.inc({"service": attempt.request.service, "code": "finished"})
         except (ServerLost, ServerConnectFailed, ServerFull) as error:
+            if isinstance(error, ServerLost):
+                await self._crashes.note_loss(attempt.request.fingerprint, server, began_at_ms)
             _set_outcome(slot, Outcome.FAILED)
             metrics.ATTEMPTS.inc({"service": attempt.request.service, "code": error.code})
             raise
--- a/briarvale/gateway_http.py
+++ b/briarvale/gateway_http.py
@@ -28,10 +28,10 @@
 from .online import OnlineRequest
 from .operator_http import OperatorAuth, health_route
 from .plain_calls import PlainRequest
-from .quarantine import fingerprint_of
 from .request_count import RequestCountMiddleware
 from .service_client import ServiceCall
 from .slot_client import new_request_id
+from .suspects import fingerprint_of
 from .traces import extract_context, tracer
 
 DEFAULT_DEADLINE_MS = 60_000
--- a/briarvale/handover.py
+++ b/briarvale/handover.py
@@ -6,7 +6,8 @@
 import anyio
 
 from ._generated.messages import VmState
-from .ownership import batch_vms, first_by_rendezvous
+from .ownership import batch_vms
+from .rendezvous import first_by_rendezvous
 
 HANDOVER_S = 15.0
 SAME_START_MS = 10_000
--- /dev/null
+++ b/briarvale/http_vm_list.py
@@ -0,0 +1,32 @@
+"""The VM list over HTTP."""
+
+import httpx
+
+from .vm_list import VmEntry, VmListUnavailable, entry_from_row
+
+LIST_TIMEOUT_S = 3.0
+
+__all__ = ["HttpVmList"]
+
+
+class HttpVmList:
+    """The VM list over HTTP.
+
+    Args:
+        url: URL of the list, by IP number.
+        client: HTTP client; closed by its maker.
+    """
+
+    def __init__(self, url: str, client: httpx.AsyncClient) -> None:
+        self._url = url
+        self._client = client
+
+    async def fetch(self) -> tuple[VmEntry, ...]:
+        """Fetches the list."""
+        try:
+            response = await self._client.get(self._url, timeout=LIST_TIMEOUT_S)
+            response.raise_for_status()
+            rows = response.json()["vms"]
+        except (httpx.HTTPError, ValueError, KeyError) as error:
+            raise VmListUnavailable(f"VM list: {type(error).__name__}") from error
+        return tuple(entry_from_row(row) for row in rows)
--- a/briarvale/item_runner.py
+++ b/briarvale/item_runner.py
@@ -20,10 +20,11 @@
 )
 from .fleet_view import FleetView
 from .jobs import Item, JobRecord
-from .quarantine import Quarantine, fingerprint_of
+from .quarantine import Quarantine
 from .routing import Router, RouteRequest
 from .shard_log import ItemResult
 from .slot_client import HeldSlot, SlotClient, new_request_id
+from .suspects import fingerprint_of
 from .traces import tracer
 
 SLOT_WAIT_MS = 120_000
--- a/briarvale/membership.py
+++ b/briarvale/membership.py
@@ -20,8 +20,8 @@
 from .notifier import Notifier
 from .peer import PeerAddress
 from .peer_environment import PeerEnvironment
-from .quarantine import SuspectTable
 from .settings import Settings
+from .suspects import SuspectTable
 from .vm_list import VmEntry, VmListUnavailable, VmStatus
 
 POLL_INTERVAL_S = 1.0
--- a/briarvale/node_cluster.py
+++ b/briarvale/node_cluster.py
@@ -16,14 +16,15 @@
     VmState,
 )
 from .errors import BriarvaleError
+from .feed_relay import FeedRelay
 from .live_servers import LiveServers
 from .membership import Membership
-from .ownership import first_by_rendezvous
 from .peer import MessageStream, PeerAddress, PeerIdentity
 from .peer_connection import PeerConnection
 from .peer_environment import PeerEnvironment
+from .pool_owner import PoolOwner
+from .rendezvous import first_by_rendezvous
 from .settings import Settings
-from .slot_owner import PoolOwner
 
 EXPIRE_INTERVAL_S = 0.25
 SETTLE_MS = 3_000
@@ -50,12 +51,19 @@
         self._servers = servers
         self.membership = Membership(settings, environment)
         self.pools = PoolOwner(environment.clock)
+        self.relay: FeedRelay | None = None
         self._connections: list[PeerConnection] = []
 
     def alive(self) -> list[str]:
         """Returns the nodes that take part, this one included unless it leaves."""
         return [vm.vm for vm in self._sound()]
 
+    def peer_addresses(self) -> list[PeerAddress]:
+        """Returns where the other nodes that live listen for peers."""
+        names = [name for name in self.alive() if name != self._settings.vm]
+        found = (self.membership.peer_address(name) for name in names)
+        return [address for address in found if address is not None]
+
     def is_mine(self, key: str) -> bool:
         """Whether this node is the one that should see to what the key names."""
         return self.owner(key) == self._settings.vm
@@ -143,7 +151,7 @@
                 self.pools.handle(connection, message)
             case StateFetch():
                 connection.notify(self.membership.snapshot())
-            case ConfigFetch():
-                log.debug("A peer asks for a configuration.", peer=connection.name)
+            case ConfigFetch() if self.relay is not None:
+                connection.notify(self.relay.bundle())
             case _:
                 log.warning("Unexpected {} from {}.", type(message).__name__, connection.name)
--- a/briarvale/object_feed.py
+++ b/briarvale/object_feed.py
@@ -77,10 +77,17 @@
         kind: Kind of the objects.
         handler: Told of the list and of changes.
         now_ms: Returns the current instant.
+        is_relayed: Whether the objects are kept, for peers that the store turns away.
     """
 
     def __init__(
-        self, store: FeedStore, kind: str, handler: FeedHandler, now_ms: Callable[[], int]
+        self,
+        store: FeedStore,
+        kind: str,
+        handler: FeedHandler,
+        now_ms: Callable[[], int],
+        *,
+        is_relayed: bool = False,
     ) -> None:
         self._store = store
         self._kind = kind
@@ -88,6 +95,8 @@
         self._now_ms = now_ms
         self._revision = -1
         self._failing_since_s: float | None = None
+        self._is_relayed = is_relayed
+        self._rows: dict[str, FeedObject] = {}
         self.confirmed_at_ms = 0
 
     @property
@@ -95,6 +104,29 @@
         """Whether the last call was answered."""
         return self._failing_since_s is None and self._revision >= 0
 
+    @property
+    def is_stale(self) -> bool:
+        """Whether the store has not answered for longer than a lost connection takes to replace."""
+        return self._was_away()
+
+    def snapshot(self) -> ObjectList:
+        """Returns the objects as last known; only of a feed that is relayed."""
+        return ObjectList(tuple(self._rows.values()), max(0, self._revision))
+
+    def offer(self, listed: ObjectList, source: str) -> None:
+        """Takes a list that a peer had from the store, if it is newer than what is known here."""
+        if listed.revision <= self._revision:
+            return
+        log.info(
+            "Took {} from a peer.",
+            self._kind,
+            kind=self._kind,
+            source=source,
+            revision=listed.revision,
+            revision_before=self._revision,
+        )
+        self._take_list(listed, after_outage=True)
+
     async def run(self) -> None:
         """Follows until cancelled."""
         delay_s = RETRY_START_S
@@ -117,7 +149,7 @@
         found = await self._store.watch_kind(self._kind, self._revision, WATCH_MS)
         self._note_success()
         for change in found.changes:
-            self._handler.take_change(change)
+            self._take_change(change)
         self._revision = max(self._revision, found.revision)
 
     async def _list(self) -> None:
@@ -126,8 +158,20 @@
         self._note_success()
         if listed.revision < self._revision:
             return
-        self._handler.take_list(listed.objects, after_outage=was_away)
+        self._take_list(listed, after_outage=was_away)
+
+    def _take_list(self, listed: ObjectList, *, after_outage: bool) -> None:
         self._revision = listed.revision
+        if self._is_relayed:
+            self._rows = {row.name: row for row in listed.objects}
+        self._handler.take_list(listed.objects, after_outage=after_outage)
+
+    def _take_change(self, change: FeedChange) -> None:
+        if self._is_relayed and change.is_deleted:
+            self._rows.pop(change.object.name, None)
+        elif self._is_relayed:
+            self._rows[change.object.name] = change.object
+        self._handler.take_change(change)
 
     def _was_away(self) -> bool:
         since_s = self._failing_since_s
--- a/briarvale/ownership.py
+++ b/briarvale/ownership.py
@@ -1,20 +1,16 @@
 """Which VM's dispatcher owns a backend server: rendezvous hashing, same availability zone first."""
 
-import heapq
 from collections.abc import Iterable, Mapping, Sequence
 
-import xxhash
-
 from ._generated.messages import VmHealth, VmState
 from .config import BackendServer
+from .rendezvous import first_by_rendezvous
 
 NOBODY: frozenset[str] = frozenset()
 
 __all__ = [
     "OwnershipTable",
     "batch_vms",
-    "first_by_rendezvous",
-    "rank_by_rendezvous",
 ]
 
 
@@ -83,20 +79,6 @@
         return groups.get(zone) or groups.get(region) or groups.get(()) or NOBODY
 
 
-def rank_by_rendezvous(key: str, names: Iterable[str]) -> list[str]:
-    """Orders names for a key, best first; the order moves little when names come and go."""
-    return sorted(
-        names, key=lambda name: xxhash.xxh3_64_intdigest(f"{key}\0{name}".encode()), reverse=True
-    )
-
-
-def first_by_rendezvous(key: str, names: Iterable[str], count: int) -> list[str]:
-    """Returns the first names of the order of `rank_by_rendezvous`, at less cost for many names."""
-    prefix = f"{key}\0"
-    digest = xxhash.xxh3_64_intdigest
-    return heapq.nlargest(count, names, key=lambda name: digest((prefix + name).encode()))
-
-
 def batch_vms(vms: Iterable[VmState]) -> list[str]:
     """Returns the VMs whose batch program runs, by name.
 
--- a/briarvale/platform/dialect.py
+++ b/briarvale/platform/dialect.py
@@ -3,6 +3,7 @@
 from ..forward_request import AnswerFacts, ForwardRequest, PromptPart
 from ..http_wire import AnswerHead, Headers, end_to_end_headers, find_header
 from ..routes import Route
+from ..suspects import fingerprint_of
 
 REQUEST_ID = b"briarvale-request-attempt-id"
 DEADLINE_MS = b"briarvale-deadline-ms"
@@ -52,6 +53,9 @@
     deadline_ms = _number(_text(headers, DEADLINE_MS))
     usage = _text(headers, TOKENS).split(",")
     resume_after = _number(_text(headers, LAST_EVENT_ID))
+    path = target.partition(b"?")[0]
+    content = b"\0".join((find_header(headers, b"host") or b"", path, body)).decode("latin-1")
+    service = route.service_for(request_id)
     return ForwardRequest(
         request_id=request_id,
         method=method,
@@ -59,9 +63,10 @@
         headers=end_to_end_headers(headers),
         body=body,
         route=route,
-        service=route.service_for(request_id),
+        service=service,
         deadline_at_ms=now_ms + (deadline_ms if deadline_ms is not None else route.timeout_ms),
         received_at_ms=now_ms,
+        fingerprint=fingerprint_of(service, content),
         prompt_parts=_prompt_parts(_text(headers, PROMPT_PARTS)),
         prompt_tokens=_number(usage[0]) or 0,
         output_tokens=(_number(usage[1]) or 0) if len(usage) > 1 else 0,
--- a/briarvale/platform/front_door.py
+++ b/briarvale/platform/front_door.py
@@ -16,7 +16,6 @@
 from ..forwarding import Forwarder
 from ..http_wire import find_header
 from ..ingress import IngressRequest, Responder
-from ..quarantine import fingerprint_of
 from ..routes import BatchRoute, IngressLimits, RouteTable
 from .batch_door import BatchDoor
 from .dialect import decode_request
@@ -108,10 +107,6 @@
         )
         if not forwarded.request_id:
             raise InvalidRequest("the request has no id")
-        content = f"{host}{path}\0".encode() + request.body
-        forwarded = forwarded._replace(
-            fingerprint=fingerprint_of(forwarded.service, content.decode("latin-1"))
-        )
         code = "answered"
         try:
             await self._forwarder.forward(forwarded, responder)
--- a/briarvale/platform/node.py
+++ b/briarvale/platform/node.py
@@ -8,9 +8,11 @@
 from .. import logs, metrics
 from ..backend_connections import BackendConnections
 from ..clock import MS_PER_S, Clock
+from ..crash_guard import CrashGuard
 from ..datagrams import UdpDatagrams
 from ..engine_run import EngineClient
 from ..errors import BriarvaleError
+from ..feed_relay import FeedRelay
 from ..forwarding import Forwarder
 from ..ingress import Ingress, IngressRequest, IngressState, Responder
 from ..live_servers import LiveServers
@@ -37,6 +39,7 @@
 from .store import PlatformStore
 
 ROLE = "node"
+RELAYED_KINDS = (CONFIG_KIND, SERVERS_KIND)
 STORE_GIVE_UP_S = 3.0
 # The balancer notices a node that isn't ready within this time.
 BALANCER_LAG_MS = 3_000
@@ -137,9 +140,14 @@
             (JOBS_KIND, self.jobs),
             (RETIREMENTS_KIND, retirements),
         ):
-            feed = ObjectFeed(self._store, kind, handler, self._clock.now_ms)
+            is_relayed = kind in RELAYED_KINDS
+            feed = ObjectFeed(self._store, kind, handler, self._clock.now_ms, is_relayed=is_relayed)
             self._feeds[kind] = feed
             tasks.start_soon(feed.run)
+        relayed = {kind: self._feeds[kind] for kind in RELAYED_KINDS}
+        relay = FeedRelay(relayed, self._environment.transport, self.cluster.peer_addresses)
+        self.cluster.relay = relay
+        tasks.start_soon(relay.run)
         tasks.start_soon(self._directory.keep_entry)
         tasks.start_soon(self._directory.remove_dead, self._dead_of_mine)
         tasks.start_soon(retirements.run)
@@ -152,7 +160,9 @@
         zone = settings.parts.availability_zone
         slots = SlotClient(self._environment, self.cluster, tasks, OWNER_PATIENCE)
         engines = EngineClient(BackendConnections(), PlatformDialect(), self._clock)
-        forwarder = Forwarder(self._clock, self.servers, slots, engines, zone)
+        membership = self.cluster.membership
+        crashes = CrashGuard(self._clock, membership.suspects, membership.publish)
+        forwarder = Forwarder(self._clock, self.servers, slots, engines, crashes, zone)
         service = WorkService(
             self._store,
             self._budget,
@@ -162,7 +172,7 @@
             self._environment.identity,
         )
         items = WorkItemRunner(
-            self._clock, self.servers, slots, engines, ItemRequests(self._clock), zone
+            self._clock, self.servers, slots, engines, crashes, ItemRequests(self._clock), zone
         )
         identity = self._environment.identity
         self._runner = WorkRunner(self.cluster, identity, self.jobs, service, items, self._clock)
--- /dev/null
+++ b/briarvale/pool_owner.py
@@ -0,0 +1,24 @@
+"""The pools of all services that this node owns."""
+
+from collections.abc import Mapping, Sequence
+
+from .live_servers import LiveServer
+from .slot_granters import SlotGranters
+from .slot_pool import SlotPool
+
+__all__ = ["PoolOwner"]
+
+
+class PoolOwner(SlotGranters[SlotPool]):
+    """Keeps one `SlotPool` for each owned service."""
+
+    def settle(self, pools: Mapping[str, Sequence[LiveServer]]) -> None:
+        """Takes up and gives up pools, so that just these remain, with these ready servers."""
+        self._give_up(self._queues.keys() - pools.keys())
+        for name, servers in pools.items():
+            if name in self._queues:
+                self._queues[name].configure(servers)
+                continue
+            pool = SlotPool(name, self._clock)
+            pool.configure(servers)
+            self._take_up(name, pool)
--- a/briarvale/programs/_run.py
+++ b/briarvale/programs/_run.py
@@ -19,7 +19,8 @@
 from ..http_server import serve_app
 from ..operator_http import operator_app
 from ..peer import PeerIdentity
-from ..settings import Settings, load_settings
+from ..settings import Settings
+from ..settings_file import load_settings
 
 EXIT_STOPPED_AT_ONCE = 1
 EXIT_BAD_SETTINGS = 2
--- a/briarvale/quarantine.py
+++ b/briarvale/quarantine.py
@@ -6,10 +6,9 @@
 to the same result in any order.
 """
 
-import hashlib
 import json
 import random
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from contextlib import suppress
 
 import anyio
@@ -26,14 +25,10 @@
 )
 from .fleet_view import FleetView
 from .notifier import Notifier
+from .suspects import QUARANTINE_TERM_MS, SUSPECT_TERM_MS, SuspectTable
 
 OBJECT_KEY = "quarantine/suspects"
-QUARANTINE_CRASHES = 2
-SAME_CRASH_MS = 2_000
 SETTLE_MS = 500
-SUSPECT_TERM_MS = 600_000
-QUARANTINE_TERM_MS = 86_400_000
-MAX_ENTRIES = 1_024
 WRITE_DELAY_S = 0.2
 WRITE_RETRY_S = 2.0
 LOAD_TIMEOUT_S = 2.0
@@ -41,81 +36,11 @@
 
 log = logs.part("quarantine")
 
-__all__ = ["Quarantine", "SuspectTable", "fingerprint_of", "merge_notices"]
+__all__ = ["Quarantine"]
 
 NoticeHandler = Callable[[SuspectNotice], None]
 
 
-def fingerprint_of(service: str, prompt: str) -> str:
-    """Returns the fingerprint of a request's content."""
-    return hashlib.sha256(f"{service}\0{prompt}".encode()).hexdigest()[:32]
-
-
-def merge_notices(known: SuspectNotice, other: SuspectNotice) -> SuspectNotice:
-    """Joins what two notices say of the same fingerprint; the order does not matter."""
-    cleared_at_ms = max(known.cleared_at_ms, other.cleared_at_ms)
-    sites: list[CrashSite] = []
-    for site in sorted({*known.sites, *other.sites}, key=lambda site: (site.at_ms, site)):
-        is_known = any(_is_same_crash(site, kept) for kept in sites)
-        if site.at_ms > cleared_at_ms and not is_known:
-            sites.append(site)
-    del sites[QUARANTINE_CRASHES:]
-    is_quarantined = len(sites) >= QUARANTINE_CRASHES
-    return SuspectNotice(
-        fingerprint=known.fingerprint,
-        crashes=len(sites),
-        quarantined=is_quarantined,
-        expires_at_ms=max(known.expires_at_ms, other.expires_at_ms),
-        sites=tuple(sites),
-        cleared_at_ms=0 if is_quarantined else cleared_at_ms,
-    )
-
-
-def _is_same_crash(site: CrashSite, other: CrashSite) -> bool:
-    """Whether two runs on one server were in flight together and ended together."""
-    return (
-        site.backend_server == other.backend_server
-        and abs(site.at_ms - other.at_ms) < SAME_CRASH_MS
-        and site.began_at_ms <= other.at_ms
-        and other.began_at_ms <= site.at_ms
-    )
-
-
-class SuspectTable:
-    """A bounded table of suspects and quarantined fingerprints; entries expire."""
-
-    def __init__(self) -> None:
-        self._notices: dict[str, SuspectNotice] = {}
-
-    def __iter__(self) -> Iterator[SuspectNotice]:
-        return iter(tuple(self._notices.values()))
-
-    def get(self, fingerprint: str, now_ms: int) -> SuspectNotice | None:
-        """Returns the entry of a suspect or quarantined fingerprint, else none."""
-        notice = self._notices.get(fingerprint)
-        return notice if notice and notice.sites and notice.expires_at_ms > now_ms else None
-
-    def merge(self, notice: SuspectNotice, now_ms: int) -> SuspectNotice | None:
-        """Takes a notice and returns the entry if that told something new."""
-        if notice.expires_at_ms <= now_ms:
-            return None
-        empty = SuspectNotice(fingerprint=notice.fingerprint)
-        known = self._notices.get(notice.fingerprint, empty)
-        merged = merge_notices(known, notice)
-        if merged == known:
-            return None
-        self._notices[notice.fingerprint] = merged
-        self._evict(now_ms)
-        return merged
-
-    def _evict(self, now_ms: int) -> None:
-        if len(self._notices) <= MAX_ENTRIES:
-            return
-        live = [notice for notice in self if notice.expires_at_ms > now_ms]
-        live.sort(key=lambda notice: (notice.quarantined, notice.expires_at_ms))
-        self._notices = {notice.fingerprint: notice for notice in live[-MAX_ENTRIES:]}
-
-
 class Quarantine:
     """What one gateway or batch program knows of requests that crash backend servers.
 
--- a/briarvale/routing.py
+++ b/briarvale/routing.py
@@ -8,8 +8,8 @@
 from .config import BackendServer
 from .errors import NoServer
 from .fleet_view import FleetView
-from .ownership import first_by_rendezvous
 from .prefix_cache import PrefixCache, prefix_blocks
+from .rendezvous import first_by_rendezvous
 from .server_loads import ServerLoads
 
 KEY_BLOCKS = 4
--- a/briarvale/settings.py
+++ b/briarvale/settings.py
@@ -1,17 +1,5 @@
-"""The settings file of one VM, read by each of its programs."""
-
-from pathlib import Path
+"""One VM's settings, read by each of its programs."""
 
 from ._generated.settings import Settings
-from .checked_yaml import load_checked
-
-__all__ = ["Settings", "load_settings"]
-
-
-def load_settings(path: Path) -> Settings:
-    """Reads and checks the settings file.
 
-    Raises:
-        SettingsInvalid: Names the file, line and field, and what was expected.
-    """
-    return Settings.from_mapping(load_checked(path, "settings"))
+__all__ = ["Settings"]
--- a/briarvale/slot_owner.py
+++ b/briarvale/slot_owner.py
@@ -1,190 +1,17 @@
 """The slots of all backend servers that this dispatcher owns."""
 
-import math
-from collections.abc import Callable, Mapping, Sequence
-from typing import Generic, Protocol, TypeVar
+from collections.abc import Callable
 
-import anyio
-
-from . import logs
-from ._generated.messages import (
-    HeldGrant,
-    HolderReport,
-    SlotHeartbeat,
-    SlotRefusal,
-    SlotRelease,
-    SlotRequest,
-    SlotWithdraw,
-)
-from .clock import MS_PER_S, Clock
+from .clock import Clock
 from .config import BackendServer, Config, Rules
-from .errors import NotOwner
-from .holder import Holder
-from .live_servers import LiveServer
-from .slot_pool import SlotPool
+from .slot_granters import SlotGranters
 from .slots import SlotQueue
 
-TICK_INTERVAL_MS = 100
-MIN_WAIT_MS = 1
-RETRY_DELAY_MS = 500
-
-log = logs.part("dispatcher")
-
-__all__ = ["PoolOwner", "QueueFactory", "SlotMessage", "SlotOwner"]
+__all__ = ["QueueFactory", "SlotOwner"]
 
-SlotMessage = SlotRequest | SlotWithdraw | SlotRelease | HolderReport | SlotHeartbeat
 QueueFactory = Callable[[BackendServer, Clock, Rules], SlotQueue]
 
 
-class SlotGranter(Protocol):
-    """Grants slots by name: those of one backend server, or of a service's pool."""
-
-    @property
-    def due_at_ms(self) -> float:
-        """When `pump` must be called before the next tick."""
-
-    def submit(self, request: SlotRequest, holder: Holder) -> None:
-        """Queues a request."""
-
-    def withdraw(self, request_id: str, holder: Holder) -> None:
-        """Forgets a request, or releases its grant."""
-
-    def release(self, release: SlotRelease) -> None:
-        """Takes a slot back."""
-
-    def adopt(self, held: HeldGrant, holder: Holder) -> None:
-        """Takes over a grant of an earlier owner."""
-
-    def report(self, holder: Holder, grants: tuple[HeldGrant, ...]) -> None:
-        """Takes a holder's full report."""
-
-    def renew(self, holder: Holder) -> None:
-        """Extends a holder's leases."""
-
-    def drop_holder(self, holder: Holder) -> None:
-        """Forgets a holder whose connection ended."""
-
-    def close(self) -> None:
-        """Refuses all that wait, since another owner grants now."""
-
-    def tick(self) -> None:
-        """Lets deadlines and expiries take effect."""
-
-    def pump(self) -> None:
-        """Grants what may be granted."""
-
-
-Granter = TypeVar("Granter", bound=SlotGranter)
-
-
-class SlotGranters(Generic[Granter]):
-    """The granters that this process owns, and the messages of their holders.
-
-    Args:
-        clock: Source of instants.
-    """
-
-    def __init__(self, clock: Clock) -> None:
-        self._clock = clock
-        self._queues: dict[str, Granter] = {}
-        self._early_reports: dict[str, tuple[HeldGrant, Holder]] = {}
-        self._changed = anyio.Event()
-
-    def _give_up(self, names: set[str]) -> None:
-        for name in names:
-            self._queues.pop(name).close()
-            log.info("No longer owns {}.", name)
-
-    def _take_up(self, name: str, queue: Granter) -> None:
-        self._queues[name] = queue
-        self._adopt_early(name)
-        log.info("Owns {}.", name)
-
-    def queue(self, backend_server: str) -> Granter | None:
-        """Returns the queue of an owned backend server."""
-        return self._queues.get(backend_server)
-
-    def handle(self, holder: Holder, message: SlotMessage) -> None:
-        """Serves one message of a holder."""
-        match message:
-            case SlotRequest():
-                self._submit(holder, message)
-            case SlotWithdraw(request_id):
-                for queue in self._queues.values():
-                    queue.withdraw(request_id, holder)
-            case SlotRelease(grant_id):
-                self._early_reports.pop(grant_id, None)
-                for queue in self._queues.values():
-                    queue.release(message)
-            case HolderReport(grants):
-                self._take_report(holder, grants)
-            case SlotHeartbeat():
-                for queue in self._queues.values():
-                    queue.renew(holder)
-                holder.notify(message)
-
-    def drop_holder(self, holder: Holder) -> None:
-        """Forgets a holder whose connection ended."""
-        early = self._early_reports
-        self._early_reports = {key: row for key, row in early.items() if row[1] is not holder}
-        for queue in self._queues.values():
-            queue.drop_holder(holder)
-
-    def tick(self) -> None:
-        """Lets deadlines and expiries take effect; call several times a second."""
-        for queue in self._queues.values():
-            queue.tick()
-
-    async def run(self) -> None:
-        """Ticks, and starts what waits for prefill as soon as it may, until cancelled."""
-        tick_at_ms = self._clock.now_ms()
-        while True:
-            if self._clock.now_ms() >= tick_at_ms:
-                tick_at_ms = self._clock.now_ms() + TICK_INTERVAL_MS
-                self.tick()
-            self._pump_due()
-            self._changed = anyio.Event()
-            await self._wait_due(tick_at_ms)
-
-    def _pump_due(self) -> None:
-        now_ms = self._clock.now_ms()
-        for queue in self._queues.values():
-            if queue.due_at_ms <= now_ms:
-                queue.pump()
-
-    async def _wait_due(self, tick_at_ms: int) -> None:
-        now_ms = self._clock.now_ms()
-        due_at_ms = [queue.due_at_ms for queue in self._queues.values()]
-        later_ms = [instant_ms for instant_ms in due_at_ms if instant_ms > now_ms]
-        wake_at_ms = min([tick_at_ms, *later_ms])
-        with anyio.move_on_after(max(MIN_WAIT_MS, wake_at_ms - now_ms) / MS_PER_S):
-            await self._changed.wait()
-
-    def _submit(self, holder: Holder, request: SlotRequest) -> None:
-        queue = self._queues.get(request.backend_server)
-        if queue is not None:
-            queue.submit(request, holder)
-            if queue.due_at_ms < math.inf:
-                self._changed.set()
-            return
-        retry_at_ms = self._clock.now_ms() + RETRY_DELAY_MS
-        holder.notify(SlotRefusal(request.request_id, NotOwner.code, retry_at_ms))
-
-    def _take_report(self, holder: Holder, grants: tuple[HeldGrant, ...]) -> None:
-        for queue in self._queues.values():
-            queue.report(holder, grants)
-        for held in grants:
-            if pool_of(held) not in self._queues:
-                self._early_reports[held.grant_id] = (held, holder)
-
-    def _adopt_early(self, backend_server: str) -> None:
-        """Takes reports that came before this dispatcher knew that it is the owner."""
-        for held, holder in list(self._early_reports.values()):
-            if pool_of(held) == backend_server:
-                del self._early_reports[held.grant_id]
-                self._queues[backend_server].adopt(held, holder)
-
-
 class SlotOwner(SlotGranters[SlotQueue]):
     """Keeps one `SlotQueue` for each owned backend server.
 
@@ -208,23 +35,3 @@
             self._queues[name].configure(config.servers[name], config.rules)
         for name in owned - self._queues.keys():
             self._take_up(name, self._make_queue(config.servers[name], self._clock, config.rules))
-
-
-class PoolOwner(SlotGranters[SlotPool]):
-    """Keeps one `SlotPool` for each owned service."""
-
-    def settle(self, pools: Mapping[str, Sequence[LiveServer]]) -> None:
-        """Takes up and gives up pools, so that just these remain, with these ready servers."""
-        self._give_up(self._queues.keys() - pools.keys())
-        for name, servers in pools.items():
-            if name in self._queues:
-                self._queues[name].configure(servers)
-                continue
-            pool = SlotPool(name, self._clock)
-            pool.configure(servers)
-            self._take_up(name, pool)
-
-
-def pool_of(held: HeldGrant) -> str:
-    """Returns what the slot was asked of: a pool, or the backend server itself."""
-    return held.pool or held.backend_server
--- a/briarvale/suspect_gate.py
+++ b/briarvale/suspect_gate.py
@@ -14,7 +14,7 @@
 )
 from .errors import Overloaded, Quarantined, ServerNotReady
 from .holder import Holder
-from .quarantine import QUARANTINE_TERM_MS, SuspectTable
+from .suspects import QUARANTINE_TERM_MS, SuspectTable
 
 RETRY_DELAY_MS = 1_000
 
--- /dev/null
+++ b/briarvale/suspects.py
@@ -0,0 +1,92 @@
+"""Requests that were running on backend servers when these crashed, by their content."""
+
+import hashlib
+from collections.abc import Iterator
+
+from ._generated.messages import CrashSite, SuspectNotice
+
+QUARANTINE_CRASHES = 2
+SAME_CRASH_MS = 2_000
+SUSPECT_TERM_MS = 600_000
+QUARANTINE_TERM_MS = 86_400_000
+MAX_ENTRIES = 1_024
+
+__all__ = [
+    "MAX_ENTRIES",
+    "QUARANTINE_CRASHES",
+    "QUARANTINE_TERM_MS",
+    "SUSPECT_TERM_MS",
+    "SuspectTable",
+    "fingerprint_of",
+    "merge_notices",
+]
+
+
+def fingerprint_of(service: str, prompt: str) -> str:
+    """Returns the fingerprint of a request's content."""
+    return hashlib.sha256(f"{service}\0{prompt}".encode()).hexdigest()[:32]
+
+
+def merge_notices(known: SuspectNotice, other: SuspectNotice) -> SuspectNotice:
+    """Joins what two notices say of the same fingerprint; the order does not matter."""
+    cleared_at_ms = max(known.cleared_at_ms, other.cleared_at_ms)
+    sites: list[CrashSite] = []
+    for site in sorted({*known.sites, *other.sites}, key=lambda site: (site.at_ms, site)):
+        is_known = any(_is_same_crash(site, kept) for kept in sites)
+        if site.at_ms > cleared_at_ms and not is_known:
+            sites.append(site)
+    del sites[QUARANTINE_CRASHES:]
+    is_quarantined = len(sites) >= QUARANTINE_CRASHES
+    return SuspectNotice(
+        fingerprint=known.fingerprint,
+        crashes=len(sites),
+        quarantined=is_quarantined,
+        expires_at_ms=max(known.expires_at_ms, other.expires_at_ms),
+        sites=tuple(sites),
+        cleared_at_ms=0 if is_quarantined else cleared_at_ms,
+    )
+
+
+def _is_same_crash(site: CrashSite, other: CrashSite) -> bool:
+    """Whether two runs on one server were in flight together and ended together."""
+    return (
+        site.backend_server == other.backend_server
+        and abs(site.at_ms - other.at_ms) < SAME_CRASH_MS
+        and site.began_at_ms <= other.at_ms
+        and other.began_at_ms <= site.at_ms
+    )
+
+
+class SuspectTable:
+    """A bounded table of suspects and quarantined fingerprints; entries expire."""
+
+    def __init__(self) -> None:
+        self._notices: dict[str, SuspectNotice] = {}
+
+    def __iter__(self) -> Iterator[SuspectNotice]:
+        return iter(tuple(self._notices.values()))
+
+    def get(self, fingerprint: str, now_ms: int) -> SuspectNotice | None:
+        """Returns the entry of a suspect or quarantined fingerprint, else none."""
+        notice = self._notices.get(fingerprint)
+        return notice if notice and notice.sites and notice.expires_at_ms > now_ms else None
+
+    def merge(self, notice: SuspectNotice, now_ms: int) -> SuspectNotice | None:
+        """Takes a notice and returns the entry if that told something new."""
+        if notice.expires_at_ms <= now_ms:
+            return None
+        empty = SuspectNotice(fingerprint=notice.fingerprint)
+        known = self._notices.get(notice.fingerprint, empty)
+        merged = merge_notices(known, notice)
+        if merged == known:
+            return None
+        self._notices[notice.fingerprint] = merged
+        self._evict(now_ms)
+        return merged
+
+    def _evict(self, now_ms: int) -> None:
+        if len(self._notices) <= MAX_ENTRIES:
+            return
+        live = [notice for notice in self if notice.expires_at_ms > now_ms]
+        live.sort(key=lambda notice: (notice.quarantined, notice.expires_at_ms))
+        self._notices = {notice.fingerprint: notice for notice in live[-MAX_ENTRIES:]}
--- a/briarvale/work_items.py
+++ b/briarvale/work_items.py
@@ -9,10 +9,12 @@
 from . import logs
 from ._generated.messages import Outcome, SlotRequest, WorkClass
 from .clock import MS_PER_S, Clock
+from .crash_guard import CrashGuard
 from .engine_run import EngineClient
 from .errors import (
     BriarvaleError,
     DeadlineExceeded,
+    Quarantined,
     ServerConnectFailed,
     ServerFull,
     ServerLost,
@@ -79,6 +81,7 @@
         servers: The backend servers that have an entry.
         slots: Asks the owners of pools for slots.
         engines: Runs requests at backend servers.
+        crashes: Knows requests that crash backend servers.
         decoder: Makes the requests of items.
         availability_zone: This node's place.
     """
@@ -89,6 +92,7 @@
         servers: LiveServers,
         slots: SlotClient,
         engines: EngineClient,
+        crashes: CrashGuard,
         decoder: ItemDecoder,
         availability_zone: str,
     ) -> None:
@@ -96,6 +100,7 @@
         self._servers = servers
         self._slots = slots
         self._engines = engines
+        self._crashes = crashes
         self._decoder = decoder
         self._availability_zone = availability_zone
 
@@ -108,8 +113,12 @@
                 state.error_code = GIVEN_UP
                 break
             try:
+                self._crashes.check(request.fingerprint)
                 await self._run_once(job, request, state)
                 state.waits = 0
+            except Quarantined:
+                # It is listed as given up no sooner than its route allows.
+                await self._clock.sleep_until(job.give_up_at_ms)
             except BriarvaleError as error:
                 state.waits += 1
                 log.info(
@@ -131,9 +140,12 @@
             if server is None:
                 raise ServerConnectFailed("the granted server has no entry here")
             state.excluded = []
+            began_at_ms = self._clock.now_ms()
             try:
                 await self._run_at(job, request, state, slot, server)
-            except (ServerLost, ServerConnectFailed, ServerFull):
+            except (ServerLost, ServerConnectFailed, ServerFull) as error:
+                if isinstance(error, ServerLost):
+                    await self._crashes.note_loss(request.fingerprint, server, began_at_ms)
                 slot.outcome = Outcome.FAILED
                 state.excluded = [server.id]
                 raise
--- a/features/platform/forwarding.feature
+++ b/features/platform/forwarding.feature
@@ -73,3 +73,11 @@
     Then the running request is answered whole and the connection ends with it
     And later requests on open connections are refused as not run
     And the node ends within its grace
+
+  Scenario: A node that the store turns away learns from its peers
+    When the store turns one of two nodes away and a route and a server are added
+    Then the node serves the new route at the new server within 4 s
+
+  Scenario: A request that crashes its servers is refused in the end
+    When the same request comes again and again and each server that runs it crashes
+    Then it reaches no more than 3 servers and is refused as such, and other requests are served
--- a/features/steps/online_quarantine.py
+++ b/features/steps/online_quarantine.py
@@ -12,9 +12,9 @@
 from briarvale.engine_client import Completion, Token
 from briarvale.job_results import read_progress, read_results
 from briarvale.jobs import JobRequest
-from briarvale.quarantine import MAX_ENTRIES, SuspectTable, fingerprint_of, merge_notices
 from briarvale.standins.engine import CRASH_MARK
 from briarvale.standins.memory_fleet import ENGINE_SERVICE, MemoryFleet
+from briarvale.suspects import MAX_ENTRIES, SuspectTable, fingerprint_of, merge_notices
 from features.support.online import (
     Answer,
     ask,
--- a/features/steps/platform_forwarding.py
+++ b/features/steps/platform_forwarding.py
@@ -337,3 +337,67 @@
 @then("the node ends within its grace")
 def then_grace(context: Context) -> None:
     assert context.seen.facts["ended after s"] < GRACE_MS / 1_000
+
+
+@when("the store turns one of two nodes away and a route and a server are added")
+def when_turned_away(context: Context) -> None:
+    async def run() -> Seen:
+        seen = Seen()
+        async with platform_fleet(2) as fleet:
+            seen.engines.append(await fleet.add_engine("i-old", PLAIN))
+            fleet.gates["vm-2"].is_refusing = True
+            newer = fleet.config(version=9)
+            newer["routes"].append(newer["routes"][0] | {"name": "new", "path_prefix": "/new/"})
+            fleet.store.put("config", "main", newer)
+            fleet.store.remove("servers", "i-old")
+            await anyio.sleep(0.2)
+            seen.engines.append(await fleet.add_engine("i-new", PLAIN, known_to=("vm-1",)))
+            started_s = time.monotonic()
+            answer: Answer | None = None
+            while time.monotonic() - started_s < 4 and (answer is None or answer.status != 200):
+                await anyio.sleep(0.1)
+                answer = await Caller(fleet.nodes["vm-2"]).call("POST", "/new/a", BODY)
+            assert answer is not None
+            seen.answers.append(answer)
+        return seen
+
+    context.seen = anyio.run(run)
+
+
+@then("the node serves the new route at the new server within 4 s")
+def then_learned(context: Context) -> None:
+    answer = context.seen.answers[0]
+    assert answer.status == 200, answer
+    assert answer.headers["briarvale-server-signature"].startswith("i-new")
+
+
+@when("the same request comes again and again and each server that runs it crashes")
+def when_crashes(context: Context) -> None:
+    async def behave_as(fleet: PlatformFleet, caller: Caller, seen: Seen) -> None:
+        for engine in seen.engines:
+            serve = engine._answer
+
+            async def answer(
+                behaviour: Behaviour, request: Any, responder: Any, serve: Any = serve
+            ) -> None:
+                is_bad = request.body == b"crashes"
+                await serve(Behaviour.CRASH if is_bad else behaviour, request, responder)
+
+            engine._answer = answer  # type: ignore[method-assign]
+        for _ in range(6):
+            answer_got = await Caller(fleet.nodes["vm-1"]).call("POST", "/look/a", b"crashes")
+            assert answer_got is not None
+            seen.answers.append(answer_got)
+        seen.facts["crashed"] = seen.reached
+        other = await caller.call("POST", "/look/a", b"harmless")
+        assert other is not None
+        seen.facts["other"] = other.status
+
+    play(context, behave_as, server_count=4)
+
+
+@then("it reaches no more than 3 servers and is refused as such, and other requests are served")
+def then_quarantined(context: Context) -> None:
+    assert context.seen.facts["crashed"] <= 3, context.seen.facts
+    assert context.seen.answers[-1].status == 422, context.seen.answers[-1]
+    assert context.seen.facts["other"] == 200
--- a/features/support/platform_engine.py
+++ b/features/support/platform_engine.py
@@ -26,6 +26,7 @@
     CAN_NEVER = "can never"
     HANG = "hang"
     UNSIGNED = "unsigned"
+    CRASH = "crash"
 
 
 class SeenRequest(NamedTuple):
@@ -57,6 +58,7 @@
         self.seen: list[SeenRequest] = []
         self.running = 0
         self.finished = 0
+        self.crashed = anyio.Event()
 
     async def refuse(self, error: BriarvaleError, responder: Responder) -> None:
         """Answers what can't be read."""
@@ -95,6 +97,9 @@
                 await responder.answer(500, signed, b"failed")
             case Behaviour.CAN_NEVER:
                 await responder.answer(422, signed, b"never")
+            case Behaviour.CRASH:
+                self.crashed.set()
+                await anyio.sleep_forever()
             case Behaviour.HANG:
                 await anyio.sleep_forever()
             case Behaviour.UNSIGNED:
--- a/features/support/platform_fleet.py
+++ b/features/support/platform_fleet.py
@@ -17,13 +17,14 @@
 from briarvale.platform.node import Node
 from briarvale.settings import Settings
 from features.support.platform_engine import PlatformEngineStandin
-from features.support.platform_store import PlatformStoreStandin
+from features.support.platform_store import PlatformStoreStandin, StoreGate
 
 HOST = "desk.example"
 MODEL, PLAIN = "desk", "orders"
 START_TIMEOUT_S = 15.0
 CALL_TIMEOUT_S = 15.0
 GRACE_MS = 5_000
+CRASH_S = 0.6
 
 
 class Answer(NamedTuple):
@@ -71,13 +72,12 @@
         self.engines: dict[str, PlatformEngineStandin] = {}
         self.nodes: dict[str, FleetNode] = {}
         self._node_count = node_count
-        self._store_address = PeerAddress("127.0.0.1", free_port())
+        self.gates: dict[str, StoreGate] = {}
         self._routes: list[dict[str, Any]] = []
         self.version = 3
 
     async def start(self) -> None:
         """Starts the store and the nodes, and waits until all are ready."""
-        self._tasks.start_soon(Ingress(self.store).serve, self._store_address)
         self.store.put("config", "main", self.config())
         for index in range(self._node_count):
             self.start_node(f"vm-{index + 1}", f"127.0.0.{index + 11}")
@@ -105,7 +105,7 @@
             parts = parts._replace(peer_port=ports.peer_port, heartbeat_port=ports.heartbeat_port)
         settings = NodeSettings(
             parts=parts,
-            store=StoreLimits(self._store_address),
+            store=StoreLimits(self._open_gate(name)),
             bounds=NodeBounds(grace_ms=GRACE_MS),
             front=PeerAddress(host, free_port()),
             readiness=PeerAddress(host, free_port()),
@@ -115,6 +115,12 @@
         self._tasks.start_soon(node.run)
         return node
 
+    def _open_gate(self, name: str) -> PeerAddress:
+        address = PeerAddress("127.0.0.1", free_port())
+        self.gates[name] = StoreGate(self.store)
+        self._tasks.start_soon(Ingress(self.gates[name]).serve, address)
+        return address
+
     def restart(self, node: FleetNode) -> FleetNode:
         """Starts a node again that has ended, at the same addresses."""
         again = FleetNode(node.name, node.settings)
@@ -123,13 +129,19 @@
         return again
 
     async def add_engine(
-        self, server_id: str, service: str, *, slots: int = 4, event_count: int = 6
+        self,
+        server_id: str,
+        service: str,
+        *,
+        slots: int = 4,
+        event_count: int = 6,
+        known_to: tuple[str, ...] = (),
     ) -> PlatformEngineStandin:
-        """Starts a backend server and writes its entry."""
+        """Starts a backend server, writes its entry, and waits for nodes to know it."""
         is_model = service == MODEL
         engine = PlatformEngineStandin(server_id, is_model=is_model, event_count=event_count)
         address = PeerAddress("127.0.0.1", free_port())
-        self._tasks.start_soon(Ingress(engine).serve, address)
+        self._tasks.start_soon(self._serve_engine, engine, address)
         self.engines[server_id] = engine
         self.store.put(
             "servers",
@@ -144,13 +156,24 @@
                 "born": 1_700_000_000_000,
             },
         )
-        await self.wait_servers(len(self.engines))
+        await self.wait_server(server_id, known_to or tuple(self.nodes))
         return engine
 
-    async def wait_servers(self, count: int) -> None:
-        """Waits until all nodes know so many servers."""
+    async def _serve_engine(self, engine: PlatformEngineStandin, address: PeerAddress) -> None:
+        """Serves until the engine crashes, and again once it is back."""
+        while True:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(Ingress(engine).serve, address)
+                await engine.crashed.wait()
+                tasks.cancel_scope.cancel()
+            engine.crashed = anyio.Event()
+            await anyio.sleep(CRASH_S)
+
+    async def wait_server(self, server_id: str, names: tuple[str, ...]) -> None:
+        """Waits until these nodes know a server."""
+        nodes = [self.nodes[name] for name in names]
         with anyio.fail_after(START_TIMEOUT_S):
-            while any(n.node and len(n.node.servers) < count for n in self.nodes.values()):
+            while any(n.node and n.node.servers.get(server_id) is None for n in nodes):
                 await anyio.sleep(0.02)
 
     def config(self, **changes: Any) -> dict[str, Any]:
--- a/features/support/platform_store.py
+++ b/features/support/platform_store.py
@@ -33,6 +33,7 @@
         self.refuse_status = 0
         self.refused_verbs: set[bytes] = {b"GET", b"POST", b"PUT", b"DELETE"}
         self.lose_next_writes = 0
+        self.refused_hosts: set[str] = set()
 
 
 class PlatformStoreStandin:
@@ -162,6 +163,37 @@
         self._changed.notify()
 
 
+class StoreGate:
+    """One node's way to the store, which can turn that node away."""
+
+    limits = PlatformStoreStandin.limits
+
+    def __init__(self, store: PlatformStoreStandin) -> None:
+        self._store = store
+        self.is_refusing = False
+
+    async def refuse(self, error: BriarvaleError, responder: Responder) -> None:
+        """Answers what can't be read."""
+        await self._store.refuse(error, responder)
+
+    async def handle(self, request: IngressRequest, responder: Responder) -> None:
+        """Passes a call on, or turns it away; waiting watches end when the gate closes."""
+        if self.is_refusing:
+            await _answer(responder, 503, {})
+            return
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._watch_gate, tasks.cancel_scope)
+            await self._store.handle(request, responder)
+            tasks.cancel_scope.cancel()
+        if not responder.has_started:
+            await _answer(responder, 503, {})
+
+    async def _watch_gate(self, scope: anyio.CancelScope) -> None:
+        while not self.is_refusing:
+            await anyio.sleep(0.05)
+        scope.cancel()
+
+
 async def _answer(responder: Responder, status: int, row: Row) -> None:
     await responder.answer(
         status, ((b"content-type", b"application/json"),), json.dumps(row).encode()
