--- a/briarvale/forwarding.py
+++ b/briarvale/forwarding.py
@@ -159,8 +159,15 @@
         self, request: ForwardRequest, sink: AnswerSink, progress: _Progress
     ) -> None:
         wanted = self._slot_request(request, progress)
+        asked_at_ms = self._clock.now_ms()
         try:
             async with self._slots.hold(wanted) as slot:
+                log.info(
+                    "Got a slot.",
+                    request_id=request.request_id,
+                    backend_server=slot.grant.backend_server,
+                    waited_ms=self._clock.now_ms() - asked_at_ms,
+                )
                 server = self._servers.get(slot.grant.backend_server)
                 if server is None:
                     raise ServerConnectFailed("the granted server has no entry here")
--- a/briarvale/node_cluster.py
+++ b/briarvale/node_cluster.py
@@ -1,5 +1,7 @@
 """How the nodes of one fleet act together: who is alive, and who grants the slots of a service."""
 
+from collections.abc import Awaitable, Callable
+
 import anyio
 
 from . import logs
@@ -17,7 +19,7 @@
 )
 from .errors import BriarvaleError
 from .feed_relay import FeedRelay
-from .live_servers import LiveServers
+from .live_servers import LiveServer, LiveServers
 from .membership import Membership
 from .peer import MessageStream, PeerAddress, PeerIdentity
 from .peer_connection import PeerConnection
@@ -25,13 +27,18 @@
 from .pool_owner import PoolOwner
 from .rendezvous import first_by_rendezvous
 from .settings import Settings
+from .slot_pool import ServerRuns
 
 EXPIRE_INTERVAL_S = 0.25
 SETTLE_MS = 3_000
+PROBE_INTERVAL_S = 0.3
+PROBE_TIMEOUT_S = 0.3
+
+ServerProbe = Callable[[LiveServer], Awaitable[ServerRuns]]
 
 log = logs.part("cluster")
 
-__all__ = ["NodeCluster"]
+__all__ = ["NodeCluster", "ServerProbe"]
 
 
 class NodeCluster:
@@ -41,14 +48,20 @@
         settings: This node's settings.
         environment: The outside interfaces.
         servers: The backend servers that have an entry.
+        probe: Asks backend servers what they run.
     """
 
     def __init__(
-        self, settings: Settings, environment: PeerEnvironment, servers: LiveServers
+        self,
+        settings: Settings,
+        environment: PeerEnvironment,
+        servers: LiveServers,
+        probe: ServerProbe,
     ) -> None:
         self._settings = settings
         self._environment = environment
         self._servers = servers
+        self._probe = probe
         self.membership = Membership(settings, environment)
         self.pools = PoolOwner(environment.clock)
         self.relay: FeedRelay | None = None
@@ -109,6 +122,7 @@
             tasks.start_soon(self.pools.run)
             tasks.start_soon(self._follow_servers)
             tasks.start_soon(self._follow_membership)
+            tasks.start_soon(self._probe_servers)
 
     def _settle(self) -> None:
         self._servers.expire()
@@ -128,6 +142,26 @@
             await self.membership.wait_changed()
             self._settle()
 
+    async def _probe_servers(self) -> None:
+        while True:
+            await anyio.sleep(PROBE_INTERVAL_S)
+            async with anyio.create_task_group() as tasks:
+                for service in self._servers.services():
+                    pool = self.pools.queue(service)
+                    for server in pool.servers_to_probe() if pool else ():
+                        tasks.start_soon(self._probe_server, service, server)
+
+    async def _probe_server(self, service: str, server: LiveServer) -> None:
+        try:
+            with anyio.fail_after(PROBE_TIMEOUT_S):
+                runs = await self._probe(server)
+        except (BriarvaleError, TimeoutError) as error:
+            log.info("No load of {}: {!r}.", server.id, error, backend_server=server.id)
+            return
+        pool = self.pools.queue(service)
+        if pool is not None:
+            pool.note_load(runs)
+
     async def _serve_peer(self, stream: MessageStream, identity: PeerIdentity) -> None:
         connection = PeerConnection(stream, identity)
         self._connections.append(connection)
--- /dev/null
+++ b/briarvale/platform/engine_report.py
@@ -0,0 +1,35 @@
+"""Asks a backend server of the platform for its load."""
+
+import json
+
+from ..errors import ServerGarbled
+from ..http_wire import ClientConnection, OutgoingRequest
+from ..live_servers import LiveServer
+from ..slot_pool import ServerRuns
+
+REPORT_PATH = b"/briarvale/report"
+CONNECT_TIMEOUT_S = 0.3
+
+__all__ = ["fetch_runs"]
+
+
+async def fetch_runs(server: LiveServer) -> ServerRuns:
+    """Returns what a server runs and has waiting, as of some hundred milliseconds ago.
+
+    Raises:
+        ServerConnectFailed, ServerLost: If it gives no answer.
+        ServerGarbled: If the answer is no report, as from a service without models.
+    """
+    connection = await ClientConnection.open(server.address, CONNECT_TIMEOUT_S)
+    try:
+        host = f"{server.address.host}:{server.address.port}".encode()
+        await connection.send(OutgoingRequest(b"GET", REPORT_PATH, ((b"host", host),)))
+        head = await connection.read_head()
+        body = b"".join([chunk async for chunk in connection.iterate_body()])
+    finally:
+        await connection.aclose()
+    try:
+        row = json.loads(body) if head.status == 200 else {}
+        return ServerRuns(server.id, int(row["num_running"]), int(row["num_waiting"]))
+    except (KeyError, TypeError, ValueError) as error:
+        raise ServerGarbled(f"{server.id}: no report: {error!r}") from error
--- a/briarvale/platform/node.py
+++ b/briarvale/platform/node.py
@@ -34,6 +34,7 @@
 from .batch_door import BatchDoor, ItemRequests
 from .dialect import PlatformDialect
 from .documents import CONFIG_KIND, RETIREMENTS_KIND, SERVERS_KIND
+from .engine_report import fetch_runs
 from .feeds import ConfigFeed, ServerFeed
 from .front_door import FrontDoor
 from .store import PlatformStore
@@ -102,7 +103,7 @@
         )
         self.routes = RoutesInForce()
         self.servers = LiveServers(self._clock.now_ms, settings.bounds.entry_return_ms)
-        self.cluster = NodeCluster(settings.parts, self._environment, self.servers)
+        self.cluster = NodeCluster(settings.parts, self._environment, self.servers, fetch_runs)
         self.jobs = JobDirectory()
         self._budget = StoreBudget(
             give_up_after_s=STORE_GIVE_UP_S,
--- a/briarvale/slot_pool.py
+++ b/briarvale/slot_pool.py
@@ -33,6 +33,10 @@
 GRANT_TERM_MS = 4_000
 # Holders of an earlier owner's grants report within this time; until then nothing new is granted.
 REPORT_GRACE_MS = 300
+# Nodes that start together may each own the pool for a moment; items would fill it several times.
+BATCH_GRACE_MS = 1_000
+# How long after those graces a fresh owner goes on asking servers what they run.
+PROBE_MS = 1_000
 MAX_TICK_GAP_MS = 1_000
 MAX_QUEUED = 2_000
 # How far back a dip of the online load is looked at before batch items may fill it.
@@ -48,7 +52,15 @@
 
 log = logs.part("pool")
 
-__all__ = ["SlotPool"]
+__all__ = ["ServerRuns", "SlotPool"]
+
+
+class ServerRuns(NamedTuple):
+    """What a backend server says that it has in hand."""
+
+    server_id: str
+    running: int
+    waiting: int
 
 
 class _Waiter(NamedTuple):
@@ -75,12 +87,17 @@
         self.prefixes: OrderedDict[str, None] = OrderedDict()
         self.failures = 0
         self.avoid_until_ms = 0
+        self.foreign_runs = 0
 
     @property
     def free(self) -> int:
         """Slots that may be granted now."""
         return self.server.slots - self.grants.slots if self.is_ready else 0
 
+    def free_for(self, work_class: WorkClass) -> int:
+        """Returns the slots that a class may get; an item never queues behind foreign runs."""
+        return self.free - (self.foreign_runs if work_class is WorkClass.BATCH else 0)
+
     def note_prefixes(self, prefix_ids: Iterable[str]) -> None:
         """Takes that a prompt with these parts is read there."""
         for prefix_id in prefix_ids:
@@ -130,6 +147,7 @@
         self._sequence = 0
         self._ticked_at_ms = clock.now_ms()
         self._grant_from_ms = clock.now_ms() + REPORT_GRACE_MS
+        self._batch_from_ms = clock.now_ms() + BATCH_GRACE_MS
 
     @property
     def held(self) -> int:
@@ -169,6 +187,37 @@
             self._servers[server_id] = _PoolServer(ready[server_id])
         self.pump()
 
+    def servers_to_probe(self) -> list[LiveServer]:
+        """Returns the servers that may still run what no holder knows of.
+
+        Callers' nodes that lost power leave runs behind, which an owner that starts afresh can only
+        learn from the servers themselves.
+        """
+        is_fresh = self._clock.now_ms() < self._batch_from_ms + PROBE_MS
+        return [
+            known.server
+            for known in self._servers.values()
+            if known.is_ready and (is_fresh or known.foreign_runs)
+        ]
+
+    def note_load(self, load: ServerRuns) -> None:
+        """Takes what a server says that it runs, as of a moment ago."""
+        server = self._servers.get(load.server_id)
+        if server is None:
+            return
+        foreign = max(0, load.running + load.waiting - server.grants.slots)
+        if bool(foreign) != bool(server.foreign_runs):
+            log.info(
+                "A server runs what no holder knows of.",
+                backend_server=load.server_id,
+                foreign_runs=foreign,
+                running=load.running,
+                waiting=load.waiting,
+                granted=server.grants.slots,
+            )
+        server.foreign_runs = foreign
+        self.pump()
+
     def submit(self, request: SlotRequest, holder: Holder) -> None:
         """Queues a request; the holder is told of the grant or the refusal."""
         now_ms = self._clock.now_ms()
@@ -278,9 +327,10 @@
             return
         self._grant_queue(WorkClass.ONLINE, now_ms)
         self._online_peak.observe(self._held_by(WorkClass.ONLINE), now_ms)
+        self._revoke_excess()
         if self._waiting[WorkClass.ONLINE]:
-            self._revoke_batch()
-        else:
+            self._revoke_for_online()
+        elif now_ms >= self._batch_from_ms:
             self._grant_batch(now_ms)
 
     def _grant_batch(self, now_ms: int) -> None:
@@ -290,7 +340,8 @@
         """
         online = self._held_by(WorkClass.ONLINE)
         dip = self._online_peak.peak(now_ms) - online
-        while self._waiting[WorkClass.BATCH] and self.limit - self.held > dip:
+        foreign = sum(server.foreign_runs for server in self._servers.values())
+        while self._waiting[WorkClass.BATCH] and self.limit - self.held - foreign > dip:
             if not self._grant_queue(WorkClass.BATCH, now_ms, at_most=1):
                 return
 
@@ -318,7 +369,8 @@
         """
         ready = [server for server in self._servers.values() if server.is_ready]
         others = [server for server in ready if server.server.id not in request.excluded]
-        free = [server for server in others or ready if server.free > 0]
+        work_class = request.work_class
+        free = [server for server in others or ready if server.free_for(work_class) > 0]
         sound = [server for server in free if server.avoid_until_ms <= now_ms]
         return min(sound or free, key=lambda server: _cost(server, request), default=None)
 
@@ -361,20 +413,29 @@
             )
         )
 
-    def _revoke_batch(self) -> None:
-        """Takes back one batch slot for each online request that waits, the latest due first."""
-        revoking = sum(s.grants.revoking_slots for s in self._servers.values() if s.is_ready)
-        wanted = len(self._waiting[WorkClass.ONLINE]) - revoking
+    def _revoke_for_online(self) -> None:
+        """Takes back one batch slot for each online request that waits."""
+        ready = [server for server in self._servers.values() if server.is_ready]
+        revoking = sum(server.grants.revoking_slots for server in ready)
+        self._revoke_batch(ready, len(self._waiting[WorkClass.ONLINE]) - revoking)
+
+    def _revoke_excess(self) -> None:
+        """Takes back batch slots that another owner granted beyond what a server has."""
+        for server in self._servers.values():
+            left = server.grants.slots - server.grants.revoking_slots
+            self._revoke_batch([server], left - server.server.slots)
+
+    def _revoke_batch(self, servers: Iterable[_PoolServer], count: int) -> None:
+        """Takes back batch slots of these servers, the latest due first."""
+        if count <= 0:
+            return
         revocable = [
             (grant.start_by_ms, grant.granted_at_ms, grant.held.grant_id, server, grant)
-            for server in self._servers.values()
-            if server.is_ready
+            for server in servers
             for grant in server.grants.revocable()
         ]
-        for *_, server, grant in sorted(revocable, key=lambda row: row[:3], reverse=True):
-            if wanted <= 0:
-                return
-            wanted -= 1
+        ordered = sorted(revocable, key=lambda row: row[:3], reverse=True)
+        for *_, server, grant in ordered[:count]:
             server.grants.mark_revoking(grant.held.grant_id)
             grant.holder.notify(SlotRevoke(grant.held.grant_id, 1, "online"))
             metrics.SLOTS_REVOKED.inc({"backend_server": server.server.id, "reason": "online"})
@@ -406,7 +467,7 @@
 
 
 def _cost(server: _PoolServer, request: SlotRequest) -> float:
-    load = (server.grants.slots + 1) / server.server.slots
+    load = (server.grants.slots + server.foreign_runs + 1) / server.server.slots
     is_near = server.server.availability_zone == request.availability_zone
     saved = PREFIX_WEIGHT * server.cached_share(request.prefix_ids) + ZONE_WEIGHT * is_near
     return load - saved
--- a/features/platform/pool_policy.feature
+++ b/features/platform/pool_policy.feature
@@ -26,3 +26,16 @@
   Scenario: A failing server is left alone for a while
     When one of two servers fails each run
     Then most requests are granted at the other one
+
+  Scenario: Several owners granted the same slots for a moment
+    When holders report 6 items on a server of 4 slots
+    Then the 2 items due last are stopped
+
+  Scenario: A fresh owner starts no items before the others had time to object
+    When items ask a fresh pool of 8 slots
+    Then none starts within the first second, and all start after it
+
+  Scenario: Servers still run what nodes that lost power had asked for
+    When one of two servers reports 4 runs that no holder knows of
+    Then online requests prefer the other server and items start only there
+    And once the runs are over, items start on both
--- a/features/steps/pool_policy.py
+++ b/features/steps/pool_policy.py
@@ -19,7 +19,7 @@
 from briarvale.errors import OwnerUnreachable
 from briarvale.live_servers import LiveServer
 from briarvale.peer import PeerAddress
-from briarvale.slot_pool import REPORT_GRACE_MS, SlotPool
+from briarvale.slot_pool import BATCH_GRACE_MS, REPORT_GRACE_MS, ServerRuns, SlotPool
 from features.support.pool_load import LoadShape, PoolLoad
 
 # A revocation is one message, a cancel at the engine and a release; an order of magnitude more.
@@ -74,10 +74,10 @@
 
 
 def fresh_pool(clock: SetClock, *servers: LiveServer) -> SlotPool:
-    """Returns a pool whose grace for reports is over."""
+    """Returns a pool whose graces are over."""
     pool = SlotPool("desk", clock)
     pool.configure(servers)
-    clock.ms += REPORT_GRACE_MS
+    clock.ms += BATCH_GRACE_MS
     return pool
 
 
@@ -172,6 +172,9 @@
     pool.report(Holder(), tuple(held))
     clock.ms += REPORT_GRACE_MS
     pool.tick()
+    assert not context.holder.of(SlotGrant)
+    clock.ms += BATCH_GRACE_MS
+    pool.tick()
 
 
 @then("the fresh pool has online requests go on alone, and grants no slot that is taken")
@@ -196,3 +199,64 @@
 @then("most requests are granted at the other one")
 def then_good(context: Context) -> None:
     assert context.granted.count("i-bad") <= 5, context.granted.count("i-bad")
+
+
+@when("holders report 6 items on a server of 4 slots")
+def when_over(context: Context) -> None:
+    clock, context.holder = SetClock(), Holder()
+    pool = fresh_pool(clock, server("i-0", 4))
+    held = [
+        HeldGrant(f"g-{n}", "i-0", work_class=WorkClass.BATCH, slot_count=1, pool="desk")
+        for n in range(6)
+    ]
+    pool.report(context.holder, tuple(held))
+
+
+@then("the 2 items due last are stopped")
+def then_excess(context: Context) -> None:
+    stopped = [revoke.grant_id for revoke in context.holder.of(SlotRevoke)]
+    assert stopped == ["g-5", "g-4"], stopped
+
+
+@when("items ask a fresh pool of 8 slots")
+def when_items_fresh(context: Context) -> None:
+    clock, context.holder = SetClock(), Holder()
+    pool = SlotPool("desk", clock)
+    pool.configure([server("i-0", 8)])
+    for number in range(8):
+        pool.submit(asked(f"item-{number}", clock, work_class=WorkClass.BATCH), context.holder)
+    clock.ms += 900
+    pool.tick()
+    context.early = len(context.holder.of(SlotGrant))
+    clock.ms += 200
+    pool.tick()
+
+
+@then("none starts within the first second, and all start after it")
+def then_none_early(context: Context) -> None:
+    assert context.early == 0
+    assert len(context.holder.of(SlotGrant)) == 8
+
+
+@when("one of two servers reports 4 runs that no holder knows of")
+def when_foreign(context: Context) -> None:
+    clock, context.holder = SetClock(), Holder()
+    context.pool = pool = fresh_pool(clock, server("i-busy", 4), server("i-free", 4))
+    assert {one.id for one in pool.servers_to_probe()} == {"i-busy", "i-free"}
+    pool.note_load(ServerRuns("i-busy", 4, 0))
+    pool.submit(asked("online", clock), context.holder)
+    for number in range(7):
+        pool.submit(asked(f"item-{number}", clock, work_class=WorkClass.BATCH), context.holder)
+
+
+@then("online requests prefer the other server and items start only there")
+def then_prefer(context: Context) -> None:
+    granted = [grant.backend_server for grant in context.holder.of(SlotGrant)]
+    assert granted == ["i-free"] * 4, granted
+
+
+@then("once the runs are over, items start on both")
+def then_both(context: Context) -> None:
+    context.pool.note_load(ServerRuns("i-busy", 0, 0))
+    granted = [grant.backend_server for grant in context.holder.of(SlotGrant)]
+    assert granted.count("i-busy") == 4, granted
--- a/features/support/platform_engine.py
+++ b/features/support/platform_engine.py
@@ -1,5 +1,6 @@
 """A backend server of the platform in little, with switches for how it answers."""
 
+import json
 from collections import deque
 from enum import Enum
 from typing import NamedTuple
@@ -73,6 +74,10 @@
             request.headers,
             request.body,
         )
+        if request.target == b"/briarvale/report":
+            report = {"num_running": self.running, "num_waiting": 0}
+            await responder.answer(200, (), json.dumps(report).encode())
+            return
         if seen.header(b"briarvale-expect-instance") != self.id:
             await responder.answer(421, ((b"briarvale-instance-id", self.id.encode()),), b"")
             return
