--- a/briarvale/object_feed.py
+++ b/briarvale/object_feed.py
@@ -1,4 +1,7 @@
-"""Follows all objects of one kind: a list first, then a watch, again after each loss."""
+"""Follows all objects of one kind: a list first, then a watch, and both again after each loss.
+
+A watch that begins after a loss is not trusted to tell what happened before, so the kind is listed.
+"""
 
 import random
 from collections.abc import Callable
@@ -78,6 +81,7 @@
         handler: Told of the list and of changes.
         now_ms: Returns the current instant.
         is_relayed: Whether the objects are kept, for peers that the store turns away.
+        watch_ms: How long a watch waits; one that hears nothing, though it should, ends by then.
     """
 
     def __init__(
@@ -88,6 +92,7 @@
         now_ms: Callable[[], int],
         *,
         is_relayed: bool = False,
+        watch_ms: int = WATCH_MS,
     ) -> None:
         self._store = store
         self._kind = kind
@@ -96,6 +101,7 @@
         self._revision = -1
         self._failing_since_s: float | None = None
         self._is_relayed = is_relayed
+        self._watch_ms = watch_ms
         self._rows: dict[str, FeedObject] = {}
         self.confirmed_at_ms = 0
 
@@ -143,10 +149,10 @@
                 delay_s = min(RETRY_MAX_S, 2 * delay_s)
 
     async def _follow_once(self) -> None:
-        if self._revision < 0 or self._was_away():
+        if self._revision < 0 or self._failing_since_s is not None:
             await self._list()
             return
-        found = await self._store.watch_kind(self._kind, self._revision, WATCH_MS)
+        found = await self._store.watch_kind(self._kind, self._revision, self._watch_ms)
         self._note_success()
         for change in found.changes:
             self._take_change(change)
--- a/briarvale/platform/node.py
+++ b/briarvale/platform/node.py
@@ -18,7 +18,7 @@
 from ..live_servers import LiveServers
 from ..node_cluster import NodeCluster
 from ..node_settings import NodeSettings
-from ..object_feed import ObjectFeed
+from ..object_feed import WATCH_MS, ObjectFeed
 from ..peer import PeerIdentity, TcpTransport
 from ..peer_environment import NodeEnvironment
 from ..retirements import Retirements
@@ -41,6 +41,8 @@
 
 ROLE = "node"
 RELAYED_KINDS = (CONFIG_KIND, SERVERS_KIND)
+# Changes of these kinds have bounds of a few seconds, so no watch on them is trusted for long.
+SHORT_WATCH_MS = 5_000
 STORE_GIVE_UP_S = 3.0
 # The balancer notices a node that isn't ready within this time.
 BALANCER_LAG_MS = 3_000
--- a/features/platform/forwarding.feature
+++ b/features/platform/forwarding.feature
@@ -81,3 +81,7 @@
   Scenario: A request that crashes its servers is refused in the end
     When the same request comes again and again and each server that runs it crashes
     Then it reaches no more than 3 servers and is refused as such, and other requests are served
+
+  Scenario: Watches hear nothing of a change, then they are cut
+    When a configuration is written while watches are deaf, and the watches are cut
+    Then the newer one is in force within 1 s, though watches stay deaf
--- a/features/steps/platform_forwarding.py
+++ b/features/steps/platform_forwarding.py
@@ -401,3 +401,23 @@
     assert context.seen.facts["crashed"] <= 3, context.seen.facts
     assert context.seen.answers[-1].status == 422, context.seen.answers[-1]
     assert context.seen.facts["other"] == 200
+
+
+@when("a configuration is written while watches are deaf, and the watches are cut")
+def when_deaf(context: Context) -> None:
+    async def behave_as(fleet: PlatformFleet, caller: Caller, seen: Seen) -> None:
+        fleet.store.faults.are_watches_deaf = True
+        newer = fleet.config(version=9)
+        newer["routes"].append(newer["routes"][0] | {"name": "new", "path_prefix": "/new/"})
+        fleet.store.put("config", "main", newer)
+        await anyio.sleep(0.1)
+        fleet.store.cut_watches()
+        await anyio.sleep(1)
+        await calling("POST", "/new/a")(fleet, caller, seen)
+
+    play(context, behave_as)
+
+
+@then("the newer one is in force within 1 s, though watches stay deaf")
+def then_deaf(context: Context) -> None:
+    assert context.seen.answers[0].status == 200, context.seen.answers[0]
--- a/features/support/platform_store.py
+++ b/features/support/platform_store.py
@@ -6,7 +6,7 @@
 
 import anyio
 
-from briarvale.errors import BriarvaleError
+from briarvale.errors import BriarvaleError, CallerGone
 from briarvale.ingress import IngressRequest, Responder
 from briarvale.notifier import Notifier
 from briarvale.routes import IngressLimits
@@ -33,6 +33,8 @@
         self.refuse_status = 0
         self.refused_verbs: set[bytes] = {b"GET", b"POST", b"PUT", b"DELETE"}
         self.lose_next_writes = 0
+        self.are_watches_deaf = False
+        self.watch_cuts = 0
         self.refused_hosts: set[str] = set()
 
 
@@ -60,6 +62,11 @@
         row = self.kinds[kind].pop(name)
         self._note(kind, row, is_deleted=True)
 
+    def cut_watches(self) -> None:
+        """Breaks the connections of all watches that wait."""
+        self.faults.watch_cuts += 1
+        self._changed.notify()
+
     def compact(self) -> None:
         """Drops the history."""
         self.oldest_revision = self.revision
@@ -111,10 +118,12 @@
             await _answer(responder, 200, page)
 
     async def _watch(self, kind: str, fields: dict[str, str], responder: Responder) -> None:
-        since = int(fields["watch"])
+        since, cuts = int(fields["watch"]), self.faults.watch_cuts
         with anyio.move_on_after(int(fields["wait_ms"]) / 1_000):
             while since >= self.oldest_revision and not self._events(kind, since):
                 await self._changed.wait()
+                if cuts != self.faults.watch_cuts:
+                    raise CallerGone("the watch is cut")
         if since < self.oldest_revision:
             await _answer(responder, 410, {})
             return
@@ -125,6 +134,8 @@
         await _answer(responder, 200, {"events": events, "as_of": self.revision})
 
     def _events(self, kind: str, since: int) -> list[StoreEvent]:
+        if self.faults.are_watches_deaf:
+            return []
         return [e for e in self.history if e.kind == kind and e.revision > since]
 
     def _change(
