--- a/briarvale/node_cluster.py
+++ b/briarvale/node_cluster.py
@@ -100,6 +100,16 @@
         sound = (VmHealth.ALIVE, VmHealth.SUSPECT)
         return [vm for vm in self.membership.vms if vm.health in sound and vm.incarnation > 0]
 
+    @property
+    def is_settled(self) -> bool:
+        """Whether this node started long enough ago to know the others."""
+        return self._settings.vm in self._settled()
+
+    def is_lost(self, vm: str) -> bool:
+        """Whether a VM is surely gone or goes; one that was not heard of yet is not."""
+        health = {state.vm: state.health for state in self.membership.vms}.get(vm)
+        return health in (None, VmHealth.DEAD, VmHealth.LEAVING)
+
     def dead(self) -> list[str]:
         """Returns the VMs that are listed and dead."""
         return [vm.vm for vm in self.membership.vms if vm.health is VmHealth.DEAD]
--- a/briarvale/platform/node.py
+++ b/briarvale/platform/node.py
@@ -144,7 +144,14 @@
             (RETIREMENTS_KIND, retirements),
         ):
             is_relayed = kind in RELAYED_KINDS
-            feed = ObjectFeed(self._store, kind, handler, self._clock.now_ms, is_relayed=is_relayed)
+            feed = ObjectFeed(
+                self._store,
+                kind,
+                handler,
+                self._clock.now_ms,
+                is_relayed=is_relayed,
+                watch_ms=SHORT_WATCH_MS if is_relayed else WATCH_MS,
+            )
             self._feeds[kind] = feed
             tasks.start_soon(feed.run)
         relayed = {kind: self._feeds[kind] for kind in RELAYED_KINDS}
--- a/briarvale/work_jobs.py
+++ b/briarvale/work_jobs.py
@@ -8,6 +8,8 @@
 from collections.abc import Iterable, Iterator
 from typing import NamedTuple
 
+import anyio
+
 from . import logs
 from .notifier import Notifier
 from .object_feed import FeedChange, FeedObject
@@ -88,6 +90,7 @@
         self.next_sequence = 0
         self.is_ended = False
         self.runner = job.runner
+        self.runner_since_s = anyio.current_time()
         self.changed = Notifier()
         self._early: dict[int, LogEntry] = {}
 
@@ -104,7 +107,9 @@
             following = self._early.pop(self.next_sequence)
             self.results += following.results
             self.is_ended = self.is_ended or following.is_seal
-            self.runner = self.runner if following.runner is None else following.runner
+            if following.runner is not None:
+                self.runner = following.runner
+                self.runner_since_s = anyio.current_time()
             self.next_sequence += 1
             is_news = True
         if is_news:
--- a/briarvale/work_runner.py
+++ b/briarvale/work_runner.py
@@ -25,6 +25,7 @@
 RETRY_S = 1.0
 STORE_PAUSE_S = 0.2
 HAND_OVER_S = 2.0
+CLAIM_GRACE_S = 3.0
 
 log = logs.part("batch")
 
@@ -123,13 +124,16 @@
         """Whether the job has no runner that lives, and falls to this node.
 
         A node whose earlier life ran the job claims it itself; the others can't tell its lives
-        apart.
+        apart. Who claimed a job a moment ago lives, whatever the membership knows of it.
         """
         if known.runner.vm == self._own.vm:
             return True
-        if known.runner.vm in self._cluster.alive():
+        if not self._cluster.is_mine(known.job.job_id):
             return False
-        return self._cluster.is_mine(known.job.job_id)
+        if known.runner == NO_RUNNER:
+            return True
+        is_fresh = anyio.current_time() - known.runner_since_s < CLAIM_GRACE_S
+        return self._cluster.is_settled and not is_fresh and self._cluster.is_lost(known.runner.vm)
 
     async def _load_heads(self) -> None:
         """Reads the items of large jobs, of which the feed brought only the head."""
--- a/features/platform/batch.feature
+++ b/features/platform/batch.feature
@@ -50,6 +50,10 @@
     Then another node finishes it
     And a request is served with a slot of the pool's owner within 2 s of the start
 
+  Scenario: All nodes are killed at once and come back
+    When every node is killed while jobs run, and all start again
+    Then each job is taken up once, and no item runs more than twice
+
   Scenario: A large job outlives its runner
     When the node that runs a job larger than one object is killed
     Then another node finishes it
--- a/features/steps/platform_batch.py
+++ b/features/steps/platform_batch.py
@@ -59,12 +59,14 @@
     return answer
 
 
-async def read_all(node: FleetNode, count: int = len(ITEMS)) -> list[dict[str, str]]:
+async def read_all(
+    node: FleetNode, count: int = len(ITEMS), job_id: str = JOB
+) -> list[dict[str, str]]:
     """Reads results until all are listed."""
     results: list[dict[str, str]] = []
     with anyio.fail_after(DONE_TIMEOUT_S):
         while len(results) < count:
-            answer = await read(node, len(results))
+            answer = await read(node, len(results), job_id)
             if answer.status != 200:
                 await anyio.sleep(0.2)
                 continue
@@ -272,6 +274,42 @@
     play(context, behave_as, nodes=3)
 
 
+@when("every node is killed while jobs run, and all start again")
+def when_all_back(context: Context) -> None:
+    async def behave_as(fleet: PlatformFleet, facts: dict[str, Any]) -> None:
+        for engine in facts["engines"]:
+            engine.event_gap_s = 0.5
+        jobs = {f"job-{name}": [f"{item}-{name}" for item in ITEMS[:2]] for name in fleet.nodes}
+        for node, (job_id, items) in zip(fleet.nodes.values(), jobs.items(), strict=True):
+            await submit(node, job_body(items), job_id)
+        await runner_of(fleet, facts)
+        await anyio.sleep(1)
+        for node in list(fleet.nodes.values()):
+            node.kill()
+            await node.ended.wait()
+        for node in list(fleet.nodes.values()):
+            fleet.restart(node)
+            await anyio.sleep(0.2)
+        reader = next(iter(fleet.nodes.values()))
+        for job_id, items in jobs.items():
+            await read_all(reader, len(items), job_id)
+        entries = fleet.store.kinds["workjobs"]
+        claims = dict.fromkeys(jobs, 0)
+        for name, row in entries.items():
+            job_id, _, place = name.partition(".")
+            claims[job_id] += place.startswith("log.") and '"runner": [' in row["spec"]["text"]
+        facts["claims"] = claims
+        facts["runs"] = {i: len(runs_of(facts, i)) for items in jobs.values() for i in items}
+
+    play(context, behave_as, nodes=3, engines=3)
+
+
+@then("each job is taken up once, and no item runs more than twice")
+def then_taken_once(context: Context) -> None:
+    assert max(context.facts["claims"].values()) <= 1, context.facts
+    assert max(context.facts["runs"].values()) <= 2, context.facts
+
+
 @then("a request is served with a slot of the pool's owner within 2 s of the start")
 def then_owner(context: Context) -> None:
     assert context.facts["owners"] >= 1
