--- a/briarvale/membership.py
+++ b/briarvale/membership.py
@@ -34,6 +34,7 @@
 SYNC_INTERVAL_S = 300.0
 SYNCS_PER_CUT = 16
 LEAVE_FANOUT = 16
+START_PAUSES_S = (0.0, 0.15, 0.3, 0.6)
 
 log = logs.part("membership")
 
@@ -131,6 +132,18 @@
         peers = [vm for vm in self._detector.candidates() if vm != self._settings.vm]
         await self._heartbeats.push_to(peers[:LEAVE_FANOUT])
 
+    async def announce_start(self) -> None:
+        """Tells other VMs at once that this one is here, and again for those that start beside it.
+
+        Without it, VMs that start together learn of each other only by probes, one a second.
+        """
+        while not self._has_list:
+            await self._changed.wait()
+        for pause_s in START_PAUSES_S:
+            await anyio.sleep(pause_s)
+            self._spread(self._detector.own)
+            await self._heartbeats.push_to(self.random_peers(LEAVE_FANOUT))
+
     def snapshot(self) -> StateSnapshot:
         """Returns all that heartbeats told, for a VM that starts."""
         servers, suspects = tuple(self._servers.values()), tuple(self.suspects)
--- a/briarvale/node_cluster.py
+++ b/briarvale/node_cluster.py
@@ -31,6 +31,8 @@
 
 EXPIRE_INTERVAL_S = 0.25
 SETTLE_MS = 3_000
+# Nodes of one fleet that start together do so within this time.
+START_SPREAD_MS = 1_000
 PROBE_INTERVAL_S = 0.3
 PROBE_TIMEOUT_S = 0.3
 
@@ -62,6 +64,7 @@
         self._environment = environment
         self._servers = servers
         self._probe = probe
+        self._started_at_ms = environment.clock.now_ms()
         self.membership = Membership(settings, environment)
         self.pools = PoolOwner(environment.clock)
         self.relay: FeedRelay | None = None
@@ -90,10 +93,13 @@
         return next(iter(first_by_rendezvous(key, self._settled() or self.alive(), 1)), None)
 
     def _settled(self) -> list[str]:
-        """Returns the nodes that take part and started a while ago."""
-        started_by_ms = self._environment.clock.now_ms() - SETTLE_MS
+        """Returns the nodes that take part and started a while ago, or with the oldest ones."""
+        sound = self._sound()
         # The incarnation of a VM is the instant of its start.
-        return [vm.vm for vm in self._sound() if vm.incarnation <= started_by_ms]
+        oldest_ms = min((vm.incarnation for vm in sound), default=0)
+        started_by_ms = self._environment.clock.now_ms() - SETTLE_MS
+        latest_ms = max(started_by_ms, oldest_ms + START_SPREAD_MS)
+        return [vm.vm for vm in sound if vm.incarnation <= latest_ms]
 
     def _sound(self) -> list[VmState]:
         """Returns the VMs that were heard of and live; the list may name some that are gone."""
@@ -103,7 +109,7 @@
     @property
     def is_settled(self) -> bool:
         """Whether this node started long enough ago to know the others."""
-        return self._settings.vm in self._settled()
+        return self._environment.clock.now_ms() - self._started_at_ms >= SETTLE_MS
 
     def is_lost(self, vm: str) -> bool:
         """Whether a VM is surely gone or goes; one that was not heard of yet is not."""
@@ -129,6 +135,7 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._environment.transport.serve, address, self._serve_peer)
             tasks.start_soon(self.membership.run)
+            tasks.start_soon(self.membership.announce_start)
             tasks.start_soon(self.pools.run)
             tasks.start_soon(self._follow_servers)
             tasks.start_soon(self._follow_membership)
--- a/briarvale/slot_pool.py
+++ b/briarvale/slot_pool.py
@@ -38,6 +38,7 @@
 # How long after those graces a fresh owner goes on asking servers what they run.
 PROBE_MS = 1_000
 MAX_TICK_GAP_MS = 1_000
+LOG_INTERVAL_MS = 1_000
 MAX_QUEUED = 2_000
 # How far back a dip of the online load is looked at before batch items may fill it.
 BATCH_HEADROOM_MS = 150
@@ -145,6 +146,7 @@
         self._estimate = WaitEstimate()
         self._online_peak = PeakDemand(BATCH_HEADROOM_MS)
         self._sequence = 0
+        self._log_at_ms = 0
         self._ticked_at_ms = clock.now_ms()
         self._grant_from_ms = clock.now_ms() + REPORT_GRACE_MS
         self._batch_from_ms = clock.now_ms() + BATCH_GRACE_MS
@@ -319,6 +321,24 @@
                 queue.remove(waiter)
                 self._refuse(waiter.request, waiter.holder, now_ms + RETRY_DELAY_MS)
         self.pump()
+        self._log_state(now_ms)
+
+    def _log_state(self, now_ms: int) -> None:
+        """Logs once a second what is held and what waits, while there is either."""
+        if now_ms < self._log_at_ms or not (self.held or self.queued):
+            return
+        self._log_at_ms = now_ms + LOG_INTERVAL_MS
+        log.info(
+            "Holds {} of {} slots.",
+            self.held,
+            self.limit,
+            pool=self.name,
+            online=self._held_by(WorkClass.ONLINE),
+            batch=self._held_by(WorkClass.BATCH),
+            online_queued=len(self._waiting[WorkClass.ONLINE]),
+            batch_queued=len(self._waiting[WorkClass.BATCH]),
+            foreign_runs=sum(server.foreign_runs for server in self._servers.values()),
+        )
 
     def pump(self) -> None:
         """Grants what may be granted, and takes back batch slots that online requests need."""
--- a/features/platform/batch.feature
+++ b/features/platform/batch.feature
@@ -54,6 +54,10 @@
     When every node is killed while jobs run, and all start again
     Then each job is taken up once, and no item runs more than twice
 
+  Scenario: Nodes that start together agree within a second on who owns a pool
+    When 5 nodes are killed and start again at the same moment
+    Then after 1 s just one of them owns the pool
+
   Scenario: A large job outlives its runner
     When the node that runs a job larger than one object is killed
     Then another node finishes it
--- a/features/steps/platform_batch.py
+++ b/features/steps/platform_batch.py
@@ -310,6 +310,25 @@
     assert max(context.facts["runs"].values()) <= 2, context.facts
 
 
+@when("5 nodes are killed and start again at the same moment")
+def when_five(context: Context) -> None:
+    async def behave_as(fleet: PlatformFleet, facts: dict[str, Any]) -> None:
+        for node in list(fleet.nodes.values()):
+            node.kill()
+            await node.ended.wait()
+        again = [fleet.restart(node) for node in list(fleet.nodes.values())]
+        await anyio.sleep(1)
+        running = [node.node for node in again if node.node]
+        facts["owners"] = sum(node.cluster.pools.queue(MODEL) is not None for node in running)
+
+    play(context, behave_as, nodes=5, engines=1)
+
+
+@then("after 1 s just one of them owns the pool")
+def then_one(context: Context) -> None:
+    assert context.facts["owners"] == 1, context.facts["owners"]
+
+
 @then("a request is served with a slot of the pool's owner within 2 s of the start")
 def then_owner(context: Context) -> None:
     assert context.facts["owners"] >= 1
