--- a/briarvale/dispatcher.py
+++ b/briarvale/dispatcher.py
@@ -27,7 +27,7 @@
 from .config_bundle import delta_since
 from .config_spread import ConfigSpread
 from .environment import Environment
-from .errors import BriarvaleError, ServerNotReady
+from .errors import ServerNotReady
 from .fleet_view import BATCH_ROLE
 from .membership import Membership, Rumor
 from .ownership import OwnershipTable
@@ -220,16 +220,10 @@
         connection = PeerConnection(stream, identity)
         self._connections.append(connection)
         try:
-            async with anyio.create_task_group() as tasks:
-                tasks.start_soon(connection.write_outbox)
-                while True:
-                    self._handle(connection, await stream.receive())
-        except* BriarvaleError as errors:
-            log.debug("Lost {}: {}.", connection.name, errors.exceptions[0])
+            await connection.serve(self._handle)
         finally:
             self._connections.remove(connection)
             self._note_batch()
-            connection.close()
             self.slot_owner.drop_holder(connection)
 
     def _handle(self, connection: PeerConnection, message: Message) -> None:
--- a/briarvale/event_stream.py
+++ b/briarvale/event_stream.py
@@ -2,7 +2,9 @@
 
 from typing import NamedTuple
 
-__all__ = ["EventSplitter", "StreamEvent"]
+from .errors import ServerLost
+
+__all__ = ["EventCursor", "EventSplitter", "StreamEvent"]
 
 END_OF_EVENT = (b"\n\n", b"\r\n\r\n")
 
@@ -15,6 +17,28 @@
     data: str
 
 
+class EventCursor:
+    """Where a stream stands over several runs: each event is taken once, and in order.
+
+    Args:
+        last_id: Id of the last event that was taken; none at the start.
+    """
+
+    def __init__(self, last_id: int | None = None) -> None:
+        self.last_id = last_id
+
+    def takes(self, event: StreamEvent) -> bool:
+        """Whether an event is the next one; raises `ServerLost` if one between is missing."""
+        if event.id is None:
+            return True
+        if self.last_id is not None and event.id <= self.last_id:
+            return False
+        if self.last_id is not None and event.id > self.last_id + 1:
+            raise ServerLost(f"event {event.id} came after {self.last_id}")
+        self.last_id = event.id
+        return True
+
+
 class EventSplitter:
     """Takes bytes and gives whole events; what is cut off at the end is never given."""
 
--- a/briarvale/forwarding.py
+++ b/briarvale/forwarding.py
@@ -21,7 +21,7 @@
     ServerFull,
     ServerLost,
 )
-from .event_stream import EventSplitter, StreamEvent
+from .event_stream import EventCursor, EventSplitter
 from .forward_request import ForwardRequest
 from .http_wire import AnswerHead
 from .live_servers import LiveServer, LiveServers
@@ -66,7 +66,7 @@
         self.attempts = 0
         self.full_answers = 0
         self.excluded: list[str] = []
-        self.last_event_id = request.resume_after
+        self.cursor = EventCursor(request.resume_after)
         self.has_events = False
         self.may_have_run = False
 
@@ -234,7 +234,7 @@
 
     async def _exchange(self, attempt: _Attempt, sink: AnswerSink, progress: _Progress) -> None:
         request = attempt.request
-        async with self._engines.run(request, attempt.server, progress.last_event_id) as run:
+        async with self._engines.run(request, attempt.server, progress.cursor.last_id) as run:
             is_success = 200 <= run.head.status < 300
             if is_success and not run.facts.is_signed:
                 raise ServerLost("a success without a signature")
@@ -282,12 +282,13 @@
 async def _forward_events(run: EngineRun, sink: AnswerSink, progress: _Progress) -> None:
     """Forwards whole events as they arrive; a run that goes on repeats none of them."""
     splitter = EventSplitter()
-    if not sink.has_started and progress.last_event_id is not None:
+    if not sink.has_started and progress.cursor.last_id is not None:
         await sink.start(run.head)
     while data := await run.read():
-        events = [event for event in splitter.feed(data) if _is_next(event, progress)]
+        events = [event for event in splitter.feed(data) if progress.cursor.takes(event)]
         if not events:
             continue
+        progress.has_events = True
         if not sink.has_started:
             await sink.start(run.head)
         await sink.send(b"".join(event.raw for event in events))
@@ -298,20 +299,6 @@
     await sink.finish()
 
 
-def _is_next(event: StreamEvent, progress: _Progress) -> bool:
-    """Whether an event follows those that were sent; notes it as sent."""
-    if event.id is None:
-        return True
-    last = progress.last_event_id
-    if last is not None and event.id <= last:
-        return False
-    if last is not None and event.id > last + 1:
-        raise ServerLost(f"event {event.id} came after {last}")
-    progress.last_event_id = event.id
-    progress.has_events = True
-    return True
-
-
 def _may_repeat(request: ForwardRequest, sink: AnswerSink, progress: _Progress) -> bool:
     """Whether a request whose run was lost may run again."""
     match request.route.kind:
--- a/briarvale/node_cluster.py
+++ b/briarvale/node_cluster.py
@@ -25,9 +25,9 @@
 from .peer_connection import PeerConnection
 from .peer_environment import PeerEnvironment
 from .pool_owner import PoolOwner
+from .pool_server import ServerRuns
 from .rendezvous import first_by_rendezvous
 from .settings import Settings
-from .slot_pool import ServerRuns
 
 EXPIRE_INTERVAL_S = 0.25
 SETTLE_MS = 3_000
@@ -183,17 +183,9 @@
         connection = PeerConnection(stream, identity)
         self._connections.append(connection)
         try:
-            async with anyio.create_task_group() as tasks:
-                tasks.start_soon(connection.write_outbox)
-                while True:
-                    self._handle(connection, await stream.receive())
-        except* BriarvaleError as errors:
-            log.info(
-                "Lost {}.", connection.name, peer=connection.name, reason=str(errors.exceptions[0])
-            )
+            await connection.serve(self._handle)
         finally:
             self._connections.remove(connection)
-            connection.close()
             self.pools.drop_holder(connection)
 
     def _handle(self, connection: PeerConnection, message: Message) -> None:
--- a/briarvale/peer_connection.py
+++ b/briarvale/peer_connection.py
@@ -1,9 +1,12 @@
 """A connected process as its dispatcher sees it, with an outbox that never blocks."""
 
+from collections.abc import Callable
+
 import anyio
 
 from . import logs
 from ._generated.messages import Message
+from .errors import BriarvaleError
 from .peer import MessageStream, PeerIdentity
 
 OUTBOX_MESSAGES = 10_000
@@ -46,6 +49,18 @@
         """Lets `write_outbox` end after what is queued."""
         self._outbox.close()
 
+    async def serve(self, handle: Callable[["PeerConnection", Message], None]) -> None:
+        """Writes the outbox and hands over each message until the connection ends."""
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self.write_outbox)
+                while True:
+                    handle(self, await self.stream.receive())
+        except* BriarvaleError as errors:
+            log.info("Lost {}: {}.", self.name, errors.exceptions[0], peer=self.name)
+        finally:
+            self.close()
+
     async def write_outbox(self) -> None:
         """Sends queued messages, then closes the connection."""
         async with self._queue:
--- a/briarvale/platform/engine_report.py
+++ b/briarvale/platform/engine_report.py
@@ -5,7 +5,7 @@
 from ..errors import ServerGarbled
 from ..http_wire import ClientConnection, OutgoingRequest
 from ..live_servers import LiveServer
-from ..slot_pool import ServerRuns
+from ..pool_server import ServerRuns
 
 REPORT_PATH = b"/briarvale/report"
 CONNECT_TIMEOUT_S = 0.3
--- a/briarvale/platform/node.py
+++ b/briarvale/platform/node.py
@@ -21,12 +21,12 @@
 from ..object_feed import WATCH_MS, ObjectFeed
 from ..peer import PeerIdentity, TcpTransport
 from ..peer_environment import NodeEnvironment
-from ..retirements import Retirements
 from ..routes import IngressLimits
 from ..routes_in_force import RoutesInForce
 from ..slot_client import OwnerPatience, SlotClient
 from ..store_budget import BackOff, CallRates, StoreBudget
 from ..vm_directory import VMS_KIND, VmDirectory
+from ..vm_drains import VmDrains
 from ..work_items import WorkItemRunner
 from ..work_jobs import JOBS_KIND, JobDirectory
 from ..work_runner import WorkRunner
@@ -135,13 +135,13 @@
         log.info("Stopped.")
 
     def _start_feeds(self, tasks: TaskGroup) -> None:
-        retirements = Retirements(self.cluster.is_mine, self._set_retired)
+        drains = VmDrains(self.cluster.is_mine, self._set_drained)
         for kind, handler in (
             (CONFIG_KIND, ConfigFeed(self.routes)),
             (SERVERS_KIND, ServerFeed(self.servers)),
             (VMS_KIND, self._directory),
             (JOBS_KIND, self.jobs),
-            (RETIREMENTS_KIND, retirements),
+            (RETIREMENTS_KIND, drains),
         ):
             is_relayed = kind in RELAYED_KINDS
             feed = ObjectFeed(
@@ -160,7 +160,7 @@
         tasks.start_soon(relay.run)
         tasks.start_soon(self._directory.keep_entry)
         tasks.start_soon(self._directory.remove_dead, self._dead_of_mine)
-        tasks.start_soon(retirements.run)
+        tasks.start_soon(drains.run)
 
     def _dead_of_mine(self) -> list[str]:
         return [vm for vm in self.cluster.dead() if self.cluster.is_mine(vm)]
@@ -225,5 +225,5 @@
     def _active_count(self) -> int:
         return self._ingress.active_count if self._ingress is not None else 0
 
-    async def _set_retired(self, name: str) -> None:
+    async def _set_drained(self, name: str) -> None:
         await self._store.set_status(f"{RETIREMENTS_KIND}/{name}", {"state": "done"})
--- /dev/null
+++ b/briarvale/pool_queue.py
@@ -0,0 +1,82 @@
+"""The requests of one class that wait for a slot of a pool, in the order of service."""
+
+from collections.abc import Iterator
+from typing import NamedTuple
+
+from ._generated.messages import SlotRequest
+from .holder import Holder
+
+MAX_QUEUED = 2_000
+
+__all__ = ["PoolQueue", "PoolWaiter"]
+
+
+class PoolWaiter(NamedTuple):
+    """A request that waits for a slot."""
+
+    request: SlotRequest
+    holder: Holder
+    since_ms: int
+    sequence: int
+
+    @property
+    def rank(self) -> tuple[int, int, int]:
+        """Order in the queue: priority, then for items the start that their due date asks for."""
+        return self.request.priority, self.request.start_by_ms, self.sequence
+
+
+class PoolQueue:
+    """Waiting requests by rank."""
+
+    def __init__(self) -> None:
+        self._waiters: list[PoolWaiter] = []
+
+    def __len__(self) -> int:
+        return len(self._waiters)
+
+    def __iter__(self) -> Iterator[PoolWaiter]:
+        return iter(list(self._waiters))
+
+    def __contains__(self, waiter: PoolWaiter) -> bool:
+        return waiter in self._waiters
+
+    @property
+    def is_full(self) -> bool:
+        """Whether no further request may wait."""
+        return len(self._waiters) >= MAX_QUEUED
+
+    def push(self, waiter: PoolWaiter) -> None:
+        """Adds a request at its rank."""
+        self._waiters.append(waiter)
+        self._waiters.sort(key=lambda one: one.rank)
+
+    def remove(self, waiter: PoolWaiter) -> None:
+        """Removes a request."""
+        self._waiters.remove(waiter)
+
+    def position(self, waiter: PoolWaiter) -> int:
+        """Returns how many requests are ahead of one."""
+        return self._waiters.index(waiter)
+
+    def withdraw(self, request_id: str, holder: Holder) -> None:
+        """Removes a holder's request by id, if it waits."""
+        self._waiters = [
+            waiter
+            for waiter in self._waiters
+            if waiter.request.request_id != request_id or waiter.holder is not holder
+        ]
+
+    def drop_holder(self, holder: Holder) -> None:
+        """Removes all requests of a holder."""
+        self._waiters = [waiter for waiter in self._waiters if waiter.holder is not holder]
+
+    def take_expired(self, now_ms: int) -> list[PoolWaiter]:
+        """Removes and returns the requests whose deadline has passed."""
+        expired = [waiter for waiter in self._waiters if waiter.request.deadline_ms <= now_ms]
+        self._waiters = [waiter for waiter in self._waiters if waiter not in expired]
+        return expired
+
+    def clear(self) -> list[PoolWaiter]:
+        """Removes and returns all requests."""
+        cleared, self._waiters = self._waiters, []
+        return cleared
--- /dev/null
+++ b/briarvale/pool_server.py
@@ -0,0 +1,86 @@
+"""One backend server of a pool: what is granted there, and what a request would cost there."""
+
+from collections import OrderedDict
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from ._generated.messages import Outcome, SlotRequest, WorkClass
+from .grants import GrantTable
+from .live_servers import LiveServer
+
+# A server that failed is left alone this long, twice as long after each further failure in a row.
+AVOID_START_MS = 500
+AVOID_MAX_MS = 8_000
+MAX_PREFIXES = 2_048
+# What a whole cached prompt, or the same availability zone, is worth in relative load.
+PREFIX_WEIGHT = 0.15
+ZONE_WEIGHT = 0.05
+
+__all__ = ["PoolServer", "ServerRuns"]
+
+
+class ServerRuns(NamedTuple):
+    """What a backend server says that it has in hand."""
+
+    server_id: str
+    running: int
+    waiting: int
+
+
+class PoolServer:
+    """One backend server of the pool."""
+
+    def __init__(self, server: LiveServer) -> None:
+        self.server = server
+        self.is_ready = True
+        self.grants = GrantTable()
+        self.prefixes: OrderedDict[str, None] = OrderedDict()
+        self.failures = 0
+        self.avoid_until_ms = 0
+        self.foreign_runs = 0
+
+    @property
+    def free(self) -> int:
+        """Slots that may be granted now."""
+        return self.server.slots - self.grants.slots if self.is_ready else 0
+
+    def free_for(self, work_class: WorkClass) -> int:
+        """Returns the slots that a class may get; an item never queues behind foreign runs."""
+        return self.free - (self.foreign_runs if work_class is WorkClass.BATCH else 0)
+
+    def note_prefixes(self, prefix_ids: Iterable[str]) -> None:
+        """Takes that a prompt with these parts is read there."""
+        for prefix_id in prefix_ids:
+            self.prefixes[prefix_id] = None
+            self.prefixes.move_to_end(prefix_id)
+        while len(self.prefixes) > MAX_PREFIXES:
+            self.prefixes.popitem(last=False)
+
+    def cached_share(self, prefix_ids: tuple[str, ...]) -> float:
+        """Returns which share of a prompt's leading parts it probably holds."""
+        if not prefix_ids:
+            return 0.0
+        count = 0
+        for prefix_id in prefix_ids:
+            if prefix_id not in self.prefixes:
+                break
+            count += 1
+        return count / len(prefix_ids)
+
+    def cost(self, request: SlotRequest) -> float:
+        """Returns the relative load with the request, less what cache and nearness save."""
+        load = (self.grants.slots + self.foreign_runs + 1) / self.server.slots
+        is_near = self.server.availability_zone == request.availability_zone
+        saved = PREFIX_WEIGHT * self.cached_share(request.prefix_ids) + ZONE_WEIGHT * is_near
+        return load - saved
+
+    def note_outcome(self, outcome: Outcome, now_ms: int) -> None:
+        """Takes how a run ended; failures in a row have the server avoided."""
+        match outcome:
+            case Outcome.CRASHED | Outcome.FAILED:
+                delay_ms = min(AVOID_MAX_MS, AVOID_START_MS * 2**self.failures)
+                self.failures += 1
+                self.avoid_until_ms = now_ms + delay_ms
+            case Outcome.FINISHED:
+                self.failures = 0
+                self.avoid_until_ms = 0
--- a/briarvale/slot_pool.py
+++ b/briarvale/slot_pool.py
@@ -7,9 +7,7 @@
 
 import math
 import secrets
-from collections import OrderedDict
 from collections.abc import Iterable
-from typing import NamedTuple
 
 from . import logs, metrics
 from ._generated.messages import (
@@ -24,10 +22,12 @@
 )
 from .clock import MS_PER_S, Clock
 from .errors import NotOwner, Overloaded, OwnerUnreachable
-from .grants import Grant, GrantTable
+from .grants import Grant
 from .headroom import PeakDemand
 from .holder import Holder
 from .live_servers import LiveServer
+from .pool_queue import MAX_QUEUED, PoolQueue, PoolWaiter
+from .pool_server import PoolServer, ServerRuns
 from .wait_estimate import WaitEstimate
 
 GRANT_TERM_MS = 4_000
@@ -39,95 +39,13 @@
 PROBE_MS = 1_000
 MAX_TICK_GAP_MS = 1_000
 LOG_INTERVAL_MS = 1_000
-MAX_QUEUED = 2_000
 # How far back a dip of the online load is looked at before batch items may fill it.
 BATCH_HEADROOM_MS = 150
 RETRY_DELAY_MS = 250
-# A server that failed is left alone this long, twice as long after each further failure in a row.
-AVOID_START_MS = 500
-AVOID_MAX_MS = 8_000
-MAX_PREFIXES = 2_048
-# What a whole cached prompt, or the same availability zone, is worth in relative load.
-PREFIX_WEIGHT = 0.15
-ZONE_WEIGHT = 0.05
 
 log = logs.part("pool")
 
-__all__ = ["ServerRuns", "SlotPool"]
-
-
-class ServerRuns(NamedTuple):
-    """What a backend server says that it has in hand."""
-
-    server_id: str
-    running: int
-    waiting: int
-
-
-class _Waiter(NamedTuple):
-    """A request in the queue."""
-
-    request: SlotRequest
-    holder: Holder
-    since_ms: int
-    sequence: int
-
-    @property
-    def rank(self) -> tuple[int, int, int]:
-        """Order in the queue: priority, then for items the start that their due date asks for."""
-        return self.request.priority, self.request.start_by_ms, self.sequence
-
-
-class _PoolServer:
-    """One backend server of the pool."""
-
-    def __init__(self, server: LiveServer) -> None:
-        self.server = server
-        self.is_ready = True
-        self.grants = GrantTable()
-        self.prefixes: OrderedDict[str, None] = OrderedDict()
-        self.failures = 0
-        self.avoid_until_ms = 0
-        self.foreign_runs = 0
-
-    @property
-    def free(self) -> int:
-        """Slots that may be granted now."""
-        return self.server.slots - self.grants.slots if self.is_ready else 0
-
-    def free_for(self, work_class: WorkClass) -> int:
-        """Returns the slots that a class may get; an item never queues behind foreign runs."""
-        return self.free - (self.foreign_runs if work_class is WorkClass.BATCH else 0)
-
-    def note_prefixes(self, prefix_ids: Iterable[str]) -> None:
-        """Takes that a prompt with these parts is read there."""
-        for prefix_id in prefix_ids:
-            self.prefixes[prefix_id] = None
-            self.prefixes.move_to_end(prefix_id)
-        while len(self.prefixes) > MAX_PREFIXES:
-            self.prefixes.popitem(last=False)
-
-    def cached_share(self, prefix_ids: tuple[str, ...]) -> float:
-        """Returns which share of a prompt's leading parts it probably holds."""
-        if not prefix_ids:
-            return 0.0
-        count = 0
-        for prefix_id in prefix_ids:
-            if prefix_id not in self.prefixes:
-                break
-            count += 1
-        return count / len(prefix_ids)
-
-    def note_outcome(self, outcome: Outcome, now_ms: int) -> None:
-        """Takes how a run ended; failures in a row have the server avoided."""
-        match outcome:
-            case Outcome.CRASHED | Outcome.FAILED:
-                delay_ms = min(AVOID_MAX_MS, AVOID_START_MS * 2**self.failures)
-                self.failures += 1
-                self.avoid_until_ms = now_ms + delay_ms
-            case Outcome.FINISHED:
-                self.failures = 0
-                self.avoid_until_ms = 0
+__all__ = ["SlotPool"]
 
 
 class SlotPool:
@@ -141,8 +59,8 @@
     def __init__(self, name: str, clock: Clock) -> None:
         self.name = name
         self._clock = clock
-        self._servers: dict[str, _PoolServer] = {}
-        self._waiting: dict[WorkClass, list[_Waiter]] = {work: [] for work in WorkClass}
+        self._servers: dict[str, PoolServer] = {}
+        self._waiting = {work: PoolQueue() for work in WorkClass}
         self._estimate = WaitEstimate()
         self._online_peak = PeakDemand(BATCH_HEADROOM_MS)
         self._sequence = 0
@@ -186,7 +104,7 @@
             elif known.grants.slots == 0:
                 del self._servers[server_id]
         for server_id in ready.keys() - self._servers.keys():
-            self._servers[server_id] = _PoolServer(ready[server_id])
+            self._servers[server_id] = PoolServer(ready[server_id])
         self.pump()
 
     def servers_to_probe(self) -> list[LiveServer]:
@@ -228,16 +146,15 @@
             self._refuse(request, holder, now_ms, OwnerUnreachable.code)
             return
         queue = self._waiting[request.work_class]
-        if len(queue) >= MAX_QUEUED:
+        if queue.is_full:
             self._refuse(request, holder, now_ms + RETRY_DELAY_MS)
             return
         self._sequence += 1
-        waiter = _Waiter(request, holder, now_ms, self._sequence)
-        queue.append(waiter)
-        queue.sort(key=lambda one: one.rank)
+        waiter = PoolWaiter(request, holder, now_ms, self._sequence)
+        queue.push(waiter)
         self.pump()
         if waiter in queue and request.work_class is WorkClass.ONLINE:
-            wait_ms = self._predicted_wait_ms(queue.index(waiter))
+            wait_ms = self._predicted_wait_ms(queue.position(waiter))
             if now_ms + wait_ms > request.deadline_ms:
                 queue.remove(waiter)
                 self._refuse(request, holder, now_ms + wait_ms)
@@ -245,7 +162,7 @@
     def withdraw(self, request_id: str, holder: Holder) -> None:
         """Forgets a waiting request, or releases the grant that crossed with the withdrawal."""
         for queue in self._waiting.values():
-            queue[:] = [w for w in queue if not _is_of(w, request_id, holder)]
+            queue.withdraw(request_id, holder)
         for server in self._servers.values():
             grant_id = server.grants.id_of_request(request_id, holder)
             if grant_id is not None:
@@ -291,7 +208,7 @@
     def drop_holder(self, holder: Holder) -> None:
         """Forgets what a vanished holder waited for; what it holds stays until it expires."""
         for queue in self._waiting.values():
-            queue[:] = [waiter for waiter in queue if waiter.holder is not holder]
+            queue.drop_holder(holder)
         for server in self._servers.values():
             server.grants.orphan(holder)
         self.pump()
@@ -299,9 +216,8 @@
     def close(self, code: str = NotOwner.code) -> None:
         """Refuses all that wait; by default since another node owns the pool now."""
         for queue in self._waiting.values():
-            for waiter in queue:
+            for waiter in queue.clear():
                 self._refuse(waiter.request, waiter.holder, self._clock.now_ms(), code)
-            queue.clear()
 
     def tick(self) -> None:
         """Lets deadlines and expiries take effect."""
@@ -317,8 +233,7 @@
                 metrics.LEASES_EXPIRED.add({"backend_server": server.server.id}, expired)
                 log.info("Freed {} expired slots on {}.", expired, server.server.id)
         for queue in self._waiting.values():
-            for waiter in [w for w in queue if w.request.deadline_ms <= now_ms]:
-                queue.remove(waiter)
+            for waiter in queue.take_expired(now_ms):
                 self._refuse(waiter.request, waiter.holder, now_ms + RETRY_DELAY_MS)
         self.pump()
         self._log_state(now_ms)
@@ -372,7 +287,7 @@
         """Grants slots in the order of the queue; returns how many."""
         queue = self._waiting[work_class]
         granted = 0
-        for waiter in list(queue):
+        for waiter in queue:
             server = self._choose(waiter.request, now_ms) if granted < at_most else None
             if server is not None:
                 queue.remove(waiter)
@@ -382,7 +297,7 @@
                 break
         return granted
 
-    def _choose(self, request: SlotRequest, now_ms: int) -> _PoolServer | None:
+    def _choose(self, request: SlotRequest, now_ms: int) -> PoolServer | None:
         """Returns the free server with the least load, less what its cache and nearness save.
 
         Excluded servers are used only where there are no others.
@@ -392,9 +307,9 @@
         work_class = request.work_class
         free = [server for server in others or ready if server.free_for(work_class) > 0]
         sound = [server for server in free if server.avoid_until_ms <= now_ms]
-        return min(sound or free, key=lambda server: _cost(server, request), default=None)
+        return min(sound or free, key=lambda server: server.cost(request), default=None)
 
-    def _grant(self, waiter: _Waiter, server: _PoolServer, now_ms: int) -> None:
+    def _grant(self, waiter: PoolWaiter, server: PoolServer, now_ms: int) -> None:
         request = waiter.request
         held = HeldGrant(
             grant_id=secrets.token_hex(8),
@@ -445,7 +360,7 @@
             left = server.grants.slots - server.grants.revoking_slots
             self._revoke_batch([server], left - server.server.slots)
 
-    def _revoke_batch(self, servers: Iterable[_PoolServer], count: int) -> None:
+    def _revoke_batch(self, servers: Iterable[PoolServer], count: int) -> None:
         """Takes back batch slots of these servers, the latest due first."""
         if count <= 0:
             return
@@ -480,14 +395,3 @@
         )
         counts = (self.held, self.queued, self.limit)
         holder.notify(SlotRefusal(request.request_id, code, math.ceil(retry_at_ms), *counts))
-
-
-def _is_of(waiter: _Waiter, request_id: str, holder: Holder) -> bool:
-    return waiter.request.request_id == request_id and waiter.holder is holder
-
-
-def _cost(server: _PoolServer, request: SlotRequest) -> float:
-    load = (server.grants.slots + server.foreign_runs + 1) / server.server.slots
-    is_near = server.server.availability_zone == request.availability_zone
-    saved = PREFIX_WEIGHT * server.cached_share(request.prefix_ids) + ZONE_WEIGHT * is_near
-    return load - saved
--- a/briarvale/retirements.py
+++ b/briarvale/vm_drains.py
@@ -1,4 +1,4 @@
-"""Answers requests to empty a machine with a disk: nothing that must last is on those disks."""
+"""Answers requests to empty a VM with a disk: nothing that must last is on those disks."""
 
 from collections.abc import Awaitable, Callable
 
@@ -11,17 +11,17 @@
 
 RETRY_S = 0.5
 
-log = logs.part("retirement")
+log = logs.part("drains")
 
-__all__ = ["Retirements"]
+__all__ = ["VmDrains"]
 
 
-class Retirements:
-    """Requests to empty machines; the node that a request falls to says that it is done.
+class VmDrains:
+    """Requests to empty VMs with a disk; the node that a request falls to says that it is done.
 
     Args:
-        is_mine: Says whether this node sees to a machine.
-        set_done: Writes that a machine is empty.
+        is_mine: Says whether this node sees to a VM.
+        set_done: Writes that a VM is empty.
     """
 
     def __init__(
@@ -62,7 +62,7 @@
         except ObjectNotFound:
             return True
         except BriarvaleError as error:
-            log.info("Can't answer for {} yet: {}.", name, error, machine=name)
+            log.info("Can't answer for {} yet: {}.", name, error, drained_vm=name)
             return False
-        log.info("Machine {} holds nothing.", name, machine=name)
+        log.info("VM {} holds nothing.", name, drained_vm=name)
         return True
--- a/briarvale/work_items.py
+++ b/briarvale/work_items.py
@@ -19,7 +19,7 @@
     ServerFull,
     ServerLost,
 )
-from .event_stream import EventSplitter
+from .event_stream import EventCursor, EventSplitter
 from .forward_request import ForwardRequest
 from .live_servers import LiveServer, LiveServers
 from .shard_log import ItemProgress, ItemResult
@@ -57,9 +57,8 @@
     def __init__(self, index: int, progress: ItemProgress | None = None) -> None:
         self.index = index
         self.data: list[str] = [] if progress is None else [progress.text]
-        self.last_event_id: int | None = None if progress is None else progress.last_event_id
+        self.cursor = EventCursor(None if progress is None else progress.last_event_id)
         self.failures = 0
-        self.refusals = 0
         self.waits = 0
         self.excluded: list[str] = []
         self.is_whole = False
@@ -68,9 +67,9 @@
     @property
     def progress(self) -> ItemProgress | None:
         """How far it has come; none if another runner could not go on from there."""
-        if self.last_event_id is None:
+        if self.cursor.last_id is None:
             return None
-        return ItemProgress(self.index, self.last_event_id, "\n".join(self.data))
+        return ItemProgress(self.index, self.cursor.last_id, "\n".join(self.data))
 
 
 class WorkItemRunner:
@@ -208,7 +207,10 @@
         self, job: WorkJob, request: ForwardRequest, state: ItemState, server: LiveServer
     ) -> None:
         splitter = EventSplitter()
-        async with self._engines.run(request, server, state.last_event_id) as run:
+        if state.cursor.last_id is None:
+            # Events without ids can't be gone on after.
+            state.data.clear()
+        async with self._engines.run(request, server, state.cursor.last_id) as run:
             if run.head.status != 200:
                 while await run.read():
                     pass
@@ -217,8 +219,7 @@
             if not run.facts.is_signed:
                 raise ServerLost("a success without a signature")
             while data := await run.read():
-                for event in splitter.feed(data):
-                    _take_event(event.id, event.data, state)
+                state.data += [e.data for e in splitter.feed(data) if state.cursor.takes(e)]
             if splitter.has_rest:
                 raise ServerLost("the stream ended within an event")
             state.is_whole = True
@@ -238,17 +239,3 @@
 async def _cancel_when_revoked(slot: HeldSlot, scope: anyio.CancelScope) -> None:
     await slot.revoked.wait()
     scope.cancel()
-
-
-def _take_event(event_id: int | None, data: str, state: ItemState) -> None:
-    """Takes one event; one that was had already changes nothing."""
-    if event_id is None:
-        state.data.append(data)
-        return
-    last = state.last_event_id
-    if last is not None and event_id <= last:
-        return
-    if last is not None and event_id > last + 1:
-        raise ServerLost(f"event {event_id} came after {last}")
-    state.last_event_id = event_id
-    state.data.append(data)
--- a/features/steps/pool_policy.py
+++ b/features/steps/pool_policy.py
@@ -19,7 +19,8 @@
 from briarvale.errors import OwnerUnreachable
 from briarvale.live_servers import LiveServer
 from briarvale.peer import PeerAddress
-from briarvale.slot_pool import BATCH_GRACE_MS, REPORT_GRACE_MS, ServerRuns, SlotPool
+from briarvale.pool_server import ServerRuns
+from briarvale.slot_pool import BATCH_GRACE_MS, REPORT_GRACE_MS, SlotPool
 from features.support.pool_load import LoadShape, PoolLoad
 
 # A revocation is one message, a cancel at the engine and a release; an order of magnitude more.
