--- /dev/null
+++ b/features/platform/edges.feature
@@ -0,0 +1,23 @@
+Feature: What a node refuses, and how its process starts, stops and tells
+
+  Scenario: Requests beyond the configured limits
+    When callers send headers, a body and bytes that no limit allows
+    Then they get 431, 413 and 400, and a good request on a new connection is served
+
+  Scenario: A connection that stays idle ends
+    When a caller's connection stays idle beyond the configured time
+    Then the node closes it, and not before
+
+  Scenario: No configuration yet
+    When a node starts while the store is away
+    Then its readiness is 503 and a request gets 503 as not run
+    And both change once the store is back
+
+  Scenario: Log lines are bounded
+    When 2,000 lines are logged at once
+    Then no more than the burst is written, and the next line says how many were dropped
+
+  Scenario: The process
+    When the program starts with a wrong setting, and with good ones
+    Then the first ends with 2 and names the field
+    And the other logs JSON lines, reads its settings again at SIGHUP and ends with 0 at SIGTERM
--- /dev/null
+++ b/features/steps/platform_edges.py
@@ -0,0 +1,217 @@
+"""Steps of limits, readiness, logs and the process of a node."""
+
+import contextlib
+import json
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+from pathlib import Path
+from typing import Any
+
+import anyio
+from behave import then, when
+from behave.runner import Context
+from loguru import logger
+
+from briarvale.json_logs import BURST_LINES, MAX_LINES_PER_S, configure_json_lines
+from briarvale.settings import Settings
+from features.support.platform_fleet import PLAIN, Caller, PlatformFleet, free_port, platform_fleet
+
+BODY = b"look"
+LIMITS = {
+    "max_header_bytes": 2_000,
+    "max_body_bytes": 5_000,
+    "header_timeout_ms": 2_000,
+    "idle_timeout_ms": 800,
+}
+PROCESS_TIMEOUT_S = 20
+SETTINGS = """
+node_name = "vm-1"
+zone = "caerdydd"
+region = "cymru"
+ip = "127.0.0.1"
+internal_ports = [{peer}, {last}]
+[listen]
+front = "127.0.0.1:{front}"
+ready = "127.0.0.1:{ready}"
+[bounds]
+grace_s = 5
+[platform]
+address = "127.0.0.1:{store}"
+"""
+
+
+async def limited_fleet(fleet: PlatformFleet) -> None:
+    """Puts the limits in force."""
+    await fleet.add_engine("i-0", PLAIN)
+    fleet.store.put("config", "main", fleet.config(version=9, limits=LIMITS))
+    await anyio.sleep(0.3)
+
+
+@when("callers send headers, a body and bytes that no limit allows")
+def when_beyond(context: Context) -> None:
+    async def run() -> list[int]:
+        async with platform_fleet() as fleet:
+            await limited_fleet(fleet)
+            node = fleet.nodes["vm-1"]
+            long = {"x-long": "v" * 3_000}
+            answers = [
+                await Caller(node).call("POST", "/look/a", BODY, headers=long),
+                await Caller(node).call("POST", "/look/a", b"x" * 6_000),
+                await raw_call(node, b"NONSENSE\r\n\r\n"),
+                await Caller(node).call("POST", "/look/a", BODY),
+            ]
+            return [answer.status if hasattr(answer, "status") else answer for answer in answers]
+
+    context.statuses = anyio.run(run)
+
+
+async def raw_call(node: Any, data: bytes) -> int:
+    """Sends bytes and returns the status of the answer."""
+    address = node.settings.front
+    async with await anyio.connect_tcp(address.host, address.port) as stream:
+        await stream.send(data)
+        return int((await stream.receive()).split(b" ")[1])
+
+
+@then("they get 431, 413 and 400, and a good request on a new connection is served")
+def then_limits(context: Context) -> None:
+    assert context.statuses == [431, 413, 400, 200], context.statuses
+
+
+@when("a caller's connection stays idle beyond the configured time")
+def when_idle(context: Context) -> None:
+    async def run() -> tuple[int, float]:
+        async with platform_fleet() as fleet:
+            await limited_fleet(fleet)
+            caller = Caller(fleet.nodes["vm-1"])
+            await caller.call("POST", "/look/a", BODY)
+            await anyio.sleep(LIMITS["idle_timeout_ms"] * 0.8 / 1_000)
+            reused = await caller.call("POST", "/look/a", BODY)
+            started_s = time.monotonic()
+            assert caller.stream is not None
+            with anyio.fail_after(3):
+                with contextlib.suppress(anyio.EndOfStream):
+                    await caller.stream.receive()
+            assert reused is not None
+            return reused.status, time.monotonic() - started_s
+
+    context.status, context.closed_after_s = anyio.run(run)
+
+
+@then("the node closes it, and not before")
+def then_idle(context: Context) -> None:
+    assert context.status == 200
+    assert 0.6 <= context.closed_after_s <= 2.0, context.closed_after_s
+
+
+@when("a node starts while the store is away")
+def when_no_store(context: Context) -> None:
+    async def run() -> list[Any]:
+        seen: list[Any] = []
+        async with platform_fleet(0) as fleet:
+            fleet.store.faults.refuse_status = 503
+            node = fleet.start_node("vm-1", "127.0.0.11")
+            await anyio.sleep(0.5)
+            seen += [await readiness(node), await Caller(node).call("POST", "/look/a", BODY)]
+            fleet.store.faults.refuse_status = 0
+            await fleet.add_engine("i-0", PLAIN)
+            await anyio.sleep(1.5)
+            seen += [await readiness(node), await Caller(node).call("POST", "/look/a", BODY)]
+        return seen
+
+    context.seen_states = anyio.run(run)
+
+
+async def readiness(node: Any) -> int:
+    """Asks as the balancer does."""
+    address = node.settings.readiness
+    async with await anyio.connect_tcp(address.host, address.port) as stream:
+        await stream.send(b"GET /briarvale/readiness HTTP/1.1\r\nHost: x\r\n\r\n")
+        return int((await stream.receive()).split(b" ")[1])
+
+
+@then("its readiness is 503 and a request gets 503 as not run")
+def then_not_ready(context: Context) -> None:
+    ready, answer, *_ = context.seen_states
+    assert ready == 503
+    assert answer.status == 503 and answer.json()["not_run"], answer
+
+
+@then("both change once the store is back")
+def then_ready(context: Context) -> None:
+    *_, ready, answer = context.seen_states
+    assert ready == 200 and answer.status == 200, (ready, answer)
+
+
+@when("2,000 lines are logged at once")
+def when_logged(context: Context) -> None:
+    with tempfile.TemporaryFile() as file, open(file.fileno(), "w", closefd=False) as text:
+        with contextlib.redirect_stdout(text):
+            configure_json_lines(Settings("vm-1", "r", "z", "127.0.0.1", "s", "", ""))
+        for number in range(2_000):
+            logger.info("Line {}.", number, request_id=str(number))
+        time.sleep(2 / MAX_LINES_PER_S)
+        logger.info("The next one.")
+        logger.remove()
+        file.seek(0)
+        context.lines = [json.loads(line) for line in file.read().decode().splitlines()]
+
+
+@then("no more than the burst is written, and the next line says how many were dropped")
+def then_bounded(context: Context) -> None:
+    *written, last = context.lines
+    # What is filled up again while the lines are logged comes on top.
+    assert len(written) <= BURST_LINES + MAX_LINES_PER_S, len(written)
+    assert last["message"] == "The next one."
+    dropped = sum(line.get("dropped_lines", 0) for line in context.lines)
+    assert last["dropped_lines"] > 0 and dropped == 2_000 - len(written), (dropped, len(written))
+    assert written[3]["request_id"] == "3" and written[3]["vm"] == "vm-1"
+
+
+def start_process(text: str, folder: Path) -> "subprocess.Popen[str]":
+    """Starts the program with these settings."""
+    path = folder / "boot.toml"
+    path.write_text(text)
+    return subprocess.Popen(
+        [sys.executable, "-m", "briarvale.programs.node"],
+        env=os.environ | {"BRIARVALE_BOOT": str(path)},
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+        text=True,
+    )
+
+
+@when("the program starts with a wrong setting, and with good ones")
+def when_process(context: Context) -> None:
+    ports = {name: free_port() for name in ("peer", "front", "ready", "store")}
+    good = SETTINGS.format(last=ports["peer"] + 5, **ports)
+    with tempfile.TemporaryDirectory() as folder:
+        bad = start_process(good.replace('ip = "127.0.0.1"', "ip = 7"), Path(folder))
+        context.bad_error = bad.communicate(timeout=PROCESS_TIMEOUT_S)[1]
+        context.bad_code = bad.returncode
+    with tempfile.TemporaryDirectory() as folder:
+        process = start_process(good, Path(folder))
+        time.sleep(2)
+        process.send_signal(signal.SIGHUP)
+        time.sleep(0.5)
+        process.send_signal(signal.SIGTERM)
+        output, context.error = process.communicate(timeout=PROCESS_TIMEOUT_S)
+        context.code = process.returncode
+    context.messages = [json.loads(line)["message"] for line in output.splitlines()]
+
+
+@then("the first ends with 2 and names the field")
+def then_bad(context: Context) -> None:
+    assert context.bad_code == 2 and "ip" in context.bad_error, context.bad_error
+
+
+@then("the other logs JSON lines, reads its settings again at SIGHUP and ends with 0 at SIGTERM")
+def then_process(context: Context) -> None:
+    assert context.code == 0, (context.code, context.error)
+    told = [m for m in context.messages if m in ("Starts.", "Stops gracefully.", "Stopped.")]
+    assert told == ["Starts.", "Stops gracefully.", "Stopped."], context.messages
+    assert "Read the settings again." in context.messages
--- a/features/support/platform_fleet.py
+++ b/features/support/platform_fleet.py
@@ -215,7 +215,7 @@
 
     def __init__(self, node: FleetNode) -> None:
         self._node = node
-        self._stream: SocketStream | None = None
+        self.stream: SocketStream | None = None
         self._h11 = h11.Connection(h11.CLIENT)
         self._ids = 0
 
@@ -230,10 +230,10 @@
         leave_after_s: float | None = None,
     ) -> Answer | None:
         """Sends a request and reads its answer; none if the caller left before."""
-        if self._stream is None:
+        if self.stream is None:
             address = self._node.settings.front
             assert address is not None
-            self._stream = await anyio.connect_tcp(address.host, address.port)
+            self.stream = await anyio.connect_tcp(address.host, address.port)
         self._ids += 1
         rows = {
             "Host": HOST,
@@ -244,16 +244,16 @@
             rows["Content-Length"] = str(len(body))
         request = h11.Request(method=method, target=path, headers=list(rows.items()))
         data = (self._h11.send(request) or b"") + (self._h11.send(h11.Data(data=body)) or b"")
-        await self._stream.send(data + (self._h11.send(h11.EndOfMessage()) or b""))
+        await self.stream.send(data + (self._h11.send(h11.EndOfMessage()) or b""))
         if leave_after_s is not None:
             await anyio.sleep(leave_after_s)
-            await self._stream.aclose()
+            await self.stream.aclose()
             return None
         with anyio.fail_after(CALL_TIMEOUT_S):
             return await self._read()
 
     async def _read(self) -> Answer:
-        assert self._stream is not None
+        assert self.stream is not None
         status, headers, chunks, is_whole = 0, {}, [], False
         while True:
             try:
@@ -262,7 +262,7 @@
                 break
             if event is h11.NEED_DATA:
                 try:
-                    self._h11.receive_data(await self._stream.receive())
+                    self._h11.receive_data(await self.stream.receive())
                 except (anyio.EndOfStream, anyio.BrokenResourceError):
                     self._h11.receive_data(b"")
                 continue
@@ -279,8 +279,8 @@
         if is_whole and self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE:
             self._h11.start_next_cycle()
         else:
-            await self._stream.aclose()
-            self._stream, self._h11 = None, h11.Connection(h11.CLIENT)
+            await self.stream.aclose()
+            self.stream, self._h11 = None, h11.Connection(h11.CLIENT)
         return Answer(status, headers, b"".join(chunks), is_whole)
 
 
