--- a/briarvale/crash_guard.py
+++ b/briarvale/crash_guard.py
@@ -1,11 +1,13 @@
 """Refuses requests whose content crashed backend servers, whoever sends them again.
 
-A run that was lost may also have lost its answer alone, so a loss counts as a crash only if the
-server takes no connection right after it.
+A run that was lost may also have lost its answer alone, or its path to the server, so a loss counts
+as a crash only if the server refuses a connection right after it.
 """
 
 from collections.abc import Callable
 
+import anyio
+
 from . import logs, metrics
 from ._generated.messages import CrashSite, SuspectNotice
 from .clock import Clock
@@ -15,6 +17,8 @@
 from .suspects import QUARANTINE_TERM_MS, SUSPECT_TERM_MS, SuspectTable
 
 CONFIRM_TIMEOUT_S = 0.3
+# Connections of a process that ends may break a moment before its port is closed.
+CONFIRM_PAUSE_S = 0.03
 
 log = logs.part("quarantine")
 
@@ -62,9 +66,10 @@
 
 
 async def _is_down(server: LiveServer) -> bool:
+    await anyio.sleep(CONFIRM_PAUSE_S)
     try:
         connection = await ClientConnection.open(server.address, CONFIRM_TIMEOUT_S)
-    except ServerConnectFailed:
-        return True
+    except ServerConnectFailed as error:
+        return error.is_refused
     await connection.aclose()
     return False
--- a/briarvale/errors.py
+++ b/briarvale/errors.py
@@ -181,9 +181,13 @@
 
 
 class ServerConnectFailed(BriarvaleError):
-    """The backend server refused the connection: no byte was sent."""
+    """The backend server took no connection: no byte was sent.
+
+    `is_refused` is set where its machine answered that nothing listens there.
+    """
 
     code, http_status, not_run = "connect_failed", 503, True
+    is_refused = False
 
 
 class ServerLost(BriarvaleError):
--- a/briarvale/http_wire.py
+++ b/briarvale/http_wire.py
@@ -113,8 +113,9 @@
             with anyio.fail_after(timeout_s):
                 stream = await anyio.connect_tcp(address.host, address.port)
         except (OSError, TimeoutError) as error:
-            text = f"{address.host}:{address.port}: {type(error).__name__}"
-            raise ServerConnectFailed(text) from error
+            failed = ServerConnectFailed(f"{address.host}:{address.port}: {type(error).__name__}")
+            failed.is_refused = isinstance(error.__cause__ or error, ConnectionRefusedError)
+            raise failed from error
         watch_for_loss(stream)
         return cls(stream)
 
--- a/briarvale/work_items.py
+++ b/briarvale/work_items.py
@@ -18,6 +18,7 @@
     ServerConnectFailed,
     ServerFull,
     ServerLost,
+    ServerStalled,
 )
 from .event_stream import EventCursor, EventSplitter
 from .forward_request import ForwardRequest
@@ -28,6 +29,10 @@
 from .work_jobs import WorkItem, WorkJob
 
 SLOT_WAIT_MS = 5_000
+# Callers give a stream up after two seconds of silence; an item may wait a little longer.
+MAX_SILENCE_S = 3.0
+MAX_SUSPECT_TRIALS = 3
+SUSPECT_PAUSE_S = 3.0
 RETRY_START_S = 0.05
 RETRY_MAX_S = 1.0
 ITEM_REFUSED = "item_refused"
@@ -60,6 +65,9 @@
         self.cursor = EventCursor(None if progress is None else progress.last_event_id)
         self.failures = 0
         self.waits = 0
+        self.trials = 0
+        self.heard_at_s = 0.0
+        self.is_stalled = False
         self.excluded: list[str] = []
         self.is_whole = False
         self.error_code = ""
@@ -112,12 +120,9 @@
                 state.error_code = GIVEN_UP
                 break
             try:
-                self._crashes.check(request.fingerprint)
+                await self._wait_if_suspect(job, request, state)
                 await self._run_once(job, request, state)
                 state.waits = 0
-            except Quarantined:
-                # It is listed as given up no sooner than its route allows.
-                await self._clock.sleep_until(job.give_up_at_ms)
             except BriarvaleError as error:
                 state.waits += 1
                 log.info(
@@ -133,6 +138,24 @@
         text = "" if state.error_code else "\n".join(state.data)
         return ItemResult(state.index, text, state.error_code)
 
+    async def _wait_if_suspect(
+        self, job: WorkJob, request: ForwardRequest, state: ItemState
+    ) -> None:
+        """Lets an item that crashed servers run again a few times, further and further apart.
+
+        It may have run beside the one that crashed them. It can't be listed as given up before its
+        route allows, so after that it waits.
+        """
+        try:
+            self._crashes.check(request.fingerprint)
+        except Quarantined:
+            state.trials += 1
+            if state.trials <= MAX_SUSPECT_TRIALS:
+                await anyio.sleep(SUSPECT_PAUSE_S * state.trials)
+            else:
+                await self._clock.sleep_until(job.give_up_at_ms)
+                raise
+
     async def _run_once(self, job: WorkJob, request: ForwardRequest, state: ItemState) -> None:
         async with self._slots.hold(self._slot_request(job, request, state)) as slot:
             server = self._servers.get(slot.grant.backend_server)
@@ -142,7 +165,7 @@
             began_at_ms = self._clock.now_ms()
             try:
                 await self._run_at(job, request, state, slot, server)
-            except (ServerLost, ServerConnectFailed, ServerFull) as error:
+            except (ServerLost, ServerConnectFailed, ServerFull, ServerStalled) as error:
                 if isinstance(error, ServerLost):
                     await self._crashes.note_loss(request.fingerprint, server, began_at_ms)
                 slot.outcome = Outcome.FAILED
@@ -180,8 +203,11 @@
             error: BriarvaleError | None = None
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(_cancel_when_revoked, slot, tasks.cancel_scope)
+                tasks.start_soon(_cancel_when_silent, state, tasks.cancel_scope)
                 error = await self._stream(job, request, state, server)
                 tasks.cancel_scope.cancel()
+            if state.is_stalled:
+                error = ServerStalled(f"{server.id} sent nothing for {MAX_SILENCE_S} s")
             if error is not None:
                 raise error
         if state.is_whole:
@@ -219,6 +245,7 @@
             if not run.facts.is_signed:
                 raise ServerLost("a success without a signature")
             while data := await run.read():
+                state.heard_at_s = anyio.current_time()
                 state.data += [e.data for e in splitter.feed(data) if state.cursor.takes(e)]
             if splitter.has_rest:
                 raise ServerLost("the stream ended within an event")
@@ -236,6 +263,16 @@
                 raise ServerLost(f"status {status}")
 
 
+async def _cancel_when_silent(state: ItemState, scope: anyio.CancelScope) -> None:
+    """Ends a run whose server has sent nothing for too long, though its connection stands."""
+    state.heard_at_s = anyio.current_time()
+    state.is_stalled = False
+    while (left_s := state.heard_at_s + MAX_SILENCE_S - anyio.current_time()) > 0:
+        await anyio.sleep(left_s)
+    state.is_stalled = True
+    scope.cancel()
+
+
 async def _cancel_when_revoked(slot: HeldSlot, scope: anyio.CancelScope) -> None:
     await slot.revoked.wait()
     scope.cancel()
--- a/features/platform/batch.feature
+++ b/features/platform/batch.feature
@@ -13,6 +13,14 @@
     When the backend server breaks off an item midway
     Then its text is whole and the second run went on after the last event
 
+  Scenario: An item on a server that hangs goes on elsewhere
+    When the backend server that runs an item falls silent
+    Then the item is done by the other server
+
+  Scenario: An item that ran on two servers as they crashed is no suspect for good
+    When two backend servers crash while they run the same item
+    Then the item is done by the other server
+
   Scenario: An ended job stops and keeps what it listed
     When a caller ends a job that runs, at another node, twice
     Then its items stop at the backend servers and nothing more is listed
--- a/features/steps/platform_batch.py
+++ b/features/steps/platform_batch.py
@@ -187,6 +187,38 @@
     assert asked == ["", "3"], asked
 
 
+def troubled_item(*behaviours: Behaviour) -> Play:
+    """Returns a play of a job of one item whose first runs go wrong so."""
+
+    async def behave_as(fleet: PlatformFleet, facts: dict[str, Any]) -> None:
+        shared = facts["engines"][0].behaviours
+        shared.extend(behaviours)
+        for engine in facts["engines"]:
+            engine.behaviours = shared
+        await submit(fleet.nodes["vm-1"], job_body(ITEMS[:1]))
+        facts["results"] = await read_all(fleet.nodes["vm-1"], 1)
+        await anyio.sleep(0.2)
+        facts["running"] = sum(engine.running for engine in facts["engines"])
+
+    return behave_as
+
+
+@when("the backend server that runs an item falls silent")
+def when_hangs(context: Context) -> None:
+    play(context, troubled_item(Behaviour.HANG), nodes=1)
+
+
+@when("two backend servers crash while they run the same item")
+def when_two_crash(context: Context) -> None:
+    play(context, troubled_item(Behaviour.CRASH, Behaviour.CRASH), nodes=1, engines=3)
+
+
+@then("the item is done by the other server")
+def then_other_server(context: Context) -> None:
+    assert context.facts["results"][0]["text"] == whole_text(6), context.facts["results"]
+    assert context.facts["running"] == 0
+
+
 @when("a caller ends a job that runs, at another node, twice")
 def when_ends(context: Context) -> None:
     async def behave_as(fleet: PlatformFleet, facts: dict[str, Any]) -> None:
