--- a/briarvale/platform/node.py
+++ b/briarvale/platform/node.py
@@ -44,6 +44,8 @@
 # Changes of these kinds have bounds of a few seconds, so no watch on them is trusted for long.
 SHORT_WATCH_MS = 5_000
 STORE_GIVE_UP_S = 3.0
+# Readers must neither wait for each other nor hold up what is written.
+READS_PER_S = 200.0
 # The balancer notices a node that isn't ready within this time.
 BALANCER_LAG_MS = 3_000
 # What is kept back of the time until the process is killed.
@@ -112,6 +114,9 @@
             back_off=BackOff(start_s=0.1, max_s=1.0),
             rates=CallRates(min_per_s=10.0),
         )
+        self._read_budget = StoreBudget(
+            give_up_after_s=0.0, rates=CallRates(READS_PER_S, READS_PER_S)
+        )
         self._feeds: dict[str, ObjectFeed] = {}
         self._is_stopping = False
         self._ingress: Ingress | None = None
@@ -176,6 +181,7 @@
         service = WorkService(
             self._store,
             self._budget,
+            self._read_budget,
             self.jobs,
             self._clock,
             lambda: self._feeds[JOBS_KIND].is_current,
--- a/briarvale/work_service.py
+++ b/briarvale/work_service.py
@@ -59,7 +59,8 @@
 
     Args:
         store: The platform's store.
-        budget: Paces and retries reads.
+        budget: Paces and retries what runners read and write.
+        read_budget: Paces what callers wait for, and retries nothing: callers ask again.
         directory: The jobs that this node knows of.
         clock: Source of instants.
         is_feed_current: Says whether the directory hears of changes at once.
@@ -70,6 +71,7 @@
         self,
         store: ObjectStore,
         budget: StoreBudget,
+        read_budget: StoreBudget,
         directory: JobDirectory,
         clock: Clock,
         is_feed_current: Callable[[], bool],
@@ -77,6 +79,7 @@
     ) -> None:
         self._store = store
         self._budget = budget
+        self._read_budget = read_budget
         self._directory = directory
         self._clock = clock
         self._is_feed_current = is_feed_current
@@ -171,16 +174,17 @@
         return known
 
     async def _load(self, job_id: str) -> WorkJob:
-        stored = await self._budget.call(self._store.get, job_key(job_id))
+        stored = await self._read_budget.call(self._store.get, job_key(job_id))
         job = WorkJob.decode(stored.value)
         for index in range(job.part_count):
-            part = await self._budget.call(self._store.get, part_key(job_id, index))
+            part = await self._read_budget.call(self._store.get, part_key(job_id, index))
             job = job._replace(items=job.items + decode_items(json.loads(part.value)))
         return job
 
     async def _catch_up(self, known: KnownJob, *, is_needed: bool) -> None:
         """Reads entries that the feed has not brought yet."""
-        shard_log = self.open_log(known.job.job_id)
+        prefix = job_log_prefix(known.job.job_id)
+        shard_log = ShardLog(self._store, self._read_budget, prefix)
         try:
             while not known.is_complete:
                 known.take(await shard_log.read_entry(known.next_sequence))
--- a/features/platform/batch.feature
+++ b/features/platform/batch.feature
@@ -49,6 +49,10 @@
     When the store is away while a job runs, and comes back
     Then the job is done, and no node has ended
 
+  Scenario: Readers do not hold results up after an outage
+    When 40 readers poll a node that the store turns away for 4 s while it runs a job
+    Then the results are listed within 3 s of the store's return
+
   Scenario: A job larger than one object
     When a caller submits a job of 1.5 MB
     Then it is done and its bodies come back whole
--- a/features/steps/platform_batch.py
+++ b/features/steps/platform_batch.py
@@ -454,6 +454,40 @@
     assert context.facts["ended nodes"] == []
 
 
+@when("40 readers poll a node that the store turns away for 4 s while it runs a job")
+def when_readers(context: Context) -> None:
+    async def behave_as(fleet: PlatformFleet, facts: dict[str, Any]) -> None:
+        for engine in facts["engines"]:
+            engine.event_gap_s = 0.2
+        node = fleet.nodes["vm-1"]
+        await submit(node, job_body(ITEMS))
+        await runner_of(fleet, facts)
+
+        async def poll() -> None:
+            while True:
+                await read(node)
+                await anyio.sleep(0.3)
+
+        async with anyio.create_task_group() as tasks:
+            fleet.gates["vm-1"].is_refusing = True
+            for _ in range(40):
+                tasks.start_soon(poll)
+            await anyio.sleep(4)
+            fleet.gates["vm-1"].is_refusing = False
+            started_s = anyio.current_time()
+            while len(fleet.store.names("workjobs")) < 2:
+                await anyio.sleep(0.02)
+            facts["listed after s"] = anyio.current_time() - started_s
+            tasks.cancel_scope.cancel()
+
+    play(context, behave_as, nodes=1)
+
+
+@then("the results are listed within 3 s of the store's return")
+def then_listed_soon(context: Context) -> None:
+    assert context.facts["listed after s"] <= 3, context.facts["listed after s"]
+
+
 @when("a caller submits a job of 1.5 MB")
 def when_big(context: Context) -> None:
     async def behave_as(fleet: PlatformFleet, facts: dict[str, Any]) -> None:
