--- a/briarvale/platform/boot.py
+++ b/briarvale/platform/boot.py
@@ -12,6 +12,8 @@
 from ..settings import Settings
 
 PATH_VARIABLE = "BRIARVALE_BOOT"
+# The deploy file sets it to the port that its `metrics` names; the settings file doesn't tell.
+METRICS_VARIABLE = "BRIARVALE_METRICS_PORT"
 MS_PER_S = 1_000
 BYTES_PER_MB = 1_000_000
 
@@ -65,7 +67,7 @@
         ),
         front=_optional_address(listen, "front"),
         readiness=_optional_address(listen, "ready"),
-        metrics=_optional_address(listen, "metrics"),
+        metrics=_metrics_address(_text(fields, "ip")),
         memory_limit_bytes=int(fields.get("limits", {}).get("memory_mb", 0)) * BYTES_PER_MB,
     )
 
@@ -93,3 +95,10 @@
 
 def _optional_address(listen: Mapping[str, Any], name: str) -> PeerAddress | None:
     return _address(listen[name], f"listen.{name}") if listen.get(name) else None
+
+
+def _metrics_address(host: str) -> PeerAddress | None:
+    port = os.environ.get(METRICS_VARIABLE, "")
+    if port and not port.isdigit():
+        raise SettingsInvalid(f"{METRICS_VARIABLE}: expected a port")
+    return PeerAddress(host, int(port)) if port else None
--- a/features/platform/edges.feature
+++ b/features/platform/edges.feature
@@ -21,3 +21,4 @@
     When the program starts with a wrong setting, and with good ones
     Then the first ends with 2 and names the field
     And the other logs JSON lines, reads its settings again at SIGHUP and ends with 0 at SIGTERM
+    And its metrics are served at the port of the deploy file
--- a/features/steps/platform_edges.py
+++ b/features/steps/platform_edges.py
@@ -12,6 +12,7 @@
 from typing import Any
 
 import anyio
+import httpx
 from behave import then, when
 from behave.runner import Context
 from loguru import logger
@@ -172,13 +173,13 @@
     assert written[3]["request_id"] == "3" and written[3]["vm"] == "vm-1"
 
 
-def start_process(text: str, folder: Path) -> "subprocess.Popen[str]":
+def start_process(text: str, folder: Path, metrics_port: str) -> "subprocess.Popen[str]":
     """Starts the program with these settings."""
     path = folder / "boot.toml"
     path.write_text(text)
     return subprocess.Popen(
         [sys.executable, "-m", "briarvale.programs.node"],
-        env=os.environ | {"BRIARVALE_BOOT": str(path)},
+        env=os.environ | {"BRIARVALE_BOOT": str(path), "BRIARVALE_METRICS_PORT": metrics_port},
         stdout=subprocess.PIPE,
         stderr=subprocess.PIPE,
         text=True,
@@ -189,13 +190,16 @@
 def when_process(context: Context) -> None:
     ports = {name: free_port() for name in ("peer", "front", "ready", "store")}
     good = SETTINGS.format(last=ports["peer"] + 5, **ports)
+    metrics_port = str(free_port())
     with tempfile.TemporaryDirectory() as folder:
-        bad = start_process(good.replace('ip = "127.0.0.1"', "ip = 7"), Path(folder))
+        wrong = good.replace('ip = "127.0.0.1"', "ip = 7")
+        bad = start_process(wrong, Path(folder), metrics_port)
         context.bad_error = bad.communicate(timeout=PROCESS_TIMEOUT_S)[1]
         context.bad_code = bad.returncode
     with tempfile.TemporaryDirectory() as folder:
-        process = start_process(good, Path(folder))
+        process = start_process(good, Path(folder), metrics_port)
         time.sleep(2)
+        context.metrics = httpx.get(f"http://127.0.0.1:{metrics_port}/metrics").text
         process.send_signal(signal.SIGHUP)
         time.sleep(0.5)
         process.send_signal(signal.SIGTERM)
@@ -215,3 +219,9 @@
     told = [m for m in context.messages if m in ("Starts.", "Stops gracefully.", "Stopped.")]
     assert told == ["Starts.", "Stops gracefully.", "Stopped."], context.messages
     assert "Read the settings again." in context.messages
+
+
+@then("its metrics are served at the port of the deploy file")
+def then_metrics(context: Context) -> None:
+    for name in ("briarvale_requests_total", "briarvale_slot_wait_seconds"):
+        assert name in context.metrics, context.metrics[:500]
