--- a/briarvale/engine_run.py
+++ b/briarvale/engine_run.py
@@ -6,7 +6,7 @@
 import anyio
 
 from .backend_connections import BackendConnections
-from .clock import MS_PER_S, Clock
+from .clock import Clock
 from .errors import DeadlineExceeded, ServerFull, ServerLost
 from .forward_request import AnswerFacts, EngineDialect, ForwardRequest
 from .http_wire import AnswerHead, ClientConnection, OutgoingRequest
@@ -94,8 +94,3 @@
                 return EngineRun(connection, head, facts)
             await connection.skip_answer()
         raise ServerLost("only answers to other requests arrived")
-
-
-def left_s(clock: Clock, until_ms: float) -> float:
-    """Returns the seconds until an instant, at least 0."""
-    return max(0.0, (until_ms - clock.now_ms()) / MS_PER_S)
--- a/briarvale/forwarding.py
+++ b/briarvale/forwarding.py
@@ -7,9 +7,8 @@
 
 from . import logs, metrics
 from ._generated.messages import Outcome, SlotRequest, WorkClass
-from .clock import MS_PER_S, Clock
-from .crash_guard import CrashGuard
-from .engine_run import EngineClient, EngineRun
+from .clock import MS_PER_S
+from .engine_run import EngineRun
 from .errors import (
     AttemptsExhausted,
     BriarvaleError,
@@ -24,9 +23,10 @@
 from .event_stream import EventCursor, EventSplitter
 from .forward_request import ForwardRequest
 from .http_wire import AnswerHead
-from .live_servers import LiveServer, LiveServers
+from .live_servers import LiveServer
 from .routes import IdempotentRoute, StreamRoute
-from .slot_client import HeldSlot, SlotClient, new_request_id
+from .serving_parts import ServingParts
+from .slot_client import HeldSlot
 from .traces import tracer
 
 # A caller's own patience with a stream that sends nothing.
@@ -83,29 +83,16 @@
     """Forwards requests.
 
     Args:
-        clock: Source of instants.
-        servers: The backend servers that have an entry.
-        slots: Asks the owners of pools for slots.
-        engines: Runs requests at backend servers.
-        crashes: Knows requests that crash backend servers.
-        availability_zone: This node's place.
+        parts: What runs requests.
     """
 
-    def __init__(
-        self,
-        clock: Clock,
-        servers: LiveServers,
-        slots: SlotClient,
-        engines: EngineClient,
-        crashes: CrashGuard,
-        availability_zone: str,
-    ) -> None:
-        self._clock = clock
-        self._servers = servers
-        self._slots = slots
-        self._engines = engines
-        self._crashes = crashes
-        self._availability_zone = availability_zone
+    def __init__(self, parts: ServingParts) -> None:
+        self._parts = parts
+        self._clock = parts.clock
+        self._servers = parts.servers
+        self._slots = parts.slots
+        self._engines = parts.engines
+        self._crashes = parts.crashes
         self._own_runs: dict[str, int] = {}
 
     async def forward(self, request: ForwardRequest, sink: AnswerSink) -> None:
@@ -183,20 +170,14 @@
             await self._run_at(_Attempt(request, server, None), sink, progress)
 
     def _slot_request(self, request: ForwardRequest, progress: _Progress) -> SlotRequest:
-        return SlotRequest(
-            request_id=new_request_id(),
-            backend_server=request.service,
-            work_class=WorkClass.ONLINE,
-            slot_count=1,
-            cost_tokens=request.prompt_tokens + request.output_tokens,
+        wanted = self._parts.slot_request(
+            request,
+            WorkClass.ONLINE,
             deadline_ms=_wait_until_ms(request, self._clock.now_ms(), progress.has_events),
-            fingerprint=request.fingerprint,
-            prompt_tokens=request.prompt_tokens,
-            prefix_ids=tuple(part.id for part in request.prompt_parts),
-            excluded=tuple(progress.excluded),
             priority=request.route.priority,
-            availability_zone=self._availability_zone,
+            excluded=progress.excluded,
         )
+        return wanted._replace(fingerprint=request.fingerprint)
 
     def _choose_alone(self, request: ForwardRequest, progress: _Progress) -> LiveServer:
         """Returns the server with the fewest runs of this node, while no owner can be asked."""
--- a/briarvale/http_wire.py
+++ b/briarvale/http_wire.py
@@ -7,7 +7,6 @@
 import select
 import socket
 import sys
-from collections.abc import AsyncIterator
 from contextlib import suppress
 from typing import NamedTuple
 
@@ -35,11 +34,10 @@
 
 __all__ = [
     "AnswerHead",
-    "CONNECTION_HEADERS",
     "ClientConnection",
-    "FRAMING_HEADERS",
     "Headers",
     "OutgoingRequest",
+    "WholeAnswer",
     "end_to_end_headers",
     "find_header",
     "watch_for_loss",
@@ -53,6 +51,13 @@
     headers: Headers
 
 
+class WholeAnswer(NamedTuple):
+    """Status and whole body of an answer."""
+
+    status: int
+    body: bytes
+
+
 class OutgoingRequest(NamedTuple):
     """A request as it goes onto the wire; `headers` hold neither Content-Length nor Connection."""
 
@@ -70,11 +75,11 @@
     return None
 
 
-def end_to_end_headers(headers: Headers, dropped: frozenset[bytes] = frozenset()) -> Headers:
+def end_to_end_headers(headers: Headers) -> Headers:
     """Returns the headers that a proxy forwards: none that concern one connection."""
     listed = find_header(headers, b"connection") or b""
     named = frozenset(token.strip().lower() for token in listed.split(b","))
-    unwanted = CONNECTION_HEADERS | FRAMING_HEADERS | named | dropped
+    unwanted = CONNECTION_HEADERS | FRAMING_HEADERS | named
     return tuple(row for row in headers if row[0] not in unwanted)
 
 
@@ -159,10 +164,14 @@
             return b""
         raise ServerGarbled("the connection ended within an answer")
 
-    async def iterate_body(self) -> AsyncIterator[bytes]:
-        """Yields the body as it arrives."""
+    async def exchange(self, request: OutgoingRequest) -> WholeAnswer:
+        """Sends a request and reads its answer to the end."""
+        await self.send(request)
+        head = await self.read_head()
+        chunks = []
         while chunk := await self.read_body():
-            yield chunk
+            chunks.append(chunk)
+        return WholeAnswer(head.status, b"".join(chunks))
 
     async def skip_answer(self) -> None:
         """Reads the rest of an answer that belongs to no request, and expects the next one."""
--- a/briarvale/ingress.py
+++ b/briarvale/ingress.py
@@ -13,6 +13,7 @@
 from anyio.abc import SocketStream
 
 from . import logs
+from .clock import MS_PER_S
 from .errors import (
     BodyTooLarge,
     BriarvaleError,
@@ -25,7 +26,6 @@
 from .peer import PeerAddress
 from .routes import IngressLimits
 
-MS_PER_S = 1_000
 BACKLOG = 1_024
 MAX_PIPELINED_BYTES = 1_048_576
 # How long a refused caller may take to notice before the connection closes.
--- a/briarvale/live_servers.py
+++ b/briarvale/live_servers.py
@@ -87,13 +87,10 @@
         self._put(server)
         self.changed.notify()
 
-    def remove(self, server_id: str, *, was_away: bool = False) -> None:
-        """Takes the removal of an entry; one made while the store was away may come back."""
+    def remove(self, server_id: str) -> None:
+        """Takes the removal of an entry."""
         if server_id not in self._servers:
             return
-        if was_away:
-            self._missing_until_ms.setdefault(server_id, self._now_ms() + self._return_ms)
-            return
         self._drop(server_id, "entry removed")
         self.changed.notify()
 
--- a/briarvale/node_settings.py
+++ b/briarvale/node_settings.py
@@ -13,14 +13,10 @@
 
     Attributes:
         grace_ms: From the request to stop until the process is killed.
-        config_apply_ms: Within which a configuration is in force.
         entry_return_ms: After an outage of the store, when entries of live servers are back.
     """
 
     grace_ms: int = 8_000
-    config_apply_ms: int = 2_000
-    drain_ms: int = 2_000
-    contact_ms: int = 3_000
     entry_return_ms: int = 2_000
 
 
@@ -38,7 +34,6 @@
         front: Where callers connect; none on a node without callers.
         readiness: Where the balancer asks.
         metrics: Where metrics are served; none if they aren't.
-        memory_limit_bytes: Memory at which the process is killed.
     """
 
     parts: Settings
@@ -47,4 +42,3 @@
     front: PeerAddress | None = None
     readiness: PeerAddress | None = None
     metrics: PeerAddress | None = None
-    memory_limit_bytes: int = 0
--- a/briarvale/object_feed.py
+++ b/briarvale/object_feed.py
@@ -4,7 +4,6 @@
 """
 
 import random
-from collections.abc import Callable
 from typing import NamedTuple, Protocol
 
 import anyio
@@ -79,7 +78,6 @@
         store: The platform's store.
         kind: Kind of the objects.
         handler: Told of the list and of changes.
-        now_ms: Returns the current instant.
         is_relayed: Whether the objects are kept, for peers that the store turns away.
         watch_ms: How long a watch waits; one that hears nothing, though it should, ends by then.
     """
@@ -89,7 +87,6 @@
         store: FeedStore,
         kind: str,
         handler: FeedHandler,
-        now_ms: Callable[[], int],
         *,
         is_relayed: bool = False,
         watch_ms: int = WATCH_MS,
@@ -97,13 +94,11 @@
         self._store = store
         self._kind = kind
         self._handler = handler
-        self._now_ms = now_ms
         self._revision = -1
         self._failing_since_s: float | None = None
         self._is_relayed = is_relayed
         self._watch_ms = watch_ms
         self._rows: dict[str, FeedObject] = {}
-        self.confirmed_at_ms = 0
 
     @property
     def is_current(self) -> bool:
@@ -193,4 +188,3 @@
             away_ms = round((anyio.current_time() - self._failing_since_s) * 1_000)
             log.info("Watches {} again.", self._kind, kind=self._kind, away_ms=away_ms)
         self._failing_since_s = None
-        self.confirmed_at_ms = self._now_ms()
--- a/briarvale/platform/boot.py
+++ b/briarvale/platform/boot.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 from typing import Any
 
+from ..clock import MS_PER_S
 from ..errors import SettingsInvalid
 from ..node_settings import NodeBounds, NodeSettings, StoreLimits
 from ..peer import PeerAddress
@@ -14,8 +15,6 @@
 PATH_VARIABLE = "BRIARVALE_BOOT"
 # The deploy file sets it to the port that its `metrics` names; the settings file doesn't tell.
 METRICS_VARIABLE = "BRIARVALE_METRICS_PORT"
-MS_PER_S = 1_000
-BYTES_PER_MB = 1_000_000
 
 __all__ = ["load_node_settings", "node_settings_from"]
 
@@ -61,14 +60,10 @@
         store=StoreLimits(store, int(platform.get("value_bytes", 1_048_576))),
         bounds=NodeBounds(
             grace_ms=round(bounds.get("grace_s", 8) * MS_PER_S),
-            config_apply_ms=int(bounds.get("config_apply_ms", 2_000)),
-            drain_ms=int(bounds.get("drain_ms", 2_000)),
-            contact_ms=int(bounds.get("contact_ms", 3_000)),
         ),
         front=_optional_address(listen, "front"),
         readiness=_optional_address(listen, "ready"),
         metrics=_metrics_address(_text(fields, "ip")),
-        memory_limit_bytes=int(fields.get("limits", {}).get("memory_mb", 0)) * BYTES_PER_MB,
     )
 
 
--- a/briarvale/platform/documents.py
+++ b/briarvale/platform/documents.py
@@ -47,16 +47,15 @@
     return RouteTable(spec["version"], routes, _limits(spec.get("limits") or {}))
 
 
-def server_from(name: str, spec: object, known_services: frozenset[str]) -> LiveServer | None:
+def server_from(name: str, spec: object) -> LiveServer | None:
     """Decodes a backend server's entry; none if it names no server that can be used.
 
     Args:
         name: Name of the entry, which is the server's id.
         spec: What the entry holds.
-        known_services: Services of the configuration; empty if it isn't known yet.
     """
     try:
-        return _server(name, spec, known_services)
+        return _server(name, spec)
     except (AttributeError, KeyError, TypeError, ValueError) as error:
         log.warning(
             "Entry {} names no server.", name, backend_server=name, reason=f"{error!r}"[:200]
@@ -64,13 +63,13 @@
         return None
 
 
-def _server(name: str, spec: Any, known_services: frozenset[str]) -> LiveServer:
+def _server(name: str, spec: Any) -> LiveServer:
     host, _, port = spec["address"].rpartition(":")
     service, state, slots = spec["service"], spec["state"], spec["slots"]
     zone, started_at_ms = spec.get("zone", ""), spec.get("born", 0)
     if state not in ("ready", "draining"):
         raise ValueError(f"state: {state!r}")
-    if not isinstance(service, str) or (known_services and service not in known_services):
+    if not isinstance(service, str):
         raise ValueError(f"service: {service!r}")
     if isinstance(slots, bool) or not isinstance(slots, int) or slots < 1:
         raise ValueError(f"slots: {slots!r}")
--- a/briarvale/platform/engine_report.py
+++ b/briarvale/platform/engine_report.py
@@ -23,13 +23,12 @@
     connection = await ClientConnection.open(server.address, CONNECT_TIMEOUT_S)
     try:
         host = f"{server.address.host}:{server.address.port}".encode()
-        await connection.send(OutgoingRequest(b"GET", REPORT_PATH, ((b"host", host),)))
-        head = await connection.read_head()
-        body = b"".join([chunk async for chunk in connection.iterate_body()])
+        request = OutgoingRequest(b"GET", REPORT_PATH, ((b"host", host),))
+        answer = await connection.exchange(request)
     finally:
         await connection.aclose()
     try:
-        row = json.loads(body) if head.status == 200 else {}
+        row = json.loads(answer.body) if answer.status == 200 else {}
         return ServerRuns(server.id, int(row["num_running"]), int(row["num_waiting"]))
     except (KeyError, TypeError, ValueError) as error:
         raise ServerGarbled(f"{server.id}: no report: {error!r}") from error
--- a/briarvale/platform/feeds.py
+++ b/briarvale/platform/feeds.py
@@ -53,14 +53,14 @@
 
     def take_list(self, objects: tuple[FeedObject, ...], *, after_outage: bool) -> None:
         """Takes the list."""
-        decoded = (server_from(row.name, row.value, frozenset()) for row in objects)
+        decoded = (server_from(row.name, row.value) for row in objects)
         found = [server for server in decoded if server is not None]
         self._servers.replace_all(found, after_outage=after_outage)
 
     def take_change(self, change: FeedChange) -> None:
         """Takes one change; an entry that can't be read names no server."""
         row = change.object
-        server = None if change.is_deleted else server_from(row.name, row.value, frozenset())
+        server = None if change.is_deleted else server_from(row.name, row.value)
         if server is None:
             self._servers.remove(row.name)
         else:
--- a/briarvale/platform/node.py
+++ b/briarvale/platform/node.py
@@ -23,6 +23,7 @@
 from ..peer_environment import NodeEnvironment
 from ..routes import IngressLimits
 from ..routes_in_force import RoutesInForce
+from ..serving_parts import ServingParts
 from ..slot_client import OwnerPatience, SlotClient
 from ..store_budget import BackOff, CallRates, StoreBudget
 from ..vm_directory import VMS_KIND, VmDirectory
@@ -153,7 +154,6 @@
                 self._store,
                 kind,
                 handler,
-                self._clock.now_ms,
                 is_relayed=is_relayed,
                 watch_ms=SHORT_WATCH_MS if is_relayed else WATCH_MS,
             )
@@ -177,7 +177,8 @@
         engines = EngineClient(BackendConnections(), PlatformDialect(), self._clock)
         membership = self.cluster.membership
         crashes = CrashGuard(self._clock, membership.suspects, membership.publish)
-        forwarder = Forwarder(self._clock, self.servers, slots, engines, crashes, zone)
+        parts = ServingParts(self._clock, self.servers, slots, engines, crashes, zone)
+        forwarder = Forwarder(parts)
         service = WorkService(
             self._store,
             self._budget,
@@ -187,9 +188,7 @@
             lambda: self._feeds[JOBS_KIND].is_current,
             self._environment.identity,
         )
-        items = WorkItemRunner(
-            self._clock, self.servers, slots, engines, crashes, ItemRequests(self._clock), zone
-        )
+        items = WorkItemRunner(parts, ItemRequests(self._clock))
         identity = self._environment.identity
         self._runner = WorkRunner(self.cluster, identity, self.jobs, service, items, self._clock)
         tasks.start_soon(self._runner.run)
--- a/briarvale/platform/store.py
+++ b/briarvale/platform/store.py
@@ -23,7 +23,7 @@
     StoreUnavailable,
     VersionConflict,
 )
-from ..http_wire import ClientConnection, OutgoingRequest
+from ..http_wire import ClientConnection, OutgoingRequest, WholeAnswer
 from ..node_settings import StoreLimits
 from ..object_feed import ChangeList, FeedChange, FeedObject, ObjectList
 from ..object_store import StoredObject, WatchResult
@@ -152,15 +152,13 @@
             raise StoreUnavailable("store: an answer that is no JSON") from error
         return row if isinstance(row, dict) else {}
 
-    async def _exchange(self, request: OutgoingRequest) -> tuple[int, bytes]:
+    async def _exchange(self, request: OutgoingRequest) -> WholeAnswer:
         connection = await self._connect()
         is_kept = False
         try:
-            await connection.send(request)
-            head = await connection.read_head()
-            data = b"".join([chunk async for chunk in connection.iterate_body()])
+            answer = await connection.exchange(request)
             is_kept = connection.finish() and len(self._idle) < MAX_IDLE_CONNECTIONS
-            return head.status, data
+            return answer
         finally:
             if is_kept:
                 self._idle.append(connection)
--- /dev/null
+++ b/briarvale/serving_parts.py
@@ -0,0 +1,57 @@
+"""What every run of a request at a backend server needs, online or of a batch item."""
+
+from typing import NamedTuple
+
+from ._generated.messages import SlotRequest, WorkClass
+from .clock import Clock
+from .crash_guard import CrashGuard
+from .engine_run import EngineClient
+from .forward_request import ForwardRequest
+from .live_servers import LiveServers
+from .slot_client import SlotClient, new_request_id
+
+__all__ = ["ServingParts"]
+
+
+class ServingParts(NamedTuple):
+    """The parts of a node that run requests.
+
+    Attributes:
+        clock: Source of instants.
+        servers: The backend servers that have an entry.
+        slots: Asks the owners of pools for slots.
+        engines: Runs requests at backend servers.
+        crashes: Knows requests that crash backend servers.
+        availability_zone: This node's place.
+    """
+
+    clock: Clock
+    servers: LiveServers
+    slots: SlotClient
+    engines: EngineClient
+    crashes: CrashGuard
+    availability_zone: str
+
+    def slot_request(
+        self,
+        request: ForwardRequest,
+        work_class: WorkClass,
+        *,
+        deadline_ms: int,
+        priority: int,
+        excluded: list[str],
+    ) -> SlotRequest:
+        """Returns the request for a slot of the service's pool."""
+        return SlotRequest(
+            request_id=new_request_id(),
+            backend_server=request.service,
+            work_class=work_class,
+            slot_count=1,
+            cost_tokens=request.prompt_tokens + request.output_tokens,
+            deadline_ms=deadline_ms,
+            prompt_tokens=request.prompt_tokens,
+            prefix_ids=tuple(part.id for part in request.prompt_parts),
+            excluded=tuple(excluded),
+            priority=priority,
+            availability_zone=self.availability_zone,
+        )
--- a/briarvale/shard_log.py
+++ b/briarvale/shard_log.py
@@ -5,13 +5,24 @@
 
 import json
 import secrets
+from collections.abc import Iterable
 from typing import NamedTuple
 
 from .errors import ObjectExists, ObjectNotFound, ShardSealed
 from .object_store import ObjectStore
 from .store_budget import StoreBudget
 
-__all__ = ["ItemProgress", "ItemResult", "LogEntry", "NO_RUNNER", "RunnerId", "ShardLog"]
+SEPARATOR_BYTES = 2
+
+__all__ = [
+    "ItemProgress",
+    "ItemResult",
+    "LogEntry",
+    "NO_RUNNER",
+    "RunnerId",
+    "ShardLog",
+    "fitting_results",
+]
 
 
 class ItemResult(NamedTuple):
@@ -45,6 +56,18 @@
 NO_RUNNER = RunnerId("", "")
 
 
+def fitting_results(results: Iterable[ItemResult], max_bytes: int) -> list[ItemResult]:
+    """Returns as many of the first results as fit into a size, at least one if there is one."""
+    size_bytes = 0
+    chosen: list[ItemResult] = []
+    for result in results:
+        size_bytes += result.size_bytes + SEPARATOR_BYTES
+        if chosen and size_bytes > max_bytes:
+            break
+        chosen.append(result)
+    return chosen
+
+
 class LogEntry(NamedTuple):
     """One immutable object of the log.
 
--- a/briarvale/shard_runner.py
+++ b/briarvale/shard_runner.py
@@ -7,7 +7,7 @@
 from .environment import Environment
 from .item_scheduler import ItemScheduler, OpenShard
 from .jobs import JobRecord, JobState, load_shard, log_prefix
-from .shard_log import ItemResult, ShardLog
+from .shard_log import ItemResult, ShardLog, fitting_results
 from .store_budget import StoreBudget
 
 FIRST_ENTRY_RESULTS = 25
@@ -169,7 +169,7 @@
     async def _commit(
         self, running: RunningShard, shard: OpenShard, shard_log: ShardLog, is_last: bool
     ) -> bool:
-        results = _entry_results(shard)
+        results = fitting_results(shard.results.values(), ENTRY_MAX_BYTES)
         is_seal = is_last and len(results) == len(shard.results)
         if not results and not is_seal:
             return True
@@ -200,18 +200,6 @@
         return age_s >= (ENTRY_AGE_S if is_worth_it else ENTRY_MAX_AGE_S)
 
 
-def _entry_results(shard: OpenShard) -> list[ItemResult]:
-    """Returns the results for one entry: as many as fit into one object."""
-    size_bytes = 0
-    chosen: list[ItemResult] = []
-    for result in shard.results.values():
-        size_bytes += result.size_bytes + 2
-        if chosen and size_bytes > ENTRY_MAX_BYTES:
-            break
-        chosen.append(result)
-    return chosen
-
-
 def _count(results: list[ItemResult]) -> None:
     failed = sum(1 for result in results if result.error_code)
     metrics.ITEMS.add({"result": "done"}, len(results) - failed)
--- a/briarvale/work_items.py
+++ b/briarvale/work_items.py
@@ -8,9 +8,7 @@
 
 from . import logs
 from ._generated.messages import Outcome, SlotRequest, WorkClass
-from .clock import MS_PER_S, Clock
-from .crash_guard import CrashGuard
-from .engine_run import EngineClient
+from .clock import MS_PER_S
 from .errors import (
     BriarvaleError,
     DeadlineExceeded,
@@ -22,9 +20,10 @@
 )
 from .event_stream import EventCursor, EventSplitter
 from .forward_request import ForwardRequest
-from .live_servers import LiveServer, LiveServers
+from .live_servers import LiveServer
+from .serving_parts import ServingParts
 from .shard_log import ItemProgress, ItemResult
-from .slot_client import HeldSlot, SlotClient, new_request_id
+from .slot_client import HeldSlot
 from .traces import tracer
 from .work_jobs import WorkItem, WorkJob
 
@@ -84,32 +83,18 @@
     """Runs items.
 
     Args:
-        clock: Source of instants.
-        servers: The backend servers that have an entry.
-        slots: Asks the owners of pools for slots.
-        engines: Runs requests at backend servers.
-        crashes: Knows requests that crash backend servers.
+        parts: What runs requests.
         decoder: Makes the requests of items.
-        availability_zone: This node's place.
     """
 
-    def __init__(
-        self,
-        clock: Clock,
-        servers: LiveServers,
-        slots: SlotClient,
-        engines: EngineClient,
-        crashes: CrashGuard,
-        decoder: ItemDecoder,
-        availability_zone: str,
-    ) -> None:
-        self._clock = clock
-        self._servers = servers
-        self._slots = slots
-        self._engines = engines
-        self._crashes = crashes
+    def __init__(self, parts: ServingParts, decoder: ItemDecoder) -> None:
+        self._parts = parts
+        self._clock = parts.clock
+        self._servers = parts.servers
+        self._slots = parts.slots
+        self._engines = parts.engines
+        self._crashes = parts.crashes
         self._decoder = decoder
-        self._availability_zone = availability_zone
 
     async def run(self, job: WorkJob, state: ItemState) -> ItemResult:
         """Runs an item until it has a result; an error code says why it was given up."""
@@ -173,21 +158,14 @@
                 raise
 
     def _slot_request(self, job: WorkJob, request: ForwardRequest, state: ItemState) -> SlotRequest:
-        now_ms = self._clock.now_ms()
-        return SlotRequest(
-            request_id=new_request_id(),
-            backend_server=job.service,
-            work_class=WorkClass.BATCH,
-            slot_count=1,
-            cost_tokens=request.prompt_tokens + request.output_tokens,
-            deadline_ms=now_ms + SLOT_WAIT_MS,
-            start_by_ms=max(0, job.due_at_ms),
-            prompt_tokens=request.prompt_tokens,
-            prefix_ids=tuple(part.id for part in request.prompt_parts),
-            excluded=tuple(state.excluded),
+        wanted = self._parts.slot_request(
+            request,
+            WorkClass.BATCH,
+            deadline_ms=self._clock.now_ms() + SLOT_WAIT_MS,
             priority=job.priority,
-            availability_zone=self._availability_zone,
+            excluded=state.excluded,
         )
+        return wanted._replace(start_by_ms=max(0, job.due_at_ms))
 
     async def _run_at(
         self,
--- a/briarvale/work_jobs.py
+++ b/briarvale/work_jobs.py
@@ -124,7 +124,6 @@
         self._early: dict[str, list[LogEntry]] = {}
         self._unloaded: set[str] = set()
         self.changed = Notifier()
-        self.is_known = False
 
     def __iter__(self) -> Iterator[KnownJob]:
         return iter(list(self._jobs.values()))
@@ -169,7 +168,6 @@
         """Takes all objects of the kind."""
         for row in objects:
             self._take(row)
-        self.is_known = True
 
     def take_change(self, change: FeedChange) -> None:
         """Takes one change."""
--- a/briarvale/work_runner.py
+++ b/briarvale/work_runner.py
@@ -13,7 +13,7 @@
 from .errors import BriarvaleError, ShardSealed, StoreThrottled, StoreUnavailable
 from .node_cluster import NodeCluster
 from .peer import PeerIdentity
-from .shard_log import NO_RUNNER, ItemResult, RunnerId, ShardLog
+from .shard_log import NO_RUNNER, ItemResult, RunnerId, ShardLog, fitting_results
 from .work_items import ItemState, WorkItemRunner
 from .work_jobs import JobDirectory, KnownJob, WorkJob
 from .work_service import WorkService
@@ -242,7 +242,8 @@
     async def _append(self, running: _RunningJob, shard_log: ShardLog) -> None:
         """Appends what is there; what the store does not take now stays for the next time."""
         running.arrived = anyio.Event()
-        entry = _fitting([r for r in running.results if r.item_index not in shard_log.done])
+        unlisted = [r for r in running.results if r.item_index not in shard_log.done]
+        entry = fitting_results(unlisted, MAX_ENTRY_BYTES)
         try:
             if entry and await shard_log.append(entry):
                 self._note_listed(running.known.job, entry)
@@ -267,13 +268,3 @@
                 code=result.error_code or "done",
                 due_in_ms=job.due_at_ms - self._clock.now_ms(),
             )
-
-
-def _fitting(results: list[ItemResult]) -> list[ItemResult]:
-    """Returns as many of the results as fit into one entry, at least one."""
-    size_bytes = 0
-    for count, result in enumerate(results):
-        size_bytes += result.size_bytes
-        if count and size_bytes > MAX_ENTRY_BYTES:
-            return results[:count]
-    return results
--- a/briarvale/work_service.py
+++ b/briarvale/work_service.py
@@ -22,7 +22,7 @@
 )
 from .object_store import ObjectStore
 from .peer import PeerIdentity
-from .shard_log import ItemResult, RunnerId, ShardLog
+from .shard_log import ItemResult, RunnerId, ShardLog, fitting_results
 from .store_budget import StoreBudget
 from .work_jobs import (
     JobDirectory,
@@ -230,11 +230,5 @@
 
 
 def _page(known: KnownJob, after: int) -> ResultsPage:
-    chosen: list[ItemResult] = []
-    size_bytes = 0
-    for result in known.results[after:]:
-        size_bytes += result.size_bytes
-        if chosen and size_bytes > MAX_PAGE_BYTES:
-            break
-        chosen.append(result)
+    chosen = fitting_results(known.results[after:], MAX_PAGE_BYTES)
     return ResultsPage(len(known.job.items), after + len(chosen), tuple(chosen))
