Write a hand-over again when its place in the log is taken

Cause: when a node stopped and another entry stood where its hand-over should have gone, the answer of the append was ignored: results were logged and counted as listed though they were not, and nobody was told that the job had no runner, so it waited until the node was lost. Ruled out: a double result; the items ran again, and were listed once. Change: the hand-over is written again after the other entry while the job is still this node's. Test: another entry takes the place of a hand-over; seen failing (0 entries gave the job back), passes after.

--- a/briarvale/work_runner.py
+++ b/briarvale/work_runner.py
@@ -196,22 +196,31 @@
 
     async def _hand_over(self, running: _RunningJob, shard_log: ShardLog) -> None:
         """Lists what is done; a node that stops also tells the next runner how far items are."""
-        is_ours = (shard_log.runner or running.known.job.runner) == self._own
-        if shard_log.is_sealed or not is_ours:
-            return
-        if not self._is_stopping:
-            if running.results:
+        while self._is_ours(running, shard_log):
+            if self._is_stopping:
+                is_done = await self._give_back(running, shard_log)
+            else:
                 await self._append(running, shard_log)
-            return
-        states = [s for i, s in running.states.items() if i not in shard_log.done]
-        listed = {result.item_index for result in running.results}
-        progress = [s.progress for s in states if s.index not in listed]
+                is_done = not running.results
+            if is_done:
+                return
+
+    def _is_ours(self, running: _RunningJob, shard_log: ShardLog) -> bool:
+        """Whether the job is open and this process its runner, by the log as read so far."""
+        runner = shard_log.runner or running.known.job.runner
+        return not shard_log.is_sealed and runner == self._own
+
+    async def _give_back(self, running: _RunningJob, shard_log: ShardLog) -> bool:
+        """Writes results, progress and that nobody runs the job; false if another entry stands."""
         entry = [r for r in running.results if r.item_index not in shard_log.done]
-        await shard_log.append(
-            entry, progress=tuple(item for item in progress if item), runner=NO_RUNNER
-        )
+        listed = shard_log.done | {result.item_index for result in entry}
+        states = [state for index, state in running.states.items() if index not in listed]
+        progress = tuple(s.progress for s in states if s.progress is not None)
+        if not await shard_log.append(entry, progress=progress, runner=NO_RUNNER):
+            return False
         self._note_listed(running.known.job, entry)
-        log.info("Handed a job over.", job_id=running.known.job.job_id, unfinished=len(progress))
+        log.info("Handed a job over.", job_id=running.known.job.job_id, unfinished=len(states))
+        return True
 
     async def _replay(self, shard_log: ShardLog) -> None:
         """Reads the log, however long the store is away."""
--- a/features/platform/batch.feature
+++ b/features/platform/batch.feature
@@ -33,6 +33,10 @@
     When the node that runs a job stops gracefully
     Then another node finishes it
 
+  Scenario: A hand-over whose place in the log is taken is written after the other entry
+    When the node that runs a job stops gracefully just as another entry takes its place
+    Then the job is given back in the entry after it, and another node finishes it
+
   Scenario: An unknown job is not found; without the store nobody can say
     When a job that does not exist is read, with the store and without
     Then the answers are 404 and 503
--- a/features/steps/platform_batch.py
+++ b/features/steps/platform_batch.py
@@ -19,8 +19,11 @@
     job_body,
     platform_fleet,
 )
+from features.support.platform_store import Overtake
 
 JOB = "job-1"
+# How the entry that gives a job back names no runner, within the text of the stored object.
+HANDED_OVER = r"\"runner\": [\"\", \"\"]"
 ITEMS = ["item-a", "item-b", "item-c"]
 DONE_TIMEOUT_S = 25.0
 BIG_ITEM_BYTES = 100_000
@@ -371,6 +374,31 @@
     play(context, lose_runner(lambda node: node.stopped.set()), nodes=3)
 
 
+def foreign_entry(spec: dict[str, Any]) -> dict[str, Any]:
+    """Returns an entry without content in place of one that hands a job over."""
+    entry = json.loads(spec["text"])
+    entry |= {"nonce": "another", "results": [], "progress": [], "runner": None}
+    return {**spec, "text": json.dumps(entry)}
+
+
+@when("the node that runs a job stops gracefully just as another entry takes its place")
+def when_overtaken(context: Context) -> None:
+    async def behave_as(fleet: PlatformFleet, facts: dict[str, Any]) -> None:
+        fleet.store.faults.overtake = Overtake(HANDED_OVER, foreign_entry)
+        await lose_runner(lambda node: node.stopped.set())(fleet, facts)
+        entries = fleet.store.kinds["workjobs"].values()
+        texts = [json.loads(row["spec"]["text"]) for row in entries]
+        facts["handed over"] = sum(text.get("runner") == ["", ""] for text in texts)
+
+    play(context, behave_as, nodes=3)
+
+
+@then("the job is given back in the entry after it, and another node finishes it")
+def then_given_back(context: Context) -> None:
+    assert context.facts["handed over"] == 1, context.facts
+    then_finishes(context)
+
+
 @then("another node finishes it")
 def then_finishes(context: Context) -> None:
     results = context.facts["results"]
--- a/features/support/platform_store.py
+++ b/features/support/platform_store.py
@@ -1,6 +1,7 @@
 """The platform's store in little, over HTTP on loopback: conditions, watches, history, faults."""
 
 import json
+from collections.abc import Callable
 from typing import Any, NamedTuple
 from urllib.parse import parse_qs, unquote
 
@@ -26,6 +27,13 @@
     is_deleted: bool
 
 
+class Overtake(NamedTuple):
+    """Another writer's object that takes the place of the next create whose text has a marker."""
+
+    marker: str
+    spec: Callable[[Row], Row]
+
+
 class StoreFaults:
     """Switches for what goes wrong; all off at the start."""
 
@@ -36,6 +44,7 @@
         self.are_watches_deaf = False
         self.watch_cuts = 0
         self.refused_hosts: set[str] = set()
+        self.overtake: Overtake | None = None
 
 
 class PlatformStoreStandin:
@@ -146,6 +155,12 @@
         name = name or body["metadata"]["name"]
         known = rows.get(name)
         if verb == b"POST":
+            overtake = self.faults.overtake
+            if overtake is not None and overtake.marker in json.dumps(body):
+                self.faults.overtake = None
+                known = self._write(
+                    kind, {"metadata": {"name": name}, "spec": overtake.spec(body["spec"])}
+                )
             if known is not None:
                 return 409, known
             return 201, self._write(kind, {"metadata": {"name": name}, "spec": body["spec"]})
