Let one node of a zone watch the store for the others

Ruled out: polling. Jobs could not be passed on whole: texts of about 10 kB a result would fill the 30 Mbit/s link of the node that passes them on, so nodes get digests and read texts from the log when a caller asks. Change: the first node of each zone by rendezvous watches, and passes changes on to the others over a peer connection with beats; a node that can't hear it asks the store itself. Bursts of changes of VMs and jobs share a call. Tests: features/platform/feeds.feature. The connection without news closed after 1.2 s in 3 of 12 runs of the digest scenario; traced (no beats before the first subscription), with a scenario that failed before. All 61 platform scenarios pass.

--- a/briarvale/_generated/messages.py
+++ b/briarvale/_generated/messages.py
@@ -311,6 +311,43 @@
     suspects: tuple[SuspectNotice, ...] = ()
 
 
+class FeedRow(NamedTuple):
+    """The peer message FeedRow."""
+
+    name: str = ""
+    value: bytes = b""
+    revision: int = 0
+    is_deleted: bool = False
+    is_json: bool = False
+
+
+class FeedSubscribe(NamedTuple):
+    """The peer message FeedSubscribe."""
+
+    kind: str = ""
+    revision: int = 0
+
+
+class FeedUpdate(NamedTuple):
+    """The peer message FeedUpdate."""
+
+    kind: str = ""
+    revision: int = 0
+    rows: tuple[FeedRow, ...] = ()
+
+
+class FeedLost(NamedTuple):
+    """The peer message FeedLost."""
+
+    kind: str = ""
+
+
+class FeedBeat(NamedTuple):
+    """The peer message FeedBeat."""
+
+    sequence: int = 0
+
+
 Message = (
     Challenge
     | Hello
@@ -335,6 +372,10 @@
     | StateFetch
     | StateSnapshot
     | SlotHeartbeat
+    | FeedSubscribe
+    | FeedUpdate
+    | FeedLost
+    | FeedBeat
 )
 
 
@@ -840,6 +881,72 @@
         _write_suspect_notice(suspects[index], suspect_notice)
 
 
+def _read_feed_row(reader: Any) -> FeedRow:
+    return FeedRow(
+        reader.name,
+        reader.value,
+        reader.revision,
+        reader.isDeleted,
+        reader.isJson,
+    )
+
+
+def _write_feed_row(builder: Any, message: FeedRow) -> None:
+    builder.name = message.name
+    builder.value = message.value
+    builder.revision = message.revision
+    builder.isDeleted = message.is_deleted
+    builder.isJson = message.is_json
+
+
+def _read_feed_subscribe(reader: Any) -> FeedSubscribe:
+    return FeedSubscribe(
+        reader.kind,
+        reader.revision,
+    )
+
+
+def _write_feed_subscribe(builder: Any, message: FeedSubscribe) -> None:
+    builder.kind = message.kind
+    builder.revision = message.revision
+
+
+def _read_feed_update(reader: Any) -> FeedUpdate:
+    return FeedUpdate(
+        reader.kind,
+        reader.revision,
+        tuple(_read_feed_row(item) for item in reader.rows),
+    )
+
+
+def _write_feed_update(builder: Any, message: FeedUpdate) -> None:
+    builder.kind = message.kind
+    builder.revision = message.revision
+    rows = builder.init("rows", len(message.rows))
+    for index, feed_row in enumerate(message.rows):
+        _write_feed_row(rows[index], feed_row)
+
+
+def _read_feed_lost(reader: Any) -> FeedLost:
+    return FeedLost(
+        reader.kind,
+    )
+
+
+def _write_feed_lost(builder: Any, message: FeedLost) -> None:
+    builder.kind = message.kind
+
+
+def _read_feed_beat(reader: Any) -> FeedBeat:
+    return FeedBeat(
+        reader.sequence,
+    )
+
+
+def _write_feed_beat(builder: Any, message: FeedBeat) -> None:
+    builder.sequence = message.sequence
+
+
 _WRITERS: dict[type, tuple[str, Any]] = {
     Challenge: ("challenge", _write_challenge),
     Hello: ("hello", _write_hello),
@@ -864,6 +971,10 @@
     StateFetch: ("stateFetch", _write_state_fetch),
     StateSnapshot: ("stateSnapshot", _write_state_snapshot),
     SlotHeartbeat: ("slotHeartbeat", _write_slot_heartbeat),
+    FeedSubscribe: ("feedSubscribe", _write_feed_subscribe),
+    FeedUpdate: ("feedUpdate", _write_feed_update),
+    FeedLost: ("feedLost", _write_feed_lost),
+    FeedBeat: ("feedBeat", _write_feed_beat),
 }
 _READERS: dict[str, Any] = {
     "challenge": _read_challenge,
@@ -889,6 +1000,10 @@
     "stateFetch": _read_state_fetch,
     "stateSnapshot": _read_state_snapshot,
     "slotHeartbeat": _read_slot_heartbeat,
+    "feedSubscribe": _read_feed_subscribe,
+    "feedUpdate": _read_feed_update,
+    "feedLost": _read_feed_lost,
+    "feedBeat": _read_feed_beat,
 }
 
 
--- /dev/null
+++ b/briarvale/feed_link.py
@@ -0,0 +1,128 @@
+"""A subscriber's connection to the node that passes the changes of the store on."""
+
+import anyio
+
+from . import logs
+from ._generated.messages import (
+    FeedBeat,
+    FeedLost,
+    FeedSubscribe,
+    FeedUpdate,
+    Message,
+)
+from .errors import PeerClosed, PeerProtocolError
+from .feed_publisher import decode_row
+from .notifier import Notifier
+from .object_feed import ChangeList, FeedChange
+from .peer import MessageStream, PeerAddress, PeerIdentity
+from .peer_connection import PeerConnection
+
+# Several beats of the publisher; a bound on how late a change is heard when the publisher hangs.
+MAX_SILENCE_S = 1.2
+
+log = logs.part("feeds")
+
+__all__ = ["FeedLink"]
+
+
+class _SubscribedKind:
+    """What was heard of one kind and not taken yet."""
+
+    def __init__(self, revision: int) -> None:
+        self.revision = revision
+        self.changes: list[FeedChange] = []
+        self.is_lost = False
+
+
+class FeedLink:
+    """One connection to a publisher; `run` is its life.
+
+    Args:
+        address: The publisher.
+        stream: The connection.
+    """
+
+    def __init__(self, address: PeerAddress, stream: MessageStream) -> None:
+        self.address = address
+        self._stream = stream
+        self._connection = PeerConnection(stream, PeerIdentity("publisher", address.host, ""))
+        self._kinds: dict[str, _SubscribedKind] = {}
+        self._heard = Notifier()
+        self._heard_at_s = anyio.current_time()
+        self.is_closed = False
+
+    async def watch(self, kind: str, revision: int, wait_s: float) -> ChangeList | None:
+        """Waits for changes of a kind after a revision; none if the publisher can't tell."""
+        known = self._kinds.get(kind)
+        if known is None or known.revision != revision:
+            if not self._is_subscribed:
+                self._heard_at_s = anyio.current_time()
+            known = self._kinds[kind] = _SubscribedKind(revision)
+            self._connection.notify(FeedSubscribe(kind, revision))
+        with anyio.move_on_after(wait_s):
+            while not (known.changes or known.is_lost or self.is_closed):
+                await self._heard.wait()
+        if known.is_lost or self.is_closed:
+            self._kinds.pop(kind, None)
+            return None
+        changes, known.changes = known.changes, []
+        return ChangeList(tuple(changes), known.revision)
+
+    def close(self) -> None:
+        """Ends the connection; who waits on it is told."""
+        self.is_closed = True
+        self._connection.close()
+        self._heard.notify()
+
+    async def run(self) -> None:
+        """Reads and writes until the connection ends or falls silent."""
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._connection.write_outbox)
+                tasks.start_soon(self._end_when_silent, tasks.cancel_scope)
+                while not self.is_closed:
+                    message = await self._stream.receive()
+                    self._heard_at_s = anyio.current_time()
+                    self._take(message)
+                tasks.cancel_scope.cancel()
+        except* (PeerClosed, PeerProtocolError) as errors:
+            log.info("Lost the publisher {}: {}.", self.address.host, errors.exceptions[0])
+        finally:
+            self.close()
+            await self._stream.aclose()
+
+    @property
+    def _is_subscribed(self) -> bool:
+        """Whether the publisher owes this node news or beats."""
+        return any(not known.is_lost for known in self._kinds.values())
+
+    async def _end_when_silent(self, scope: anyio.CancelScope) -> None:
+        left_s = MAX_SILENCE_S
+        while left_s > 0:
+            await anyio.sleep(left_s)
+            silent_s = anyio.current_time() - self._heard_at_s if self._is_subscribed else 0.0
+            left_s = MAX_SILENCE_S - silent_s
+        log.info("The publisher {} is silent.", self.address.host)
+        scope.cancel()
+
+    def _take(self, message: Message) -> None:
+        match message:
+            case FeedUpdate():
+                self._take_update(message)
+            case FeedLost():
+                known = self._kinds.get(message.kind)
+                if known is not None:
+                    known.is_lost = True
+            case FeedBeat():
+                return
+            case _:
+                log.warning("Unexpected {} from a publisher.", type(message).__name__)
+        self._heard.notify()
+
+    def _take_update(self, update: FeedUpdate) -> None:
+        """Takes changes that are news here; a list may have brought the subscriber further."""
+        known = self._kinds.get(update.kind)
+        if known is None or update.revision <= known.revision:
+            return
+        known.changes += [decode_row(row) for row in update.rows]
+        known.revision = update.revision
--- /dev/null
+++ b/briarvale/feed_source.py
@@ -0,0 +1,114 @@
+"""Where a node's feeds hear of changes: from the store, or from the node that watches for its zone.
+
+One node of each availability zone watches the store and passes on what it hears; the others ask the
+store only for lists, and while that node can't tell. So the calls of the store hardly grow with the
+number of nodes.
+"""
+
+from collections.abc import Callable
+
+import anyio
+
+from . import logs
+from .clock import MS_PER_S
+from .errors import BriarvaleError, OwnerUnreachable
+from .feed_link import FeedLink
+from .feed_publisher import FeedPublisher
+from .object_feed import ChangeList, FeedStore, ObjectList
+from .peer import PeerAddress, PeerTransport
+
+LOOK_INTERVAL_S = 0.3
+CONNECT_TIMEOUT_S = 0.5
+# A publisher that was lost is left alone this long; the membership mostly names another by then.
+RETRY_S = 2.0
+
+PublisherView = Callable[[], PeerAddress | None]
+
+log = logs.part("feeds")
+
+__all__ = ["FeedSource", "PublisherView"]
+
+
+class FeedSource:
+    """The `FeedStore` of a node's feeds; `run` is its life.
+
+    Args:
+        store: The platform's store.
+        publisher: Passes on what this node hears from the store.
+        transport: Connections to peers.
+        view: Returns the node that watches for this one; none if that is this node itself.
+    """
+
+    def __init__(
+        self,
+        store: FeedStore,
+        publisher: FeedPublisher,
+        transport: PeerTransport,
+        view: PublisherView,
+    ) -> None:
+        self._store = store
+        self._publisher = publisher
+        self._transport = transport
+        self._view = view
+        # The connection to the node that watches for this one; none while there is none.
+        self.link: FeedLink | None = None
+        self._lost_at_s: dict[PeerAddress, float] = {}
+
+    async def list_kind(self, kind: str) -> ObjectList:
+        """Lists all objects of a kind from the store."""
+        return await self._store.list_kind(kind)
+
+    async def watch_kind(self, kind: str, revision: int, wait_ms: int) -> ChangeList:
+        """Waits for changes of a kind; raises `HistoryGone`."""
+        if self.link is not None:
+            found = await self.link.watch(kind, revision, wait_ms / MS_PER_S)
+            if found is not None:
+                return found
+        return await self._watch_store(kind, revision, wait_ms)
+
+    async def _watch_store(self, kind: str, revision: int, wait_ms: int) -> ChangeList:
+        if self._view() is None:
+            self._publisher.begin(kind, revision)
+        else:
+            self._publisher.lose(kind)
+        try:
+            found = await self._store.watch_kind(kind, revision, wait_ms)
+        except BriarvaleError:
+            self._publisher.lose(kind)
+            raise
+        self._publisher.record(kind, found)
+        return found
+
+    async def run(self) -> None:
+        """Keeps a connection to the zone's publisher, until cancelled."""
+        while True:
+            address = self._view()
+            lost_at_s = self._lost_at_s.get(address, -RETRY_S) if address else 0.0
+            if address is not None and anyio.current_time() - lost_at_s >= RETRY_S:
+                await self._follow(address)
+                self._lost_at_s[address] = anyio.current_time()
+            await anyio.sleep(LOOK_INTERVAL_S)
+
+    async def _follow(self, address: PeerAddress) -> None:
+        """Hears from a publisher until it is lost or another node is to be heard."""
+        try:
+            with anyio.fail_after(CONNECT_TIMEOUT_S):
+                stream = await self._transport.connect(address)
+        except (OwnerUnreachable, TimeoutError) as error:
+            log.info("Can't reach the publisher {}: {!r}.", address.host, error)
+            return
+        link = FeedLink(address, stream)
+        log.info("Hears of the store from a publisher.", publisher=address.host)
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._leave_when_replaced, link)
+                self.link = link
+                await link.run()
+                tasks.cancel_scope.cancel()
+        finally:
+            self.link = None
+
+    async def _leave_when_replaced(self, link: FeedLink) -> None:
+        while self._view() == link.address:
+            await anyio.sleep(LOOK_INTERVAL_S)
+        link.close()
--- a/briarvale/node_cluster.py
+++ b/briarvale/node_cluster.py
@@ -7,6 +7,7 @@
 from . import logs
 from ._generated.messages import (
     ConfigFetch,
+    FeedSubscribe,
     HolderReport,
     Message,
     SlotHeartbeat,
@@ -18,6 +19,7 @@
     VmState,
 )
 from .errors import BriarvaleError
+from .feed_publisher import FeedPublisher
 from .feed_relay import FeedRelay
 from .live_servers import LiveServer, LiveServers
 from .membership import Membership
@@ -35,6 +37,8 @@
 START_SPREAD_MS = 1_000
 PROBE_INTERVAL_S = 0.3
 PROBE_TIMEOUT_S = 0.3
+# Each zone's node for the watches is the first of its nodes for this key.
+FEEDS_KEY = "feeds/"
 
 ServerProbe = Callable[[LiveServer], Awaitable[ServerRuns]]
 
@@ -68,6 +72,7 @@
         self.membership = Membership(settings, environment)
         self.pools = PoolOwner(environment.clock)
         self.relay: FeedRelay | None = None
+        self.publisher: FeedPublisher | None = None
         self._connections: list[PeerConnection] = []
 
     def alive(self) -> list[str]:
@@ -90,16 +95,17 @@
         A node that has just started is passed over where there are others, so that ownership does
         not move to one that does not know the fleet yet.
         """
-        return next(iter(first_by_rendezvous(key, self._settled() or self.alive(), 1)), None)
+        settled = [vm.vm for vm in self._settled()]
+        return next(iter(first_by_rendezvous(key, settled or self.alive(), 1)), None)
 
-    def _settled(self) -> list[str]:
+    def _settled(self) -> list[VmState]:
         """Returns the nodes that take part and started a while ago, or with the oldest ones."""
         sound = self._sound()
         # The incarnation of a VM is the instant of its start.
         oldest_ms = min((vm.incarnation for vm in sound), default=0)
         started_by_ms = self._environment.clock.now_ms() - SETTLE_MS
         latest_ms = max(started_by_ms, oldest_ms + START_SPREAD_MS)
-        return [vm.vm for vm in sound if vm.incarnation <= latest_ms]
+        return [vm for vm in sound if vm.incarnation <= latest_ms]
 
     def _sound(self) -> list[VmState]:
         """Returns the VMs that were heard of and live; the list may name some that are gone."""
@@ -125,6 +131,15 @@
         owner = self.owner(backend_server)
         return self.membership.peer_address(owner) if owner else None
 
+    def feed_publisher(self) -> PeerAddress | None:
+        """Returns the node that watches the store for this one's zone; none if it is this node."""
+        zone = self._settings.availability_zone
+        near = [vm.vm for vm in self._settled() if vm.availability_zone == zone]
+        chosen = next(iter(first_by_rendezvous(f"{FEEDS_KEY}{zone}", near, 1)), None)
+        if chosen is None or chosen == self._settings.vm:
+            return None
+        return self.membership.peer_address(chosen)
+
     async def wait_changed(self) -> None:
         """Waits until an owner may have changed."""
         await self.membership.wait_changed()
@@ -187,6 +202,8 @@
         finally:
             self._connections.remove(connection)
             self.pools.drop_holder(connection)
+            if self.publisher is not None:
+                self.publisher.drop(connection)
 
     def _handle(self, connection: PeerConnection, message: Message) -> None:
         match message:
@@ -196,5 +213,7 @@
                 connection.notify(self.membership.snapshot())
             case ConfigFetch() if self.relay is not None:
                 connection.notify(self.relay.bundle())
+            case FeedSubscribe() if self.publisher is not None:
+                self.publisher.subscribe(connection, message)
             case _:
                 log.warning("Unexpected {} from {}.", type(message).__name__, connection.name)
--- a/briarvale/object_feed.py
+++ b/briarvale/object_feed.py
@@ -80,6 +80,7 @@
         handler: Told of the list and of changes.
         is_relayed: Whether the objects are kept, for peers that the store turns away.
         watch_ms: How long a watch waits; one that hears nothing, though it should, ends by then.
+        pause_s: Time between watches that brought changes; those that come meanwhile share a call.
     """
 
     def __init__(
@@ -90,6 +91,7 @@
         *,
         is_relayed: bool = False,
         watch_ms: int = WATCH_MS,
+        pause_s: float = 0.0,
     ) -> None:
         self._store = store
         self._kind = kind
@@ -98,6 +100,7 @@
         self._failing_since_s: float | None = None
         self._is_relayed = is_relayed
         self._watch_ms = watch_ms
+        self._pause_s = pause_s
         self._rows: dict[str, FeedObject] = {}
 
     @property
@@ -152,6 +155,8 @@
         for change in found.changes:
             self._take_change(change)
         self._revision = max(self._revision, found.revision)
+        if found.changes:
+            await anyio.sleep(self._pause_s)
 
     async def _list(self) -> None:
         listed = await self._store.list_kind(self._kind)
--- a/briarvale/platform/batch_door.py
+++ b/briarvale/platform/batch_door.py
@@ -139,7 +139,7 @@
     except binascii.Error as error:
         raise ValueError(f"body: {error}") from error
     headers = tuple((str(name), str(text)) for name, text in (row.get("headers") or {}).items())
-    return WorkItem(row["id"], row["path"], headers, body, int(row.get("tokens") or 0))
+    return WorkItem(row["id"], row["path"], headers, body)
 
 
 def _result_row(job: WorkJob, result: ItemResult) -> dict[str, str]:
--- a/briarvale/platform/node.py
+++ b/briarvale/platform/node.py
@@ -12,7 +12,9 @@
 from ..datagrams import UdpDatagrams
 from ..engine_run import EngineClient
 from ..errors import BriarvaleError
+from ..feed_publisher import FeedPublisher
 from ..feed_relay import FeedRelay
+from ..feed_source import FeedSource
 from ..forwarding import Forwarder
 from ..ingress import Ingress, IngressRequest, IngressState, Responder
 from ..live_servers import LiveServers
@@ -29,7 +31,7 @@
 from ..vm_directory import VMS_KIND, VmDirectory
 from ..vm_drains import VmDrains
 from ..work_items import WorkItemRunner
-from ..work_jobs import JOBS_KIND, JobDirectory
+from ..work_jobs import JOBS_KIND, JobDirectory, job_digest
 from ..work_runner import WorkRunner
 from ..work_service import WorkService
 from .batch_door import BatchDoor, ItemRequests
@@ -44,6 +46,8 @@
 RELAYED_KINDS = (CONFIG_KIND, SERVERS_KIND)
 # Changes of these kinds have bounds of a few seconds, so no watch on them is trusted for long.
 SHORT_WATCH_MS = 5_000
+# Changes of these come in bursts, and nothing hangs on a fraction of a second.
+PAUSES_S = {VMS_KIND: 1.0, JOBS_KIND: 0.1}
 STORE_GIVE_UP_S = 3.0
 # Readers must neither wait for each other nor hold up what is written.
 READS_PER_S = 200.0
@@ -109,6 +113,13 @@
         self.routes = RoutesInForce()
         self.servers = LiveServers(self._clock.now_ms, settings.bounds.entry_return_ms)
         self.cluster = NodeCluster(settings.parts, self._environment, self.servers, fetch_runs)
+        self._publisher = self.cluster.publisher = FeedPublisher({JOBS_KIND: job_digest})
+        self.feed_source = FeedSource(
+            self._store,
+            self._publisher,
+            self._environment.transport,
+            self.cluster.feed_publisher,
+        )
         self.jobs = JobDirectory()
         self._budget = StoreBudget(
             give_up_after_s=STORE_GIVE_UP_S,
@@ -142,6 +153,9 @@
 
     def _start_feeds(self, tasks: TaskGroup) -> None:
         drains = VmDrains(self.cluster.is_mine, self._set_drained)
+        source = self.feed_source
+        tasks.start_soon(self._publisher.run)
+        tasks.start_soon(source.run)
         for kind, handler in (
             (CONFIG_KIND, ConfigFeed(self.routes)),
             (SERVERS_KIND, ServerFeed(self.servers)),
@@ -151,11 +165,12 @@
         ):
             is_relayed = kind in RELAYED_KINDS
             feed = ObjectFeed(
-                self._store,
+                source,
                 kind,
                 handler,
                 is_relayed=is_relayed,
                 watch_ms=SHORT_WATCH_MS if is_relayed else WATCH_MS,
+                pause_s=PAUSES_S.get(kind, 0.0),
             )
             self._feeds[kind] = feed
             tasks.start_soon(feed.run)
--- a/briarvale/schema/messages.capnp
+++ b/briarvale/schema/messages.capnp
@@ -149,6 +149,18 @@
   suspects @2 :List(SuspectNotice);
 }
 
+struct FeedRow {
+  name @0 :Text;
+  value @1 :Data;
+  revision @2 :UInt64;
+  isDeleted @3 :Bool;
+  isJson @4 :Bool;
+}
+struct FeedSubscribe { kind @0 :Text; revision @1 :UInt64; }
+struct FeedUpdate { kind @0 :Text; revision @1 :UInt64; rows @2 :List(FeedRow); }
+struct FeedLost { kind @0 :Text; }
+struct FeedBeat { sequence @0 :UInt32; }
+
 struct Envelope {
   union {
     challenge @0 :Challenge;
@@ -174,5 +186,9 @@
     stateFetch @20 :StateFetch;
     stateSnapshot @21 :StateSnapshot;
     slotHeartbeat @22 :SlotHeartbeat;
+    feedSubscribe @23 :FeedSubscribe;
+    feedUpdate @24 :FeedUpdate;
+    feedLost @25 :FeedLost;
+    feedBeat @26 :FeedBeat;
   }
 }
--- a/briarvale/shard_log.py
+++ b/briarvale/shard_log.py
@@ -74,6 +74,7 @@
     Attributes:
         progress: How far unfinished items have come, for the next runner.
         runner: Who runs the shard from here on; none if that doesn't change.
+        is_digest: Whether the texts of results are left out; never so in the store.
     """
 
     sequence: int
@@ -82,6 +83,12 @@
     is_seal: bool = False
     progress: tuple[ItemProgress, ...] = ()
     runner: RunnerId | None = None
+    is_digest: bool = False
+
+    def digest(self) -> "LogEntry":
+        """Returns which results it lists, without their texts."""
+        results = tuple(result._replace(text="") for result in self.results)
+        return self._replace(results=results, progress=(), is_digest=bool(results))
 
     def encode(self) -> bytes:
         """Returns the JSON that the Object API keeps."""
--- a/briarvale/work_jobs.py
+++ b/briarvale/work_jobs.py
@@ -26,6 +26,7 @@
     "KnownJob",
     "WorkItem",
     "WorkJob",
+    "job_digest",
     "job_key",
     "job_log_prefix",
     "part_key",
@@ -39,14 +40,12 @@
     Attributes:
         headers: Header names and values as the caller gave them.
         body_base64: The body, encoded.
-        token_count: Tokens of the prompt and of the longest output together.
     """
 
     id: str
     target: str
     headers: tuple[tuple[str, str], ...]
     body_base64: str
-    token_count: int = 0
 
 
 class WorkJob(NamedTuple):
@@ -54,6 +53,7 @@
 
     Attributes:
         runner: Who runs it first: the process that accepted it.
+        is_digest: Whether all of the items but their ids is left out; never so in the store.
     """
 
     job_id: str
@@ -67,6 +67,12 @@
     items: tuple[WorkItem, ...]
     part_count: int = 0
     runner: RunnerId = NO_RUNNER
+    is_digest: bool = False
+
+    def digest(self) -> "WorkJob":
+        """Returns the job with no more of its items than their ids."""
+        items = tuple(WorkItem(item.id, "", (), "") for item in self.items)
+        return self._replace(items=items, is_digest=True)
 
     def encode(self) -> bytes:
         """Returns the JSON that the store keeps."""
@@ -93,6 +99,8 @@
         self.runner_since_s = anyio.current_time()
         self.changed = Notifier()
         self._early: dict[int, LogEntry] = {}
+        # Positions whose texts are not known here, and the log entries that hold them.
+        self._textless: dict[int, int] = {}
 
     @property
     def is_complete(self) -> bool:
@@ -105,6 +113,10 @@
         is_news = False
         while self.next_sequence in self._early:
             following = self._early.pop(self.next_sequence)
+            if following.is_digest:
+                first = len(self.results)
+                places = range(first, first + len(following.results))
+                self._textless |= dict.fromkeys(places, following.sequence)
             self.results += following.results
             self.is_ended = self.is_ended or following.is_seal
             if following.runner is not None:
@@ -115,6 +127,22 @@
         if is_news:
             self.changed.notify()
 
+    def textless_sequences(self, after: int) -> list[int]:
+        """Returns the entries whose texts are to be read for the results from a position on."""
+        return sorted({entry for place, entry in self._textless.items() if place >= after})
+
+    def fill(self, entry: LogEntry) -> None:
+        """Takes the texts of an entry that came without."""
+        places = sorted(place for place, one in self._textless.items() if one == entry.sequence)
+        for place, result in zip(places, entry.results, strict=False):
+            self.results[place] = result
+            del self._textless[place]
+
+    def whole_results(self, after: int) -> list[ItemResult]:
+        """Returns the results from a position up to the first whose text is not known."""
+        until = min((place for place in self._textless if place >= after), default=None)
+        return self.results[after:until]
+
 
 class JobDirectory:
     """All jobs that this node knows of; follows the feed of their objects."""
@@ -135,6 +163,8 @@
     def put(self, job: WorkJob) -> KnownJob:
         """Takes a job's head; returns what is known of it."""
         known = self._jobs.get(job.job_id)
+        if known is not None and known.job.is_digest and not job.is_digest:
+            known.job = job
         if known is None:
             known = KnownJob(job)
             self._jobs[job.job_id] = known
@@ -192,6 +222,20 @@
             log.warning("Can't read {}: {!r}.", row.name, error, object=row.name)
 
 
+def job_digest(row: FeedObject) -> FeedObject:
+    """Returns what of a stored object nodes need to know that neither run nor read the job."""
+    _, _, place = row.name.partition(".")
+    value = row.value if isinstance(row.value, bytes) else b""
+    try:
+        if not place:
+            return row._replace(value=WorkJob.decode(value).digest().encode())
+        if place.startswith("log."):
+            return row._replace(value=LogEntry.decode(value).digest().encode())
+    except (KeyError, TypeError, ValueError) as error:
+        log.warning("Can't read {}: {!r}.", row.name, error, object=row.name)
+    return row._replace(value=b"")
+
+
 def decode_items(rows: Iterable[list[object]]) -> tuple[WorkItem, ...]:
     """Reads items from the rows of their JSON."""
     items = []
--- a/briarvale/work_runner.py
+++ b/briarvale/work_runner.py
@@ -10,7 +10,7 @@
 
 from . import logs, metrics
 from .clock import Clock
-from .errors import BriarvaleError, ShardSealed, StoreThrottled, StoreUnavailable
+from .errors import BriarvaleError, NotReady, ShardSealed, StoreThrottled, StoreUnavailable
 from .node_cluster import NodeCluster
 from .peer import PeerIdentity
 from .shard_log import NO_RUNNER, ItemResult, RunnerId, ShardLog, fitting_results
@@ -149,11 +149,14 @@
         shard_log = self._service.open_log(job.job_id)
         try:
             with running.scope:
+                await self._service.load_items(running.known)
                 await self._replay(shard_log)
                 if await self._claim(running, shard_log):
                     await self._run_items(running, shard_log)
             with anyio.CancelScope(shield=True), anyio.move_on_after(HAND_OVER_S):
                 await self._hand_over(running, shard_log)
+        except NotReady as error:
+            log.info("Can't run a job yet: {}.", error, job_id=job.job_id)
         except Exception as error:
             # A fault here must cost this run of the job, not the process.
             log.exception("A job stopped: {!r}.", error, job_id=job.job_id)
--- a/briarvale/work_service.py
+++ b/briarvale/work_service.py
@@ -121,11 +121,23 @@
         is_behind = after > len(known.results)
         if not known.is_complete and (is_behind or not self._is_feed_current()):
             await self._catch_up(known, is_needed=is_behind)
+        await self._fill(known, after)
         return _page(known, after)
 
+    async def _fill(self, known: KnownJob, after: int) -> None:
+        """Reads texts that the feed left out, as far as the store can tell now."""
+        prefix = job_log_prefix(known.job.job_id)
+        shard_log = ShardLog(self._store, self._read_budget, prefix)
+        try:
+            for sequence in known.textless_sequences(after):
+                known.fill(await shard_log.read_entry(sequence))
+        except (ObjectNotFound, StoreThrottled, StoreUnavailable) as error:
+            log.info("Can't read texts: {}.", error, job_id=known.job.job_id, after=after)
+
     async def body(self, job_id: str, item_id: str) -> WorkItem:
         """Returns an item of a job that has not ended; raises `NotFound`."""
         known = await self.find(job_id)
+        await self.load_items(known)
         for item in known.job.items:
             if item.id == item_id and not known.is_ended:
                 return item
@@ -173,6 +185,15 @@
         await self._catch_up(known, is_needed=True)
         return known
 
+    async def load_items(self, known: KnownJob) -> None:
+        """Reads what the feed left out of a job's items; raises `NotReady`."""
+        if not known.job.is_digest:
+            return
+        try:
+            known.job = await self._load(known.job.job_id)
+        except (ObjectNotFound, StoreThrottled, StoreUnavailable) as error:
+            raise NotReady(f"the store can't tell: {error}") from error
+
     async def _load(self, job_id: str) -> WorkJob:
         stored = await self._read_budget.call(self._store.get, job_key(job_id))
         job = WorkJob.decode(stored.value)
@@ -230,5 +251,5 @@
 
 
 def _page(known: KnownJob, after: int) -> ResultsPage:
-    chosen = fitting_results(known.results[after:], MAX_PAGE_BYTES)
+    chosen = fitting_results(known.whole_results(after), MAX_PAGE_BYTES)
     return ResultsPage(len(known.job.items), after + len(chosen), tuple(chosen))
--- /dev/null
+++ b/features/platform/feeds.feature
@@ -0,0 +1,26 @@
+Feature: One node of a zone watches the store for the others
+
+  Scenario: Changes reach all nodes at the price of one watch
+    When 5 nodes of a zone run for a while and the configuration changes 5 times
+    Then each change is in force everywhere within 1 s
+    And the watches of 4 nodes ask the store nothing
+
+  Scenario: A connection on which there is nothing to hear yet
+    When 4 nodes follow one that watches, and none of their own watches has ended
+    Then all of them hold their first connection to it 2.5 s later
+
+  Scenario: A job is known everywhere and its texts only where they are read
+    When a job is done while 4 nodes follow one that watches
+    Then the nodes that did not run it know its results without texts
+    And a reader at each of them gets the texts
+
+  Scenario Outline: The node that watches is lost
+    When the node that watches is <trouble> and the configuration changes
+    Then the others have the change in force within 3 s
+
+    Examples:
+      | trouble                    |
+      | killed                     |
+      | stopped gracefully         |
+      | turned away by the store   |
+      | hung with its watch        |
--- /dev/null
+++ b/features/steps/platform_feeds.py
@@ -0,0 +1,167 @@
+"""Steps of the feeds that nodes share: real nodes and a store, on loopback."""
+
+from collections.abc import Callable
+from typing import Any
+
+import anyio
+from behave import then, when
+from behave.runner import Context
+
+from briarvale.feed_link import FeedLink
+from features.steps.platform_batch import ITEMS, JOB, play, read_all, runner_of, submit
+from features.support.platform_engine import whole_text
+from features.support.platform_fleet import FleetNode, PlatformFleet, job_body
+
+CHANGES = 5
+# Nodes connect to the one that watches within this time of knowing each other.
+LINK_S = 1.5
+IN_FORCE_TIMEOUT_S = 6.0
+
+
+def watcher_of(fleet: PlatformFleet) -> FleetNode:
+    """Returns the node that watches for the others."""
+    nodes = [node for node in fleet.nodes.values() if node.node]
+    return next(one for one in nodes if one.node and one.node.cluster.feed_publisher() is None)
+
+
+def version_at(node: FleetNode) -> int:
+    """Returns the version of the configuration in force at a node."""
+    table = node.node.routes.table if node.node else None
+    return table.version if table else 0
+
+
+async def change(fleet: PlatformFleet, nodes: list[FleetNode]) -> float:
+    """Writes the next version; returns how long it takes until all these nodes have it."""
+    fleet.version += 1
+    fleet.store.put("config", "main", fleet.config())
+    since_s = anyio.current_time()
+    with anyio.move_on_after(IN_FORCE_TIMEOUT_S):
+        while any(version_at(node) < fleet.version for node in nodes):
+            await anyio.sleep(0.01)
+    return anyio.current_time() - since_s
+
+
+@when("5 nodes of a zone run for a while and the configuration changes 5 times")
+def when_changes(context: Context) -> None:
+    async def behave_as(fleet: PlatformFleet, facts: dict[str, Any]) -> None:
+        nodes = list(fleet.nodes.values())
+        await anyio.sleep(LINK_S)
+        # A watch that began before ends with the first change.
+        await change(fleet, nodes)
+        before = {name: gate.watch_calls for name, gate in fleet.gates.items()}
+        facts["took_s"] = [await change(fleet, nodes) for _ in range(CHANGES)]
+        facts["calls"] = [gate.watch_calls - before[name] for name, gate in fleet.gates.items()]
+
+    play(context, behave_as, nodes=5, engines=1)
+
+
+@then("each change is in force everywhere within 1 s")
+def then_in_force(context: Context) -> None:
+    assert max(context.facts["took_s"]) <= 1.0, context.facts["took_s"]
+
+
+@then("the watches of 4 nodes ask the store nothing")
+def then_one_asks(context: Context) -> None:
+    assert sorted(context.facts["calls"])[:4] == [0] * 4, context.facts["calls"]
+
+
+def link_at(node: FleetNode) -> FeedLink | None:
+    """Returns a node's connection to the one that watches."""
+    assert node.node is not None
+    return node.node.feed_source.link
+
+
+@when("4 nodes follow one that watches, and none of their own watches has ended")
+def when_idle(context: Context) -> None:
+    async def behave_as(fleet: PlatformFleet, facts: dict[str, Any]) -> None:
+        await anyio.sleep(2.5)
+        watcher = watcher_of(fleet)
+        links = [link_at(node) for node in fleet.nodes.values() if node is not watcher]
+        facts["held"] = [link is not None and not link.is_closed for link in links]
+
+    play(context, behave_as, nodes=5, engines=1)
+
+
+@then("all of them hold their first connection to it 2.5 s later")
+def then_held(context: Context) -> None:
+    assert context.facts["held"] == [True] * 4, context.facts["held"]
+
+
+@when("a job is done while 4 nodes follow one that watches")
+def when_job(context: Context) -> None:
+    async def behave_as(fleet: PlatformFleet, facts: dict[str, Any]) -> None:
+        await anyio.sleep(LINK_S)
+        fleet.store.put("workjobs", "wake", {"text": ""})
+        await anyio.sleep(0.5)
+        await submit(next(iter(fleet.nodes.values())), job_body(ITEMS))
+        runner = await runner_of(fleet, facts)
+        watcher = watcher_of(fleet)
+        await read_all(runner)
+        await anyio.sleep(0.5)
+        others = [n for n in fleet.nodes.values() if n not in (runner, watcher) and n.node]
+        known = [node.node.jobs.get(JOB) for node in others if node.node]
+        facts["known"] = [len(job.results) for job in known if job]
+        facts["texts"] = ["".join(r.text for r in job.results) for job in known if job]
+        facts["read"] = [await read_all(node) for node in others]
+
+    play(context, behave_as, nodes=5)
+
+
+@then("the nodes that did not run it know its results without texts")
+def then_digests(context: Context) -> None:
+    assert context.facts["known"] and set(context.facts["known"]) == {len(ITEMS)}
+    assert set(context.facts["texts"]) == {""}, context.facts["texts"]
+
+
+@then("a reader at each of them gets the texts")
+def then_texts(context: Context) -> None:
+    for rows in context.facts["read"]:
+        assert sorted(row["id"] for row in rows) == ITEMS
+        assert all(row["text"] == whole_text(6) for row in rows), rows
+
+
+def hang(fleet: PlatformFleet, node: FleetNode) -> None:
+    """Makes a node deaf: it holds its connections and says nothing on them."""
+    assert node.node is not None and node.node.cluster.publisher is not None
+    publisher = node.node.cluster.publisher
+    publisher._kinds = _Deaf(publisher._kinds)
+
+
+class _Deaf(dict):  # type: ignore[type-arg]
+    """Published kinds that never have anyone to tell."""
+
+    def values(self) -> Any:
+        """Returns none."""
+        return ()
+
+    def get(self, key: Any, default: Any = None) -> Any:
+        """Returns none."""
+        return None
+
+
+LOSSES: dict[str, Callable[[PlatformFleet, FleetNode], None]] = {
+    "killed": lambda fleet, node: node.kill(),
+    "stopped gracefully": lambda fleet, node: node.stopped.set(),
+    "turned away by the store": lambda fleet, node: setattr(
+        fleet.gates[node.name], "is_refusing", True
+    ),
+    "hung with its watch": hang,
+}
+
+
+@when("the node that watches is {trouble} and the configuration changes")
+def when_lost(context: Context, trouble: str) -> None:
+    async def behave_as(fleet: PlatformFleet, facts: dict[str, Any]) -> None:
+        await anyio.sleep(LINK_S)
+        await change(fleet, list(fleet.nodes.values()))
+        watcher = watcher_of(fleet)
+        LOSSES[trouble](fleet, watcher)
+        others = [node for node in fleet.nodes.values() if node is not watcher]
+        facts["took_s"] = await change(fleet, others)
+
+    play(context, behave_as, nodes=4, engines=1)
+
+
+@then("the others have the change in force within 3 s")
+def then_in_time(context: Context) -> None:
+    assert context.facts["took_s"] <= 3.0, context.facts["took_s"]
--- a/features/support/platform_store.py
+++ b/features/support/platform_store.py
@@ -197,6 +197,7 @@
     def __init__(self, store: PlatformStoreStandin) -> None:
         self._store = store
         self.is_refusing = False
+        self.watch_calls = 0
 
     async def refuse(self, error: BriarvaleError, responder: Responder) -> None:
         """Answers what can't be read."""
@@ -204,6 +205,7 @@
 
     async def handle(self, request: IngressRequest, responder: Responder) -> None:
         """Passes a call on, or turns it away; waiting watches end when the gate closes."""
+        self.watch_calls += b"?watch=" in request.target
         if self.is_refusing:
             await _answer(responder, 503, {})
             return
