Give work for the whole fleet to its strongest machines, and grants their sums

Cause: the owner of the grown site's pool was a machine of 0.516 cores. Change: the owner of a pool and a zone's watcher are chosen among the nodes with at least 0.7 of the best one's processor time, which nodes put into their entry; grant tables keep their sums. Ruled out: the engines; the same load is served when the owner keeps up. Tests: owners.feature (seen failing with the choice switched off), feeds.feature.

--- a/briarvale/feed_source.py
+++ b/briarvale/feed_source.py
@@ -61,6 +61,7 @@
     async def watch_kind(self, kind: str, revision: int, wait_ms: int) -> ChangeList:
         """Waits for changes of a kind; raises `HistoryGone`."""
         if self.link is not None:
+            self._publisher.lose(kind)
             found = await self.link.watch(kind, revision, wait_ms / MS_PER_S)
             if found is not None:
                 return found
--- a/briarvale/grants.py
+++ b/briarvale/grants.py
@@ -24,30 +24,34 @@
 
 
 class GrantTable:
-    """Grants by id, with counts of slots by class and member."""
+    """Grants by id, with counts of slots by class and member.
+
+    Owners ask for the sums at each request and for each server, so these are kept, not added up.
+
+    Attributes:
+        slots: Slots granted.
+    """
 
     def __init__(self) -> None:
         self._grants: dict[str, Grant] = {}
         self._id_by_request: dict[str, str] = {}
         self._revoking: set[str] = set()
+        self._revoking_slots = 0
+        self._slots_of = dict.fromkeys(WorkClass, 0)
+        self.slots = 0
         self.held: dict[WorkClass, Counter[str]] = {work: Counter() for work in WorkClass}
 
     def __len__(self) -> int:
         return len(self._grants)
 
-    @property
-    def slots(self) -> int:
-        """Slots granted."""
-        return sum(counts.total() for counts in self.held.values())
-
     def slots_of(self, work_class: WorkClass) -> int:
         """Returns the slots granted to a class."""
-        return self.held[work_class].total()
+        return self._slots_of[work_class]
 
     @property
     def revoking_slots(self) -> int:
         """Slots that their holders have been told to give back."""
-        return sum(self._grants[grant_id].held.slot_count for grant_id in self._revoking)
+        return self._revoking_slots
 
     def revocable(self) -> list[Grant]:
         """Returns batch grants that are not being revoked yet."""
@@ -62,7 +66,7 @@
         self.remove(grant.held.grant_id)
         self._grants[grant.held.grant_id] = grant
         self._id_by_request[grant.request_id] = grant.held.grant_id
-        self.held[grant.held.work_class][grant.held.member] += grant.held.slot_count
+        self._count(grant.held, grant.held.slot_count)
 
     def remove(self, grant_id: str) -> Grant | None:
         """Removes and returns a grant; none if it isn't there."""
@@ -70,10 +74,17 @@
         if grant is None:
             return None
         self._id_by_request.pop(grant.request_id, None)
-        self._revoking.discard(grant_id)
-        self.held[grant.held.work_class][grant.held.member] -= grant.held.slot_count
+        if grant_id in self._revoking:
+            self._revoking.remove(grant_id)
+            self._revoking_slots -= grant.held.slot_count
+        self._count(grant.held, -grant.held.slot_count)
         return grant
 
+    def _count(self, held: HeldGrant, change: int) -> None:
+        self.held[held.work_class][held.member] += change
+        self._slots_of[held.work_class] += change
+        self.slots += change
+
     def id_of_request(self, request_id: str, holder: Holder) -> str | None:
         """Returns the grant that a holder's request got."""
         grant_id = self._id_by_request.get(request_id)
@@ -83,7 +94,9 @@
 
     def mark_revoking(self, grant_id: str) -> None:
         """Notes that the holder was told to give the slot back."""
-        self._revoking.add(grant_id)
+        if grant_id not in self._revoking:
+            self._revoking.add(grant_id)
+            self._revoking_slots += self._grants[grant_id].held.slot_count
 
     def renew(self, holder: Holder, expires_at_ms: int) -> None:
         """Extends all leases of a holder."""
--- a/briarvale/node_cluster.py
+++ b/briarvale/node_cluster.py
@@ -37,6 +37,8 @@
 START_SPREAD_MS = 1_000
 PROBE_INTERVAL_S = 0.3
 PROBE_TIMEOUT_S = 0.3
+# Machines with less of the best one's processor time do no work for the whole fleet.
+STRONG_SHARE = 0.7
 # Each zone's node for the watches is the first of its nodes for this key.
 FEEDS_KEY = "feeds/"
 
@@ -55,6 +57,7 @@
         environment: The outside interfaces.
         servers: The backend servers that have an entry.
         probe: Asks backend servers what they run.
+        processor_cores: Returns the processor time of a VM; 0 if that is not known.
     """
 
     def __init__(
@@ -63,17 +66,21 @@
         environment: PeerEnvironment,
         servers: LiveServers,
         probe: ServerProbe,
+        processor_cores: Callable[[str], float],
     ) -> None:
         self._settings = settings
         self._environment = environment
         self._servers = servers
         self._probe = probe
+        self._processor_cores = processor_cores
         self._started_at_ms = environment.clock.now_ms()
         self.membership = Membership(settings, environment)
         self.pools = PoolOwner(environment.clock)
         self.relay: FeedRelay | None = None
         self.publisher: FeedPublisher | None = None
         self._connections: list[PeerConnection] = []
+        # Each request asks; worked out again when the membership changes, and with time.
+        self._pool_owners: dict[str, str | None] = {}
 
     def alive(self) -> list[str]:
         """Returns the nodes that take part, this one included unless it leaves."""
@@ -98,6 +105,21 @@
         settled = [vm.vm for vm in self._settled()]
         return next(iter(first_by_rendezvous(key, settled or self.alive(), 1)), None)
 
+    def pool_owner(self, service: str) -> str | None:
+        """Returns the node that grants the slots of a service, which costs it processor time."""
+        if service not in self._pool_owners:
+            settled = [vm.vm for vm in self._settled()]
+            strong = self._strong(settled or self.alive())
+            chosen = next(iter(first_by_rendezvous(service, strong, 1)), None)
+            self._pool_owners[service] = chosen
+        return self._pool_owners[service]
+
+    def _strong(self, names: list[str]) -> list[str]:
+        """Returns the nodes whose processor time is near to the best of these."""
+        best_cores = max(map(self._processor_cores, names), default=0.0)
+        floor_cores = best_cores * STRONG_SHARE
+        return [name for name in names if self._processor_cores(name) >= floor_cores]
+
     def _settled(self) -> list[VmState]:
         """Returns the nodes that take part and started a while ago, or with the oldest ones."""
         sound = self._sound()
@@ -128,14 +150,15 @@
 
     def owner_address(self, backend_server: str) -> PeerAddress | None:
         """Returns where the owner of a service's pool listens."""
-        owner = self.owner(backend_server)
+        owner = self.pool_owner(backend_server)
         return self.membership.peer_address(owner) if owner else None
 
     def feed_publisher(self) -> PeerAddress | None:
         """Returns the node that watches the store for this one's zone; none if it is this node."""
         zone = self._settings.availability_zone
         near = [vm.vm for vm in self._settled() if vm.availability_zone == zone]
-        chosen = next(iter(first_by_rendezvous(f"{FEEDS_KEY}{zone}", near, 1)), None)
+        strong = self._strong(near)
+        chosen = next(iter(first_by_rendezvous(f"{FEEDS_KEY}{zone}", strong, 1)), None)
         if chosen is None or chosen == self._settings.vm:
             return None
         return self.membership.peer_address(chosen)
@@ -158,9 +181,11 @@
 
     def _settle(self) -> None:
         self._servers.expire()
+        self._pool_owners.clear()
         if not self.membership.vms:
             return
-        owned = [service for service in self._servers.services() if self.is_mine(service)]
+        services = self._servers.services()
+        owned = [name for name in services if self.pool_owner(name) == self._settings.vm]
         self.pools.settle({service: self._servers.ready(service) for service in owned})
 
     async def _follow_servers(self) -> None:
--- a/briarvale/node_settings.py
+++ b/briarvale/node_settings.py
@@ -31,6 +31,7 @@
     """Settings of one node; `parts` are those that its parts read.
 
     Attributes:
+        processor_cores: Processor time of the machine, in cores; 0 if that is not known.
         front: Where callers connect; none on a node without callers.
         readiness: Where the balancer asks.
         metrics: Where metrics are served; none if they aren't.
@@ -39,6 +40,7 @@
     parts: Settings
     store: StoreLimits
     bounds: NodeBounds = NodeBounds()
+    processor_cores: float = 0.0
     front: PeerAddress | None = None
     readiness: PeerAddress | None = None
     metrics: PeerAddress | None = None
--- a/briarvale/platform/boot.py
+++ b/briarvale/platform/boot.py
@@ -38,6 +38,7 @@
     platform = _table(fields, "platform")
     listen = fields.get("listen", {})
     bounds = fields.get("bounds", {})
+    limits = fields.get("limits", {})
     ports = fields.get("internal_ports", [])
     if len(ports) != 2:
         raise SettingsInvalid("internal_ports: expected a first and a last port")
@@ -61,6 +62,8 @@
         bounds=NodeBounds(
             grace_ms=round(bounds.get("grace_s", 8) * MS_PER_S),
         ),
+        # `cpu_share` is a share of one core that is `cpu_cores` times as fast as a usual one.
+        processor_cores=float(limits.get("cpu_share", 0.0)) * float(limits.get("cpu_cores", 1)),
         front=_optional_address(listen, "front"),
         readiness=_optional_address(listen, "ready"),
         metrics=_metrics_address(_text(fields, "ip")),
--- a/briarvale/platform/node.py
+++ b/briarvale/platform/node.py
@@ -101,7 +101,7 @@
         self._stopped = stopped
         self._clock = Clock.from_system()
         self._store = PlatformStore(settings.store)
-        self._directory = VmDirectory(settings.parts, self._store)
+        self._directory = VmDirectory(settings, self._store)
         identity = PeerIdentity(settings.parts.vm, ROLE, secrets.token_hex(8))
         self._environment = NodeEnvironment(
             clock=self._clock,
@@ -112,7 +112,13 @@
         )
         self.routes = RoutesInForce()
         self.servers = LiveServers(self._clock.now_ms, settings.bounds.entry_return_ms)
-        self.cluster = NodeCluster(settings.parts, self._environment, self.servers, fetch_runs)
+        self.cluster = NodeCluster(
+            settings.parts,
+            self._environment,
+            self.servers,
+            fetch_runs,
+            self._directory.processor_cores,
+        )
         self._publisher = self.cluster.publisher = FeedPublisher({JOBS_KIND: job_digest})
         self.feed_source = FeedSource(
             self._store,
--- a/briarvale/slot_pool.py
+++ b/briarvale/slot_pool.py
@@ -105,6 +105,7 @@
                 del self._servers[server_id]
         for server_id in ready.keys() - self._servers.keys():
             self._servers[server_id] = PoolServer(ready[server_id])
+        self._revoke_excess()
         self.pump()
 
     def servers_to_probe(self) -> list[LiveServer]:
@@ -197,6 +198,7 @@
             server.grants.remove_unreported(holder, kept)
         for held in own:
             self.adopt(held, holder)
+        self._revoke_excess()
         self.pump()
 
     def renew(self, holder: Holder) -> None:
@@ -262,7 +264,6 @@
             return
         self._grant_queue(WorkClass.ONLINE, now_ms)
         self._online_peak.observe(self._held_by(WorkClass.ONLINE), now_ms)
-        self._revoke_excess()
         if self._waiting[WorkClass.ONLINE]:
             self._revoke_for_online()
         elif now_ms >= self._batch_from_ms:
@@ -357,8 +358,9 @@
     def _revoke_excess(self) -> None:
         """Takes back batch slots that another owner granted beyond what a server has."""
         for server in self._servers.values():
-            left = server.grants.slots - server.grants.revoking_slots
-            self._revoke_batch([server], left - server.server.slots)
+            excess = server.grants.slots - server.grants.revoking_slots - server.server.slots
+            if excess > 0:
+                self._revoke_batch([server], excess)
 
     def _revoke_batch(self, servers: Iterable[PoolServer], count: int) -> None:
         """Takes back batch slots of these servers, the latest due first."""
--- a/briarvale/vm_directory.py
+++ b/briarvale/vm_directory.py
@@ -7,9 +7,9 @@
 
 from . import logs
 from .errors import ObjectExists, ObjectNotFound, StoreThrottled, StoreUnavailable, VersionConflict
+from .node_settings import NodeSettings
 from .object_feed import FeedChange, FeedObject
 from .object_store import ObjectStore
-from .settings import Settings
 from .vm_list import VmEntry, VmListUnavailable, VmStatus, entry_from_row
 
 VMS_KIND = "vms"
@@ -32,13 +32,15 @@
         store: The platform's store.
     """
 
-    def __init__(self, settings: Settings, store: ObjectStore) -> None:
+    def __init__(self, settings: NodeSettings, store: ObjectStore) -> None:
+        parts = settings.parts
         self._own = VmEntry(
-            settings.vm,
-            settings.host,
-            settings.region,
-            settings.availability_zone,
+            parts.vm,
+            parts.host,
+            parts.region,
+            parts.availability_zone,
             VmStatus.LIVE,
+            settings.processor_cores,
         )
         self._store = store
         self._entries: dict[str, VmEntry] = {}
@@ -57,6 +59,11 @@
             raise VmListUnavailable("the entries of VMs have not been listed yet")
         return tuple((self._entries | {self._own.vm: self._own}).values())
 
+    def processor_cores(self, vm: str) -> float:
+        """Returns the processor time of a VM, in cores; 0 if that is not known."""
+        entry = self._own if vm == self._own.vm else self._entries.get(vm)
+        return entry.processor_cores if entry is not None else 0.0
+
     def take_list(self, objects: tuple[FeedObject, ...], *, after_outage: bool) -> None:
         """Takes all entries."""
         self._entries.clear()
--- a/briarvale/vm_list.py
+++ b/briarvale/vm_list.py
@@ -1,7 +1,8 @@
 """The platform's lagging list of live and leaving VMs."""
 
+from collections.abc import Mapping
 from enum import StrEnum
-from typing import NamedTuple, Protocol
+from typing import Any, NamedTuple, Protocol
 
 from .errors import BriarvaleError
 
@@ -22,13 +23,18 @@
 
 
 class VmEntry(NamedTuple):
-    """One VM of the list."""
+    """One VM of the list.
+
+    Attributes:
+        processor_cores: Processor time that it has, in cores; 0 if that is not known.
+    """
 
     vm: str
     host: str
     region: str
     availability_zone: str
     status: VmStatus
+    processor_cores: float = 0.0
 
 
 class VmList(Protocol):
@@ -38,7 +44,7 @@
         """Returns the VMs as last known by the platform; raises `VmListUnavailable`."""
 
 
-def entry_from_row(row: dict[str, str]) -> VmEntry:
+def entry_from_row(row: Mapping[str, Any]) -> VmEntry:
     """Reads one row of the list's JSON."""
     return VmEntry(
         vm=row["vm"],
@@ -46,4 +52,5 @@
         region=row["region"],
         availability_zone=row["availability_zone"],
         status=VmStatus(row["status"]),
+        processor_cores=float(row.get("processor_cores", 0.0)),
     )
--- a/features/platform/feeds.feature
+++ b/features/platform/feeds.feature
@@ -14,6 +14,10 @@
     Then the nodes that did not run it know its results without texts
     And a reader at each of them gets the texts
 
+  Scenario: The node that watches hands over to a larger one, and a node does not know yet
+    When a larger node joins, and one of 4 nodes goes on following the one that watched before
+    Then all of them have a change in force within 1 s
+
   Scenario Outline: The node that watches is lost
     When the node that watches is <trouble> and the configuration changes
     Then the others have the change in force within 3 s
--- a/features/steps/platform_feeds.py
+++ b/features/steps/platform_feeds.py
@@ -16,6 +16,8 @@
 # Nodes connect to the one that watches within this time of knowing each other.
 LINK_S = 1.5
 IN_FORCE_TIMEOUT_S = 6.0
+# A node that joins does no work for others in its first seconds.
+JOIN_TIMEOUT_S = 10.0
 
 
 def watcher_of(fleet: PlatformFleet) -> FleetNode:
@@ -120,6 +122,31 @@
         assert all(row["text"] == whole_text(6) for row in rows), rows
 
 
+@when("a larger node joins, and one of 4 nodes goes on following the one that watched before")
+def when_larger(context: Context) -> None:
+    async def behave_as(fleet: PlatformFleet, facts: dict[str, Any]) -> None:
+        await anyio.sleep(LINK_S)
+        await change(fleet, list(fleet.nodes.values()))
+        before = watcher_of(fleet)
+        lagging = next(node for node in fleet.nodes.values() if node is not before)
+        assert before.node and lagging.node
+        link = link_at(lagging)
+        assert link is not None
+        lagging.node.feed_source._view = lambda: link.address
+        fleet.start_node("vm-9", "127.0.0.31", processor_cores=2.0)
+        with anyio.fail_after(JOIN_TIMEOUT_S):
+            while watcher_of(fleet) is before or before.node.feed_source.link is None:
+                await anyio.sleep(0.05)
+        facts["took_s"] = [await change(fleet, list(fleet.nodes.values())) for _ in range(2)]
+
+    play(context, behave_as, nodes=4, engines=1)
+
+
+@then("all of them have a change in force within 1 s")
+def then_all(context: Context) -> None:
+    assert max(context.facts["took_s"]) <= 1.0, context.facts["took_s"]
+
+
 def hang(fleet: PlatformFleet, node: FleetNode) -> None:
     """Makes a node deaf: it holds its connections and says nothing on them."""
     assert node.node is not None and node.node.cluster.publisher is not None
--- /dev/null
+++ b/features/steps/platform_owners.py
@@ -0,0 +1,51 @@
+"""Steps of who owns what: real nodes of different sizes, on loopback."""
+
+from typing import Any
+
+import anyio
+from behave import then, when
+from behave.runner import Context
+
+from features.steps.platform_batch import play
+from features.support.platform_fleet import MODEL, PlatformFleet
+
+LARGE = ("vm-8", "vm-9")
+# A node that has joined owns nothing until it has been there for 3 s.
+SETTLE_S = 4.5
+# Probe rounds for both lost nodes, and the time that each stays a suspect.
+TAKE_OVER_S = 6.0
+
+
+def owners(fleet: PlatformFleet) -> set[str | None]:
+    """Returns which owners the nodes that run name."""
+    nodes = [one.node for one in fleet.nodes.values() if one.node and not one.ended.is_set()]
+    return {node.cluster.pool_owner(MODEL) for node in nodes}
+
+
+@when("2 nodes of 2 cores join 2 nodes of half a core")
+def when_join(context: Context) -> None:
+    async def behave_as(fleet: PlatformFleet, facts: dict[str, Any]) -> None:
+        for index, name in enumerate(LARGE):
+            fleet.start_node(name, f"127.0.0.{31 + index}", processor_cores=2.0)
+        await anyio.sleep(SETTLE_S)
+        facts["owners"] = owners(fleet)
+        for name in LARGE:
+            fleet.nodes[name].kill()
+        with anyio.move_on_after(TAKE_OVER_S):
+            while owners(fleet) & {*LARGE, None}:
+                await anyio.sleep(0.05)
+        facts["next owners"] = owners(fleet)
+
+    play(context, behave_as, engines=1)
+
+
+@then("all nodes take the same one of the larger as the owner of the pool")
+def then_large(context: Context) -> None:
+    found = context.facts["owners"]
+    assert len(found) == 1 and found <= set(LARGE), found
+
+
+@then("a smaller one owns it within 6 s of the loss of both larger ones")
+def then_small(context: Context) -> None:
+    found = context.facts["next owners"]
+    assert len(found) == 1 and found <= {"vm-1", "vm-2"}, found
--- a/features/support/platform_fleet.py
+++ b/features/support/platform_fleet.py
@@ -85,7 +85,7 @@
             while not all(self._is_settled(node) for node in self.nodes.values()):
                 await anyio.sleep(0.02)
 
-    def start_node(self, name: str, host: str) -> FleetNode:
+    def start_node(self, name: str, host: str, *, processor_cores: float = 0.5) -> FleetNode:
         """Starts one node."""
         parts = Settings(
             vm=name,
@@ -107,6 +107,7 @@
             parts=parts,
             store=StoreLimits(self._open_gate(name)),
             bounds=NodeBounds(grace_ms=GRACE_MS),
+            processor_cores=processor_cores,
             front=PeerAddress(host, free_port()),
             readiness=PeerAddress(host, free_port()),
         )
