Add a fault soak: real node processes under seeded faults, promises checked from outside

Callers keep connections until a process is gone; nodes are killed, paused, stopped and reloaded by signal; proxies on loopback delay, reset, silence or cut one way what goes to the store and to the servers; the store refuses, loses answers, cuts watches, drops history. Checked: whole and right answers, truth of 'not run', unsafe requests once, answers in time, nothing cut by planned work, one position and one result an item, no exit by itself, service after the faults. A short run is part of make test.

--- /dev/null
+++ b/soak/callers.py
@@ -0,0 +1,155 @@
+"""Callers of a soak: they keep their connections, and use them until the process is gone."""
+
+import random
+from typing import NamedTuple
+
+import anyio
+
+from features.support.platform_engine import whole_text
+from features.support.platform_fleet import Answer, Caller, job_body
+from soak.fleet import EVENT_COUNT, NodeProcess, SoakFleet
+from soak.records import CallRecord, JobRecord
+
+CALL_PAUSE_S = 0.15
+JOB_PAUSE_S = 1.5
+POLL_PAUSE_S = 0.3
+# How long a caller goes on with one node before it asks the balancer again.
+CALLS_A_NODE = 8
+ITEMS_A_JOB = 4
+LOST_CONNECTION = (OSError, anyio.BrokenResourceError, anyio.ClosedResourceError)
+
+__all__ = ["Callers", "KINDS", "ask"]
+
+
+class CallKind(NamedTuple):
+    """How a kind of request is sent."""
+
+    name: str
+    path: str
+    is_stream: bool
+
+
+KINDS = (
+    CallKind("safe", "/look/1", False),
+    CallKind("unsafe", "/pay/1", False),
+    CallKind("stream", "/ask/1", True),
+    CallKind("resumable stream", "/go-on/1", True),
+)
+
+
+class Callers:
+    """All callers of one soak.
+
+    Args:
+        fleet: What they call.
+        seed: Seed of their choices.
+    """
+
+    def __init__(self, fleet: SoakFleet, seed: int) -> None:
+        self._fleet = fleet
+        self._random = random.Random(seed)
+        self._last_id = 0
+        self.calls: list[CallRecord] = []
+        self.jobs: list[JobRecord] = []
+        self.is_closing = False
+
+    async def call(self) -> None:
+        """Sends requests one after another until closing."""
+        while not self.is_closing:
+            node = self._pick()
+            if node is None:
+                await anyio.sleep(CALL_PAUSE_S)
+                continue
+            caller = Caller(node.door)
+            for _ in range(CALLS_A_NODE):
+                kind = self._random.choice(KINDS)
+                self.calls.append(await ask(caller, node.name, kind, self._next_id()))
+                await anyio.sleep(CALL_PAUSE_S * self._random.uniform(0.2, 2.0))
+            await _close(caller)
+
+    async def run_jobs(self) -> None:
+        """Submits jobs until closing, and reads each to its end."""
+        async with anyio.create_task_group() as tasks:
+            while not self.is_closing:
+                number = len(self.jobs)
+                items = [f"item-{number}-{index}" for index in range(ITEMS_A_JOB)]
+                job = JobRecord(f"job-{number}", items)
+                self.jobs.append(job)
+                tasks.start_soon(self._run_job, job)
+                await anyio.sleep(JOB_PAUSE_S)
+
+    async def _run_job(self, job: JobRecord) -> None:
+        while not job.is_accepted:
+            answer = await self._ask_any("POST", "/lot/", job_body(job.items), job.job_id)
+            job.is_accepted = answer is not None and answer.status == 202
+            await anyio.sleep(POLL_PAUSE_S)
+        while not job.is_done:
+            await self.read(job, len(job.results))
+            await anyio.sleep(POLL_PAUSE_S)
+
+    async def read(self, job: JobRecord, after: int) -> None:
+        """Reads a job's results at any node that is ready."""
+        answer = await self._ask_any("GET", f"/briarvale/lots/{job.job_id}?after={after}")
+        if answer is not None and answer.status == 200 and answer.is_whole:
+            job.take(after, answer.json()["results"])
+
+    async def _ask_any(
+        self, method: str, path: str, body: bytes = b"", request_id: str = ""
+    ) -> Answer | None:
+        node = self._pick()
+        if node is None:
+            return None
+        caller = Caller(node.door)
+        try:
+            return await caller.call(method, path, body, request_id=request_id)
+        except (*LOST_CONNECTION, TimeoutError):
+            return None
+        finally:
+            await _close(caller)
+
+    def _pick(self) -> NodeProcess | None:
+        ready = [node for node in self._fleet.nodes if node.is_ready]
+        return self._random.choice(ready) if ready else None
+
+    def _next_id(self) -> str:
+        self._last_id += 1
+        return f"r{self._last_id:06d}"
+
+
+async def ask(caller: Caller, node: str, kind: CallKind, request_id: str) -> CallRecord:
+    """Sends one request on the caller's connection, or on a new one."""
+    sent_at_s = anyio.current_time()
+    answer, has_timed_out = Answer(0, {}, b"", False), False
+    try:
+        found = await caller.call("POST", kind.path, b"question", request_id=request_id)
+        answer = found or answer
+    except LOST_CONNECTION:
+        caller.stream = None
+    except TimeoutError:
+        caller.stream, has_timed_out = None, True
+    is_right = answer.status != 200 or not answer.is_whole or _is_right(kind, request_id, answer)
+    return CallRecord(
+        request_id,
+        kind.name,
+        node,
+        sent_at_s,
+        anyio.current_time(),
+        answer.status,
+        answer.is_whole,
+        is_right,
+        has_timed_out,
+    )
+
+
+def _is_right(kind: CallKind, request_id: str, answer: Answer) -> bool:
+    if not kind.is_stream:
+        return answer.body == b"body of " + request_id.encode()
+    rows = answer.body.decode(errors="replace").splitlines()
+    data = [row.removeprefix("data: ") for row in rows if row.startswith("data: ")]
+    return "\n".join(data) == whole_text(EVENT_COUNT)
+
+
+async def _close(caller: Caller) -> None:
+    if caller.stream is not None:
+        await caller.stream.aclose()
+        caller.stream = None
--- /dev/null
+++ b/soak/fleet.py
@@ -0,0 +1,254 @@
+"""Node processes, and the store and backend servers that they work with, each behind a proxy."""
+
+import os
+import signal
+import subprocess
+import sys
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any, NamedTuple
+
+import anyio
+from anyio.abc import TaskGroup
+
+from briarvale.ingress import Ingress
+from briarvale.node_settings import NodeSettings, StoreLimits
+from briarvale.peer import PeerAddress
+from briarvale.settings import Settings
+from features.support.platform_engine import PlatformEngineStandin
+from features.support.platform_fleet import (
+    HOST,
+    MODEL,
+    PLAIN,
+    Caller,
+    FleetNode,
+    free_port,
+)
+from features.support.platform_store import PlatformStoreStandin
+from soak.proxy import FaultyProxy
+
+ROOT = Path(__file__).resolve().parent.parent
+LOOPBACK = "127.0.0.1"
+FIRST_HOST = 11
+ZONES = ("caerdydd", "abertawe")
+GRACE_S = 5
+START_TIMEOUT_S = 30.0
+LOOK_INTERVAL_S = 0.1
+MODEL_SERVERS, PLAIN_SERVERS = 3, 2
+SERVER_SLOTS = 6
+EVENT_COUNT = 8
+RETENTION_S = 600
+
+__all__ = ["EVENT_COUNT", "NodeProcess", "SoakFleet"]
+
+BOOT = """
+node_name = "{name}"
+zone = "{zone}"
+region = "cymru"
+ip = "{host}"
+internal_ports = [{peer}, {heartbeat}]
+[listen]
+front = "{host}:{front}"
+ready = "{host}:{ready}"
+[bounds]
+grace_s = {grace_s}
+[platform]
+address = "{store_host}:{store_port}"
+"""
+
+
+class Exit(NamedTuple):
+    """A process that ended."""
+
+    name: str
+    code: int
+    at_s: float
+    was_asked: bool
+
+
+class NodeProcess:
+    """One node's process, started again whenever it has ended.
+
+    Args:
+        name: The node's name.
+        settings: Its addresses, as a caller needs them.
+        boot: Path of its settings file.
+    """
+
+    def __init__(self, name: str, settings: NodeSettings, boot: Path) -> None:
+        self.name = name
+        self.door = FleetNode(name, settings)
+        self.store_proxy: FaultyProxy | None = None
+        self.is_ready = False
+        self.was_asked_to_end = False
+        self.peak_kb = 0
+        self.restart_after_s = 0.3
+        self._boot = boot
+        self.process = self._start()
+
+    def _start(self) -> subprocess.Popen[bytes]:
+        with open(self._boot.with_suffix(".log"), "ab") as output:
+            return subprocess.Popen(
+                [sys.executable, "-m", "briarvale.programs.node"],
+                cwd=ROOT,
+                env=os.environ | {"BRIARVALE_BOOT": str(self._boot), "PYTHONPATH": str(ROOT)},
+                stdout=output,
+                stderr=subprocess.STDOUT,
+            )
+
+    def send(self, number: signal.Signals) -> None:
+        """Signals the process, unless it has ended."""
+        if number in (signal.SIGTERM, signal.SIGKILL):
+            self.was_asked_to_end = True
+        if self.process.poll() is None:
+            self.process.send_signal(number)
+
+    def _note_memory(self) -> None:
+        try:
+            rows = Path(f"/proc/{self.process.pid}/status").read_text().splitlines()
+        except OSError:
+            return
+        peaks = [int(row.split()[1]) for row in rows if row.startswith("VmHWM")]
+        self.peak_kb = max([self.peak_kb, *peaks])
+
+    async def supervise(self, note_exit: Callable[[Exit], None]) -> None:
+        """Starts the process again a moment after each end, until cancelled."""
+        while True:
+            await anyio.sleep(LOOK_INTERVAL_S)
+            code = self.process.poll()
+            if code is None:
+                self._note_memory()
+                continue
+            self.is_ready = False
+            note_exit(Exit(self.name, code, anyio.current_time(), self.was_asked_to_end))
+            await anyio.sleep(self.restart_after_s)
+            self.was_asked_to_end = False
+            self.process = self._start()
+
+    async def follow_readiness(self) -> None:
+        """Asks as the balancer does, until cancelled."""
+        ready = self.door.settings.readiness
+        assert ready is not None
+        door = FleetNode(self.name, self.door.settings._replace(front=ready))
+        while True:
+            try:
+                with anyio.fail_after(1):
+                    answer = await Caller(door).call("GET", "/")
+                self.is_ready = answer is not None and answer.status == 200
+            except (OSError, TimeoutError, anyio.BrokenResourceError):
+                self.is_ready = False
+            await anyio.sleep(0.5)
+
+    def end(self) -> None:
+        """Ends the process for good."""
+        if self.process.poll() is None:
+            self.process.kill()
+        self.process.wait()
+
+
+class SoakFleet:
+    """All that runs in one soak.
+
+    Args:
+        folder: Where settings files and logs go.
+        tasks: Runs the stand-ins and proxies.
+    """
+
+    def __init__(self, folder: Path, tasks: TaskGroup) -> None:
+        self._folder = folder
+        self._tasks = tasks
+        self.store = PlatformStoreStandin()
+        self.nodes: list[NodeProcess] = []
+        self.servers: dict[str, PlatformEngineStandin] = {}
+        self.server_proxies: dict[str, FaultyProxy] = {}
+        self.exits: list[Exit] = []
+        self.config_version = 1
+
+    async def start(self, node_count: int) -> None:
+        """Starts everything, and waits until all nodes are ready."""
+        self.put_config()
+        store = PeerAddress(LOOPBACK, free_port())
+        self._tasks.start_soon(Ingress(self.store).serve, store)
+        for index in range(MODEL_SERVERS + PLAIN_SERVERS):
+            await self._add_server(f"i-{index}", MODEL if index < MODEL_SERVERS else PLAIN)
+        peer_port = free_port()
+        for index in range(node_count):
+            self._add_node(index, peer_port, store)
+        with anyio.fail_after(START_TIMEOUT_S):
+            while not all(node.is_ready for node in self.nodes):
+                await anyio.sleep(LOOK_INTERVAL_S)
+
+    def put_config(self) -> None:
+        """Writes the next version, with a route that only it has."""
+        self.config_version += 1
+        common = {"host": HOST, "timeout_ms": 5_000, "target_latency_ms": 300, "max_attempts": 3}
+
+        def route(name: str, kind: str, service: str, **more: Any) -> dict[str, Any]:
+            row = {"name": name, "path_prefix": f"/{name}/", "kind": kind, "service": service}
+            return common | row | {"priority": 0} | more
+
+        lot = {"completion_target_ms": 20_000, "retention_s": RETENTION_S, "priority": 2}
+        routes = [
+            route("look", "safe", PLAIN),
+            route("pay", "unsafe", PLAIN),
+            route("ask", "streaming", MODEL, gap_aim_ms=300),
+            route("go-on", "streaming", MODEL, resumable=True, gap_aim_ms=300),
+            route("lot", "batch", MODEL, **lot),
+            route(f"v{self.config_version}", "safe", PLAIN),
+        ]
+        row = {"version": self.config_version, "routes": routes, "services": [], "limits": {}}
+        self.store.put("config", "main", row)
+
+    async def _add_server(self, server_id: str, service: str) -> None:
+        server = PlatformEngineStandin(
+            server_id, is_model=service == MODEL, event_count=EVENT_COUNT
+        )
+        server.event_gap_s = 0.04
+        inside, outside = (PeerAddress(LOOPBACK, free_port()) for _ in range(2))
+        self.servers[server_id] = server
+        self.server_proxies[server_id] = FaultyProxy(inside)
+        self._tasks.start_soon(Ingress(server).serve, inside)
+        self._tasks.start_soon(self.server_proxies[server_id].serve, outside)
+        row = {"service": service, "address": f"{outside.host}:{outside.port}"}
+        row |= {"zone": ZONES[0], "state": "ready"}
+        numbers = {"slots": SERVER_SLOTS, "sequence": 1, "born": 1_700_000_000_000}
+        self.store.put("servers", server_id, row | numbers)
+
+    def _add_node(self, index: int, peer_port: int, store: PeerAddress) -> None:
+        name, host = f"vm-{index + 1}", f"127.0.0.{FIRST_HOST + index}"
+        zone = ZONES[index % len(ZONES)]
+        proxy, outside = FaultyProxy(store), PeerAddress(LOOPBACK, free_port())
+        self._tasks.start_soon(proxy.serve, outside)
+        front, ready = (PeerAddress(host, free_port()) for _ in range(2))
+        boot = self._folder / f"{name}.toml"
+        boot.write_text(
+            BOOT.format(
+                name=name,
+                zone=zone,
+                host=host,
+                peer=peer_port,
+                heartbeat=peer_port + 1,
+                front=front.port,
+                ready=ready.port,
+                grace_s=GRACE_S,
+                store_host=outside.host,
+                store_port=outside.port,
+            )
+        )
+        parts = Settings(name, "cymru", zone, host, "", "", "")
+        settings = NodeSettings(parts, StoreLimits(outside), front=front, readiness=ready)
+        node = NodeProcess(name, settings, boot)
+        node.store_proxy = proxy
+        self.nodes.append(node)
+        self._tasks.start_soon(node.supervise, self.exits.append)
+        self._tasks.start_soon(node.follow_readiness)
+
+    @property
+    def peak_kb(self) -> int:
+        """The peak memory of all node processes together."""
+        return sum(node.peak_kb for node in self.nodes)
+
+    def end(self) -> None:
+        """Ends the processes."""
+        for node in self.nodes:
+            node.end()
--- a/tools/check.py
+++ b/tools/check.py
@@ -61,6 +61,7 @@
     Check("capacity page", (PYTHON, "-m", "tools.check_capacity")),
     Check("model checking", (PYTHON, "tools/check_model.py")),
     Check("chaos", (PYTHON, "-m", "benchmarks.chaos", "--seeds", "200")),
+    Check("soak", (PYTHON, "-m", "soak", "--seeds", "2", "--length-s", "10", "--regressions")),
     Check("batch benches", (PYTHON, "-m", "benchmarks.batch")),
     Check("placement benches", (PYTHON, "-m", "benchmarks.placement")),
     Check("policy benches", (PYTHON, "-m", "benchmarks")),
