Notice within 2 s that the store is silent to a zone's watcher

Cause: a watch of 5 s with 2 s of grace hid for up to 7 s that the store no longer answers the node that watches for its zone; the zone would have had an old configuration meanwhile (bound 3 s). Change: a watch that is passed on asks again each second, and the client's grace is 1 s.

--- a/briarvale/feed_source.py
+++ b/briarvale/feed_source.py
@@ -21,6 +21,9 @@
 CONNECT_TIMEOUT_S = 0.5
 # A publisher that was lost is left alone this long; the membership mostly names another by then.
 RETRY_S = 2.0
+# A watch whose answer is overdue is how a node finds that the store is silent to it. Its zone waits
+# no longer than this, and the store client's grace, before each node asks for itself.
+PUBLISHED_WATCH_MS = 1_000
 
 PublisherView = Callable[[], PeerAddress | None]
 
@@ -37,6 +40,7 @@
         publisher: Passes on what this node hears from the store.
         transport: Connections to peers.
         view: Returns the node that watches for this one; none if that is this node itself.
+        patient_kinds: Kinds of which a zone may learn late; watches on them last as long as asked.
     """
 
     def __init__(
@@ -45,11 +49,13 @@
         publisher: FeedPublisher,
         transport: PeerTransport,
         view: PublisherView,
+        patient_kinds: frozenset[str] = frozenset(),
     ) -> None:
         self._store = store
         self._publisher = publisher
         self._transport = transport
         self._view = view
+        self._patient_kinds = patient_kinds
         # The connection to the node that watches for this one; none while there is none.
         self.link: FeedLink | None = None
         self._lost_at_s: dict[PeerAddress, float] = {}
@@ -70,6 +76,8 @@
     async def _watch_store(self, kind: str, revision: int, wait_ms: int) -> ChangeList:
         if self._view() is None:
             self._publisher.begin(kind, revision)
+            if kind not in self._patient_kinds:
+                wait_ms = min(wait_ms, PUBLISHED_WATCH_MS)
         else:
             self._publisher.lose(kind)
         try:
--- a/briarvale/platform/node.py
+++ b/briarvale/platform/node.py
@@ -125,6 +125,7 @@
             self._publisher,
             self._environment.transport,
             self.cluster.feed_publisher,
+            frozenset((VMS_KIND,)),
         )
         self.jobs = JobDirectory()
         self._budget = StoreBudget(
--- a/briarvale/platform/store.py
+++ b/briarvale/platform/store.py
@@ -30,7 +30,7 @@
 
 CALL_TIMEOUT_S = 1.5
 CONNECT_TIMEOUT_S = 1.0
-WATCH_GRACE_S = 2.0
+WATCH_GRACE_S = 1.0
 MAX_IDLE_CONNECTIONS = 4
 MAX_IDLE_S = 10.0
 OBJECTS_PATH = "/briarvale/objects"
--- a/features/platform/feeds.feature
+++ b/features/platform/feeds.feature
@@ -27,4 +27,5 @@
       | killed                     |
       | stopped gracefully         |
       | turned away by the store   |
+      | cut off from it in silence |
       | hung with its watch        |
--- a/features/steps/platform_feeds.py
+++ b/features/steps/platform_feeds.py
@@ -172,6 +172,9 @@
     "turned away by the store": lambda fleet, node: setattr(
         fleet.gates[node.name], "is_refusing", True
     ),
+    "cut off from it in silence": lambda fleet, node: setattr(
+        fleet.gates[node.name], "is_silent", True
+    ),
     "hung with its watch": hang,
 }
 
--- a/features/support/platform_store.py
+++ b/features/support/platform_store.py
@@ -197,6 +197,7 @@
     def __init__(self, store: PlatformStoreStandin) -> None:
         self._store = store
         self.is_refusing = False
+        self.is_silent = False
         self.watch_calls = 0
 
     async def refuse(self, error: BriarvaleError, responder: Responder) -> None:
@@ -211,7 +212,7 @@
             return
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._watch_gate, tasks.cancel_scope)
-            await self._store.handle(request, responder)
+            await self._store.handle(request, _Muted(responder, self))
             tasks.cancel_scope.cancel()
         if not responder.has_started:
             await _answer(responder, 503, {})
@@ -222,6 +223,20 @@
         scope.cancel()
 
 
+class _Muted:
+    """Holds answers back while a gate is silent."""
+
+    def __init__(self, responder: Responder, gate: StoreGate) -> None:
+        self._responder = responder
+        self._gate = gate
+
+    async def answer(self, status: int, headers: Any, body: bytes) -> None:
+        """Sends a whole answer once the gate passes it."""
+        while self._gate.is_silent:
+            await anyio.sleep(0.05)
+        await self._responder.answer(status, headers, body)
+
+
 async def _answer(responder: Responder, status: int, row: Row) -> None:
     await responder.answer(
         status, ((b"content-type", b"application/json"),), json.dumps(row).encode()
