Grant less on servers that fail or are slow, judged by the pool's own runs

Cause: a server that fails at once frees its slots at once, so least load sent it more: of 9 servers, 2 that fail half of their runs drew 13 failures in 100 requests (equal shares: 11), 2 that fail all of them 27 (equal shares: 22); servers three times as slow got nearly equal shares. Ruled out: the pause after a failure alone; each success ended it. Change: PoolHealth ejects a server that fails most of its latest runs, for 1 s and twice as long each time, then tries one run at a time; never more than a third of a pool. The load of a server that takes over 1.5 times as long as the median counts as many times as it takes longer. Tests: three scenarios of pool_policy.feature, two of them seen failing with the policy off.

--- /dev/null
+++ b/briarvale/pool_health.py
@@ -0,0 +1,50 @@
+"""Which servers of a pool do worse than the others, by the requests that ran on them."""
+
+from collections.abc import Mapping
+from statistics import median
+
+from . import logs
+from ._generated.messages import Outcome
+from .outliers import ejectable_count
+from .pool_server import PoolServer
+
+log = logs.part("pool")
+
+__all__ = ["PoolHealth"]
+
+
+class PoolHealth:
+    """Judges the servers of one pool against each other.
+
+    Args:
+        servers: The pool's servers by id, as the pool keeps them.
+    """
+
+    def __init__(self, servers: Mapping[str, PoolServer]) -> None:
+        self._servers = servers
+
+    def note_outcome(self, server: PoolServer, outcome: Outcome, now_ms: int) -> None:
+        """Takes how a run ended; a server that fails most of its runs is ejected for a while."""
+        server.note_outcome(outcome, now_ms)
+        if not server.record.note_outcome(outcome, now_ms) or not self._may_eject(server, now_ms):
+            return
+        until_ms = server.record.eject(now_ms)
+        log.info(
+            "Grants nothing on a server that fails.",
+            backend_server=server.server.id,
+            for_ms=until_ms - now_ms,
+        )
+
+    def compare_times(self, now_ms: int) -> None:
+        """Finds the servers whose runs take longer than those of most."""
+        means = (server.record.mean_ms(now_ms) for server in self._servers.values())
+        known = [mean_ms for mean_ms in means if mean_ms is not None]
+        usual_ms = median(known) if known else 0.0
+        for server in self._servers.values():
+            server.compare(usual_ms, now_ms)
+
+    def _may_eject(self, server: PoolServer, now_ms: int) -> bool:
+        """Whether enough servers would be left: a fault that all share is no reason to eject."""
+        others = [one for one in self._servers.values() if one.is_ready and one is not server]
+        out = sum(one.record.is_ejected(now_ms) or one.record.is_on_trial for one in others)
+        return out < ejectable_count(len(others) + 1)
--- a/briarvale/pool_server.py
+++ b/briarvale/pool_server.py
@@ -7,6 +7,7 @@
 from ._generated.messages import Outcome, SlotRequest, WorkClass
 from .grants import GrantTable
 from .live_servers import LiveServer
+from .server_record import ServerRecord
 
 # A server that failed is left alone this long, twice as long after each further failure in a row.
 AVOID_START_MS = 500
@@ -15,6 +16,10 @@
 # What a whole cached prompt, or the same availability zone, is worth in relative load.
 PREFIX_WEIGHT = 0.15
 ZONE_WEIGHT = 0.05
+# Times of servers differ by what they happen to run; one beyond this is slow, and its load counts
+# as many times as its runs take longer, up to a limit, so that it goes on being tried.
+SLOW_FACTOR = 1.5
+MAX_SLOWNESS = 5.0
 
 __all__ = ["PoolServer", "ServerRuns"]
 
@@ -38,11 +43,16 @@
         self.failures = 0
         self.avoid_until_ms = 0
         self.foreign_runs = 0
+        self.record = ServerRecord()
+        self.slowness = 1.0
 
     @property
     def free(self) -> int:
         """Slots that may be granted now."""
-        return self.server.slots - self.grants.slots if self.is_ready else 0
+        if not self.is_ready:
+            return 0
+        slots = 1 if self.record.is_on_trial else self.server.slots
+        return slots - self.grants.slots
 
     def free_for(self, work_class: WorkClass) -> int:
         """Returns the slots that a class may get; an item never queues behind foreign runs."""
@@ -69,11 +79,17 @@
 
     def cost(self, request: SlotRequest) -> float:
         """Returns the relative load with the request, less what cache and nearness save."""
-        load = (self.grants.slots + self.foreign_runs + 1) / self.server.slots
+        load = (self.grants.slots + self.foreign_runs + 1) / self.server.slots * self.slowness
         is_near = self.server.availability_zone == request.availability_zone
         saved = PREFIX_WEIGHT * self.cached_share(request.prefix_ids) + ZONE_WEIGHT * is_near
         return load - saved
 
+    def compare(self, usual_ms: float, now_ms: int) -> None:
+        """Takes how long runs usually take, on any server of the pool."""
+        mean_ms = self.record.mean_ms(now_ms)
+        ratio = mean_ms / usual_ms if mean_ms is not None and usual_ms > 0 else 1.0
+        self.slowness = min(MAX_SLOWNESS, ratio) if ratio > SLOW_FACTOR else 1.0
+
     def note_outcome(self, outcome: Outcome, now_ms: int) -> None:
         """Takes how a run ended; failures in a row have the server avoided."""
         match outcome:
--- a/briarvale/slot_pool.py
+++ b/briarvale/slot_pool.py
@@ -26,6 +26,7 @@
 from .headroom import PeakDemand
 from .holder import Holder
 from .live_servers import LiveServer
+from .pool_health import PoolHealth
 from .pool_queue import MAX_QUEUED, PoolQueue, PoolWaiter
 from .pool_server import PoolServer, ServerRuns
 from .wait_estimate import WaitEstimate
@@ -60,6 +61,7 @@
         self.name = name
         self._clock = clock
         self._servers: dict[str, PoolServer] = {}
+        self._health = PoolHealth(self._servers)
         self._waiting = {work: PoolQueue() for work in WorkClass}
         self._estimate = WaitEstimate()
         self._online_peak = PeakDemand(BATCH_HEADROOM_MS)
@@ -176,9 +178,12 @@
         for server in self._servers.values():
             grant = server.grants.remove(release.grant_id)
             if grant is not None:
-                server.note_outcome(release.outcome, now_ms)
+                self._health.note_outcome(server, release.outcome, now_ms)
                 if grant.held.work_class is WorkClass.ONLINE:
-                    self._estimate.observe(now_ms - grant.granted_at_ms)
+                    took_ms = now_ms - grant.granted_at_ms
+                    self._estimate.observe(took_ms)
+                    if release.outcome is Outcome.FINISHED:
+                        server.record.note_time(took_ms, now_ms)
                 self.pump()
                 return
 
@@ -237,6 +242,7 @@
         for queue in self._waiting.values():
             for waiter in queue.take_expired(now_ms):
                 self._refuse(waiter.request, waiter.holder, now_ms + RETRY_DELAY_MS)
+        self._health.compare_times(now_ms)
         self.pump()
         self._log_state(now_ms)
 
@@ -306,7 +312,8 @@
         ready = [server for server in self._servers.values() if server.is_ready]
         others = [server for server in ready if server.server.id not in request.excluded]
         work_class = request.work_class
-        free = [server for server in others or ready if server.free_for(work_class) > 0]
+        candidates = [server for server in others or ready if not server.record.is_ejected(now_ms)]
+        free = [server for server in candidates if server.free_for(work_class) > 0]
         sound = [server for server in free if server.avoid_until_ms <= now_ms]
         return min(sound or free, key=lambda server: server.cost(request), default=None)
 
--- a/features/platform/pool_policy.feature
+++ b/features/platform/pool_policy.feature
@@ -39,3 +39,16 @@
     When one of two servers reports 4 runs that no holder knows of
     Then online requests prefer the other server and items start only there
     And once the runs are over, items start on both
+
+  Scenario: Two of nine servers fail half of their runs at once
+    When online load runs on 9 servers of which 2 fail half of their runs after 20 ms
+    Then fewer than half as many requests fail as with equal shares
+    And no request is refused
+
+  Scenario: All servers fail more than half of their runs
+    When online load runs on 9 servers of which 9 fail 6 in 10 of their runs after 20 ms
+    Then no request is refused, and none waits beyond a caller's patience
+
+  Scenario: Two of nine servers are three times as slow
+    When a low online load runs on 9 servers of which 2 take three times as long
+    Then fewer than a quarter as many requests run there as with equal shares
--- a/features/steps/pool_policy.py
+++ b/features/steps/pool_policy.py
@@ -261,3 +261,46 @@
     context.pool.note_load(ServerRuns("i-busy", 0, 0))
     granted = [grant.backend_server for grant in context.holder.of(SlotGrant)]
     assert granted.count("i-busy") == 4, granted
+
+
+@when("online load runs on 9 servers of which 2 fail half of their runs after 20 ms")
+def when_two_fail(context: Context) -> None:
+    context.result = PoolLoad(LoadShape(failing_servers=2), SlotPool).run()
+
+
+@then("fewer than half as many requests fail as with equal shares")
+def then_few_fail(context: Context) -> None:
+    equal_share = 2 / 9 * 0.5
+    share = context.result.online_failed / len(context.result.online_times_ms)
+    assert share < equal_share / 2, share
+
+
+@then("no request is refused")
+def then_none_refused(context: Context) -> None:
+    assert context.result.online_refused == 0, context.result.online_refused
+
+
+@when("online load runs on 9 servers of which 9 fail 6 in 10 of their runs after 20 ms")
+def when_all_fail(context: Context) -> None:
+    context.result = PoolLoad(LoadShape(failing_servers=9, failing_share=0.6), SlotPool).run()
+
+
+@then("no request is refused, and none waits beyond a caller's patience")
+def then_all_run(context: Context) -> None:
+    then_none_refused(context)
+    then_patience(context)
+
+
+@when("a low online load runs on 9 servers of which 2 take three times as long")
+def when_slow(context: Context) -> None:
+    shape = LoadShape(high_per_s=14, items_per_s=0.1, slow_servers=2)
+    context.result = PoolLoad(shape, SlotPool).run()
+
+
+@then("fewer than a quarter as many requests run there as with equal shares")
+def then_few_slow(context: Context) -> None:
+    shape = LoadShape()
+    times_ms = context.result.online_times_ms
+    # No run elsewhere takes this long.
+    slow = sum(took_ms > 1.5 * shape.online_ms for took_ms in times_ms)
+    assert slow < len(times_ms) * 2 / 9 / 4, (slow, len(times_ms))
--- a/features/support/pool_load.py
+++ b/features/support/pool_load.py
@@ -39,6 +39,11 @@
     restart_ms: float = 100.0
     length_ms: int = 60_000
     seed: int = 1
+    failing_servers: int = 0
+    failing_share: float = 0.5
+    fail_ms: float = 20.0
+    slow_servers: int = 0
+    slow_factor: float = 3.0
 
 
 class LoadResult(NamedTuple):
@@ -50,6 +55,8 @@
     item_times_ms: list[float]
     starts: int
     revoked_early: int
+    online_failed: int
+    online_times_ms: list[float]
 
     def wait_ms(self, share: float) -> float:
         """Returns a quantile of the online waits."""
@@ -88,8 +95,8 @@
         self._online: dict[str, float] = {}
         self._items: dict[str, _Item] = {}
         self._runs: dict[str, tuple[str, float]] = {}
-        self.result = LoadResult([], 0, 0, [], 0, 0)
-        self._refused = self._done = self._starts = self._early = 0
+        self.result = LoadResult([], 0, 0, [], 0, 0, 0, [])
+        self._refused = self._done = self._starts = self._early = self._failed = 0
         self.pool = make_pool("desk", self._clock)
         self.pool.configure(
             LiveServer(f"i-{n}", "desk", PeerAddress("127.0.0.1", 1), "a", shape.slots)
@@ -111,15 +118,14 @@
             items_done=self._done,
             starts=self._starts,
             revoked_early=self._early,
+            online_failed=self._failed,
         )
 
     def notify(self, message: Message) -> None:
         """Takes what the pool tells its holder."""
         match message:
-            case SlotGrant(request_id=request_id, grant_id=grant_id) if request_id in self._online:
-                self.result.online_waits_ms.append(self._clock.ms - self._online.pop(request_id))
-                hold_ms = self._shape.online_ms * self._random.uniform(0.7, 1.3)
-                self._at(hold_ms, lambda: self._release(grant_id, Outcome.FINISHED))
+            case SlotGrant(request_id=request_id) if request_id in self._online:
+                self._start_online(message)
             case SlotGrant(request_id=request_id, grant_id=grant_id):
                 self._start_item(request_id, grant_id)
             case SlotRefusal(request_id=request_id) if request_id in self._online:
@@ -172,6 +178,22 @@
             deadline_ms=self._clock.now_ms() + wait_ms,
         )
 
+    def _start_online(self, grant: SlotGrant) -> None:
+        shape = self._shape
+        wait_ms = self._clock.ms - self._online.pop(grant.request_id)
+        self.result.online_waits_ms.append(wait_ms)
+        hold_ms = shape.online_ms * self._random.uniform(0.7, 1.3)
+        # Servers are numbered; the first ones fail, the last ones are slow.
+        number = int(grant.backend_server.removeprefix("i-"))
+        outcome = Outcome.FINISHED
+        if number < shape.failing_servers and self._random.random() < shape.failing_share:
+            hold_ms, outcome = shape.fail_ms, Outcome.FAILED
+            self._failed += 1
+        elif number >= shape.servers - shape.slow_servers:
+            hold_ms *= shape.slow_factor
+        self.result.online_times_ms.append(wait_ms + hold_ms)
+        self._at(hold_ms, lambda: self._release(grant.grant_id, outcome))
+
     def _start_item(self, request_id: str, grant_id: str) -> None:
         self._starts += 1
         self._runs[grant_id] = (request_id, self._clock.ms)
