Run an idempotent request again when a server answers 500, and judge the server by it

Change: a 500, 502 or 503 of the server's own counts as a failed run of its slot, so that the pool ejects a server that gives most; idempotent requests run again elsewhere within the route's attempts, others and the last attempt pass the server's answer on. Ruled out: hiding the answer of a request that may not run twice.

--- a/briarvale/errors.py
+++ b/briarvale/errors.py
@@ -208,6 +208,12 @@
     code, http_status, not_run = "server_full", 503, True
 
 
+class ServerFailed(BriarvaleError):
+    """The backend server ran the request and answered with an error of its own."""
+
+    code, http_status = "server_failed", 502
+
+
 class AttemptsExhausted(BriarvaleError):
     """Each allowed attempt at a backend server failed; one of them may have run."""
 
--- a/briarvale/forwarding.py
+++ b/briarvale/forwarding.py
@@ -17,6 +17,7 @@
     Overloaded,
     OwnerUnreachable,
     ServerConnectFailed,
+    ServerFailed,
     ServerFull,
     ServerLost,
 )
@@ -36,6 +37,8 @@
 RETRY_PAUSE_MS = 20
 MAX_FULL_ANSWERS = 8
 MAX_BUFFERED_BYTES = 1_000_000
+# Answers that speak of a fault of the server; 504 speaks of the request's own deadline.
+SERVER_FAILURES = frozenset((500, 502, 503))
 
 log = logs.part("gateway")
 
@@ -133,6 +136,10 @@
                 progress.full_answers += 1
                 if progress.full_answers >= MAX_FULL_ANSWERS:
                     raise
+            except ServerFailed as error:
+                progress.may_have_run = True
+                progress.attempts += 1
+                self._note_attempt(request, progress, error)
             except ServerLost as error:
                 progress.may_have_run = True
                 progress.attempts += 1
@@ -201,10 +208,10 @@
             with tracer.start_as_current_span("backend server") as span:
                 span.set_attribute("briarvale.backend_server", server.id)
                 span.set_attribute("briarvale.request_id", attempt.request.request_id)
-                await self._exchange(attempt, sink, progress)
-            _set_outcome(slot, Outcome.FINISHED)
+                outcome = await self._exchange(attempt, sink, progress)
+            _set_outcome(slot, outcome)
             metrics.ATTEMPTS.inc({"service": attempt.request.service, "code": "finished"})
-        except (ServerLost, ServerConnectFailed, ServerFull) as error:
+        except (ServerLost, ServerFailed, ServerConnectFailed, ServerFull) as error:
             if isinstance(error, ServerLost):
                 await self._crashes.note_loss(attempt.request.fingerprint, server, began_at_ms)
             _set_outcome(slot, Outcome.FAILED)
@@ -213,17 +220,23 @@
         finally:
             self._own_runs[server.id] -= 1
 
-    async def _exchange(self, attempt: _Attempt, sink: AnswerSink, progress: _Progress) -> None:
+    async def _exchange(self, attempt: _Attempt, sink: AnswerSink, progress: _Progress) -> Outcome:
+        """Forwards one run's answer; an error of the server's own only if it may not run again."""
         request = attempt.request
         async with self._engines.run(request, attempt.server, progress.cursor.last_id) as run:
             is_success = 200 <= run.head.status < 300
             if is_success and not run.facts.is_signed:
                 raise ServerLost("a success without a signature")
+            has_failed = run.head.status in SERVER_FAILURES
+            is_last = progress.attempts + 1 >= request.route.max_attempts
+            if has_failed and not is_last and _may_repeat(request, sink, progress):
+                raise ServerFailed(f"{attempt.server.id} answered {run.head.status}")
             match request.route.kind:
                 case StreamRoute() if is_success:
                     await _forward_events(run, sink, progress)
                 case _:
                     await _forward_body(run, sink)
+        return Outcome.FAILED if has_failed else Outcome.FINISHED
 
     def _note_attempt(
         self, request: ForwardRequest, progress: _Progress, error: BriarvaleError
--- a/briarvale/pool_health.py
+++ b/briarvale/pool_health.py
@@ -41,7 +41,20 @@
         known = [mean_ms for mean_ms in means if mean_ms is not None]
         usual_ms = median(known) if known else 0.0
         for server in self._servers.values():
+            was_slow = server.slowness > 1
             server.compare(usual_ms, now_ms)
+            if was_slow != (server.slowness > 1):
+                self._log_pace(server, usual_ms, now_ms)
+
+    def _log_pace(self, server: PoolServer, usual_ms: float, now_ms: int) -> None:
+        pace = "long" if server.slowness > 1 else "as long as elsewhere"
+        log.info(
+            "Runs on a server take {}.",
+            pace,
+            backend_server=server.server.id,
+            mean_ms=round(server.record.mean_ms(now_ms) or 0),
+            usual_ms=round(usual_ms),
+        )
 
     def _may_eject(self, server: PoolServer, now_ms: int) -> bool:
         """Whether enough servers would be left: a fault that all share is no reason to eject."""
--- a/briarvale/work_items.py
+++ b/briarvale/work_items.py
@@ -179,6 +179,7 @@
         with tracer.start_as_current_span("batch item") as span:
             span.set_attribute("briarvale.backend_server", server.id)
             error: BriarvaleError | None = None
+            failures_before = state.failures
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(_cancel_when_revoked, slot, tasks.cancel_scope)
                 tasks.start_soon(_cancel_when_silent, state, tasks.cancel_scope)
@@ -188,7 +189,10 @@
                 error = ServerStalled(f"{server.id} sent nothing for {MAX_SILENCE_S} s")
             if error is not None:
                 raise error
-        if state.is_whole:
+        if state.failures > failures_before:
+            slot.outcome = Outcome.FAILED
+            state.excluded = [server.id]
+        elif state.is_whole:
             slot.outcome = Outcome.FINISHED
         elif slot.revoked.is_set():
             slot.outcome = Outcome.REVOKED
--- a/features/platform/forwarding.feature
+++ b/features/platform/forwarding.feature
@@ -27,6 +27,22 @@
     Then the caller gets 502
     And the request reached servers 1 times
 
+  Scenario: An idempotent request that a server answers 500 runs again elsewhere
+    When a server answers an idempotent request with 500 once
+    Then the caller gets the whole answer of another server
+
+  Scenario: A request that every server answers 500
+    When every server answers an idempotent request with 500
+    Then the caller gets a server's own 500 after as many runs as the route allows
+
+  Scenario: A non-idempotent request that a server answers 500 never runs again
+    When a server answers a non-idempotent request with 500 once
+    Then the caller gets a server's own 500 after one run
+
+  Scenario: A server that answers 500 to all gets hardly anything
+    When one of three servers answers 500 to all and 60 non-idempotent requests come
+    Then fewer than one in six of them get a 500
+
   Scenario: An answer to another request is not the caller's
     When an answer to another request arrives first
     Then the caller gets a whole answer
--- a/features/steps/platform_forwarding.py
+++ b/features/steps/platform_forwarding.py
@@ -140,6 +140,59 @@
     play(context, calling("POST", "/pay/a", Behaviour.BREAK_AT_ONCE))
 
 
+@when("a server answers an idempotent request with 500 once")
+def when_500_once(context: Context) -> None:
+    play(context, calling("POST", "/look/a", Behaviour.FAIL))
+
+
+@when("every server answers an idempotent request with 500")
+def when_500_always(context: Context) -> None:
+    play(context, calling("POST", "/look/a", usual=Behaviour.FAIL), server_count=4)
+
+
+@when("a server answers a non-idempotent request with 500 once")
+def when_500_unsafe(context: Context) -> None:
+    play(context, calling("POST", "/pay/a", Behaviour.FAIL))
+
+
+@then("the caller gets the whole answer of another server")
+def then_elsewhere(context: Context) -> None:
+    answer = context.seen.answers[0]
+    assert answer.status == 200 and answer.body == b"body of req-1", answer
+    assert [len(engine.seen) for engine in context.seen.engines] == [1, 1]
+
+
+@then("the caller gets a server's own 500 after as many runs as the route allows")
+def then_500_exhausted(context: Context) -> None:
+    answer = context.seen.answers[0]
+    assert answer.status == 500 and answer.body == b"failed", answer
+    assert "briarvale-server-signature" in answer.headers
+    assert context.seen.reached == 3, context.seen.reached
+
+
+@then("the caller gets a server's own 500 after one run")
+def then_500_once(context: Context) -> None:
+    assert context.seen.answers[0].status == 500 and context.seen.reached == 1
+
+
+@when("one of three servers answers 500 to all and 60 non-idempotent requests come")
+def when_one_fails(context: Context) -> None:
+    async def behave_as(fleet: PlatformFleet, caller: Caller, seen: Seen) -> None:
+        seen.engines[0].usual = Behaviour.FAIL
+        for _ in range(60):
+            answer = await caller.call("POST", "/pay/a", BODY)
+            assert answer is not None
+            seen.answers.append(answer)
+
+    play(context, behave_as, server_count=3)
+
+
+@then("fewer than one in six of them get a 500")
+def then_few_500(context: Context) -> None:
+    failed = sum(answer.status == 500 for answer in context.seen.answers)
+    assert failed < len(context.seen.answers) / 6, failed
+
+
 @when("an answer to another request arrives first")
 def when_stray(context: Context) -> None:
     play(context, calling("POST", "/look/a", Behaviour.STRAY_ANSWER))
