List a kind again when the node that passes its changes on has missed some

The zone's watcher listed again, but its followers, told that it had lost its watch, went on from their old revision at the store, which told them nothing for 5 s. Ruled out: a lost message; the followers' log has the cut at 2.20 s and 'history is gone' at 6.82 s. Change: a subscription that was accepted and ends makes its feed list the kind, within 0.1 s.

--- a/briarvale/errors.py
+++ b/briarvale/errors.py
@@ -208,6 +208,12 @@
     code, http_status, not_run = "server_full", 503, True
 
 
+class WatchInterrupted(BriarvaleError):
+    """Whoever passed changes on has missed some, or is gone; the kind is to be listed."""
+
+    code, http_status = "watch_interrupted", 503
+
+
 class ServerFailed(BriarvaleError):
     """The backend server ran the request and answered with an error of its own."""
 
--- a/briarvale/feed_link.py
+++ b/briarvale/feed_link.py
@@ -10,7 +10,7 @@
     FeedUpdate,
     Message,
 )
-from .errors import PeerClosed, PeerProtocolError
+from .errors import PeerClosed, PeerProtocolError, WatchInterrupted
 from .feed_publisher import decode_row
 from .notifier import Notifier
 from .object_feed import ChangeList, FeedChange
@@ -32,6 +32,7 @@
         number: Tells this subscription from earlier ones, whose updates may still arrive.
         taken_revision: Up to which the feed knows.
         revision: Up to which was heard.
+        is_told: Whether the publisher accepted the subscription.
     """
 
     def __init__(self, number: int, revision: int) -> None:
@@ -40,6 +41,7 @@
         self.revision = revision
         self.changes: list[FeedChange] = []
         self.is_lost = False
+        self.is_told = False
 
 
 class FeedLink:
@@ -61,7 +63,11 @@
         self.is_closed = False
 
     async def watch(self, kind: str, revision: int, wait_s: float) -> ChangeList | None:
-        """Waits for changes of a kind after a revision; none if the publisher can't tell."""
+        """Waits for changes of a kind after a revision; none if the publisher can't tell of it.
+
+        Raises:
+            WatchInterrupted: If the publisher told of the kind and does so no longer.
+        """
         known = self._kinds.get(kind)
         if known is None or known.taken_revision != revision:
             known = self._subscribe(kind, revision)
@@ -70,6 +76,8 @@
                 await self._heard.wait()
         if known.is_lost or self.is_closed:
             self._kinds.pop(kind, None)
+            if known.is_told:
+                raise WatchInterrupted(f"{self.address.host} does not tell of it any longer")
             return None
         changes, known.changes = known.changes, []
         known.taken_revision = known.revision
@@ -137,7 +145,10 @@
     def _take_update(self, update: FeedUpdate) -> None:
         """Takes changes that are news here; a list may have brought the subscriber further."""
         known = self._kinds.get(update.kind)
-        if known is None or update.number != known.number or update.revision <= known.revision:
+        if known is None or update.number != known.number:
+            return
+        known.is_told = True
+        if update.revision <= known.revision:
             return
         known.changes += [decode_row(row) for row in update.rows]
         known.revision = update.revision
--- a/briarvale/feed_source.py
+++ b/briarvale/feed_source.py
@@ -65,7 +65,7 @@
         return await self._store.list_kind(kind)
 
     async def watch_kind(self, kind: str, revision: int, wait_ms: int) -> ChangeList:
-        """Waits for changes of a kind; raises `HistoryGone`."""
+        """Waits for changes of a kind; raises `HistoryGone` or `WatchInterrupted`."""
         if self.link is not None:
             self._publisher.lose(kind)
             found = await self.link.watch(kind, revision, wait_ms / MS_PER_S)
--- a/briarvale/object_feed.py
+++ b/briarvale/object_feed.py
@@ -9,11 +9,13 @@
 import anyio
 
 from . import logs
-from .errors import HistoryGone, StoreThrottled, StoreUnavailable
+from .errors import HistoryGone, StoreThrottled, StoreUnavailable, WatchInterrupted
 
 WATCH_MS = 20_000
 RETRY_START_S = 0.1
 RETRY_MAX_S = 1.0
+# Nodes that shared a watch list a kind again within this time of each other, not at once.
+SPREAD_S = 0.1
 # An outage is one that lasts longer than a lost connection takes to replace.
 OUTAGE_S = 0.5
 
@@ -58,7 +60,7 @@
         """Lists all objects of a kind, linearizably."""
 
     async def watch_kind(self, kind: str, revision: int, wait_ms: int) -> ChangeList:
-        """Waits for changes after a revision; raises `HistoryGone`."""
+        """Waits for changes after a revision; raises `HistoryGone` or `WatchInterrupted`."""
 
 
 class FeedHandler(Protocol):
@@ -98,6 +100,7 @@
         self._handler = handler
         self._revision = -1
         self._failing_since_s: float | None = None
+        self._is_interrupted = False
         self._is_relayed = is_relayed
         self._watch_ms = watch_ms
         self._pause_s = pause_s
@@ -141,14 +144,20 @@
             except HistoryGone:
                 log.info("Lists {} again: history is gone.", self._kind, kind=self._kind)
                 self._revision = -1
+            except WatchInterrupted as error:
+                log.info("Lists {} again: {}.", self._kind, error, kind=self._kind)
+                self._is_interrupted = True
+                await anyio.sleep(random.uniform(0, SPREAD_S))
             except (StoreUnavailable, StoreThrottled) as error:
                 self._note_failure(error)
                 await anyio.sleep(delay_s * random.uniform(0.5, 1.5))
                 delay_s = min(RETRY_MAX_S, 2 * delay_s)
 
     async def _follow_once(self) -> None:
-        if self._revision < 0 or self._failing_since_s is not None:
+        is_sure = self._revision >= 0 and not self._is_interrupted
+        if not is_sure or self._failing_since_s is not None:
             await self._list()
+            self._is_interrupted = False
             return
         found = await self._store.watch_kind(self._kind, self._revision, self._watch_ms)
         self._note_success()
--- a/features/platform/feeds.feature
+++ b/features/platform/feeds.feature
@@ -22,6 +22,10 @@
     When changes arrive between two watches, and one more before the second watch is answered
     Then the second watch and those after it bring each change, in order
 
+  Scenario: Watches hear nothing of a change, then they are cut
+    When the store's watches fall silent, the configuration changes and all watches are cut
+    Then 4 nodes that share one watch have the change in force within 1 s of the cut
+
   Scenario: The node that watches hands over to a larger one, and a node does not know yet
     When a larger node joins, and one of 4 nodes goes on following the one that watched before
     Then all of them have a change in force within 1 s
--- a/features/steps/platform_feeds.py
+++ b/features/steps/platform_feeds.py
@@ -224,6 +224,31 @@
     assert context.names == ["n-11", "n-12", "n-13"], context.names
 
 
+@when("the store's watches fall silent, the configuration changes and all watches are cut")
+def when_deaf(context: Context) -> None:
+    async def behave_as(fleet: PlatformFleet, facts: dict[str, Any]) -> None:
+        await anyio.sleep(LINK_S)
+        nodes = list(fleet.nodes.values())
+        await change(fleet, nodes)
+        fleet.store.faults.are_watches_deaf = True
+        fleet.version += 1
+        fleet.store.put("config", "main", fleet.config())
+        await anyio.sleep(0.3)
+        fleet.store.cut_watches()
+        since_s = anyio.current_time()
+        with anyio.move_on_after(IN_FORCE_TIMEOUT_S):
+            while any(version_at(node) < fleet.version for node in nodes):
+                await anyio.sleep(0.01)
+        facts["took_s"] = anyio.current_time() - since_s
+
+    play(context, behave_as, nodes=4, engines=1)
+
+
+@then("4 nodes that share one watch have the change in force within 1 s of the cut")
+def then_after_cut(context: Context) -> None:
+    assert context.facts["took_s"] <= 1.0, context.facts["took_s"]
+
+
 @when("a larger node joins, and one of 4 nodes goes on following the one that watched before")
 def when_larger(context: Context) -> None:
     async def behave_as(fleet: PlatformFleet, facts: dict[str, Any]) -> None:
