--- /dev/null
+++ b/briarvale/pool_revocation.py
@@ -0,0 +1,25 @@
+"""Which batch slots a pool takes back first."""
+
+from collections.abc import Iterable
+
+from . import metrics
+from ._generated.messages import SlotRevoke
+from .pool_server import PoolServer
+
+__all__ = ["revoke_batch"]
+
+
+def revoke_batch(servers: Iterable[PoolServer], count: int) -> None:
+    """Takes back batch slots of these servers, the latest due first."""
+    if count <= 0:
+        return
+    revocable = [
+        (grant.start_by_ms, grant.granted_at_ms, grant.held.grant_id, server, grant)
+        for server in servers
+        for grant in server.grants.revocable()
+    ]
+    ordered = sorted(revocable, key=lambda row: row[:3], reverse=True)
+    for *_, server, grant in ordered[:count]:
+        server.grants.mark_revoking(grant.held.grant_id)
+        grant.holder.notify(SlotRevoke(grant.held.grant_id, 1, "online"))
+        metrics.SLOTS_REVOKED.inc({"backend_server": server.server.id, "reason": "online"})
--- a/briarvale/slot_pool.py
+++ b/briarvale/slot_pool.py
@@ -17,7 +17,6 @@
     SlotRefusal,
     SlotRelease,
     SlotRequest,
-    SlotRevoke,
     WorkClass,
 )
 from .clock import MS_PER_S, Clock
@@ -28,6 +27,7 @@
 from .live_servers import LiveServer
 from .pool_health import PoolHealth
 from .pool_queue import MAX_QUEUED, PoolQueue, PoolWaiter
+from .pool_revocation import revoke_batch
 from .pool_server import PoolServer, ServerRuns
 from .wait_estimate import WaitEstimate
 
@@ -360,29 +360,14 @@
         """Takes back one batch slot for each online request that waits."""
         ready = [server for server in self._servers.values() if server.is_ready]
         revoking = sum(server.grants.revoking_slots for server in ready)
-        self._revoke_batch(ready, len(self._waiting[WorkClass.ONLINE]) - revoking)
+        revoke_batch(ready, len(self._waiting[WorkClass.ONLINE]) - revoking)
 
     def _revoke_excess(self) -> None:
         """Takes back batch slots that another owner granted beyond what a server has."""
         for server in self._servers.values():
             excess = server.grants.slots - server.grants.revoking_slots - server.server.slots
             if excess > 0:
-                self._revoke_batch([server], excess)
-
-    def _revoke_batch(self, servers: Iterable[PoolServer], count: int) -> None:
-        """Takes back batch slots of these servers, the latest due first."""
-        if count <= 0:
-            return
-        revocable = [
-            (grant.start_by_ms, grant.granted_at_ms, grant.held.grant_id, server, grant)
-            for server in servers
-            for grant in server.grants.revocable()
-        ]
-        ordered = sorted(revocable, key=lambda row: row[:3], reverse=True)
-        for *_, server, grant in ordered[:count]:
-            server.grants.mark_revoking(grant.held.grant_id)
-            grant.holder.notify(SlotRevoke(grant.held.grant_id, 1, "online"))
-            metrics.SLOTS_REVOKED.inc({"backend_server": server.server.id, "reason": "online"})
+                revoke_batch([server], excess)
 
     def _predicted_wait_ms(self, ahead: int) -> float:
         """Returns the wait of an online request behind others; batch slots come back at once."""
