Leave changes over 100 kB to each node to read from the store

Cause: a configuration that grows by 1,560 routes, passed on to 25 nodes of a zone by one, would take seconds of a 30 Mbit/s link, where 3 s are allowed; the store's link is 1,000 Mbit/s. Change: a publisher that hears of such a change tells its subscribers that it can't tell of the kind, and each lists it. Test: 'A change too large to be passed on to all', seen failing (375,050 bytes).

--- a/briarvale/feed_link.py
+++ b/briarvale/feed_link.py
@@ -55,7 +55,7 @@
     def __init__(self, address: PeerAddress, stream: MessageStream) -> None:
         self.address = address
         self._stream = stream
-        self._connection = PeerConnection(stream, PeerIdentity("publisher", address.host, ""))
+        self._connection = PeerConnection(stream, PeerIdentity(address.host, "publisher", ""))
         self._kinds: dict[str, _SubscribedKind] = {}
         self._last_number = 0
         self._heard = Notifier()
--- a/briarvale/feed_publisher.py
+++ b/briarvale/feed_publisher.py
@@ -18,6 +18,8 @@
 BEAT_INTERVAL_S = 0.4
 # How much of the past a new subscriber can be told; one that knows less lists the kind itself.
 MAX_HISTORY_CHANGES = 500
+# A larger change is left to each node to read from the store, whose link is wider than a node's.
+MAX_UPDATE_BYTES = 100_000
 
 RowDigest = Callable[[FeedObject], FeedObject]
 
@@ -88,6 +90,9 @@
             return
         digest = self._digests.get(kind)
         rows = tuple(_encode_row(change, digest) for change in found.changes)
+        if sum(len(row.value) for row in rows) > MAX_UPDATE_BYTES:
+            self.lose(kind)
+            return
         update = FeedUpdate(kind, found.revision, rows)
         known.add(update)
         for subscriber, number in known.subscribers.items():
--- a/features/platform/feeds.feature
+++ b/features/platform/feeds.feature
@@ -9,6 +9,10 @@
     When 4 nodes follow one that watches, and none of their own watches has ended
     Then all of them hold their first connection to it 2.5 s later
 
+  Scenario: A change too large to be passed on to all
+    When a configuration of 2,000 more routes comes while 4 nodes follow one that watches
+    Then all nodes have it in force within 3 s, and the one that watches passed on no such change
+
   Scenario: A job is known everywhere and its texts only where they are read
     When a job is done while 4 nodes follow one that watches
     Then the nodes that did not run it know its results without texts
--- a/features/steps/platform_feeds.py
+++ b/features/steps/platform_feeds.py
@@ -10,6 +10,7 @@
 
 from briarvale._generated.messages import FeedRow, FeedSubscribe, FeedUpdate, Message
 from briarvale.feed_link import FeedLink
+from briarvale.feed_publisher import MAX_UPDATE_BYTES, FeedPublisher
 from briarvale.peer import PeerAddress
 from briarvale.vm_list import VmEntry, VmStatus
 from features.steps.platform_batch import ITEMS, JOB, play, read_all, runner_of, submit
@@ -94,6 +95,53 @@
     assert context.facts["held"] == [True] * 4, context.facts["held"]
 
 
+@when("a configuration of 2,000 more routes comes while 4 nodes follow one that watches")
+def when_large(context: Context) -> None:
+    async def behave_as(fleet: PlatformFleet, facts: dict[str, Any]) -> None:
+        await anyio.sleep(LINK_S)
+        nodes = list(fleet.nodes.values())
+        await change(fleet, nodes)
+        watcher = watcher_of(fleet)
+        assert watcher.node is not None and watcher.node.cluster.publisher is not None
+        sent = watch_updates(watcher.node.cluster.publisher)
+        routes = fleet.config()["routes"]
+        more = [routes[0] | {"name": f"n-{n}", "path_prefix": f"/n-{n}/"} for n in range(2_000)]
+        fleet.version += 1
+        fleet.store.put("config", "main", fleet.config(routes=routes + more))
+        since_s = anyio.current_time()
+        with anyio.move_on_after(IN_FORCE_TIMEOUT_S):
+            while any(version_at(node) < fleet.version for node in nodes):
+                await anyio.sleep(0.01)
+        facts["took_s"] = anyio.current_time() - since_s
+        facts["largest"] = max(sent, default=0)
+
+    play(context, behave_as, nodes=5, engines=1)
+
+
+def watch_updates(publisher: FeedPublisher) -> list[int]:
+    """Notes the size of each change that a publisher passes on."""
+    sizes: list[int] = []
+    for known in publisher._kinds.values():
+        for subscriber in known.subscribers:
+            subscriber.notify = _noting(subscriber.notify, sizes)  # type: ignore[method-assign]
+    return sizes
+
+
+def _noting(notify: Callable[[Message], None], sizes: list[int]) -> Callable[[Message], None]:
+    def note(message: Message) -> None:
+        if isinstance(message, FeedUpdate):
+            sizes.append(sum(len(row.value) for row in message.rows))
+        notify(message)
+
+    return note
+
+
+@then("all nodes have it in force within 3 s, and the one that watches passed on no such change")
+def then_large_in_force(context: Context) -> None:
+    assert context.facts["took_s"] <= 3.0, context.facts["took_s"]
+    assert context.facts["largest"] <= MAX_UPDATE_BYTES, context.facts["largest"]
+
+
 @when("a job is done while 4 nodes follow one that watches")
 def when_job(context: Context) -> None:
     async def behave_as(fleet: PlatformFleet, facts: dict[str, Any]) -> None:
