--- a/briarvale/platform/node.py
+++ b/briarvale/platform/node.py
@@ -46,14 +46,8 @@
 RELAYED_KINDS = (CONFIG_KIND, SERVERS_KIND)
 # Changes of these kinds have bounds of a few seconds, so no watch on them is trusted for long.
 SHORT_WATCH_MS = 5_000
-# Changes come in bursts, and nothing hangs on a fraction of a second.
-PAUSES_S = {
-    CONFIG_KIND: 0.1,
-    SERVERS_KIND: 0.2,
-    VMS_KIND: 1.0,
-    JOBS_KIND: 0.1,
-    RETIREMENTS_KIND: 0.2,
-}
+# Changes of these come in bursts, and nothing hangs on a fraction of a second.
+PAUSES_S = {VMS_KIND: 1.0, JOBS_KIND: 0.1}
 STORE_GIVE_UP_S = 3.0
 # Readers must neither wait for each other nor hold up what is written.
 READS_PER_S = 200.0
@@ -183,7 +177,7 @@
                 handler,
                 is_relayed=is_relayed,
                 watch_ms=SHORT_WATCH_MS if is_relayed else WATCH_MS,
-                pause_s=PAUSES_S[kind],
+                pause_s=PAUSES_S.get(kind, 0.0),
             )
             self._feeds[kind] = feed
             tasks.start_soon(feed.run)
