--- a/briarvale/membership.py
+++ b/briarvale/membership.py
@@ -33,7 +33,7 @@
 SYNC_DELAY_S = 3.0
 SYNC_INTERVAL_S = 300.0
 # While VMs of the list have not been heard of, others are asked for them, less and less often.
-UNHEARD_SYNC_S = 1.0
+UNHEARD_SYNC_S = 0.4
 UNHEARD_SYNC_MAX_S = 15.0
 SYNCS_PER_CUT = 16
 LEAVE_FANOUT = 16
@@ -230,8 +230,13 @@
             delay_s = min(UNHEARD_SYNC_MAX_S, 2 * delay_s) if is_stuck else UNHEARD_SYNC_S
             unheard_before = unheard
             await anyio.sleep(delay_s * spread.uniform(0.5, 1.5))
-            heard = [vm.vm for vm in self.vms if vm.incarnation and vm.health is VmHealth.ALIVE]
-            others = [name for name in heard if name != self._settings.vm]
+            # Also those not heard of: groups that heard of none of each other meet only so.
+            others = [
+                vm.vm
+                for vm in self.vms
+                if vm.vm != self._settings.vm
+                and (vm.incarnation == 0 or vm.health is VmHealth.ALIVE)
+            ]
             if others:
                 await self._sync_with(spread.choice(others))
 
--- a/features/support/platform_fleet.py
+++ b/features/support/platform_fleet.py
@@ -2,6 +2,7 @@
 
 import base64
 import json
+import random
 import socket
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
@@ -25,6 +26,9 @@
 CALL_TIMEOUT_S = 15.0
 GRACE_MS = 5_000
 CRASH_S = 0.6
+# Below the ports that outgoing connections get, one of which could be taken before its use.
+FIRST_PORT, LAST_PORT = 12_000, 32_000
+_given_ports: set[int] = set()
 
 
 class Answer(NamedTuple):
@@ -301,8 +305,19 @@
 
 
 def free_port() -> int:
-    """Returns a port that is free now on all loopback addresses that tests use."""
-    with socket.socket() as probe:
-        probe.bind(("0.0.0.0", 0))
-        port: int = probe.getsockname()[1]
-        return port
+    """Returns a port that is free now, as is the one after it, on all addresses that tests use."""
+    while True:
+        port = random.SystemRandom().randrange(FIRST_PORT, LAST_PORT, 2)
+        if port not in _given_ports and _is_free(port) and _is_free(port + 1):
+            _given_ports.add(port)
+            return port
+
+
+def _is_free(port: int) -> bool:
+    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+        with socket.socket(type=kind) as probe:
+            try:
+                probe.bind(("0.0.0.0", port))
+            except OSError:
+                return False
+    return True
