Keep one copy of a peer's question, of avoided servers and of the settings that tests write

Change: peer.ask_peer, ServerRecord.avoid_until_ms, features/support/boot and holders. No behaviour changes.

--- a/briarvale/config_spread.py
+++ b/briarvale/config_spread.py
@@ -24,7 +24,7 @@
 )
 from .membership import Membership
 from .notifier import Notifier
-from .peer import PeerAddress
+from .peer import ask_peer
 from .rendezvous import first_by_rendezvous
 from .settings import Settings
 
@@ -197,24 +197,15 @@
             return False
         try:
             with anyio.fail_after(PEER_TIMEOUT_S):
-                bundle = await self._ask_peer(address)
+                question = ConfigFetch(self.revision)
+                transport = self._environment.transport
+                bundle = await ask_peer(transport, address, question, ConfigBundle)
         except (OwnerUnreachable, PeerClosed, PeerProtocolError, TimeoutError) as error:
             log.info("No configuration from {}: {}.", vm, error)
             return False
         self.take(bundle)
         return True
 
-    async def _ask_peer(self, address: PeerAddress) -> ConfigBundle:
-        stream = await self._environment.transport.connect(address)
-        try:
-            await stream.send(ConfigFetch(self.revision))
-            while True:
-                message = await stream.receive()
-                if isinstance(message, ConfigBundle):
-                    return message
-        finally:
-            await stream.aclose()
-
     def _is_watcher(self) -> bool:
         region = [
             vm.vm
--- a/briarvale/feed_relay.py
+++ b/briarvale/feed_relay.py
@@ -10,7 +10,7 @@
 from ._generated.messages import ConfigBundle, ConfigDocument, ConfigFetch
 from .errors import OwnerUnreachable, PeerClosed, PeerProtocolError
 from .object_feed import FeedObject, ObjectFeed, ObjectList
-from .peer import PeerAddress, PeerTransport
+from .peer import PeerAddress, PeerTransport, ask_peer
 
 ASK_INTERVAL_S = 0.5
 ASK_TIMEOUT_S = 1.0
@@ -60,7 +60,7 @@
     async def _ask(self, address: PeerAddress) -> None:
         try:
             with anyio.fail_after(ASK_TIMEOUT_S):
-                bundle = await self._fetch(address)
+                bundle = await ask_peer(self._transport, address, ConfigFetch(), ConfigBundle)
         except (OwnerUnreachable, PeerClosed, PeerProtocolError, TimeoutError) as error:
             log.info("No answer from {}: {!r}.", address.host, error)
             return
@@ -69,17 +69,6 @@
             if feed is not None and feed.is_stale:
                 feed.offer(_decode(document), address.host)
 
-    async def _fetch(self, address: PeerAddress) -> ConfigBundle:
-        stream = await self._transport.connect(address)
-        try:
-            await stream.send(ConfigFetch())
-            while True:
-                message = await stream.receive()
-                if isinstance(message, ConfigBundle):
-                    return message
-        finally:
-            await stream.aclose()
-
 
 def _decode(document: ConfigDocument) -> ObjectList:
     content = json.loads(document.body)
--- a/briarvale/membership.py
+++ b/briarvale/membership.py
@@ -18,7 +18,7 @@
 from .failure_detector import FailureDetector
 from .heartbeats import Heartbeats, own_state
 from .notifier import Notifier
-from .peer import PeerAddress
+from .peer import PeerAddress, ask_peer
 from .peer_environment import PeerEnvironment
 from .settings import Settings
 from .suspects import SuspectTable
@@ -249,23 +249,15 @@
             return False
         try:
             with anyio.fail_after(SYNC_TIMEOUT_S):
-                self._take_snapshot(await self._fetch_snapshot(address), is_spread)
+                question = StateFetch(self._settings.vm)
+                transport = self._environment.transport
+                snapshot = await ask_peer(transport, address, question, StateSnapshot)
+                self._take_snapshot(snapshot, is_spread)
         except (OwnerUnreachable, PeerClosed, PeerProtocolError, TimeoutError) as error:
             log.debug("No state from {}: {}.", vm, error)
             return False
         return True
 
-    async def _fetch_snapshot(self, address: PeerAddress) -> StateSnapshot:
-        stream = await self._environment.transport.connect(address)
-        try:
-            await stream.send(StateFetch(self._settings.vm))
-            while True:
-                message = await stream.receive()
-                if isinstance(message, StateSnapshot):
-                    return message
-        finally:
-            await stream.aclose()
-
     def _take_snapshot(self, snapshot: StateSnapshot, is_spread: bool) -> None:
         now_ms = self._environment.clock.now_ms()
         for vm in snapshot.vms:
--- a/briarvale/peer.py
+++ b/briarvale/peer.py
@@ -7,7 +7,7 @@
 import hmac
 import secrets
 from collections.abc import Awaitable, Callable
-from typing import NamedTuple, Protocol
+from typing import NamedTuple, Protocol, TypeVar
 
 import anyio
 import capnp
@@ -32,6 +32,8 @@
 HANDSHAKE_TIMEOUT_S = 2.0
 SEND_TIMEOUT_S = 5.0
 
+Answer = TypeVar("Answer")
+
 log = logs.part("peer")
 
 __all__ = [
@@ -41,6 +43,7 @@
     "PeerIdentity",
     "PeerTransport",
     "TcpTransport",
+    "ask_peer",
 ]
 
 
@@ -204,6 +207,27 @@
         return hmac.digest(self._secret, message, "sha256")
 
 
+async def ask_peer(
+    transport: PeerTransport, address: PeerAddress, question: Message, answer: type[Answer]
+) -> Answer:
+    """Asks one question on a connection of its own; messages of other types are passed over.
+
+    Raises:
+        OwnerUnreachable: If there is no connection.
+        PeerClosed: If it ends before the answer.
+        PeerProtocolError: If a frame can't be read.
+    """
+    stream = await transport.connect(address)
+    try:
+        await stream.send(question)
+        while True:
+            message = await stream.receive()
+            if isinstance(message, answer):
+                return message
+    finally:
+        await stream.aclose()
+
+
 def _decode(data: bytes) -> Message:
     try:
         return decode_message(data)
--- a/briarvale/platform/node.py
+++ b/briarvale/platform/node.py
@@ -160,9 +160,8 @@
 
     def _start_feeds(self, tasks: TaskGroup) -> None:
         drains = VmDrains(self.cluster.is_mine, self._set_drained)
-        source = self.feed_source
         tasks.start_soon(self._publisher.run)
-        tasks.start_soon(source.run)
+        tasks.start_soon(self.feed_source.run)
         for kind, handler in (
             (CONFIG_KIND, ConfigFeed(self.routes)),
             (SERVERS_KIND, ServerFeed(self.servers)),
@@ -172,7 +171,7 @@
         ):
             is_relayed = kind in RELAYED_KINDS
             feed = ObjectFeed(
-                source,
+                self.feed_source,
                 kind,
                 handler,
                 is_relayed=is_relayed,
--- a/briarvale/pool_health.py
+++ b/briarvale/pool_health.py
@@ -25,7 +25,6 @@
 
     def note_outcome(self, server: PoolServer, outcome: Outcome, now_ms: int) -> None:
         """Takes how a run ended; a server that fails most of its runs is ejected for a while."""
-        server.note_outcome(outcome, now_ms)
         if not server.record.note_outcome(outcome, now_ms) or not self._may_eject(server, now_ms):
             return
         until_ms = server.record.eject(now_ms)
--- a/briarvale/pool_server.py
+++ b/briarvale/pool_server.py
@@ -4,14 +4,11 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-from ._generated.messages import Outcome, SlotRequest, WorkClass
+from ._generated.messages import SlotRequest, WorkClass
 from .grants import GrantTable
 from .live_servers import LiveServer
 from .server_record import ServerRecord
 
-# A server that failed is left alone this long, twice as long after each further failure in a row.
-AVOID_START_MS = 500
-AVOID_MAX_MS = 8_000
 MAX_PREFIXES = 2_048
 # What a whole cached prompt, or the same availability zone, is worth in relative load.
 PREFIX_WEIGHT = 0.15
@@ -40,8 +37,6 @@
         self.is_ready = True
         self.grants = GrantTable()
         self.prefixes: OrderedDict[str, None] = OrderedDict()
-        self.failures = 0
-        self.avoid_until_ms = 0
         self.foreign_runs = 0
         self.record = ServerRecord()
         self.slowness = 1.0
@@ -89,14 +84,3 @@
         mean_ms = self.record.mean_ms(now_ms)
         ratio = mean_ms / usual_ms if mean_ms is not None and usual_ms > 0 else 1.0
         self.slowness = min(MAX_SLOWNESS, ratio) if ratio > SLOW_FACTOR else 1.0
-
-    def note_outcome(self, outcome: Outcome, now_ms: int) -> None:
-        """Takes how a run ended; failures in a row have the server avoided."""
-        match outcome:
-            case Outcome.CRASHED | Outcome.FAILED:
-                delay_ms = min(AVOID_MAX_MS, AVOID_START_MS * 2**self.failures)
-                self.failures += 1
-                self.avoid_until_ms = now_ms + delay_ms
-            case Outcome.FINISHED:
-                self.failures = 0
-                self.avoid_until_ms = 0
--- a/briarvale/server_record.py
+++ b/briarvale/server_record.py
@@ -3,6 +3,9 @@
 from ._generated.messages import Outcome
 from .outliers import OutcomeWindow, StreamOutcome
 
+# A server that failed is used last for this long, twice as long after each more failure in a row.
+AVOID_START_MS = 500
+AVOID_MAX_MS = 8_000
 # A server that fails most of its runs gets none for this long, twice as long each further time.
 EJECT_START_MS = 1_000
 EJECT_MAX_MS = 8_000
@@ -17,9 +20,15 @@
 
 
 class ServerRecord:
-    """The latest outcomes and times of one server's runs."""
+    """The latest outcomes and times of one server's runs.
+
+    Attributes:
+        avoid_until_ms: Until when others are preferred.
+    """
 
     def __init__(self) -> None:
+        self.avoid_until_ms = 0
+        self._failures = 0
         self._outcomes = OutcomeWindow()
         self._ejections = 0
         self._ejected_until_ms = 0
@@ -41,11 +50,15 @@
         """Takes how a run ended; returns whether the server should be ejected now."""
         match outcome:
             case Outcome.FINISHED:
+                self._failures = 0
+                self.avoid_until_ms = 0
                 self._trials_left = max(0, self._trials_left - 1)
                 if not self.is_on_trial:
                     self._ejections = max(0, self._ejections - 1)
             case Outcome.FAILED | Outcome.CRASHED:
-                pass
+                delay_ms = min(AVOID_MAX_MS, AVOID_START_MS * 2**self._failures)
+                self._failures += 1
+                self.avoid_until_ms = now_ms + delay_ms
             case _:
                 return False
         self._outcomes.add(StreamOutcome(now_ms, outcome, 0))
--- a/features/steps/platform_edges.py
+++ b/features/steps/platform_edges.py
@@ -18,8 +18,18 @@
 from loguru import logger
 
 from briarvale.json_logs import BURST_LINES, MAX_LINES_PER_S, configure_json_lines
+from briarvale.node_settings import NodeBounds, NodeSettings, StoreLimits
+from briarvale.peer import PeerAddress
 from briarvale.settings import Settings
-from features.support.platform_fleet import PLAIN, Caller, PlatformFleet, free_port, platform_fleet
+from features.support.platform_boot import boot_text
+from features.support.platform_fleet import (
+    GRACE_MS,
+    PLAIN,
+    Caller,
+    PlatformFleet,
+    free_port,
+    platform_fleet,
+)
 
 BODY = b"look"
 LIMITS = {
@@ -29,20 +39,6 @@
     "idle_timeout_ms": 800,
 }
 PROCESS_TIMEOUT_S = 20
-SETTINGS = """
-node_name = "vm-1"
-zone = "caerdydd"
-region = "cymru"
-ip = "127.0.0.1"
-internal_ports = [{peer}, {last}]
-[listen]
-front = "127.0.0.1:{front}"
-ready = "127.0.0.1:{ready}"
-[bounds]
-grace_s = 5
-[platform]
-address = "127.0.0.1:{store}"
-"""
 
 
 async def limited_fleet(fleet: PlatformFleet) -> None:
@@ -188,8 +184,18 @@
 
 @when("the program starts with a wrong setting, and with good ones")
 def when_process(context: Context) -> None:
-    ports = {name: free_port() for name in ("peer", "front", "ready", "store")}
-    good = SETTINGS.format(last=ports["peer"] + 5, **ports)
+    host = "127.0.0.1"
+    front, ready, store = (PeerAddress(host, free_port()) for _ in range(3))
+    parts = Settings("vm-1", "cymru", "caerdydd", host, "", "", "", peer_port=free_port())
+    good = boot_text(
+        NodeSettings(
+            parts,
+            StoreLimits(store),
+            NodeBounds(grace_ms=GRACE_MS),
+            front=front,
+            readiness=ready,
+        )
+    )
     metrics_port = str(free_port())
     with tempfile.TemporaryDirectory() as folder:
         wrong = good.replace('ip = "127.0.0.1"', "ip = 7")
--- a/features/steps/pool_policy.py
+++ b/features/steps/pool_policy.py
@@ -7,7 +7,6 @@
 
 from briarvale._generated.messages import (
     HeldGrant,
-    Message,
     Outcome,
     SlotGrant,
     SlotRefusal,
@@ -21,6 +20,7 @@
 from briarvale.peer import PeerAddress
 from briarvale.pool_server import ServerRuns
 from briarvale.slot_pool import BATCH_GRACE_MS, REPORT_GRACE_MS, SlotPool
+from features.support.holders import RecordingHolder
 from features.support.pool_load import LoadShape, PoolLoad
 
 # A revocation is one message, a cancel at the engine and a release; an order of magnitude more.
@@ -40,23 +40,6 @@
         return self.ms
 
 
-class Holder:
-    """Keeps what the pool tells."""
-
-    name = "gateway vm-1"
-
-    def __init__(self) -> None:
-        self.told: list[Any] = []
-
-    def notify(self, message: Message) -> None:
-        """Takes a message."""
-        self.told.append(message)
-
-    def of(self, kind: type) -> list[Any]:
-        """Returns the messages of a kind."""
-        return [message for message in self.told if isinstance(message, kind)]
-
-
 def server(name: str, slots: int) -> LiveServer:
     """Returns a ready server."""
     return LiveServer(name, "desk", PeerAddress("127.0.0.1", 1), "a", slots)
@@ -120,12 +103,12 @@
 
 @when("400 requests arrive at once at a pool of 8 slots")
 def when_crowd(context: Context) -> None:
-    clock, context.holder = SetClock(), Holder()
+    clock, context.holder = SetClock(), RecordingHolder()
     pool = fresh_pool(clock, server("i-0", 8))
     for number in range(8):
         pool.submit(asked(f"first-{number}", clock), context.holder)
     clock.ms += 750
-    for grant in context.holder.of(SlotGrant):
+    for grant in context.holder.told(SlotGrant):
         pool.release(SlotRelease(grant.grant_id, Outcome.FINISHED))
     for number in range(400):
         pool.submit(asked(f"r-{number}", clock), context.holder)
@@ -134,7 +117,7 @@
 
 @then("those that would wait beyond their deadline are refused at once, with when to come back")
 def then_refused(context: Context) -> None:
-    refusals = context.holder.of(SlotRefusal)
+    refusals = context.holder.told(SlotRefusal)
     # 8 slots of 750 ms serve about 26 requests in the 2,400 ms that a caller waits.
     assert 400 - 8 - 28 <= len(refusals) <= 400 - 8 - 20, len(refusals)
     assert all(refusal.retry_at_ms > context.clock.ms for refusal in refusals)
@@ -142,55 +125,55 @@
 
 @when("online requests arrive at a pool full of items")
 def when_full(context: Context) -> None:
-    clock, context.holder = SetClock(), Holder()
+    clock, context.holder = SetClock(), RecordingHolder()
     pool = fresh_pool(clock, server("i-0", 4))
     for number in range(4):
         due = {"work_class": WorkClass.BATCH, "start_by_ms": clock.ms + 1_000 * number}
         pool.submit(asked(f"item-{number}", clock, **due), context.holder)
-    context.items = {grant.grant_id: grant.request_id for grant in context.holder.of(SlotGrant)}
+    context.items = {grant.grant_id: grant.request_id for grant in context.holder.told(SlotGrant)}
     for number in range(2):
         pool.submit(asked(f"r-{number}", clock), context.holder)
 
 
 @then("the items due last are stopped, one for each request")
 def then_last(context: Context) -> None:
-    stopped = [context.items[revoke.grant_id] for revoke in context.holder.of(SlotRevoke)]
+    stopped = [context.items[revoke.grant_id] for revoke in context.holder.told(SlotRevoke)]
     assert stopped == ["item-3", "item-2"], stopped
 
 
 @when("a holder reports its grants to a fresh pool that is asked at once")
 def when_reports(context: Context) -> None:
-    clock, context.holder = SetClock(), Holder()
+    clock, context.holder = SetClock(), RecordingHolder()
     pool = SlotPool("desk", clock)
     pool.configure([server("i-0", 3)])
     for number in range(3):
         pool.submit(asked(f"item-{number}", clock, work_class=WorkClass.BATCH), context.holder)
     pool.submit(asked("online", clock), context.holder)
-    assert not context.holder.of(SlotGrant)
-    refusals = [(r.request_id, r.code) for r in context.holder.of(SlotRefusal)]
+    assert not context.holder.told(SlotGrant)
+    refusals = [(r.request_id, r.code) for r in context.holder.told(SlotRefusal)]
     assert refusals == [("online", OwnerUnreachable.code)], refusals
     held = [HeldGrant(f"old-{n}", "i-0", slot_count=1, pool="desk") for n in range(2)]
-    pool.report(Holder(), tuple(held))
+    pool.report(RecordingHolder(), tuple(held))
     clock.ms += REPORT_GRACE_MS
     pool.tick()
-    assert not context.holder.of(SlotGrant)
+    assert not context.holder.told(SlotGrant)
     clock.ms += BATCH_GRACE_MS
     pool.tick()
 
 
 @then("the fresh pool has online requests go on alone, and grants no slot that is taken")
 def then_taken(context: Context) -> None:
-    assert len(context.holder.of(SlotGrant)) == 1
+    assert len(context.holder.told(SlotGrant)) == 1
 
 
 @when("one of two servers fails each run")
 def when_fails(context: Context) -> None:
-    clock, holder = SetClock(), Holder()
+    clock, holder = SetClock(), RecordingHolder()
     pool = fresh_pool(clock, server("i-bad", 4), server("i-good", 4))
     context.granted = []
     for number in range(50):
         pool.submit(asked(f"r-{number}", clock), holder)
-        grant = holder.of(SlotGrant)[-1]
+        grant = holder.told(SlotGrant)[-1]
         context.granted.append(grant.backend_server)
         outcome = Outcome.FAILED if grant.backend_server == "i-bad" else Outcome.FINISHED
         pool.release(SlotRelease(grant.grant_id, outcome))
@@ -204,7 +187,7 @@
 
 @when("holders report 6 items on a server of 4 slots")
 def when_over(context: Context) -> None:
-    clock, context.holder = SetClock(), Holder()
+    clock, context.holder = SetClock(), RecordingHolder()
     pool = fresh_pool(clock, server("i-0", 4))
     held = [
         HeldGrant(f"g-{n}", "i-0", work_class=WorkClass.BATCH, slot_count=1, pool="desk")
@@ -215,20 +198,20 @@
 
 @then("the 2 items due last are stopped")
 def then_excess(context: Context) -> None:
-    stopped = [revoke.grant_id for revoke in context.holder.of(SlotRevoke)]
+    stopped = [revoke.grant_id for revoke in context.holder.told(SlotRevoke)]
     assert stopped == ["g-5", "g-4"], stopped
 
 
 @when("items ask a fresh pool of 8 slots")
 def when_items_fresh(context: Context) -> None:
-    clock, context.holder = SetClock(), Holder()
+    clock, context.holder = SetClock(), RecordingHolder()
     pool = SlotPool("desk", clock)
     pool.configure([server("i-0", 8)])
     for number in range(8):
         pool.submit(asked(f"item-{number}", clock, work_class=WorkClass.BATCH), context.holder)
     clock.ms += 900
     pool.tick()
-    context.early = len(context.holder.of(SlotGrant))
+    context.early = len(context.holder.told(SlotGrant))
     clock.ms += 200
     pool.tick()
 
@@ -236,12 +219,12 @@
 @then("none starts within the first second, and all start after it")
 def then_none_early(context: Context) -> None:
     assert context.early == 0
-    assert len(context.holder.of(SlotGrant)) == 8
+    assert len(context.holder.told(SlotGrant)) == 8
 
 
 @when("one of two servers reports 4 runs that no holder knows of")
 def when_foreign(context: Context) -> None:
-    clock, context.holder = SetClock(), Holder()
+    clock, context.holder = SetClock(), RecordingHolder()
     context.pool = pool = fresh_pool(clock, server("i-busy", 4), server("i-free", 4))
     assert {one.id for one in pool.servers_to_probe()} == {"i-busy", "i-free"}
     pool.note_load(ServerRuns("i-busy", 4, 0))
@@ -252,14 +235,14 @@
 
 @then("online requests prefer the other server and items start only there")
 def then_prefer(context: Context) -> None:
-    granted = [grant.backend_server for grant in context.holder.of(SlotGrant)]
+    granted = [grant.backend_server for grant in context.holder.told(SlotGrant)]
     assert granted == ["i-free"] * 4, granted
 
 
 @then("once the runs are over, items start on both")
 def then_both(context: Context) -> None:
     context.pool.note_load(ServerRuns("i-busy", 0, 0))
-    granted = [grant.backend_server for grant in context.holder.of(SlotGrant)]
+    granted = [grant.backend_server for grant in context.holder.told(SlotGrant)]
     assert granted.count("i-busy") == 4, granted
 
 
--- a/features/steps/slots_order.py
+++ b/features/steps/slots_order.py
@@ -9,7 +9,6 @@
 from briarvale._generated.messages import (
     HeldGrant,
     HolderReport,
-    Message,
     Outcome,
     SlotGrant,
     SlotRefusal,
@@ -24,6 +23,7 @@
 from briarvale.slot_owner import SlotOwner
 from briarvale.slots import SlotQueue
 from briarvale.standins.memory_fleet import FleetSettings, MemoryFleet
+from features.support.holders import RecordingHolder
 from features.support.virtual import run_virtual
 
 SHARES = (Share("cyweirio", 60), Share("trust", 40))
@@ -33,18 +33,6 @@
 Step = Callable[["QueueBench"], Awaitable[None]]
 
 
-class RecordingHolder:
-    """A holder that keeps what it is told."""
-
-    name = "gateway vm-1"
-
-    def __init__(self) -> None:
-        self.messages: list[Message] = []
-
-    def notify(self, message: Message) -> None:
-        self.messages.append(message)
-
-
 class QueueBench:
     """One slot queue with a holder, and what was asked of it."""
 
@@ -70,7 +58,7 @@
 
     def told(self, kind: type) -> list:
         """Returns the messages of one kind."""
-        return [message for message in self.holder.messages if isinstance(message, kind)]
+        return self.holder.told(kind)
 
     def held(self, member: str, work: WorkClass) -> list[SlotGrant]:
         """Returns the grants of a member that are not released, the oldest first."""
--- /dev/null
+++ b/features/support/platform_boot.py
@@ -0,0 +1,40 @@
+"""The settings file that the platform writes for each process, from the product's settings."""
+
+from briarvale.clock import MS_PER_S
+from briarvale.node_settings import NodeSettings
+from briarvale.peer import PeerAddress
+
+TEMPLATE = """
+node_name = "{parts.vm}"
+zone = "{parts.availability_zone}"
+region = "{parts.region}"
+ip = "{parts.host}"
+internal_ports = [{parts.peer_port}, {last_port}]
+[listen]
+front = "{front}"
+ready = "{ready}"
+[bounds]
+grace_s = {grace_s}
+[platform]
+address = "{store}"
+"""
+INTERNAL_PORTS = 2
+
+__all__ = ["boot_text"]
+
+
+def boot_text(settings: NodeSettings) -> str:
+    """Returns the file's text for a node that callers reach."""
+    return TEMPLATE.format(
+        parts=settings.parts,
+        last_port=settings.parts.peer_port + INTERNAL_PORTS - 1,
+        front=_text(settings.front),
+        ready=_text(settings.readiness),
+        grace_s=settings.bounds.grace_ms / MS_PER_S,
+        store=_text(settings.store.address),
+    )
+
+
+def _text(address: PeerAddress | None) -> str:
+    assert address is not None
+    return f"{address.host}:{address.port}"
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -12,9 +12,10 @@
 from anyio.abc import TaskGroup
 
 from briarvale.ingress import Ingress
-from briarvale.node_settings import NodeSettings, StoreLimits
+from briarvale.node_settings import NodeBounds, NodeSettings, StoreLimits
 from briarvale.peer import PeerAddress
 from briarvale.settings import Settings
+from features.support.platform_boot import boot_text
 from features.support.platform_engine import PlatformEngineStandin
 from features.support.platform_fleet import (
     HOST,
@@ -31,7 +32,7 @@
 LOOPBACK = "127.0.0.1"
 FIRST_HOST = 11
 ZONES = ("caerdydd", "abertawe")
-GRACE_S = 5
+GRACE_MS = 5_000
 START_TIMEOUT_S = 30.0
 LOOK_INTERVAL_S = 0.1
 MODEL_SERVERS, PLAIN_SERVERS = 3, 2
@@ -41,21 +42,6 @@
 
 __all__ = ["EVENT_COUNT", "NodeProcess", "SoakFleet"]
 
-BOOT = """
-node_name = "{name}"
-zone = "{zone}"
-region = "cymru"
-ip = "{host}"
-internal_ports = [{peer}, {heartbeat}]
-[listen]
-front = "{host}:{front}"
-ready = "{host}:{ready}"
-[bounds]
-grace_s = {grace_s}
-[platform]
-address = "{store_host}:{store_port}"
-"""
-
 
 class Exit(NamedTuple):
     """A process that ended."""
@@ -70,15 +56,15 @@
     """One node's process, started again whenever it has ended.
 
     Args:
-        name: The node's name.
-        settings: Its addresses, as a caller needs them.
-        boot: Path of its settings file.
+        settings: What its settings file says.
+        boot: Path of that file.
+        store_proxy: Its way to the store.
     """
 
-    def __init__(self, name: str, settings: NodeSettings, boot: Path) -> None:
-        self.name = name
-        self.door = FleetNode(name, settings)
-        self.store_proxy: FaultyProxy | None = None
+    def __init__(self, settings: NodeSettings, boot: Path, store_proxy: FaultyProxy) -> None:
+        self.name = settings.parts.vm
+        self.door = FleetNode(self.name, settings)
+        self.store_proxy = store_proxy
         self.is_ready = False
         self.was_asked_to_end = False
         self.peak_kb = 0
@@ -220,25 +206,17 @@
         proxy, outside = FaultyProxy(store), PeerAddress(LOOPBACK, free_port())
         self._tasks.start_soon(proxy.serve, outside)
         front, ready = (PeerAddress(host, free_port()) for _ in range(2))
-        boot = self._folder / f"{name}.toml"
-        boot.write_text(
-            BOOT.format(
-                name=name,
-                zone=zone,
-                host=host,
-                peer=peer_port,
-                heartbeat=peer_port + 1,
-                front=front.port,
-                ready=ready.port,
-                grace_s=GRACE_S,
-                store_host=outside.host,
-                store_port=outside.port,
-            )
+        parts = Settings(name, "cymru", zone, host, "", "", "", peer_port=peer_port)
+        settings = NodeSettings(
+            parts,
+            StoreLimits(outside),
+            NodeBounds(grace_ms=GRACE_MS),
+            front=front,
+            readiness=ready,
         )
-        parts = Settings(name, "cymru", zone, host, "", "", "")
-        settings = NodeSettings(parts, StoreLimits(outside), front=front, readiness=ready)
-        node = NodeProcess(name, settings, boot)
-        node.store_proxy = proxy
+        boot = self._folder / f"{name}.toml"
+        boot.write_text(boot_text(settings))
+        node = NodeProcess(settings, boot, proxy)
         self.nodes.append(node)
         self._tasks.start_soon(node.supervise, self.exits.append)
         self._tasks.start_soon(node.follow_readiness)
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -98,7 +98,7 @@
         case "node":
             record(node.name)
             tasks.start_soon(_disturb_node, node, fault)
-        case "store way" if node.store_proxy is not None:
+        case "store way":
             record(node.name)
             tasks.start_soon(_set_for, node.store_proxy, "mode", ProxyMode(fault.kind), fault)
         case "server way":
