Judge servers by one's own runs where no owner can be asked

Ruled out: the pool's own judgement; it never granted in these runs. Change: LoneChoice keeps a ServerRecord for each start of a server and uses failing ones last.

--- a/briarvale/forwarding.py
+++ b/briarvale/forwarding.py
@@ -14,7 +14,6 @@
     BriarvaleError,
     DeadlineExceeded,
     NoServer,
-    Overloaded,
     OwnerUnreachable,
     ServerConnectFailed,
     ServerFailed,
@@ -25,6 +24,7 @@
 from .forward_request import ForwardRequest
 from .http_wire import AnswerHead
 from .live_servers import LiveServer
+from .lone_choice import LoneChoice
 from .routes import IdempotentRoute, StreamRoute
 from .serving_parts import ServingParts
 from .slot_client import HeldSlot
@@ -96,7 +96,7 @@
         self._slots = parts.slots
         self._engines = parts.engines
         self._crashes = parts.crashes
-        self._own_runs: dict[str, int] = {}
+        self._lone_choice = LoneChoice(parts.servers)
 
     async def forward(self, request: ForwardRequest, sink: AnswerSink) -> None:
         """Runs a request to its end; raises the failure if no answer was begun.
@@ -167,7 +167,8 @@
                     raise ServerConnectFailed("the granted server has no entry here")
                 await self._run_at(_Attempt(request, server, slot), sink, progress)
         except (NoServer, OwnerUnreachable) as error:
-            server = self._choose_alone(request, progress)
+            now_ms = self._clock.now_ms()
+            server = self._lone_choice.choose(request.service, progress.excluded, now_ms)
             log.info(
                 "Chose a server without its owner.",
                 request_id=request.request_id,
@@ -186,39 +187,28 @@
         )
         return wanted._replace(fingerprint=request.fingerprint)
 
-    def _choose_alone(self, request: ForwardRequest, progress: _Progress) -> LiveServer:
-        """Returns the server with the fewest runs of this node, while no owner can be asked."""
-        ready = self._servers.ready(request.service)
-        sound = [server for server in ready if server.id not in progress.excluded]
-        if not (sound or ready):
-            retry_at_ms = self._clock.now_ms() + MIN_PATIENCE_MS // 2
-            raise NoServer(f"no server of {request.service} is ready", retry_at_ms=retry_at_ms)
-        free = [s for s in sound or ready if self._own_runs.get(s.id, 0) < s.slots]
-        if not free:
-            retry_at_ms = self._clock.now_ms() + MIN_PATIENCE_MS // 2
-            raise Overloaded("all slots are taken", retry_at_ms=retry_at_ms)
-        return min(free, key=lambda s: (self._own_runs.get(s.id, 0) / s.slots, random.random()))
-
     async def _run_at(self, attempt: _Attempt, sink: AnswerSink, progress: _Progress) -> None:
         server, slot = attempt.server, attempt.slot
         progress.excluded = [*progress.excluded, server.id][-2:]
-        self._own_runs[server.id] = self._own_runs.get(server.id, 0) + 1
+        self._lone_choice.note_start(server)
+        outcome = Outcome.CANCELLED
         began_at_ms = self._clock.now_ms()
         try:
             with tracer.start_as_current_span("backend server") as span:
                 span.set_attribute("briarvale.backend_server", server.id)
                 span.set_attribute("briarvale.request_id", attempt.request.request_id)
                 outcome = await self._exchange(attempt, sink, progress)
-            _set_outcome(slot, outcome)
             metrics.ATTEMPTS.inc({"service": attempt.request.service, "code": "finished"})
         except (ServerLost, ServerFailed, ServerConnectFailed, ServerFull) as error:
             if isinstance(error, ServerLost):
                 await self._crashes.note_loss(attempt.request.fingerprint, server, began_at_ms)
-            _set_outcome(slot, Outcome.FAILED)
+            outcome = Outcome.FAILED
             metrics.ATTEMPTS.inc({"service": attempt.request.service, "code": error.code})
             raise
         finally:
-            self._own_runs[server.id] -= 1
+            self._lone_choice.note_end(server, outcome, self._clock.now_ms())
+            if slot is not None:
+                slot.outcome = outcome
 
     async def _exchange(self, attempt: _Attempt, sink: AnswerSink, progress: _Progress) -> Outcome:
         """Forwards one run's answer; an error of the server's own only if it may not run again."""
@@ -317,8 +307,3 @@
             return min(request.answer_by_ms, since_ms + patience_ms)
         case _:
             return request.answer_by_ms
-
-
-def _set_outcome(slot: HeldSlot | None, outcome: Outcome) -> None:
-    if slot is not None:
-        slot.outcome = outcome
--- a/briarvale/live_servers.py
+++ b/briarvale/live_servers.py
@@ -1,6 +1,6 @@
 """The backend servers as their own entries in the store tell, each start an incarnation."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from typing import NamedTuple
 
 from . import logs
@@ -56,6 +56,9 @@
     def __len__(self) -> int:
         return len(self._servers)
 
+    def __iter__(self) -> Iterator[LiveServer]:
+        return iter(list(self._servers.values()))
+
     def get(self, server_id: str) -> LiveServer | None:
         """Returns a backend server by id."""
         return self._servers.get(server_id)
--- /dev/null
+++ b/briarvale/lone_choice.py
@@ -0,0 +1,73 @@
+"""Chooses backend servers by what this node alone knows, while no owner can be asked."""
+
+import random
+from collections.abc import Collection
+
+from ._generated.messages import Outcome
+from .errors import NoServer, Overloaded
+from .live_servers import LiveServer, LiveServers
+from .server_record import ServerRecord
+
+# When a caller may come back: by then there mostly is an owner again.
+RETRY_DELAY_MS = 1_000
+
+__all__ = ["LoneChoice"]
+
+
+class LoneChoice:
+    """This node's own runs at each start of a backend server, and how they ended.
+
+    Args:
+        servers: The backend servers that have an entry.
+    """
+
+    def __init__(self, servers: LiveServers) -> None:
+        self._servers = servers
+        self._running: dict[str, int] = {}
+        self._records: dict[tuple[str, int], ServerRecord] = {}
+
+    def note_start(self, server: LiveServer) -> None:
+        """Takes that a run begins."""
+        self._running[server.id] = self._running.get(server.id, 0) + 1
+
+    def note_end(self, server: LiveServer, outcome: Outcome, now_ms: int) -> None:
+        """Takes how a run ended."""
+        self._running[server.id] -= 1
+        record = self._records.setdefault(server.incarnation, ServerRecord())
+        if record.note_outcome(outcome, now_ms):
+            record.eject(now_ms)
+        if len(self._records) > 2 * len(self._servers):
+            self._forget_gone()
+
+    def choose(self, service: str, excluded: Collection[str], now_ms: int) -> LiveServer:
+        """Returns the sound server with the fewest runs of this node for its slots.
+
+        Servers that failed, and excluded ones, are used only where there are no others.
+
+        Raises:
+            NoServer: If none takes new work.
+            Overloaded: If this node's runs fill all of them.
+        """
+        ready = self._servers.ready(service)
+        if not ready:
+            retry_at_ms = now_ms + RETRY_DELAY_MS
+            raise NoServer(f"no server of {service} is ready", retry_at_ms=retry_at_ms)
+        others = [server for server in ready if server.id not in excluded]
+        free = [s for s in others or ready if self._running.get(s.id, 0) < s.slots]
+        if not free:
+            raise Overloaded("all slots are taken", retry_at_ms=now_ms + RETRY_DELAY_MS)
+        sound = [server for server in free if self._is_sound(server, now_ms)]
+        return min(sound or free, key=self._load)
+
+    def _is_sound(self, server: LiveServer, now_ms: int) -> bool:
+        record = self._records.get(server.incarnation)
+        if record is None:
+            return True
+        return record.avoid_until_ms <= now_ms and not record.is_ejected(now_ms)
+
+    def _load(self, server: LiveServer) -> tuple[float, float]:
+        return self._running.get(server.id, 0) / server.slots, random.random()
+
+    def _forget_gone(self) -> None:
+        known = {server.incarnation for server in self._servers}
+        self._records = {key: self._records[key] for key in self._records.keys() & known}
