Leave a server alone whose runs should have ended long ago

Change: the owner counts a run held 2.5 times the usual, and 300 ms at least, as a failure while it lasts.

--- a/briarvale/grants.py
+++ b/briarvale/grants.py
@@ -11,7 +11,11 @@
 
 
 class Grant(NamedTuple):
-    """A granted slot request."""
+    """A granted slot request.
+
+    Attributes:
+        is_overdue: Whether it was found to be held for far longer than usual.
+    """
 
     held: HeldGrant
     holder: Holder
@@ -21,6 +25,7 @@
     start_by_ms: int = 0
     prefilled_at_ms: float = 0.0
     is_orphan: bool = False
+    is_overdue: bool = False
 
 
 class GrantTable:
@@ -37,6 +42,7 @@
         self._id_by_request: dict[str, str] = {}
         self._revoking: set[str] = set()
         self._revoking_slots = 0
+        self._overdue_count = 0
         self._slots_of = dict.fromkeys(WorkClass, 0)
         self.slots = 0
         self.held: dict[WorkClass, Counter[str]] = {work: Counter() for work in WorkClass}
@@ -53,6 +59,11 @@
         """Slots that their holders have been told to give back."""
         return self._revoking_slots
 
+    @property
+    def has_overdue(self) -> bool:
+        """Whether a grant is held for far longer than usual."""
+        return self._overdue_count > 0
+
     def revocable(self) -> list[Grant]:
         """Returns batch grants that are not being revoked yet."""
         return [
@@ -66,6 +77,7 @@
         self.remove(grant.held.grant_id)
         self._grants[grant.held.grant_id] = grant
         self._id_by_request[grant.request_id] = grant.held.grant_id
+        self._overdue_count += grant.is_overdue
         self._count(grant.held, grant.held.slot_count)
 
     def remove(self, grant_id: str) -> Grant | None:
@@ -77,6 +89,7 @@
         if grant_id in self._revoking:
             self._revoking.remove(grant_id)
             self._revoking_slots -= grant.held.slot_count
+        self._overdue_count -= grant.is_overdue
         self._count(grant.held, -grant.held.slot_count)
         return grant
 
@@ -98,6 +111,20 @@
             self._revoking.add(grant_id)
             self._revoking_slots += self._grants[grant_id].held.slot_count
 
+    def mark_overdue(self, granted_by_ms: float) -> int:
+        """Notes which online grants are older than an instant; returns how many are new."""
+        late = [
+            grant_id
+            for grant_id, grant in self._grants.items()
+            if grant.granted_at_ms < granted_by_ms
+            and grant.held.work_class is WorkClass.ONLINE
+            and not grant.is_overdue
+        ]
+        for grant_id in late:
+            self._grants[grant_id] = self._grants[grant_id]._replace(is_overdue=True)
+        self._overdue_count += len(late)
+        return len(late)
+
     def renew(self, holder: Holder, expires_at_ms: int) -> None:
         """Extends all leases of a holder."""
         for grant_id, grant in self._grants.items():
--- a/briarvale/pool_health.py
+++ b/briarvale/pool_health.py
@@ -8,6 +8,12 @@
 from .outliers import ejectable_count
 from .pool_server import PoolServer
 
+# A run that lasts so many times as long as usual is taken to be lost; its caller mostly knows only
+# when its patience ends.
+OVERDUE_FACTOR = 2.5
+# Shorter runs end before others could be sent elsewhere.
+MIN_OVERDUE_MS = 300
+
 log = logs.part("pool")
 
 __all__ = ["PoolHealth"]
@@ -35,16 +41,32 @@
         )
 
     def compare_times(self, now_ms: int) -> None:
-        """Finds the servers whose runs take longer than those of most."""
+        """Finds the servers whose runs take longer than those of most, or don't end."""
         means = (server.record.mean_ms(now_ms) for server in self._servers.values())
         known = [mean_ms for mean_ms in means if mean_ms is not None]
         usual_ms = median(known) if known else 0.0
+        if known:
+            self._note_overdue(now_ms - max(MIN_OVERDUE_MS, OVERDUE_FACTOR * usual_ms), now_ms)
         for server in self._servers.values():
             was_slow = server.slowness > 1
             server.compare(usual_ms, now_ms)
             if was_slow != (server.slowness > 1):
                 self._log_pace(server, usual_ms, now_ms)
 
+    def _note_overdue(self, granted_by_ms: float, now_ms: int) -> None:
+        """Counts runs that should have ended long ago as failures, before their callers leave."""
+        for server in self._servers.values():
+            overdue = server.grants.mark_overdue(granted_by_ms)
+            for _ in range(overdue):
+                self.note_outcome(server, Outcome.FAILED, now_ms)
+            if overdue:
+                log.info(
+                    "Runs on a server should have ended.",
+                    backend_server=server.server.id,
+                    overdue=overdue,
+                    granted_before_ms=round(now_ms - granted_by_ms),
+                )
+
     def _log_pace(self, server: PoolServer, usual_ms: float, now_ms: int) -> None:
         pace = "long" if server.slowness > 1 else "as long as elsewhere"
         log.info(
--- a/briarvale/pool_server.py
+++ b/briarvale/pool_server.py
@@ -53,6 +53,10 @@
         """Returns the slots that a class may get; an item never queues behind foreign runs."""
         return self.free - (self.foreign_runs if work_class is WorkClass.BATCH else 0)
 
+    def is_sound(self, now_ms: int) -> bool:
+        """Whether nothing speaks against it: no failure a moment ago, no run that does not end."""
+        return self.record.avoid_until_ms <= now_ms and not self.grants.has_overdue
+
     def note_prefixes(self, prefix_ids: Iterable[str]) -> None:
         """Takes that a prompt with these parts is read there."""
         for prefix_id in prefix_ids:
--- a/briarvale/slot_pool.py
+++ b/briarvale/slot_pool.py
@@ -314,7 +314,7 @@
         work_class = request.work_class
         candidates = [server for server in others or ready if not server.record.is_ejected(now_ms)]
         free = [server for server in candidates if server.free_for(work_class) > 0]
-        sound = [server for server in free if server.record.avoid_until_ms <= now_ms]
+        sound = [server for server in free if server.is_sound(now_ms)]
         return min(sound or free, key=lambda server: server.cost(request), default=None)
 
     def _grant(self, waiter: PoolWaiter, server: PoolServer, now_ms: int) -> None:
--- a/features/platform/pool_policy.feature
+++ b/features/platform/pool_policy.feature
@@ -52,3 +52,8 @@
   Scenario: Two of nine servers are three times as slow
     When a low online load runs on 9 servers of which 2 take three times as long
     Then fewer than a quarter as many requests run there as with equal shares
+
+  Scenario: Two of nine servers never answer some of their runs
+    When online load runs on 9 servers of which 2 hang in 4 of 10 runs until callers leave
+    Then fewer than half as many requests hang as with equal shares
+    And no request is refused
--- a/features/steps/pool_policy.py
+++ b/features/steps/pool_policy.py
@@ -287,3 +287,15 @@
     # No run elsewhere takes this long.
     slow = sum(took_ms > 1.5 * shape.online_ms for took_ms in times_ms)
     assert slow < len(times_ms) * 2 / 9 / 4, (slow, len(times_ms))
+
+
+@when("online load runs on 9 servers of which 2 hang in 4 of 10 runs until callers leave")
+def when_hang(context: Context) -> None:
+    context.result = PoolLoad(LoadShape(hanging_servers=2), SlotPool).run()
+
+
+@then("fewer than half as many requests hang as with equal shares")
+def then_few_hang(context: Context) -> None:
+    equal_share = 2 / 9 * 0.4
+    share = context.result.online_hung / len(context.result.online_times_ms)
+    assert share < equal_share / 2, share
--- a/features/support/pool_load.py
+++ b/features/support/pool_load.py
@@ -44,6 +44,9 @@
     fail_ms: float = 20.0
     slow_servers: int = 0
     slow_factor: float = 3.0
+    hanging_servers: int = 0
+    hang_share: float = 0.4
+    patience_ms: float = 3_200.0
 
 
 class LoadResult(NamedTuple):
@@ -57,6 +60,7 @@
     revoked_early: int
     online_failed: int
     online_times_ms: list[float]
+    online_hung: int
 
     def wait_ms(self, share: float) -> float:
         """Returns a quantile of the online waits."""
@@ -95,8 +99,8 @@
         self._online: dict[str, float] = {}
         self._items: dict[str, _Item] = {}
         self._runs: dict[str, tuple[str, float]] = {}
-        self.result = LoadResult([], 0, 0, [], 0, 0, 0, [])
-        self._refused = self._done = self._starts = self._early = self._failed = 0
+        self.result = LoadResult([], 0, 0, [], 0, 0, 0, [], 0)
+        self._refused = self._done = self._starts = self._early = self._failed = self._hung = 0
         self.pool = make_pool("desk", self._clock)
         self.pool.configure(
             LiveServer(f"i-{n}", "desk", PeerAddress("127.0.0.1", 1), "a", shape.slots)
@@ -119,6 +123,7 @@
             starts=self._starts,
             revoked_early=self._early,
             online_failed=self._failed,
+            online_hung=self._hung,
         )
 
     def notify(self, message: Message) -> None:
@@ -183,12 +188,15 @@
         wait_ms = self._clock.ms - self._online.pop(grant.request_id)
         self.result.online_waits_ms.append(wait_ms)
         hold_ms = shape.online_ms * self._random.uniform(0.7, 1.3)
-        # Servers are numbered; the first ones fail, the last ones are slow.
+        # Servers are numbered; the first ones fail or hang, the last ones are slow.
         number = int(grant.backend_server.removeprefix("i-"))
         outcome = Outcome.FINISHED
         if number < shape.failing_servers and self._random.random() < shape.failing_share:
             hold_ms, outcome = shape.fail_ms, Outcome.FAILED
             self._failed += 1
+        elif number < shape.hanging_servers and self._random.random() < shape.hang_share:
+            hold_ms, outcome = shape.patience_ms, Outcome.CANCELLED
+            self._hung += 1
         elif number >= shape.servers - shape.slow_servers:
             hold_ms *= shape.slow_factor
         self.result.online_times_ms.append(wait_ms + hold_ms)
