Run a repeatable request again while there is time, when its server is silent

Cause: an idempotent request at a hanging server waited for its whole time-out, and a resumable stream that paused for good went nowhere, though another server could have answered. Change: AnswerTimes learns how long answers take to begin; a run overdue by it ends, and the request runs elsewhere if its route allows another attempt and there is time for two. A resumable stream that pauses for twice its longest pause in time goes on elsewhere. Measured: two new scenarios fail before and pass after; a non-idempotent request still runs once.

--- a/briarvale/forwarding.py
+++ b/briarvale/forwarding.py
@@ -1,5 +1,6 @@
 """Forwards opaque requests to backend servers: slots, attempts, time-outs, streams that go on."""
 
+import math
 import random
 from typing import NamedTuple, Protocol
 
@@ -7,6 +8,7 @@
 
 from . import logs, metrics
 from ._generated.messages import Outcome, SlotRequest, WorkClass
+from .answer_times import AnswerTimes
 from .clock import MS_PER_S
 from .engine_run import EngineRun
 from .errors import (
@@ -19,6 +21,7 @@
     ServerFailed,
     ServerFull,
     ServerLost,
+    ServerStalled,
 )
 from .event_stream import EventCursor, EventSplitter
 from .forward_request import ForwardRequest
@@ -39,6 +42,10 @@
 MAX_BUFFERED_BYTES = 1_000_000
 # Answers that speak of a fault of the server; 504 speaks of the request's own deadline.
 SERVER_FAILURES = frozenset((500, 502, 503))
+# What a run that brought no answer fails with.
+RUN_FAILURES = (ServerLost, ServerFailed, ServerStalled, ServerConnectFailed, ServerFull)
+# A stream that may go on elsewhere is given up after a pause of so many times the longest in time.
+STALL_GAPS = 2
 
 log = logs.part("gateway")
 
@@ -82,6 +89,41 @@
     slot: HeldSlot | None
 
 
+class _Silence:
+    """Ends a run that has been silent for too long.
+
+    Attributes:
+        limit_ms: How long it may be silent.
+    """
+
+    def __init__(self) -> None:
+        self.limit_ms = math.inf
+        self.scope = anyio.CancelScope()
+
+    def wait(self, limit_ms: float) -> None:
+        """Allows so much silence from now on."""
+        self.limit_ms = limit_ms
+        self.scope.deadline = anyio.current_time() + limit_ms / MS_PER_S
+
+    def end(self) -> None:
+        """Takes that something was heard."""
+        self.scope.deadline = math.inf
+
+
+class _Pauses(NamedTuple):
+    """Reads a stream whose pauses are bounded; the time that a caller takes does not count."""
+
+    silence: _Silence
+    limit_ms: float
+
+    async def read(self, run: EngineRun) -> bytes:
+        """Reads the next bytes; empty at the end."""
+        self.silence.wait(self.limit_ms)
+        data = await run.read()
+        self.silence.end()
+        return data
+
+
 class Forwarder:
     """Forwards requests.
 
@@ -97,6 +139,7 @@
         self._engines = parts.engines
         self._crashes = parts.crashes
         self._lone_choice = LoneChoice(parts.servers)
+        self._answer_times = AnswerTimes()
 
     async def forward(self, request: ForwardRequest, sink: AnswerSink) -> None:
         """Runs a request to its end; raises the failure if no answer was begun.
@@ -140,7 +183,7 @@
                 progress.may_have_run = True
                 progress.attempts += 1
                 self._note_attempt(request, progress, error)
-            except ServerLost as error:
+            except (ServerLost, ServerStalled) as error:
                 progress.may_have_run = True
                 progress.attempts += 1
                 self._note_attempt(request, progress, error)
@@ -199,7 +242,7 @@
                 span.set_attribute("briarvale.request_id", attempt.request.request_id)
                 outcome = await self._exchange(attempt, sink, progress)
             metrics.ATTEMPTS.inc({"service": attempt.request.service, "code": "finished"})
-        except (ServerLost, ServerFailed, ServerConnectFailed, ServerFull) as error:
+        except RUN_FAILURES as error:
             if isinstance(error, ServerLost):
                 await self._crashes.note_loss(attempt.request.fingerprint, server, began_at_ms)
             outcome = Outcome.FAILED
@@ -211,19 +254,45 @@
                 slot.outcome = outcome
 
     async def _exchange(self, attempt: _Attempt, sink: AnswerSink, progress: _Progress) -> Outcome:
-        """Forwards one run's answer; an error of the server's own only if it may not run again."""
+        """Forwards one run's answer; gives up a silent one in time for another run."""
+        silence = _Silence()
+        silence.wait(self._patience_ms(attempt.request, sink, progress))
+        outcome: Outcome | None = None
+        with silence.scope:
+            outcome = await self._forward_answer(attempt, sink, progress, silence)
+        if outcome is None:
+            raise ServerStalled(f"{attempt.server.id} sent nothing for {silence.limit_ms} ms")
+        return outcome
+
+    def _patience_ms(self, request: ForwardRequest, sink: AnswerSink, progress: _Progress) -> float:
+        """Returns how long a run may be silent; without limit where there can't be another."""
+        is_last = progress.attempts + 1 >= request.route.max_attempts
+        if is_last or not _may_repeat(request, sink, progress):
+            return math.inf
+        overdue_ms = self._answer_times.overdue_ms(request)
+        left_ms = request.answer_by_ms - self._clock.now_ms()
+        return overdue_ms if 2 * overdue_ms <= left_ms else math.inf
+
+    async def _forward_answer(
+        self, attempt: _Attempt, sink: AnswerSink, progress: _Progress, silence: _Silence
+    ) -> Outcome:
+        """Forwards an answer; an error of the server's own only if it may not run again."""
         request = attempt.request
+        sent_at_ms = self._clock.now_ms()
         async with self._engines.run(request, attempt.server, progress.cursor.last_id) as run:
+            silence.end()
+            self._answer_times.note(request.service, self._clock.now_ms() - sent_at_ms)
             is_success = 200 <= run.head.status < 300
             if is_success and not run.facts.is_signed:
                 raise ServerLost("a success without a signature")
             has_failed = run.head.status in SERVER_FAILURES
-            is_last = progress.attempts + 1 >= request.route.max_attempts
-            if has_failed and not is_last and _may_repeat(request, sink, progress):
+            may_repeat = _has_attempts(request, progress) and _may_repeat(request, sink, progress)
+            if has_failed and may_repeat:
                 raise ServerFailed(f"{attempt.server.id} answered {run.head.status}")
             match request.route.kind:
                 case StreamRoute() if is_success:
-                    await _forward_events(run, sink, progress)
+                    pause_ms = _pause_limit_ms(request, progress)
+                    await _forward_events(run, sink, progress, _Pauses(silence, pause_ms))
                 case _:
                     await _forward_body(run, sink)
         return Outcome.FAILED if has_failed else Outcome.FINISHED
@@ -263,12 +332,14 @@
     await sink.finish()
 
 
-async def _forward_events(run: EngineRun, sink: AnswerSink, progress: _Progress) -> None:
+async def _forward_events(
+    run: EngineRun, sink: AnswerSink, progress: _Progress, pauses: _Pauses
+) -> None:
     """Forwards whole events as they arrive; a run that goes on repeats none of them."""
     splitter = EventSplitter()
     if not sink.has_started and progress.cursor.last_id is not None:
         await sink.start(run.head)
-    while data := await run.read():
+    while data := await pauses.read(run):
         events = [event for event in splitter.feed(data) if progress.cursor.takes(event)]
         if not events:
             continue
@@ -283,6 +354,20 @@
     await sink.finish()
 
 
+def _has_attempts(request: ForwardRequest, progress: _Progress) -> bool:
+    """Whether the route allows another run after the present one."""
+    return progress.attempts + 1 < request.route.max_attempts
+
+
+def _pause_limit_ms(request: ForwardRequest, progress: _Progress) -> float:
+    """Returns the longest pause in a stream before it goes on elsewhere, if it may."""
+    match request.route.kind:
+        case StreamRoute(is_resumable=True, gap_target_ms=gap_ms) if gap_ms > 0:
+            return STALL_GAPS * gap_ms if _has_attempts(request, progress) else math.inf
+        case _:
+            return math.inf
+
+
 def _may_repeat(request: ForwardRequest, sink: AnswerSink, progress: _Progress) -> bool:
     """Whether a request whose run was lost may run again."""
     match request.route.kind:
--- a/features/platform/forwarding.feature
+++ b/features/platform/forwarding.feature
@@ -55,6 +55,20 @@
     When a server never answers on a route with a short time-out
     Then the caller gets 504 within the time-out and a little, and the run has ended
 
+  Scenario: An idempotent request at a silent server runs again in time
+    When a server of two is silent to an idempotent request after others were answered
+    Then the caller gets a whole answer in time
+    And the request reached servers 2 times
+
+  Scenario: A non-idempotent request at a silent server never runs again
+    When a server of two is silent to a non-idempotent request after others were answered
+    Then the request reached servers 1 times
+
+  Scenario: A resumable stream that pauses for too long goes on at another server
+    When a resumable stream pauses midway without end
+    Then the caller gets every event once, in order, as a whole answer
+    And the second server was asked to go on after the last event
+
   Scenario: A caller that leaves ends its run
     When a caller leaves while a server works
     Then the run has ended soon after
--- a/features/steps/platform_forwarding.py
+++ b/features/steps/platform_forwarding.py
@@ -19,6 +19,8 @@
 )
 
 EVENT_COUNT = 6
+# The target latency of the stand-in's routes.
+TARGET_S = 0.3
 BODY = b"\x00look\xff" * 50
 
 
@@ -247,6 +249,40 @@
     assert context.seen.running_after == 0
 
 
+def silent_after_others(path: str) -> Any:
+    """Returns a play of one call to a silent server, after some calls that were answered."""
+
+    async def behave_as(fleet: PlatformFleet, caller: Caller, seen: Seen) -> None:
+        for _ in range(6):
+            await caller.call("POST", path, BODY)
+        for engine in seen.engines:
+            engine.seen.clear()
+        await calling("POST", path, Behaviour.HANG)(fleet, caller, seen)
+
+    return behave_as
+
+
+@when("a server of two is silent to an idempotent request after others were answered")
+def when_silent_safe(context: Context) -> None:
+    play(context, silent_after_others("/look/a"))
+
+
+@when("a server of two is silent to a non-idempotent request after others were answered")
+def when_silent_unsafe(context: Context) -> None:
+    play(context, silent_after_others("/pay/a"))
+
+
+@then("the caller gets a whole answer in time")
+def then_whole_in_time(context: Context) -> None:
+    then_whole(context)
+    assert context.seen.took_s < TARGET_S, context.seen.took_s
+
+
+@when("a resumable stream pauses midway without end")
+def when_pauses(context: Context) -> None:
+    play(context, calling("POST", "/go-on/a", Behaviour.PAUSE_MIDWAY), service=MODEL)
+
+
 @when("a caller leaves while a server works")
 def when_leaves(context: Context) -> None:
     async def behave_as(fleet: PlatformFleet, caller: Caller, seen: Seen) -> None:
--- a/features/support/platform_engine.py
+++ b/features/support/platform_engine.py
@@ -20,6 +20,7 @@
 
     SERVE = "serve"
     BREAK_MIDWAY = "break midway"
+    PAUSE_MIDWAY = "pause midway"
     BREAK_AT_ONCE = "break at once"
     SAY_FULL = "say full"
     STRAY_ANSWER = "stray answer first"
@@ -118,6 +119,9 @@
             case Behaviour.BREAK_MIDWAY:
                 await self._serve(seen, signed, responder, self.event_count // 2)
                 raise CallerGone("breaks off")
+            case Behaviour.PAUSE_MIDWAY:
+                await self._serve(seen, signed, responder, self.event_count // 2)
+                await anyio.sleep_forever()
             case _:
                 await self._serve(seen, signed, responder, self.event_count)
 
