Send a whole answer in one write

Cause: an answer went out in three writes (head, body, end), each a call of the system that is charged. Change: Responder.answer encodes all first; a forwarded body that is whole goes that way, with its length.

--- a/briarvale/forwarding.py
+++ b/briarvale/forwarding.py
@@ -25,7 +25,7 @@
 )
 from .event_stream import EventCursor, EventSplitter
 from .forward_request import ForwardRequest
-from .http_wire import AnswerHead
+from .http_wire import AnswerHead, Headers
 from .live_servers import LiveServer
 from .lone_choice import LoneChoice
 from .routes import IdempotentRoute, StreamRoute
@@ -68,6 +68,9 @@
     async def finish(self) -> None:
         """Ends the answer as complete."""
 
+    async def answer(self, status: int, headers: Headers, body: bytes) -> None:
+        """Sends a whole answer."""
+
 
 class _Progress:
     """What is known of a request between its attempts."""
@@ -325,11 +328,10 @@
             await sink.start(run.head)
             await sink.send(b"".join(chunks))
             chunks.clear()
-    if not sink.has_started:
-        await sink.start(run.head)
-        if chunks:
-            await sink.send(b"".join(chunks))
-    await sink.finish()
+    if sink.has_started:
+        await sink.finish()
+    else:
+        await sink.answer(run.head.status, run.head.headers, b"".join(chunks))
 
 
 async def _forward_events(
--- a/briarvale/ingress.py
+++ b/briarvale/ingress.py
@@ -69,9 +69,9 @@
 
     async def start(self, head: AnswerHead) -> None:
         """Sends the head; the body follows in chunks."""
-        headers = list(end_to_end_headers(head.headers))
-        headers.append((b"transfer-encoding", b"chunked"))
-        await self._send_head(head.status, headers)
+        headers = end_to_end_headers(head.headers)
+        chunked = (b"transfer-encoding", b"chunked")
+        await self._write(self._encode_head(head.status, (*headers, chunked)))
 
     async def send(self, data: bytes) -> None:
         """Sends bytes of the body."""
@@ -82,23 +82,23 @@
         await self._write(self._h11.send(h11.EndOfMessage()))
 
     async def answer(self, status: int, headers: Headers, body: bytes) -> None:
-        """Sends a whole answer."""
-        rows = [*headers, (b"content-length", str(len(body)).encode())]
-        await self._send_head(status, rows)
+        """Sends a whole answer, in one write."""
+        size = (b"content-length", str(len(body)).encode())
+        data = self._encode_head(status, (*end_to_end_headers(headers), size))
         if body:
-            await self.send(body)
-        await self.finish()
+            data += self._h11.send(h11.Data(data=body)) or b""
+        await self._write(data + (self._h11.send(h11.EndOfMessage()) or b""))
 
     async def write_raw(self, data: bytes) -> None:
         """Sends bytes as they are; stand-ins break the protocol with it."""
         await self._write(data)
 
-    async def _send_head(self, status: int, headers: list[tuple[bytes, bytes]]) -> None:
+    def _encode_head(self, status: int, headers: Headers) -> bytes:
+        rows = list(headers)
         if self._may_close():
-            headers.append((b"connection", b"close"))
+            rows.append((b"connection", b"close"))
         self.status = status
-        response = h11.Response(status_code=status, headers=headers)
-        await self._write(self._h11.send(response))
+        return self._h11.send(h11.Response(status_code=status, headers=rows)) or b""
 
     async def _write(self, data: bytes | None) -> None:
         if not data:
