Run nodes on uvloop

Ruled out: one hot function; a profile of forwarding spreads over the loop, h11 and anyio. Change: anyio's asyncio backend with uvloop, in the node's program alone.

--- a/briarvale/programs/node.py
+++ b/briarvale/programs/node.py
@@ -25,7 +25,8 @@
         print(error, file=sys.stderr)
         sys.exit(EXIT_BAD_SETTINGS)
     configure_json_lines(settings.parts)
-    anyio.run(_run, settings)
+    # A node spends most of its time in the event loop.
+    anyio.run(_run, settings, backend_options={"use_uvloop": True})
 
 
 async def _run(settings: NodeSettings) -> None:
