In a peak, let late online requests wait for those that can still be in time

Ruled out: refusals (none) and silent servers (the median itself was late). Change: a slot request says by when its slot must be had (start_by_ms); the pool's queue puts late requests behind those in time, and first again in the last third of their callers' patience. Measured, simulated load 14 to 115 requests a second on 72 slots: the new scenario (8 in 10 in time, none refused, none beyond patience) fails before and passes after.

--- a/briarvale/answer_times.py
+++ b/briarvale/answer_times.py
@@ -32,10 +32,14 @@
         mean_ms = self._mean_ms.get(service, 0.0)
         self._mean_ms[service] = mean_ms + max(SMOOTHING, 1 / count) * (took_ms - mean_ms)
 
+    def usual_ms(self, service: str) -> float:
+        """Returns the usual time; 0 while it is not known."""
+        return self._mean_ms.get(service, 0.0)
+
     def overdue_ms(self, request: ForwardRequest) -> int:
         """Returns how long to wait for the start of an answer before another run is better."""
         target_ms = request.route.target_latency_ms
         if self._counts.get(request.service, 0) < MIN_TIMES:
             return math.ceil(UNKNOWN_TARGETS * target_ms)
-        usual_ms = self._mean_ms[request.service]
-        return math.ceil(max(TARGET_SHARE * target_ms, OVERDUE_FACTOR * usual_ms))
+        overdue_ms = OVERDUE_FACTOR * self.usual_ms(request.service)
+        return math.ceil(max(TARGET_SHARE * target_ms, overdue_ms))
--- a/briarvale/forwarding.py
+++ b/briarvale/forwarding.py
@@ -30,6 +30,7 @@
 from .lone_choice import LoneChoice
 from .routes import IdempotentRoute, StreamRoute
 from .serving_parts import ServingParts
+from .silence import Pauses, Silence
 from .slot_client import HeldSlot
 from .traces import tracer
 
@@ -92,41 +93,6 @@
     slot: HeldSlot | None
 
 
-class _Silence:
-    """Ends a run that has been silent for too long.
-
-    Attributes:
-        limit_ms: How long it may be silent.
-    """
-
-    def __init__(self) -> None:
-        self.limit_ms = math.inf
-        self.scope = anyio.CancelScope()
-
-    def wait(self, limit_ms: float) -> None:
-        """Allows so much silence from now on."""
-        self.limit_ms = limit_ms
-        self.scope.deadline = anyio.current_time() + limit_ms / MS_PER_S
-
-    def end(self) -> None:
-        """Takes that something was heard."""
-        self.scope.deadline = math.inf
-
-
-class _Pauses(NamedTuple):
-    """Reads a stream whose pauses are bounded; the time that a caller takes does not count."""
-
-    silence: _Silence
-    limit_ms: float
-
-    async def read(self, run: EngineRun) -> bytes:
-        """Reads the next bytes; empty at the end."""
-        self.silence.wait(self.limit_ms)
-        data = await run.read()
-        self.silence.end()
-        return data
-
-
 class Forwarder:
     """Forwards requests.
 
@@ -231,7 +197,17 @@
             priority=request.route.priority,
             excluded=progress.excluded,
         )
-        return wanted._replace(fingerprint=request.fingerprint)
+        start_by_ms = self._start_by_ms(request, progress)
+        return wanted._replace(fingerprint=request.fingerprint, start_by_ms=start_by_ms)
+
+    def _start_by_ms(self, request: ForwardRequest, progress: _Progress) -> int:
+        """Returns when a slot must be had for an answer, or the next event, in time."""
+        match request.route.kind:
+            case StreamRoute(gap_target_ms=gap_ms) if progress.has_events:
+                target_at_ms = self._clock.now_ms() + gap_ms
+            case _:
+                target_at_ms = request.received_at_ms + request.route.target_latency_ms
+        return max(0, math.floor(target_at_ms - self._answer_times.usual_ms(request.service)))
 
     async def _run_at(self, attempt: _Attempt, sink: AnswerSink, progress: _Progress) -> None:
         server, slot = attempt.server, attempt.slot
@@ -258,7 +234,7 @@
 
     async def _exchange(self, attempt: _Attempt, sink: AnswerSink, progress: _Progress) -> Outcome:
         """Forwards one run's answer; gives up a silent one in time for another run."""
-        silence = _Silence()
+        silence = Silence()
         silence.wait(self._patience_ms(attempt.request, sink, progress))
         outcome: Outcome | None = None
         with silence.scope:
@@ -277,7 +253,7 @@
         return overdue_ms if 2 * overdue_ms <= left_ms else math.inf
 
     async def _forward_answer(
-        self, attempt: _Attempt, sink: AnswerSink, progress: _Progress, silence: _Silence
+        self, attempt: _Attempt, sink: AnswerSink, progress: _Progress, silence: Silence
     ) -> Outcome:
         """Forwards an answer; an error of the server's own only if it may not run again."""
         request = attempt.request
@@ -295,7 +271,7 @@
             match request.route.kind:
                 case StreamRoute() if is_success:
                     pause_ms = _pause_limit_ms(request, progress)
-                    await _forward_events(run, sink, progress, _Pauses(silence, pause_ms))
+                    await _forward_events(run, sink, progress, Pauses(silence, pause_ms))
                 case _:
                     await _forward_body(run, sink)
         return Outcome.FAILED if has_failed else Outcome.FINISHED
@@ -335,7 +311,7 @@
 
 
 async def _forward_events(
-    run: EngineRun, sink: AnswerSink, progress: _Progress, pauses: _Pauses
+    run: EngineRun, sink: AnswerSink, progress: _Progress, pauses: Pauses
 ) -> None:
     """Forwards whole events as they arrive; a run that goes on repeats none of them."""
     splitter = EventSplitter()
--- a/briarvale/pool_queue.py
+++ b/briarvale/pool_queue.py
@@ -1,16 +1,31 @@
 """The requests of one class that wait for a slot of a pool, in the order of service."""
 
 from collections.abc import Iterator
+from enum import IntEnum
 from typing import NamedTuple
 
 from ._generated.messages import SlotRequest
 from .holder import Holder
 
 MAX_QUEUED = 2_000
+# A late request goes first again in this last part of its caller's patience.
+LAST_CHANCE_PART = 1 / 3
 
 __all__ = ["PoolQueue", "PoolWaiter"]
 
 
+class Standing(IntEnum):
+    """Who goes first among waiting online requests.
+
+    Callers need answers in time; how late a late one is matters less. So in a peak, late requests
+    wait for those that can still be in time, as long as their callers have patience.
+    """
+
+    LAST_CHANCE = 0
+    IN_TIME = 1
+    LATE = 2
+
+
 class PoolWaiter(NamedTuple):
     """A request that waits for a slot."""
 
@@ -21,9 +36,17 @@
 
     @property
     def rank(self) -> tuple[int, int, int]:
-        """Order in the queue: priority, then for items the start that their due date asks for."""
+        """Order in the queue: priority, then the start that the due date or target asks for."""
         return self.request.priority, self.request.start_by_ms, self.sequence
 
+    def standing(self, now_ms: int) -> Standing:
+        """Returns whether an online request can still be answered in time."""
+        if now_ms <= self.request.start_by_ms:
+            return Standing.IN_TIME
+        patience_ms = self.request.deadline_ms - self.since_ms
+        left_ms = self.request.deadline_ms - now_ms
+        return Standing.LAST_CHANCE if left_ms <= LAST_CHANCE_PART * patience_ms else Standing.LATE
+
 
 class PoolQueue:
     """Waiting requests by rank."""
@@ -37,6 +60,12 @@
     def __iter__(self) -> Iterator[PoolWaiter]:
         return iter(list(self._waiters))
 
+    def online_order(self, now_ms: int) -> list[PoolWaiter]:
+        """Returns online requests in the order in which they get slots now."""
+        return sorted(
+            self._waiters, key=lambda one: (one.request.priority, one.standing(now_ms), one.rank)
+        )
+
     def __contains__(self, waiter: PoolWaiter) -> bool:
         return waiter in self._waiters
 
--- a/briarvale/slot_pool.py
+++ b/briarvale/slot_pool.py
@@ -293,8 +293,11 @@
     def _grant_queue(self, work_class: WorkClass, now_ms: int, at_most: int = MAX_QUEUED) -> int:
         """Grants slots in the order of the queue; returns how many."""
         queue = self._waiting[work_class]
+        if not queue or not any(one.free_for(work_class) > 0 for one in self._servers.values()):
+            return 0
+        is_online = work_class is WorkClass.ONLINE
         granted = 0
-        for waiter in queue:
+        for waiter in queue.online_order(now_ms) if is_online else queue:
             server = self._choose(waiter.request, now_ms) if granted < at_most else None
             if server is not None:
                 queue.remove(waiter)
--- a/features/platform/pool_policy.feature
+++ b/features/platform/pool_policy.feature
@@ -11,6 +11,11 @@
     Then no online request waits beyond a caller's patience
     And batch items are done all the same
 
+  Scenario: Online peaks a fifth above what the pool can run
+    When online load steps between 14 and 115 requests a second over 5 batch items a second
+    Then 8 in 10 online requests wait no longer than an answer in time allows
+    And no request is refused, and none waits beyond a caller's patience
+
   Scenario: A pool full of online requests refuses at once what would wait too long
     When 400 requests arrive at once at a pool of 8 slots
     Then those that would wait beyond their deadline are refused at once, with when to come back
--- a/features/steps/pool_policy.py
+++ b/features/steps/pool_policy.py
@@ -79,6 +79,13 @@
     assert context.result.online_refused == 0
 
 
+@then("8 in 10 online requests wait no longer than an answer in time allows")
+def then_in_time(context: Context) -> None:
+    waits_ms = context.result.online_waits_ms
+    in_time = sum(wait_ms <= LoadShape().slack_ms for wait_ms in waits_ms)
+    assert in_time >= 0.8 * len(waits_ms), (in_time, len(waits_ms))
+
+
 @then("fewer than 1 in 4 batch starts are stopped before they did any work")
 def then_early(context: Context) -> None:
     result = context.result
--- a/features/support/pool_load.py
+++ b/features/support/pool_load.py
@@ -47,6 +47,8 @@
     hanging_servers: int = 0
     hang_share: float = 0.4
     patience_ms: float = 3_200.0
+    # How long an online request may wait and still be answered in time.
+    slack_ms: int = 200
 
 
 class LoadResult(NamedTuple):
@@ -158,7 +160,9 @@
     def _next_online(self) -> None:
         request_id = f"o{next(self._order)}"
         self._online[request_id] = self._clock.ms
-        self.pool.submit(self._request(request_id, WorkClass.ONLINE, 2_400), self)
+        request = self._request(request_id, WorkClass.ONLINE, 2_400)
+        start_by_ms = self._clock.now_ms() + self._shape.slack_ms
+        self.pool.submit(request._replace(start_by_ms=start_by_ms), self)
         self._at(self._random.expovariate(self._rate_per_s()) * 1_000, self._next_online)
 
     def _next_item(self) -> None:
