Ask the store at once when a publisher is lost, and never show an empty page for want of texts

A node whose publisher froze at 15.5 s waited up to 5 s for it, since the membership still named it; its list of jobs stood still but counted as current, so readers were told that there were no results that others had read. Ruled out: the log itself (items were listed in order), the reader's position (0). Change: only a node that has just started waits for its publisher; a feed whose watch was lost is not current until it has listed the kind; a link that closes answers the lists asked of it. Found on the way, older: where the store can't tell the texts, a page without results was answered with 200. It is 503 now, with when to come back.

--- a/briarvale/feed_link.py
+++ b/briarvale/feed_link.py
@@ -21,7 +21,7 @@
 # Several beats of the publisher; a bound on how late a change is heard when the publisher hangs.
 MAX_SILENCE_S = 1.2
 # A list may be long, and the publisher's link narrow.
-MAX_LIST_S = 3.0
+MAX_LIST_S = 1.5
 
 log = logs.part("feeds")
 
@@ -119,6 +119,8 @@
     def close(self) -> None:
         """Ends the connection; who waits on it is told."""
         self.is_closed = True
+        for asked in self._lists.values():
+            asked.answered.set()
         self._connection.close()
         self._heard.notify()
 
--- a/briarvale/feed_source.py
+++ b/briarvale/feed_source.py
@@ -27,8 +27,9 @@
 
 # Nodes that start know each other, and so who watches, after this time.
 MEET_S = 1.0
-# A publisher that starts itself lists the kind first; after this time each node does.
-LIST_WAIT_S = 5.0
+# Where all nodes start together, the publisher lists a kind first. A node that has been up for
+# longer does not wait for it.
+LIST_WAIT_S = 6.0
 
 PublisherView = Callable[[], PeerAddress | None]
 
@@ -77,14 +78,18 @@
         return found if found is not None else await self._store.list_kind(kind)
 
     async def _list_from_publisher(self, kind: str) -> ObjectList | None:
-        """Asks the publisher until it can tell, there is none, or the wait is over."""
+        """Asks the publisher, and soon after the start of this node until it can tell.
+
+        Later on nobody waits: a publisher that is silent may be named for seconds, in which this
+        node would hear of nothing.
+        """
         await anyio.sleep_until(self._started_at_s + MEET_S)
-        with anyio.move_on_after(LIST_WAIT_S):
-            while self._view() is not None:
-                found = None if self.link is None else await self.link.list_kind(kind)
-                if found is not None:
-                    return found
-                await anyio.sleep(LOOK_INTERVAL_S)
+        wait_until_s = self._started_at_s + LIST_WAIT_S
+        while self._view() is not None:
+            found = None if self.link is None else await self.link.list_kind(kind)
+            if found is not None or anyio.current_time() >= wait_until_s:
+                return found
+            await anyio.sleep(LOOK_INTERVAL_S)
         return None
 
     async def watch_kind(self, kind: str, revision: int, wait_ms: int) -> ChangeList:
--- a/briarvale/object_feed.py
+++ b/briarvale/object_feed.py
@@ -124,8 +124,9 @@
 
     @property
     def is_current(self) -> bool:
-        """Whether the last call was answered."""
-        return self._failing_since_s is None and self._revision >= 0
+        """Whether changes are heard: the last call was answered, and no watch is lost since."""
+        is_heard = self._failing_since_s is None and not self._is_interrupted
+        return is_heard and self._revision >= 0
 
     @property
     def is_stale(self) -> bool:
--- a/briarvale/work_service.py
+++ b/briarvale/work_service.py
@@ -122,7 +122,10 @@
         if not known.is_complete and (is_behind or not self._is_feed_current()):
             await self._catch_up(known, is_needed=is_behind)
         await self._fill(known, after)
-        return _page(known, after)
+        page = _page(known, after)
+        if len(known.results) > after and not page.results:
+            raise NotReady(f"the store can't tell the results from {after} on")
+        return page
 
     async def _fill(self, known: KnownJob, after: int) -> None:
         """Reads texts that the feed left out, as far as the store can tell now."""
--- a/features/platform/feeds.feature
+++ b/features/platform/feeds.feature
@@ -28,6 +28,15 @@
     Then one of these lists the jobs from the store, and all know the results within 4 s
     And a reader at each of them gets the texts
 
+  Scenario: Texts that the store can't tell now
+    When a node knows results without texts and the store turns it away
+    Then a reader there is told to come back, rather than that there is none
+
+  Scenario: The node that watches hangs and the others can't know yet
+    When a node loses the one that watches, which the membership still names
+    Then it lists the jobs from the store at once
+    And its view of them does not count as current until it has listed them
+
   Scenario: Changes that come while nodes still take earlier ones
     When 40 entries of VMs are written within 4 s
     Then all nodes know all of them 2 s later
--- a/features/steps/platform_feeds.py
+++ b/features/steps/platform_feeds.py
@@ -3,19 +3,24 @@
 import json
 from collections.abc import Callable
 from typing import Any
+from unittest import mock
 
 import anyio
 from behave import then, when
 from behave.runner import Context
 
 from briarvale._generated.messages import FeedRow, FeedSubscribe, FeedUpdate, Message
+from briarvale.errors import WatchInterrupted
 from briarvale.feed_link import FeedLink
 from briarvale.feed_publisher import MAX_UPDATE_BYTES, FeedPublisher
-from briarvale.peer import PeerAddress
+from briarvale.feed_source import FeedSource
+from briarvale.object_feed import ChangeList, ObjectFeed, ObjectList
+from briarvale.peer import PeerAddress, PeerIdentity, TcpTransport
 from briarvale.vm_list import VmEntry, VmStatus
-from features.steps.platform_batch import ITEMS, JOB, play, read_all, runner_of, submit
+from briarvale.work_jobs import JOBS_KIND, JobDirectory
+from features.steps.platform_batch import ITEMS, JOB, play, read, read_all, runner_of, submit
 from features.support.platform_engine import whole_text
-from features.support.platform_fleet import FleetNode, PlatformFleet, job_body
+from features.support.platform_fleet import FleetNode, PlatformFleet, free_port, job_body
 
 CHANGES = 5
 VM_ENTRIES = 40
@@ -23,6 +28,8 @@
 LINK_S = 1.5
 IN_FORCE_TIMEOUT_S = 6.0
 KNOWN_AGAIN_S = 4.0
+# A node that has been up for longer does not wait for one that watches.
+STARTED_S = 1.2
 JOBS_PATH = "/briarvale/objects/workjobs"
 # A node that joins does no work for others in its first seconds.
 JOIN_TIMEOUT_S = 10.0
@@ -231,6 +238,89 @@
     assert all(context.facts["known"]), context.facts["known"]
 
 
+@when("a node knows results without texts and the store turns it away")
+def when_no_texts(context: Context) -> None:
+    async def behave_as(fleet: PlatformFleet, facts: dict[str, Any]) -> None:
+        await anyio.sleep(LINK_S)
+        watcher = watcher_of(fleet)
+        await submit(watcher, job_body(ITEMS))
+        await read_all(watcher)
+        other = next(node for node in fleet.nodes.values() if node is not watcher)
+        with anyio.fail_after(KNOWN_AGAIN_S):
+            while not knows_results(other):
+                await anyio.sleep(0.02)
+        fleet.gates[other.name].is_refusing = True
+        facts["answer"] = await read(other)
+
+    play(context, behave_as, nodes=3)
+
+
+@then("a reader there is told to come back, rather than that there is none")
+def then_come_back(context: Context) -> None:
+    answer = context.facts["answer"]
+    assert answer.status == 503 and float(answer.headers["retry-after"]) >= 0, answer
+
+
+class InterruptedStore:
+    """A store whose watch is interrupted once, and whose second list takes a while."""
+
+    def __init__(self) -> None:
+        self.lists = 0
+        self.is_listing = anyio.Event()
+        self.may_list = anyio.Event()
+
+    async def list_kind(self, kind: str) -> ObjectList:
+        """Lists nothing; waits for leave from the second time on."""
+        self.lists += 1
+        if self.lists > 1:
+            self.is_listing.set()
+            await self.may_list.wait()
+        return ObjectList((), self.lists)
+
+    async def watch_kind(self, kind: str, revision: int, wait_ms: int) -> ChangeList:
+        """Is interrupted at first; then nothing changes."""
+        if self.lists == 1:
+            raise WatchInterrupted("the node that watches is silent")
+        await anyio.sleep_forever()
+        raise AssertionError
+
+
+@when("a node loses the one that watches, which the membership still names")
+def when_named_still(context: Context) -> None:
+    async def run() -> None:
+        store = InterruptedStore()
+        lost = PeerAddress("127.0.0.1", free_port())
+        publisher = FeedPublisher({})
+        transport = TcpTransport(PeerIdentity("vm-1", "node", "b"), "test")
+        jobs = frozenset((JOBS_KIND,))
+        source = FeedSource(store, publisher, transport, lambda: lost, listed_by_publisher=jobs)
+        feed = ObjectFeed(source, JOBS_KIND, JobDirectory())
+        await anyio.sleep(STARTED_S)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(feed.run)
+            with anyio.move_on_after(1.0) as waiting:
+                await store.is_listing.wait()
+            context.is_listed = not waiting.cancelled_caught
+            context.current = [feed.is_current]
+            store.may_list.set()
+            await anyio.sleep(0.1)
+            context.current.append(feed.is_current)
+            tasks.cancel_scope.cancel()
+
+    with mock.patch("briarvale.feed_source.LIST_WAIT_S", STARTED_S):
+        anyio.run(run)
+
+
+@then("it lists the jobs from the store at once")
+def then_lists_at_once(context: Context) -> None:
+    assert context.is_listed
+
+
+@then("its view of them does not count as current until it has listed them")
+def then_not_current(context: Context) -> None:
+    assert context.current == [False, True], context.current
+
+
 @when("40 entries of VMs are written within 4 s")
 def when_entries(context: Context) -> None:
     async def behave_as(fleet: PlatformFleet, facts: dict[str, Any]) -> None:
