Digest jobs once, and keep one test of another run and of an avoided server

Nodes that follow a publisher digested rows of jobs that it had digested already, for each change (a decode, a copy and an encode): job_digest now returns a digest as it came. The test whether another run may follow stood twice in the forwarder, the one whether a server is avoided in two modules; each is one function now. What a digest holds and who is chosen stay as they were.

--- a/briarvale/forwarding.py
+++ b/briarvale/forwarding.py
@@ -245,8 +245,7 @@
 
     def _patience_ms(self, request: ForwardRequest, sink: AnswerSink, progress: _Progress) -> float:
         """Returns how long a run may be silent; without limit where there can't be another."""
-        is_last = progress.attempts + 1 >= request.route.max_attempts
-        if is_last or not _may_repeat(request, sink, progress):
+        if not _may_run_again(request, sink, progress):
             return math.inf
         overdue_ms = self._answer_times.overdue_ms(request)
         left_ms = request.answer_by_ms - self._clock.now_ms()
@@ -265,8 +264,7 @@
             if is_success and not run.facts.is_signed:
                 raise ServerLost("a success without a signature")
             has_failed = run.head.status in SERVER_FAILURES
-            may_repeat = _has_attempts(request, progress) and _may_repeat(request, sink, progress)
-            if has_failed and may_repeat:
+            if has_failed and _may_run_again(request, sink, progress):
                 raise ServerFailed(f"{attempt.server.id} answered {run.head.status}")
             match request.route.kind:
                 case StreamRoute() if is_success:
@@ -357,6 +355,11 @@
             return False
 
 
+def _may_run_again(request: ForwardRequest, sink: AnswerSink, progress: _Progress) -> bool:
+    """Whether there may be another run if the present one brings no answer."""
+    return _has_attempts(request, progress) and _may_repeat(request, sink, progress)
+
+
 def _wait_until_ms(request: ForwardRequest, now_ms: int, has_events: bool) -> int:
     """Returns until when a slot is worth waiting for: the caller's own patience."""
     match request.route.kind:
--- a/briarvale/lone_choice.py
+++ b/briarvale/lone_choice.py
@@ -61,9 +61,7 @@
 
     def _is_sound(self, server: LiveServer, now_ms: int) -> bool:
         record = self._records.get(server.incarnation)
-        if record is None:
-            return True
-        return record.avoid_until_ms <= now_ms and not record.is_ejected(now_ms)
+        return record is None or not (record.is_avoided(now_ms) or record.is_ejected(now_ms))
 
     def _load(self, server: LiveServer) -> tuple[float, float]:
         return self._running.get(server.id, 0) / server.slots, random.random()
--- a/briarvale/pool_server.py
+++ b/briarvale/pool_server.py
@@ -55,7 +55,7 @@
 
     def is_sound(self, now_ms: int) -> bool:
         """Whether nothing speaks against it: no failure a moment ago, no run that does not end."""
-        return self.record.avoid_until_ms <= now_ms and not self.grants.has_overdue
+        return not (self.record.is_avoided(now_ms) or self.grants.has_overdue)
 
     def note_prefixes(self, prefix_ids: Iterable[str]) -> None:
         """Takes that a prompt with these parts is read there."""
--- a/briarvale/server_record.py
+++ b/briarvale/server_record.py
@@ -20,14 +20,10 @@
 
 
 class ServerRecord:
-    """The latest outcomes and times of one server's runs.
-
-    Attributes:
-        avoid_until_ms: Until when others are preferred.
-    """
+    """The latest outcomes and times of one server's runs."""
 
     def __init__(self) -> None:
-        self.avoid_until_ms = 0
+        self._avoid_until_ms = 0
         self._failures = 0
         self._outcomes = OutcomeWindow()
         self._ejections = 0
@@ -37,6 +33,10 @@
         self._time_count = 0
         self._timed_at_ms = 0
 
+    def is_avoided(self, now_ms: int) -> bool:
+        """Whether others are preferred, since it failed a moment ago."""
+        return now_ms < self._avoid_until_ms
+
     def is_ejected(self, now_ms: int) -> bool:
         """Whether it is to get nothing now."""
         return now_ms < self._ejected_until_ms
@@ -51,14 +51,14 @@
         match outcome:
             case Outcome.FINISHED:
                 self._failures = 0
-                self.avoid_until_ms = 0
+                self._avoid_until_ms = 0
                 self._trials_left = max(0, self._trials_left - 1)
                 if not self.is_on_trial:
                     self._ejections = max(0, self._ejections - 1)
             case Outcome.FAILED | Outcome.CRASHED:
                 delay_ms = min(AVOID_MAX_MS, AVOID_START_MS * 2**self._failures)
                 self._failures += 1
-                self.avoid_until_ms = now_ms + delay_ms
+                self._avoid_until_ms = now_ms + delay_ms
             case _:
                 return False
         self._outcomes.add(StreamOutcome(now_ms, outcome, 0))
--- a/briarvale/work_jobs.py
+++ b/briarvale/work_jobs.py
@@ -16,6 +16,8 @@
 from .shard_log import NO_RUNNER, ItemResult, LogEntry, RunnerId
 
 JOBS_KIND = "workjobs"
+# Stands in the JSON of digests alone: within a text its quotes would be escaped.
+DIGEST_MARK = b'"is_digest": true'
 PART_BYTES = 800_000
 
 log = logs.part("jobs")
@@ -226,6 +228,8 @@
     """Returns what of a stored object nodes need to know that neither run nor read the job."""
     _, _, place = row.name.partition(".")
     value = row.value if isinstance(row.value, bytes) else b""
+    if DIGEST_MARK in value:
+        return row
     try:
         if not place:
             return row._replace(value=WorkJob.decode(value).digest().encode())
--- a/features/steps/platform_feeds.py
+++ b/features/steps/platform_feeds.py
@@ -14,10 +14,18 @@
 from briarvale.feed_link import FeedLink
 from briarvale.feed_publisher import MAX_UPDATE_BYTES, FeedPublisher
 from briarvale.feed_source import FeedSource
-from briarvale.object_feed import ChangeList, ObjectFeed, ObjectList
+from briarvale.object_feed import ChangeList, FeedObject, ObjectFeed, ObjectList
 from briarvale.peer import PeerAddress, PeerIdentity, TcpTransport
+from briarvale.shard_log import ItemResult, LogEntry, RunnerId
 from briarvale.vm_list import VmEntry, VmStatus
-from briarvale.work_jobs import JOBS_KIND, JobDirectory
+from briarvale.work_jobs import (
+    DIGEST_MARK,
+    JOBS_KIND,
+    JobDirectory,
+    WorkItem,
+    WorkJob,
+    job_digest,
+)
 from features.steps.platform_batch import ITEMS, JOB, play, read, read_all, runner_of, submit
 from features.support.platform_engine import whole_text
 from features.support.platform_fleet import FleetNode, PlatformFleet, free_port, job_body
@@ -261,6 +269,23 @@
     assert answer.status == 503 and float(answer.headers["retry-after"]) >= 0, answer
 
 
+@when("a job and an entry, whose texts speak of digests, are digested twice")
+def when_digested(context: Context) -> None:
+    item = WorkItem("a", "/lot/a", (("x", "y"),), DIGEST_MARK.decode())
+    job = WorkJob("j", "h", "s", 1, 1, 2, 3, 3, (item,), runner=RunnerId("vm-1", "b"))
+    entry = LogEntry(0, "n", (ItemResult(0, DIGEST_MARK.decode(), ""),))
+    rows = (FeedObject("j", job.encode(), 1), FeedObject("j.log.0", entry.encode(), 2))
+    context.digests = [(job_digest(row), job_digest(job_digest(row))) for row in rows]
+
+
+@then("each digest is without texts and the second the same as the first")
+def then_same_digest(context: Context) -> None:
+    (job, _), (entry, _) = context.digests
+    assert WorkJob.decode(job.value).items == (WorkItem("a", "", (), ""),), job
+    assert LogEntry.decode(entry.value).results == (ItemResult(0, "", ""),), entry
+    assert all(first == second for first, second in context.digests), context.digests
+
+
 class InterruptedStore:
     """A store whose watch is interrupted once, and whose second list takes a while."""
 
