Log the outcome of each call of a batch job

Calls of batch jobs left no line: a submission that was refused, a read answered 404 or 503 and an empty page could not be told from each other, nor from a call that never came.

--- a/briarvale/platform/front_door.py
+++ b/briarvale/platform/front_door.py
@@ -1,7 +1,8 @@
 """Decodes callers' requests into the product's types, and writes its failures as answers."""
 
 import json
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from urllib.parse import parse_qs, unquote
 
 from .. import logs, metrics
@@ -18,7 +19,7 @@
 from ..ingress import IngressRequest, Responder
 from ..routes import BatchRoute, IngressLimits, RouteTable
 from .batch_door import BatchDoor
-from .dialect import decode_request
+from .dialect import REQUEST_ID, decode_request
 
 JOBS_PATH = "/briarvale/lots/"
 ITEMS_PATH = "/briarvale/items/"
@@ -73,7 +74,9 @@
         ):
             if path.startswith(prefix) and table.has_batch(host):
                 fields = {name: values[0] for name, values in parse_qs(query).items()}
-                await answer(unquote(path[len(prefix) :]), fields, request, responder)
+                job_id = unquote(path[len(prefix) :])
+                with self._logged_call(job_id, request, responder):
+                    await answer(job_id, fields, request, responder)
                 return
         await self._forward(table, host, path, request, responder)
 
@@ -100,7 +103,9 @@
         if isinstance(route.kind, BatchRoute):
             if request.method != b"POST":
                 raise RouteNotFound(f"{path}: only POST")
-            await self._batch.submit(route, request, responder)
+            request_id = find_header(request.headers, REQUEST_ID) or b""
+            with self._logged_call(request_id.decode("latin-1"), request, responder):
+                await self._batch.submit(route, request, responder)
             return
         forwarded = decode_request(
             request.method, request.target, request.headers, request.body, route, now_ms
@@ -128,6 +133,29 @@
                 left_ms=forwarded.answer_by_ms - ended_ms,
             )
 
+    @contextmanager
+    def _logged_call(
+        self, job_id: str, request: IngressRequest, responder: Responder
+    ) -> Iterator[None]:
+        """Logs what became of a call of a batch job, also of one that fails."""
+        began_ms = self._clock.now_ms()
+        code = "answered"
+        try:
+            yield
+        except BriarvaleError as error:
+            code = error.code
+            raise
+        finally:
+            log.info(
+                "Ended a call of a job.",
+                job_id=job_id,
+                method=request.method.decode("latin-1"),
+                target=request.target.decode("latin-1"),
+                code=code,
+                status=responder.status,
+                took_ms=self._clock.now_ms() - began_ms,
+            )
+
     async def _answer_job(
         self, job_id: str, fields: dict[str, str], request: IngressRequest, responder: Responder
     ) -> None:
