Never tell a reader that there is no result without asking the store

What callers saw: a node answered 200 without results at a position whose result another node had told over a second before (LOST). Cause: a page was built from the node's list of jobs whenever the list counted as current. A node that watches for its zone and is cut off from the store in silence notices after up to 2 s; its followers, in good order themselves, count as current all the while. A node that the store turns away answered 200 without results, too ('A reader asks a node that the store turns away ...' failed); it answers 503 now. Class: a cache served past the bound that its readers were promised. Smaller time-outs would only move it. Change: an empty page of an open job is told only if the store, asked within half a second, has no further entry; where the store can't tell, the reader is told to come back. Entries that come twice are dropped. Cost: one read of the store for an empty page, at most two a second for a job and node; not measured yet.

--- a/briarvale/work_jobs.py
+++ b/briarvale/work_jobs.py
@@ -5,6 +5,7 @@
 """
 
 import json
+import math
 from collections.abc import Iterable, Iterator
 from typing import NamedTuple
 
@@ -90,7 +91,11 @@
 
 
 class KnownJob:
-    """A job as this node knows it: head, results in their positions, and whether it has ended."""
+    """A job as this node knows it: head, results in their positions, and whether it has ended.
+
+    Attributes:
+        none_further_at_s: Latest instant at which the store surely held no further entry.
+    """
 
     def __init__(self, job: WorkJob) -> None:
         self.job = job
@@ -99,6 +104,7 @@
         self.is_ended = False
         self.runner = job.runner
         self.runner_since_s = anyio.current_time()
+        self.none_further_at_s = -math.inf
         self.changed = Notifier()
         self._early: dict[int, LogEntry] = {}
         # Positions whose texts are not known here, and the log entries that hold them.
@@ -111,6 +117,8 @@
 
     def take(self, entry: LogEntry) -> None:
         """Takes an entry of the log; one that comes early waits for those before it."""
+        if entry.sequence < self.next_sequence:
+            return
         self._early[entry.sequence] = entry
         is_news = False
         while self.next_sequence in self._early:
--- a/briarvale/work_service.py
+++ b/briarvale/work_service.py
@@ -38,6 +38,8 @@
 
 MAX_PAGE_BYTES = 900_000
 RETRY_PAUSE_S = 0.1
+# Readers rely on what any node told over a second ago.
+MAX_LOOK_AGE_S = 0.5
 # The time kept back from a caller's deadline, so that the answer still reaches it.
 ANSWER_RESERVE_MS = 300
 
@@ -110,23 +112,42 @@
         )
 
     async def results(self, job_id: str, after: int, wait_until_ms: int) -> ResultsPage:
-        """Returns results from a position on, waiting for one until the instant."""
+        """Returns results from a position on, waiting for one until the instant.
+
+        That there is none yet is told only as the store told it a moment ago: what this node heard
+        may be older than what the reader was told elsewhere.
+
+        Raises:
+            NotFound: If there surely is no such job.
+            NotReady: If the store can't tell.
+        """
         known = await self.find(job_id)
-        while len(known.results) <= after and not known.is_complete:
-            left_s = (wait_until_ms - self._clock.now_ms()) / MS_PER_S
-            if left_s <= 0:
-                break
-            with anyio.move_on_after(left_s):
-                await known.changed.wait()
-        is_behind = after > len(known.results)
-        if not known.is_complete and (is_behind or not self._is_feed_current()):
-            await self._catch_up(known, is_needed=is_behind)
+        await self._wait_for_result(known, after, wait_until_ms)
+        if not known.is_complete and len(known.results) <= after:
+            await self._catch_up(known, is_needed=True)
         await self._fill(known, after)
         page = _page(known, after)
         if len(known.results) > after and not page.results:
             raise NotReady(f"the store can't tell the results from {after} on")
+        if not page.results and not known.is_complete:
+            log.info(
+                "Told a reader of no further result.",
+                job_id=job_id,
+                after=after,
+                known=len(known.results),
+                entries=known.next_sequence,
+                is_feed_current=self._is_feed_current(),
+            )
         return page
 
+    async def _wait_for_result(self, known: KnownJob, after: int, wait_until_ms: int) -> None:
+        while len(known.results) <= after and not known.is_complete:
+            left_s = (wait_until_ms - self._clock.now_ms()) / MS_PER_S
+            if left_s <= 0:
+                return
+            with anyio.move_on_after(left_s):
+                await known.changed.wait()
+
     async def _fill(self, known: KnownJob, after: int) -> None:
         """Reads texts that the feed left out, as far as the store can tell now."""
         prefix = job_log_prefix(known.job.job_id)
@@ -206,14 +227,21 @@
         return job
 
     async def _catch_up(self, known: KnownJob, *, is_needed: bool) -> None:
-        """Reads entries that the feed has not brought yet."""
+        """Reads entries that the feed has not brought yet, unless the store was just asked.
+
+        Raises:
+            NotReady: If they are needed and the store can't tell.
+        """
+        asked_at_s = anyio.current_time()
+        if asked_at_s - known.none_further_at_s < MAX_LOOK_AGE_S:
+            return
         prefix = job_log_prefix(known.job.job_id)
         shard_log = ShardLog(self._store, self._read_budget, prefix)
         try:
             while not known.is_complete:
                 known.take(await shard_log.read_entry(known.next_sequence))
         except ObjectNotFound:
-            return
+            known.none_further_at_s = asked_at_s
         except (StoreThrottled, StoreUnavailable) as error:
             log.info("Can't read on: {}.", error, job_id=known.job.job_id)
             if is_needed:
--- a/features/platform/feeds.feature
+++ b/features/platform/feeds.feature
@@ -36,6 +36,21 @@
     When a node knows results without texts and the store turns it away
     Then a reader there is told to come back, rather than that there is none
 
+  # Guards against LOST: "no result yet" for a position that was read elsewhere over a second before.
+  Scenario Outline: A result that was read elsewhere is there for readers of a list that stands still
+    When the node that watches is <trouble>, and then another node lists a result
+    Then no reader of the others is told 1 s later that there is none
+
+    Examples:
+      | trouble                    |
+      | turned away by the store   |
+      | cut off from it in silence |
+      | hung with its watch        |
+
+  Scenario: A reader asks a node that the store turns away for what it can't know
+    When the store turns a node away and a job that it knows has no result yet
+    Then a reader there is told to come back, rather than that there is none
+
   Scenario: The node that watches hangs and the others can't know yet
     When a node loses the one that watches, which the membership still names
     Then it lists the jobs from the store at once
--- a/features/steps/platform_feeds.py
+++ b/features/steps/platform_feeds.py
@@ -28,7 +28,7 @@
 )
 from features.steps.platform_batch import ITEMS, JOB, play, read, read_all, runner_of, submit
 from features.support.platform_engine import whole_text
-from features.support.platform_fleet import FleetNode, PlatformFleet, free_port, job_body
+from features.support.platform_fleet import Caller, FleetNode, PlatformFleet, free_port, job_body
 
 CHANGES = 5
 VM_ENTRIES = 40
@@ -38,6 +38,9 @@
 KNOWN_AGAIN_S = 4.0
 # A node that has been up for longer does not wait for one that watches.
 STARTED_S = 1.2
+# Readers may rely on what was read this long ago.
+SETTLE_S = 1.0
+READ_FOR_S = 3.0
 JOBS_PATH = "/briarvale/objects/workjobs"
 # A node that joins does no work for others in its first seconds.
 JOIN_TIMEOUT_S = 10.0
@@ -525,6 +528,63 @@
 }
 
 
+@when("the node that watches is {trouble}, and then another node lists a result")
+def when_listed_elsewhere(context: Context, trouble: str) -> None:
+    async def behave_as(fleet: PlatformFleet, facts: dict[str, Any]) -> None:
+        await anyio.sleep(LINK_S)
+        await submit(next(iter(fleet.nodes.values())), job_body(ITEMS))
+        watcher = watcher_of(fleet)
+        others = [node for node in fleet.nodes.values() if node is not watcher]
+        await until_known(others)
+        LOSSES[trouble](fleet, watcher)
+        entry = LogEntry(0, "by-hand", (ItemResult(0, "text"),))
+        fleet.store.put(JOBS_KIND, f"{JOB}.log.000000", {"text": entry.encode().decode()})
+        await anyio.sleep(SETTLE_S)
+        facts["answers"] = await read_for(others, READ_FOR_S)
+
+    play(context, behave_as, nodes=4, engines=0)
+
+
+async def until_known(nodes: list[FleetNode]) -> None:
+    """Waits until nodes know the job."""
+    with anyio.fail_after(KNOWN_AGAIN_S):
+        while any(node.node is None or node.node.jobs.get(JOB) is None for node in nodes):
+            await anyio.sleep(0.02)
+
+
+async def read_for(nodes: list[FleetNode], for_s: float) -> list[tuple[float, str, int, int]]:
+    """Reads the job's results in turn; returns when, where, the status and the results told."""
+    rows = []
+    began_s = anyio.current_time()
+    while (at_s := anyio.current_time() - began_s) < for_s:
+        for node in nodes:
+            answer = await Caller(node).call("GET", f"/briarvale/lots/{JOB}?after=0")
+            assert answer is not None
+            told = len(answer.json()["results"]) if answer.status == 200 else 0
+            rows.append((round(at_s, 2), node.name, answer.status, told))
+        await anyio.sleep(0.05)
+    return rows
+
+
+@then("no reader of the others is told 1 s later that there is none")
+def then_none_misled(context: Context) -> None:
+    misled = [row for row in context.facts["answers"] if row[2:] == (200, 0)]
+    assert not misled, misled
+    assert any(row[2:] == (200, 1) for row in context.facts["answers"]), context.facts["answers"]
+
+
+@when("the store turns a node away and a job that it knows has no result yet")
+def when_turned_away(context: Context) -> None:
+    async def behave_as(fleet: PlatformFleet, facts: dict[str, Any]) -> None:
+        await anyio.sleep(LINK_S)
+        node = next(iter(fleet.nodes.values()))
+        await submit(node, job_body(ITEMS))
+        fleet.gates[node.name].is_refusing = True
+        facts["answer"] = await read(node)
+
+    play(context, behave_as, nodes=3, engines=0)
+
+
 @when("the node that watches is {trouble} and the configuration changes")
 def when_lost(context: Context, trouble: str) -> None:
     async def behave_as(fleet: PlatformFleet, facts: dict[str, Any]) -> None:
