Place items again after each loss, however many servers crashed under them

What callers saw: a sound item of a job that ran on several servers as they crashed wasn't placed again, though all was calm and servers had room; it was listed as dead-lettered when its retention ended.

Cause: items went through the quarantine of online requests. After three it slept until its retention ended.

Ruled out: more trials or shorter pauses, which only move the number of crashes that lose an item.

Change: items have no part in the quarantine. The loop places an item again after each loss, elsewhere first, with the usual back-off, until its route lets it end: 422, max_attempts answers of 500, or retention. Losses under items aren't told to CrashGuard either: the fingerprint covers host and path, so nothing but an item would be refused by it, while a burst of crashes would fill the bounded table that online requests share and spread it in heartbeats. Online requests are still judged by their own losses.

The scenario of an item that ran on two servers as they crashed asserted no waiting and stays as it was. Both new scenarios failed before and pass now.

--- a/briarvale/work_items.py
+++ b/briarvale/work_items.py
@@ -12,7 +12,6 @@
 from .errors import (
     BriarvaleError,
     DeadlineExceeded,
-    Quarantined,
     ServerConnectFailed,
     ServerFull,
     ServerLost,
@@ -30,8 +29,6 @@
 SLOT_WAIT_MS = 5_000
 # Callers give a stream up after two seconds of silence; an item may wait a little longer.
 MAX_SILENCE_S = 3.0
-MAX_SUSPECT_TRIALS = 3
-SUSPECT_PAUSE_S = 3.0
 RETRY_START_S = 0.05
 RETRY_MAX_S = 1.0
 ITEM_REFUSED = "item_refused"
@@ -64,7 +61,6 @@
         self.cursor = EventCursor(None if progress is None else progress.last_event_id)
         self.failures = 0
         self.waits = 0
-        self.trials = 0
         self.heard_at_s = 0.0
         self.is_stalled = False
         self.excluded: list[str] = []
@@ -93,11 +89,15 @@
         self._servers = parts.servers
         self._slots = parts.slots
         self._engines = parts.engines
-        self._crashes = parts.crashes
         self._decoder = decoder
 
     async def run(self, job: WorkJob, state: ItemState) -> ItemResult:
-        """Runs an item until it has a result; an error code says why it was given up."""
+        """Runs an item until it has a result; an error code says why it was given up.
+
+        An item is owed until its route lets it end, so another run follows each that is lost, on
+        another server if there is one, however many servers crashed under it. Its losses say
+        nothing of online requests, whose content differs, so `CrashGuard` is not told of them.
+        """
         item = job.items[state.index]
         request = self._decoder.item_request(job, item, base64.b64decode(item.body_base64))
         while not state.is_whole and not state.error_code:
@@ -105,7 +105,6 @@
                 state.error_code = GIVEN_UP
                 break
             try:
-                await self._wait_if_suspect(job, request, state)
                 await self._run_once(job, request, state)
                 state.waits = 0
             except BriarvaleError as error:
@@ -123,36 +122,15 @@
         text = "" if state.error_code else "\n".join(state.data)
         return ItemResult(state.index, text, state.error_code)
 
-    async def _wait_if_suspect(
-        self, job: WorkJob, request: ForwardRequest, state: ItemState
-    ) -> None:
-        """Lets an item that crashed servers run again a few times, further and further apart.
-
-        It may have run beside the one that crashed them. It can't be listed as given up before its
-        route allows, so after that it waits.
-        """
-        try:
-            self._crashes.check(request.fingerprint)
-        except Quarantined:
-            state.trials += 1
-            if state.trials <= MAX_SUSPECT_TRIALS:
-                await anyio.sleep(SUSPECT_PAUSE_S * state.trials)
-            else:
-                await self._clock.sleep_until(job.give_up_at_ms)
-                raise
-
     async def _run_once(self, job: WorkJob, request: ForwardRequest, state: ItemState) -> None:
         async with self._slots.hold(self._slot_request(job, request, state)) as slot:
             server = self._servers.get(slot.grant.backend_server)
             if server is None:
                 raise ServerConnectFailed("the granted server has no entry here")
             state.excluded = []
-            began_at_ms = self._clock.now_ms()
             try:
                 await self._run_at(job, request, state, slot, server)
-            except (ServerLost, ServerConnectFailed, ServerFull, ServerStalled) as error:
-                if isinstance(error, ServerLost):
-                    await self._crashes.note_loss(request.fingerprint, server, began_at_ms)
+            except (ServerLost, ServerConnectFailed, ServerFull, ServerStalled):
                 slot.outcome = Outcome.FAILED
                 state.excluded = [server.id]
                 raise
--- a/features/platform/batch.feature
+++ b/features/platform/batch.feature
@@ -21,6 +21,16 @@
     When two backend servers crash while they run the same item
     Then the item is done by the other server
 
+  # Guards against an item that several crashes, each elsewhere, left without a place until it expired.
+  Scenario: An item that ran on five servers as they crashed is done once all is calm
+    When the backend server that runs an item crashes, 5 times in a row
+    Then the item is done within 5 s of the last disturbance
+
+  # Guards against turns of waiting for a slot that used up the places that crashes left to an item.
+  Scenario: An item that crashed with two servers and lost its slots is done once all is calm
+    When the backend server that runs an item crashes twice, and online requests take its slot 4 times
+    Then the item is done within 5 s of the last disturbance
+
   Scenario: An ended job stops and keeps what it listed
     When a caller ends a job that runs, at another node, twice
     Then its items stop at the backend servers and nothing more is listed
--- a/features/steps/platform_batch.py
+++ b/features/steps/platform_batch.py
@@ -11,6 +11,7 @@
 
 from features.support.platform_engine import Behaviour, whole_text
 from features.support.platform_fleet import (
+    CRASH_S,
     MODEL,
     Answer,
     Caller,
@@ -26,19 +27,29 @@
 HANDED_OVER = r"\"runner\": [\"\", \"\"]"
 ITEMS = ["item-a", "item-b", "item-c"]
 DONE_TIMEOUT_S = 25.0
+# Longer than the longest pause between two runs of an item.
+PLACED_TIMEOUT_S = 12.0
+CALM_S = 5.0
+LONG_ITEM_EVENTS = 16
+# Disturbed items send one event a run, so that they last through all disturbances.
+SLOW_GAP_S, USUAL_GAP_S = 1.0, 0.01
 BIG_ITEM_BYTES = 100_000
 BIG_ITEMS = 15
 
 Play = Callable[[PlatformFleet, dict[str, Any]], Awaitable[None]]
 
 
-def play(context: Context, behave_as: Play, *, nodes: int = 2, engines: int = 2) -> None:
-    """Runs `behave_as(fleet, facts)` against some nodes and model engines."""
+def play(
+    context: Context, behave_as: Play, *, nodes: int = 2, engines: int = 2, slots: int = 4
+) -> None:
+    """Runs `behave_as(fleet, facts)` against some nodes and model engines of some slots each."""
 
     async def run() -> dict[str, Any]:
         facts: dict[str, Any] = {}
         async with platform_fleet(nodes) as fleet:
-            facts["engines"] = [await fleet.add_engine(f"i-{n}", MODEL) for n in range(engines)]
+            facts["engines"] = [
+                await fleet.add_engine(f"i-{n}", MODEL, slots=slots) for n in range(engines)
+            ]
             await behave_as(fleet, facts)
             facts["ended nodes"] = [n.name for n in fleet.nodes.values() if n.ended.is_set()]
         return facts
@@ -222,6 +233,83 @@
     assert context.facts["running"] == 0
 
 
+async def crash_runner(fleet: PlatformFleet, facts: dict[str, Any]) -> None:
+    """Crashes the backend servers that run something, once they have sent an event."""
+    await anyio.sleep(0.05)
+    for engine in facts["engines"]:
+        if engine.running:
+            engine.crashed.set()
+    await anyio.sleep(CRASH_S)
+
+
+async def take_slots(fleet: PlatformFleet, facts: dict[str, Any]) -> None:
+    """Sends an online request for each slot of the fleet; their callers leave soon."""
+
+    async def ask() -> None:
+        await Caller(fleet.nodes["vm-1"]).call("POST", "/go-on/a", b"online", leave_after_s=0.5)
+
+    async with anyio.create_task_group() as tasks:
+        for _ in facts["engines"]:
+            tasks.start_soon(ask)
+
+
+async def _until_run(facts: dict[str, Any], earlier_runs: int) -> None:
+    """Waits until the item runs, after some earlier runs."""
+    while len(runs_of(facts, ITEMS[0])) <= earlier_runs or not any(
+        engine.running for engine in facts["engines"]
+    ):
+        await anyio.sleep(0.01)
+
+
+def disturbed_item(*disturbances: Play) -> Play:
+    """Returns a play of a job of one item that each disturbance strikes as it runs again.
+
+    A disturbance for which the item has not come back in time is left out, as are those after it.
+    """
+
+    async def behave_as(fleet: PlatformFleet, facts: dict[str, Any]) -> None:
+        for engine in facts["engines"]:
+            engine.event_count, engine.event_gap_s = LONG_ITEM_EVENTS, SLOW_GAP_S
+        await submit(fleet.nodes["vm-1"], job_body(ITEMS[:1]))
+        facts["struck"], facts["to strike"] = 0, len(disturbances)
+        for disturb in disturbances:
+            with anyio.move_on_after(PLACED_TIMEOUT_S) as waiting:
+                await _until_run(facts, facts["struck"])
+            if waiting.cancelled_caught:
+                break
+            await disturb(fleet, facts)
+            facts["struck"] += 1
+        for engine in facts["engines"]:
+            engine.event_gap_s = USUAL_GAP_S
+        facts["results"] = []
+        with anyio.move_on_after(CALM_S):
+            facts["results"] = await read_all(fleet.nodes["vm-1"], 1)
+
+    return behave_as
+
+
+@when("the backend server that runs an item crashes, 5 times in a row")
+def when_five_crash(context: Context) -> None:
+    play(context, disturbed_item(*[crash_runner] * 5), nodes=1, engines=3)
+
+
+@when(
+    "the backend server that runs an item crashes twice, and online requests take its slot 4 times"
+)
+def when_crash_and_revoke(context: Context) -> None:
+    disturbances = [crash_runner] * 2 + [take_slots] * 4
+    play(context, disturbed_item(*disturbances), nodes=1, slots=1)
+
+
+@then("the item is done within 5 s of the last disturbance")
+def then_done_in_calm(context: Context) -> None:
+    facts = context.facts
+    run_count = len(runs_of(facts, ITEMS[0]))
+    told = (facts["results"], f"struck {facts['struck']} times", f"{run_count} runs")
+    assert [row["text"] for row in facts["results"]] == [whole_text(LONG_ITEM_EVENTS)], told
+    assert facts["struck"] == facts["to strike"] and run_count > facts["struck"], told
+
+
 @when("a caller ends a job that runs, at another node, twice")
 def when_ends(context: Context) -> None:
     async def behave_as(fleet: PlatformFleet, facts: dict[str, Any]) -> None:
