Let an item run on its last server again if no other has room for a second

What callers saw: an item whose server broke it off wasn't placed again while all other servers stayed full or ejected, though the server that had failed it once had room; nothing ended that wait but its retention.

Cause: the exclusion of the last server stood until a slot was granted elsewhere, over any number of waits, and a pool uses excluded servers only where there are no others at all.

Evidence: 'An item that a server broke off runs there again if all others stay full' printed ASSERT FAILED: ([], '1 runs') on the parent: after 5 s the item had not been placed a second time.

Ruled out: using excluded servers in the pool as soon as others are full. Online requests rely on the exclusion, and an item would then come back to a server that just failed it.

Change: a request for a slot excludes the last server once, for at most a second; the next one excludes none. The pool still prefers servers without a recent failure. The scenario failed before and passes now.

--- a/briarvale/work_items.py
+++ b/briarvale/work_items.py
@@ -27,6 +27,8 @@
 from .work_jobs import WorkItem, WorkJob
 
 SLOT_WAIT_MS = 5_000
+# How long an item waits for another server than the one that its last run failed on.
+ELSEWHERE_WAIT_MS = 1_000
 # Callers give a stream up after two seconds of silence; an item may wait a little longer.
 MAX_SILENCE_S = 3.0
 RETRY_START_S = 0.05
@@ -123,11 +125,12 @@
         return ItemResult(state.index, text, state.error_code)
 
     async def _run_once(self, job: WorkJob, request: ForwardRequest, state: ItemState) -> None:
-        async with self._slots.hold(self._slot_request(job, request, state)) as slot:
+        wanted = self._slot_request(job, request, state)
+        state.excluded = []
+        async with self._slots.hold(wanted) as slot:
             server = self._servers.get(slot.grant.backend_server)
             if server is None:
                 raise ServerConnectFailed("the granted server has no entry here")
-            state.excluded = []
             try:
                 await self._run_at(job, request, state, slot, server)
             except (ServerLost, ServerConnectFailed, ServerFull, ServerStalled):
@@ -136,10 +139,12 @@
                 raise
 
     def _slot_request(self, job: WorkJob, request: ForwardRequest, state: ItemState) -> SlotRequest:
+        """Returns the request for a slot: elsewhere for a while after a loss, then anywhere."""
+        wait_ms = ELSEWHERE_WAIT_MS if state.excluded else SLOT_WAIT_MS
         wanted = self._parts.slot_request(
             request,
             WorkClass.BATCH,
-            deadline_ms=self._clock.now_ms() + SLOT_WAIT_MS,
+            deadline_ms=self._clock.now_ms() + wait_ms,
             priority=job.priority,
             excluded=state.excluded,
         )
--- a/features/platform/batch.feature
+++ b/features/platform/batch.feature
@@ -31,6 +31,11 @@
     When the backend server that runs an item crashes twice, and online requests take its slot 4 times
     Then the item is done within 5 s of the last disturbance
 
+  # Guards against an item that waits for other servers without end while its last one has room.
+  Scenario: An item that a server broke off runs there again if all others stay full
+    When a server breaks an item off while another item fills the only other server for 15 s
+    Then the item is done within 5 s
+
   Scenario: An ended job stops and keeps what it listed
     When a caller ends a job that runs, at another node, twice
     Then its items stop at the backend servers and nothing more is listed
--- a/features/steps/platform_batch.py
+++ b/features/steps/platform_batch.py
@@ -310,6 +310,36 @@
     assert facts["struck"] == facts["to strike"] and run_count > facts["struck"], told
 
 
+@when("a server breaks an item off while another item fills the only other server for 15 s")
+def when_others_full(context: Context) -> None:
+    async def behave_as(fleet: PlatformFleet, facts: dict[str, Any]) -> None:
+        node, engines = fleet.nodes["vm-1"], facts["engines"]
+        for engine in engines:
+            engine.event_count, engine.event_gap_s = LONG_ITEM_EVENTS, SLOW_GAP_S
+        await submit(node, job_body(ITEMS[1:2]), "job-long")
+        with anyio.fail_after(DONE_TIMEOUT_S):
+            while not any(engine.running for engine in engines):
+                await anyio.sleep(0.01)
+        free = next(engine for engine in engines if not engine.running)
+        free.behaviours.append(Behaviour.BREAK_AT_ONCE)
+        free.event_gap_s = USUAL_GAP_S
+        await submit(node, job_body(ITEMS[:1]))
+        facts["results"] = []
+        with anyio.move_on_after(CALM_S):
+            facts["results"] = await read_all(node, 1)
+        facts["long runs"] = len(runs_of(facts, ITEMS[1]))
+
+    play(context, behave_as, nodes=1, slots=1)
+
+
+@then("the item is done within 5 s")
+def then_done_soon(context: Context) -> None:
+    facts = context.facts
+    told = (facts["results"], f"{len(runs_of(facts, ITEMS[0]))} runs")
+    assert [row["text"] for row in facts["results"]] == [whole_text(LONG_ITEM_EVENTS)], told
+    assert facts["long runs"] == 1, facts
+
+
 @when("a caller ends a job that runs, at another node, twice")
 def when_ends(context: Context) -> None:
     async def behave_as(fleet: PlatformFleet, facts: dict[str, Any]) -> None:
