Bound the exponent of an item's back-off

What callers saw: nothing yet; a job whose items wait for a server for about a quarter of an hour loses its run: its unfinished items are all cut and begin anew.

Cause: the back-off doubled with each wait in a row without a bound. After 1,024 doublings the product is beyond a float; the OverflowError is no BriarvaleError, so it ended the run of the whole job.

Evidence, on the parent: 'An item that no server takes for three hours is given up only then' printed OverflowError: int too large to convert to float, at limit_s = min(RETRY_MAX_S, RETRY_START_S * 2**state.waits).

Change: the exponent has a bound far above the longest pause. The scenario runs in simulated time; it failed before and passes now.

--- a/briarvale/work_items.py
+++ b/briarvale/work_items.py
@@ -33,6 +33,8 @@
 MAX_SILENCE_S = 3.0
 RETRY_START_S = 0.05
 RETRY_MAX_S = 1.0
+# More would take the pause beyond what a float can hold.
+MAX_DOUBLINGS = 10
 ITEM_REFUSED = "item_refused"
 ATTEMPTS_EXHAUSTED = "attempts_exhausted"
 GIVEN_UP = "given_up"
@@ -119,8 +121,7 @@
                     reason=str(error),
                     events=len(state.data),
                 )
-                limit_s = min(RETRY_MAX_S, RETRY_START_S * 2**state.waits)
-                await anyio.sleep(limit_s * random.uniform(0.5, 1.0))
+                await _back_off(state.waits)
         text = "" if state.error_code else "\n".join(state.data)
         return ItemResult(state.index, text, state.error_code)
 
@@ -228,6 +229,12 @@
                 raise ServerLost(f"status {status}")
 
 
+async def _back_off(waits: int) -> None:
+    """Pauses before an item asks for its next slot, longer after each wait in a row."""
+    limit_s = min(RETRY_MAX_S, RETRY_START_S * 2 ** min(waits, MAX_DOUBLINGS))
+    await anyio.sleep(limit_s * random.uniform(0.5, 1.0))
+
+
 async def _cancel_when_silent(state: ItemState, scope: anyio.CancelScope) -> None:
     """Ends a run whose server has sent nothing for too long, though its connection stands."""
     state.heard_at_s = anyio.current_time()
--- /dev/null
+++ b/features/steps/platform_items.py
@@ -0,0 +1,72 @@
+"""Steps of single items of jobs, in simulated time."""
+
+from typing import Any, cast
+
+import anyio
+from behave import then, when
+from behave.runner import Context
+
+from briarvale.clock import Clock
+from briarvale.live_servers import LiveServers
+from briarvale.peer import PeerAddress
+from briarvale.platform.batch_door import ItemRequests
+from briarvale.serving_parts import ServingParts
+from briarvale.slot_client import SlotClient
+from briarvale.work_items import GIVEN_UP, ItemState, WorkItemRunner
+from briarvale.work_jobs import WorkItem, WorkJob
+from features.support.virtual import run_virtual
+
+RETENTION_MS = 3 * 3_600_000
+
+
+class NoOwners:
+    """A view in which nobody owns any pool."""
+
+    def owner_address(self, backend_server: str) -> PeerAddress | None:
+        """Returns none."""
+        return None
+
+    async def wait_changed(self) -> None:
+        """Waits for ever."""
+        await anyio.sleep_forever()
+
+
+def job_of_one(now_ms: int) -> WorkJob:
+    """Returns a job of one item that may be given up after `RETENTION_MS`."""
+    return WorkJob(
+        job_id="job-1",
+        host="desk.example",
+        service="desk",
+        priority=0,
+        submitted_at_ms=now_ms,
+        due_at_ms=now_ms,
+        give_up_at_ms=now_ms + RETENTION_MS,
+        max_attempts=3,
+        items=(WorkItem("item-a", "/lot/item-a", (), ""),),
+    )
+
+
+@when("an item may run for three hours and its service has no backend server")
+def when_no_server(context: Context) -> None:
+    async def run() -> dict[str, Any]:
+        clock = Clock.from_system()
+        began_at_ms = clock.now_ms()
+        async with anyio.create_task_group() as tasks:
+            slots = SlotClient(cast(Any, None), NoOwners(), tasks)
+            servers = LiveServers(clock.now_ms, 0)
+            parts = ServingParts(
+                clock, servers, slots, cast(Any, None), cast(Any, None), "caerdydd"
+            )
+            items = WorkItemRunner(parts, ItemRequests(clock))
+            result = await items.run(job_of_one(began_at_ms), ItemState(0))
+            tasks.cancel_scope.cancel()
+        return {"code": result.error_code, "took ms": clock.now_ms() - began_at_ms}
+
+    context.facts = run_virtual(run)
+
+
+@then("it is given up when three hours have passed")
+def then_given_up(context: Context) -> None:
+    facts = context.facts
+    assert facts["code"] == GIVEN_UP, facts
+    assert RETENTION_MS <= facts["took ms"] <= RETENTION_MS + 1_000, facts
