Give calls of the store more time the more they carry

What callers saw: where several large objects were read or written through a link of 15 Mbit/s at once, none ever arrived: pages of jobs and results were answered 503, lists of a kind began anew, and jobs larger than one object were not accepted, for as long as the calls were repeated together.

Cause: each call of the store had 1.5 s in all. Six objects of 1 MB take 3.2 s through 15 Mbit/s, so each call timed out while its bytes arrived, and the next attempt began from nothing.

Evidence: features/platform/narrow_links.feature, the store's client behind a proxy of 15 Mbit/s, printed before the change `ASSERT FAILED: [0, 0, 0, 0, 0, 0]` for reads and for writes (attempts until success, 0 for none within 15 s).

Ruled out: a larger constant alone would hold calls of a silent store, and would fail again at the next width or number of calls.

Change: the deadline of a call moves with each byte that arrives, and begins later by what it sends, at 200 kB/s. A store that is silent is still given up after 1.5 s (plus what was sent), and one that trickles is given up as soon: a third scenario.

The first two scenarios failed before and pass after; the third passes on both.

--- a/briarvale/http_wire.py
+++ b/briarvale/http_wire.py
@@ -7,6 +7,7 @@
 import select
 import socket
 import sys
+from collections.abc import Callable
 from contextlib import suppress
 from typing import NamedTuple
 
@@ -164,13 +165,21 @@
             return b""
         raise ServerGarbled("the connection ended within an answer")
 
-    async def exchange(self, request: OutgoingRequest) -> WholeAnswer:
-        """Sends a request and reads its answer to the end."""
+    async def exchange(
+        self, request: OutgoingRequest, on_read: Callable[[int], None] | None = None
+    ) -> WholeAnswer:
+        """Sends a request and reads its answer to the end.
+
+        Args:
+            on_read: Called with the size in bytes of each piece of the body as it arrives.
+        """
         await self.send(request)
         head = await self.read_head()
         chunks = []
         while chunk := await self.read_body():
             chunks.append(chunk)
+            if on_read is not None:
+                on_read(len(chunk))
         return WholeAnswer(head.status, b"".join(chunks))
 
     async def skip_answer(self) -> None:
--- a/briarvale/platform/store.py
+++ b/briarvale/platform/store.py
@@ -29,6 +29,8 @@
 from ..object_store import StoredObject, WatchResult
 
 CALL_TIMEOUT_S = 1.5
+# A call may take longer the more it carries: so much for each second beyond the timeout.
+MIN_BYTES_PER_S = 200_000
 CONNECT_TIMEOUT_S = 1.0
 WATCH_GRACE_S = 1.0
 MAX_IDLE_CONNECTIONS = 4
@@ -139,8 +141,8 @@
             headers.append((b"Content-Type", b"application/json"))
         request = OutgoingRequest(verb.encode(), path.encode(), tuple(headers), content)
         try:
-            with anyio.fail_after(timeout_s):
-                status, data = await self._exchange(request)
+            with anyio.fail_after(timeout_s + len(content) / MIN_BYTES_PER_S) as scope:
+                status, data = await self._exchange(request, scope)
         except (ServerConnectFailed, ServerLost, TimeoutError) as error:
             metrics.STORE_CALLS.inc({"verb": verb, "result": "unavailable"})
             raise StoreUnavailable(f"store: {type(error).__name__}") from error
@@ -152,11 +154,16 @@
             raise StoreUnavailable("store: an answer that is no JSON") from error
         return row if isinstance(row, dict) else {}
 
-    async def _exchange(self, request: OutgoingRequest) -> WholeAnswer:
+    async def _exchange(self, request: OutgoingRequest, scope: anyio.CancelScope) -> WholeAnswer:
+        """Makes a call; each byte that arrives moves the deadline of the scope."""
+
+        def extend(size_bytes: int) -> None:
+            scope.deadline += size_bytes / MIN_BYTES_PER_S
+
         connection = await self._connect()
         is_kept = False
         try:
-            answer = await connection.exchange(request)
+            answer = await connection.exchange(request, extend)
             is_kept = connection.finish() and len(self._idle) < MAX_IDLE_CONNECTIONS
             return answer
         finally:
--- /dev/null
+++ b/features/platform/narrow_links.feature
@@ -0,0 +1,16 @@
+Feature: Work goes on through links of 15 Mbit/s
+
+  # Guards against store calls that time out while their answers arrive, again and again.
+  Scenario: Large objects are read through a narrow link by several calls at once
+    When six calls at once read objects of 1 MB through a link of 15 Mbit/s, until each succeeds
+    Then all have succeeded at the first attempt
+
+  # Guards against writes that time out while their bytes are on the way, again and again.
+  Scenario: Large objects are written through a narrow link by several calls at once
+    When six calls at once write objects of 900 kB through a link of 15 Mbit/s
+    Then all have succeeded at the first attempt
+
+  # Guards against a store that sends a little now and then and so holds a call for ever.
+  Scenario: A call of a store that hardly sends anything ends
+    When the store sends a byte of its answer every 100 ms
+    Then the call has failed within 4 s
--- /dev/null
+++ b/features/steps/platform_narrow.py
@@ -0,0 +1,127 @@
+"""Steps of narrow links: the store's client behind a proxy of a fixed rate."""
+
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+
+import anyio
+from anyio.abc import SocketStream
+from behave import then, when
+from behave.runner import Context
+
+from briarvale.errors import StoreUnavailable
+from briarvale.ingress import Ingress
+from briarvale.node_settings import StoreLimits
+from briarvale.peer import PeerAddress
+from briarvale.platform.store import PlatformStore
+from features.support.narrow_link import NarrowLink
+from features.support.platform_fleet import free_port
+from features.support.platform_store import PlatformStoreStandin
+
+RATE_BITS_PER_S = 15_000_000
+CALLS = 6
+READ_BYTES, WRITE_BYTES = 1_000_000, 900_000
+# All bytes take 3.2 s at most; who has not succeeded by then never will.
+GIVE_UP_S = 15.0
+KIND = "things"
+
+
+@asynccontextmanager
+async def narrow_store() -> AsyncIterator[tuple[PlatformStoreStandin, PlatformStore]]:
+    """Runs a store and a client of it with a narrow link between them."""
+    standin = PlatformStoreStandin()
+    behind, before = (PeerAddress("127.0.0.1", free_port()) for _ in range(2))
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(Ingress(standin).serve, behind)
+        tasks.start_soon(NarrowLink(behind, RATE_BITS_PER_S).serve, before)
+        await anyio.sleep(0.1)
+        yield standin, PlatformStore(StoreLimits(before))
+        tasks.cancel_scope.cancel()
+
+
+async def count_attempts(calls: list[Callable[[], Awaitable[object]]]) -> list[int]:
+    """Makes calls at once, each again until it succeeds; returns their attempts, 0 for never."""
+    attempts = [0] * len(calls)
+
+    async def repeat(index: int) -> None:
+        made = 0
+        while True:
+            made += 1
+            try:
+                await calls[index]()
+                attempts[index] = made
+                return
+            except StoreUnavailable:
+                continue
+
+    with anyio.move_on_after(GIVE_UP_S):
+        async with anyio.create_task_group() as tasks:
+            for index in range(len(calls)):
+                tasks.start_soon(repeat, index)
+    return attempts
+
+
+@when("six calls at once read objects of 1 MB through a link of 15 Mbit/s, until each succeeds")
+def when_read(context: Context) -> None:
+    async def run() -> list[int]:
+        async with narrow_store() as (standin, store):
+            for index in range(CALLS):
+                standin.put(KIND, f"thing-{index}", {"text": "x" * READ_BYTES})
+
+            def reading(index: int) -> Callable[[], Awaitable[object]]:
+                return lambda: store.get(f"{KIND}/thing-{index}")
+
+            return await count_attempts([reading(index) for index in range(CALLS)])
+
+    context.attempts = anyio.run(run)
+
+
+@when("six calls at once write objects of 900 kB through a link of 15 Mbit/s")
+def when_written(context: Context) -> None:
+    async def run() -> list[int]:
+        async with narrow_store() as (_, store):
+
+            def writing(index: int) -> Callable[[], Awaitable[object]]:
+                return lambda: store.create(f"{KIND}/thing-{index}", b"x" * WRITE_BYTES)
+
+            return await count_attempts([writing(index) for index in range(CALLS)])
+
+    context.attempts = anyio.run(run)
+
+
+@then("all have succeeded at the first attempt")
+def then_at_first(context: Context) -> None:
+    assert context.attempts == [1] * CALLS, context.attempts
+
+
+@when("the store sends a byte of its answer every 100 ms")
+def when_trickles(context: Context) -> None:
+    async def trickle(stream: SocketStream) -> None:
+        async with stream:
+            await stream.receive()
+            await stream.send(b"HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n")
+            while True:
+                await anyio.sleep(0.1)
+                await stream.send(b"x")
+
+    async def run() -> float:
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        store = PlatformStore(StoreLimits(PeerAddress("127.0.0.1", port)))
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(listener.serve, trickle)
+            started_s = anyio.current_time()
+            try:
+                with anyio.fail_after(GIVE_UP_S):
+                    await store.get(f"{KIND}/thing")
+            except StoreUnavailable:
+                return anyio.current_time() - started_s
+            finally:
+                tasks.cancel_scope.cancel()
+        return GIVE_UP_S
+
+    context.failed_after_s = anyio.run(run)
+
+
+@then("the call has failed within 4 s")
+def then_failed(context: Context) -> None:
+    assert context.failed_after_s <= 4.0, context.failed_after_s
