Test that a node turned away by the store ends at the new server, not that it begins there

Traced with a copy of the scenario that prints each answer: in the failing runs the node is cut off before it hears that the old server's entry was removed. It then learns of the new route and server from its peer 0.8 s after the change and, since an entry that is missing after an outage may only have lapsed, uses the old server until 2 s have passed: answers `200 i-old` from 0.78 s to 2.68 s, `200 i-new` from 2.81 s on. In the other runs the removal is heard before the cut. The node does what it should in both; the test took the first success for the last word.

The test now asks for the whole 4 s and wants the last answers to be successes of the new server. It is as strict on what the scenario promises (within 4 s), and newly notices a node that goes back.

--- a/features/steps/platform_forwarding.py
+++ b/features/steps/platform_forwarding.py
@@ -441,13 +441,12 @@
             fleet.store.remove("servers", "i-old")
             await anyio.sleep(0.2)
             seen.engines.append(await fleet.add_engine("i-new", PLAIN, known_to=("vm-1",)))
-            started_s = time.monotonic()
-            answer: Answer | None = None
-            while time.monotonic() - started_s < 4 and (answer is None or answer.status != 200):
+            until_s = time.monotonic() + 4
+            while time.monotonic() < until_s:
                 await anyio.sleep(0.1)
                 answer = await Caller(fleet.nodes["vm-2"]).call("POST", "/new/a", BODY)
-            assert answer is not None
-            seen.answers.append(answer)
+                assert answer is not None
+                seen.answers.append(answer)
         return seen
 
     context.seen = anyio.run(run)
@@ -455,9 +454,10 @@
 
 @then("the node serves the new route at the new server within 4 s")
 def then_learned(context: Context) -> None:
-    answer = context.seen.answers[0]
-    assert answer.status == 200, answer
-    assert answer.headers["briarvale-server-signature"].startswith("i-new")
+    # The old server's entry may only have lapsed, so it may serve until it should be back.
+    for answer in context.seen.answers[-3:]:
+        assert answer.status == 200, answer
+        assert answer.headers["briarvale-server-signature"].startswith("i-new"), answer
 
 
 @when("the same request comes again and again and each server that runs it crashes")
