Read the items of large jobs beside the runner's loop, not within it

What callers saw: a node that could not read jobs larger than one object, or read them through a narrow link, took up no other job meanwhile: neither those it had accepted nor those of a lost runner.

Cause: the runner's loop read the items of all such jobs itself, one after the other, each for as long as a call of the store lasts, before it looked for jobs to run again.

Evidence: features/platform/narrow_links.feature, "A node that can't read the items of large jobs runs the others": with 12 large jobs whose parts are never answered, a small job was done 17.2 s after it was submitted (bound 4 s). Ruled out: the feed of jobs and the slots, since the job was known to its node at once and ran as soon as the last of the 12 reads had timed out, after 12 x 1.51 s.

Change: a task of its own reads them. The test failed before and passes after.

--- a/briarvale/work_runner.py
+++ b/briarvale/work_runner.py
@@ -88,12 +88,11 @@
     async def run(self) -> None:
         """Runs until cancelled."""
         async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._keep_heads_loaded)
             while True:
                 self._follow()
                 self._start(tasks)
-                await self._load_heads()
-                with anyio.move_on_after(LOOK_INTERVAL_S):
-                    await self._directory.changed.wait()
+                await self._wait_news()
 
     async def drain(self) -> None:
         """Stops all items, lists what is done, and leaves the rest to the next runners."""
@@ -135,6 +134,16 @@
         is_fresh = anyio.current_time() - known.runner_since_s < CLAIM_GRACE_S
         return self._cluster.is_settled and not is_fresh and self._cluster.is_lost(known.runner.vm)
 
+    async def _wait_news(self) -> None:
+        with anyio.move_on_after(LOOK_INTERVAL_S):
+            await self._directory.changed.wait()
+
+    async def _keep_heads_loaded(self) -> None:
+        """Reads large jobs beside all else, since that may take long."""
+        while True:
+            await self._load_heads()
+            await self._wait_news()
+
     async def _load_heads(self) -> None:
         """Reads the items of large jobs, of which the feed brought only the head."""
         for job_id in self._directory.take_unloaded():
--- a/features/platform/narrow_links.feature
+++ b/features/platform/narrow_links.feature
@@ -14,3 +14,8 @@
   Scenario: A call of a store that hardly sends anything ends
     When the store sends a byte of its answer every 100 ms
     Then the call has failed within 4 s
+
+  # Guards against jobs that nobody runs while their node reads the items of large ones.
+  Scenario: A node that can't read the items of large jobs runs the others
+    When a node of one can read no part of 12 large jobs, and a small job is submitted
+    Then the small job is done within 4 s
--- a/features/steps/platform_narrow.py
+++ b/features/steps/platform_narrow.py
@@ -2,6 +2,7 @@
 
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
+from typing import Any
 
 import anyio
 from anyio.abc import SocketStream
@@ -13,8 +14,10 @@
 from briarvale.node_settings import StoreLimits
 from briarvale.peer import PeerAddress
 from briarvale.platform.store import PlatformStore
+from briarvale.work_jobs import JOBS_KIND, WorkJob
+from features.steps.platform_batch import ITEMS, play, read_all, submit
 from features.support.narrow_link import NarrowLink
-from features.support.platform_fleet import free_port
+from features.support.platform_fleet import PlatformFleet, free_port, job_body
 from features.support.platform_store import PlatformStoreStandin
 
 RATE_BITS_PER_S = 15_000_000
@@ -23,6 +26,8 @@
 # All bytes take 3.2 s at most; who has not succeeded by then never will.
 GIVE_UP_S = 15.0
 KIND = "things"
+# A node that starts lists the jobs a second after its start.
+LISTED_AFTER_S = 2.5
 
 
 @asynccontextmanager
@@ -125,3 +130,29 @@
 @then("the call has failed within 4 s")
 def then_failed(context: Context) -> None:
     assert context.failed_after_s <= 4.0, context.failed_after_s
+
+
+def large_head(number: int) -> dict[str, str]:
+    """Returns the stored head of a job whose items are in a further object."""
+    job = WorkJob(f"large-{number}", "desk.example", "desk", 0, 0, 0, 0, 3, (), part_count=1)
+    return {"text": job.encode().decode()}
+
+
+@when("a node of one can read no part of 12 large jobs, and a small job is submitted")
+def when_large(context: Context) -> None:
+    async def behave_as(fleet: PlatformFleet, facts: dict[str, Any]) -> None:
+        fleet.gates["vm-1"].silent_path = ".part."
+        for number in range(12):
+            fleet.store.put(JOBS_KIND, f"large-{number}", large_head(number))
+        await anyio.sleep(LISTED_AFTER_S)
+        started_s = anyio.current_time()
+        await submit(fleet.nodes["vm-1"], job_body(ITEMS))
+        await read_all(fleet.nodes["vm-1"])
+        facts["done after s"] = anyio.current_time() - started_s
+
+    play(context, behave_as, nodes=1)
+
+
+@then("the small job is done within 4 s")
+def then_small(context: Context) -> None:
+    assert context.facts["done after s"] <= 4, context.facts["done after s"]
--- a/features/support/platform_store.py
+++ b/features/support/platform_store.py
@@ -199,6 +199,8 @@
         self._store = store
         self.is_refusing = False
         self.is_silent = False
+        # Calls whose path holds this text are never answered; none if it is empty.
+        self.silent_path = ""
         self.watch_calls = 0
         # Calls for whole kinds, by path.
         self.list_calls: Counter[str] = Counter()
@@ -215,6 +217,8 @@
         if self.is_refusing:
             await _answer(responder, 503, {})
             return
+        if self.silent_path and self.silent_path in request.target.decode():
+            await anyio.sleep_forever()
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._watch_gate, tasks.cancel_scope)
             await self._store.handle(request, _Muted(responder, self))
