Let the next node claim a job that the first one does not

What callers saw: a job whose runner was gone stayed open for as long as the one node that should claim it could not reach the store, though other nodes reached it and the servers had room.

Cause: a lost runner's job, or one that was given back, fell to exactly one node by rendezvous. Nothing ever passed the job on from a node that lives for its peers but is turned away by the store, nor where nodes differ for long in whom they count as alive.

Evidence: features/platform/claims.feature, three real nodes: the runner is killed, and the store turns away the one of the two others that is first for the job. Before the change it printed `ASSERT FAILED: 12.0` (the bound: the job was not done at all); the other node never tried.

Ruled out by reading: the feed of jobs (listed and watched at the other node, whose store is in order) and the time at which a runner counts as lost (3 s or so, not 12 s).

Change: nodes may claim in their order for the job, each CLAIM_STEP_S after the one before, from when they know that the job has no runner. The log decides between two, as before. The test failed before and passes after.

--- a/briarvale/node_cluster.py
+++ b/briarvale/node_cluster.py
@@ -29,7 +29,7 @@
 from .peer_environment import PeerEnvironment
 from .pool_owner import PoolOwner
 from .pool_server import ServerRuns
-from .rendezvous import first_by_rendezvous
+from .rendezvous import first_by_rendezvous, rank_by_rendezvous
 from .settings import Settings
 
 EXPIRE_INTERVAL_S = 0.25
@@ -103,8 +103,18 @@
         A node that has just started is passed over where there are others, so that ownership does
         not move to one that does not know the fleet yet.
         """
-        settled = [vm.vm for vm in self._settled()]
-        return next(iter(first_by_rendezvous(key, settled or self.alive(), 1)), None)
+        return next(iter(first_by_rendezvous(key, self._candidates(), 1)), None)
+
+    def rank(self, key: str) -> int | None:
+        """Returns how many nodes should see to what the key names before this one.
+
+        None for a node that has just started, where there are others.
+        """
+        ranked = rank_by_rendezvous(key, self._candidates())
+        return ranked.index(self._settings.vm) if self._settings.vm in ranked else None
+
+    def _candidates(self) -> list[str]:
+        return [vm.vm for vm in self._settled()] or self.alive()
 
     def pool_owner(self, service: str) -> str | None:
         """Returns the node that grants the slots of a service, which costs it processor time."""
--- a/briarvale/work_runner.py
+++ b/briarvale/work_runner.py
@@ -26,6 +26,8 @@
 STORE_PAUSE_S = 0.2
 HAND_OVER_S = 2.0
 CLAIM_GRACE_S = 3.0
+# A node that may not reach the store, or not live, is waited for this long before the next claims.
+CLAIM_STEP_S = 3.0
 
 log = logs.part("batch")
 
@@ -78,6 +80,8 @@
         self._clock = clock
         self._running: dict[str, _RunningJob] = {}
         self._retry_at_s: dict[str, float] = {}
+        # Since when jobs are known here to have no runner that lives.
+        self._orphaned_at_s: dict[str, float] = {}
         self._is_stopping = False
 
     @property
@@ -112,8 +116,11 @@
         now_s = anyio.current_time()
         for known in self._directory:
             job_id = known.job.job_id
+            if known.is_complete:
+                self._orphaned_at_s.pop(job_id, None)
+                continue
             is_due = self._retry_at_s.get(job_id, 0.0) <= now_s
-            if known.is_complete or job_id in self._running or self._is_stopping or not is_due:
+            if job_id in self._running or self._is_stopping or not is_due:
                 continue
             if known.runner == self._own or self._may_claim(known):
                 self._running[job_id] = _RunningJob(known)
@@ -123,12 +130,24 @@
         """Whether the job has no runner that lives, and falls to this node.
 
         A node whose earlier life ran the job claims it itself; the others can't tell its lives
-        apart. Who claimed a job a moment ago lives, whatever the membership knows of it.
+        apart. Where the node that should claim a job does not, the next one does after a while.
         """
         if known.runner.vm == self._own.vm:
             return True
-        if not self._cluster.is_mine(known.job.job_id):
+        job_id = known.job.job_id
+        if not self._is_orphaned(known):
+            self._orphaned_at_s.pop(job_id, None)
             return False
+        now_s = anyio.current_time()
+        since_s = self._orphaned_at_s.setdefault(job_id, now_s)
+        rank = self._cluster.rank(job_id)
+        return rank is not None and now_s - since_s >= rank * CLAIM_STEP_S
+
+    def _is_orphaned(self, known: KnownJob) -> bool:
+        """Whether the job was given back or its runner is surely lost.
+
+        Who claimed a job a moment ago lives, whatever the membership knows of it.
+        """
         if known.runner == NO_RUNNER:
             return True
         is_fresh = anyio.current_time() - known.runner_since_s < CLAIM_GRACE_S
--- /dev/null
+++ b/features/steps/platform_claims.py
@@ -0,0 +1,39 @@
+"""Steps of claims: who runs a job again when its runner is gone."""
+
+from typing import Any
+
+import anyio
+from behave import then, when
+from behave.runner import Context
+
+from briarvale.rendezvous import first_by_rendezvous
+from features.steps.platform_batch import JOB, play, read_all, runner_of, submit
+from features.support.platform_fleet import PlatformFleet, job_body
+
+# The runner's end is noticed after 3 s, and its job runs for 3 s.
+BOUND_S = 12.0
+
+
+@when("the runner of a job is killed, and of the two others the first to claim it has no store")
+def when_no_store(context: Context) -> None:
+    async def behave_as(fleet: PlatformFleet, facts: dict[str, Any]) -> None:
+        for engine in facts["engines"]:
+            engine.event_gap_s = 0.4
+        await submit(fleet.nodes["vm-1"], job_body(["item-a", "item-b"]))
+        runner = await runner_of(fleet, facts)
+        others = [name for name in fleet.nodes if name != runner.name]
+        first = first_by_rendezvous(JOB, others, 1)[0]
+        other = next(name for name in others if name != first)
+        runner.kill()
+        fleet.gates[first].is_refusing = True
+        started_s = anyio.current_time()
+        with anyio.move_on_after(BOUND_S):
+            await read_all(fleet.nodes[other], 2)
+        facts["done after s"] = anyio.current_time() - started_s
+
+    play(context, behave_as, nodes=3)
+
+
+@then("the job is done within 12 s of the runner's end")
+def then_done(context: Context) -> None:
+    assert context.facts["done after s"] < BOUND_S, context.facts["done after s"]
