Keep a begun answer while no slot is free to go on with it

What callers saw: a resumable stream ended without its end, seconds before its deadline, after its server had been silent for a moment.

Cause: a silent run is ended so that the stream goes on elsewhere. If then no slot was had within the caller's usual patience, or none at once by the owner's estimate, the refusal was taken as the end of the whole answer; a refused request may come again, but an answer that has begun can't.

Evidence: features/platform/forwarding.feature, "A resumable stream whose server falls silent waits for a slot to go on": one server with one slot, which goes to another request for 3 s. Before the change the caller got 3 of 6 events and no end (`is_whole=False`), with 10 s until its deadline.

Ruled out: the other request's answer is whole, so the server and its slot were in order.

Change: once an answer has begun, a missing slot, owner or server is waited for until the deadline, and asked for every 250 ms or so. Requests that have not begun are refused as before. The test failed before and passes after.

--- a/briarvale/forwarding.py
+++ b/briarvale/forwarding.py
@@ -16,11 +16,13 @@
     BriarvaleError,
     DeadlineExceeded,
     NoServer,
+    Overloaded,
     OwnerUnreachable,
     ServerConnectFailed,
     ServerFailed,
     ServerFull,
     ServerLost,
+    ServerNotReady,
     ServerStalled,
 )
 from .event_stream import EventCursor, EventSplitter
@@ -41,10 +43,14 @@
 RETRY_PAUSE_MS = 20
 MAX_FULL_ANSWERS = 8
 MAX_BUFFERED_BYTES = 1_000_000
+# How often a begun answer asks again for a slot to go on with.
+RESUME_PAUSE_MS = 250
 # Answers that speak of a fault of the server; 504 speaks of the request's own deadline.
 SERVER_FAILURES = frozenset((500, 502, 503))
 # What a run that brought no answer fails with.
 RUN_FAILURES = (ServerLost, ServerFailed, ServerStalled, ServerConnectFailed, ServerFull)
+# Why there was no run at all.
+NO_RUN = (Overloaded, NoServer, OwnerUnreachable, ServerNotReady, ServerFull, ServerConnectFailed)
 # A stream that may go on elsewhere is given up after a pause of so many times the longest in time.
 STALL_GAPS = 2
 
@@ -137,17 +143,8 @@
             try:
                 await self._attempt(request, sink, progress)
                 return
-            except ServerFull as error:
-                self._note_attempt(request, progress, error)
-                progress.full_answers += 1
-                if progress.full_answers >= MAX_FULL_ANSWERS:
-                    raise
-                await anyio.sleep(RETRY_PAUSE_MS * random.uniform(0.5, 1.5) / MS_PER_S)
-            except ServerConnectFailed as error:
-                self._note_attempt(request, progress, error)
-                progress.full_answers += 1
-                if progress.full_answers >= MAX_FULL_ANSWERS:
-                    raise
+            except NO_RUN as error:
+                await self._wait_to_retry(request, sink, progress, error)
             except ServerFailed as error:
                 progress.may_have_run = True
                 progress.attempts += 1
@@ -161,6 +158,29 @@
                 if progress.attempts >= request.route.max_attempts:
                     raise AttemptsExhausted(f"{progress.attempts} attempts failed") from error
 
+    async def _wait_to_retry(
+        self,
+        request: ForwardRequest,
+        sink: AnswerSink,
+        progress: _Progress,
+        error: BriarvaleError,
+    ) -> None:
+        """Waits before a request that did not run tries again; raises if it should not.
+
+        An answer that has begun is not ended while it may yet be finished in time.
+        """
+        if not sink.has_started and not isinstance(error, (ServerFull, ServerConnectFailed)):
+            raise error
+        self._note_attempt(request, progress, error)
+        if sink.has_started:
+            await anyio.sleep(RESUME_PAUSE_MS * random.uniform(0.5, 1.5) / MS_PER_S)
+            return
+        progress.full_answers += 1
+        if progress.full_answers >= MAX_FULL_ANSWERS:
+            raise error
+        if isinstance(error, ServerFull):
+            await anyio.sleep(RETRY_PAUSE_MS * random.uniform(0.5, 1.5) / MS_PER_S)
+
     async def _attempt(
         self, request: ForwardRequest, sink: AnswerSink, progress: _Progress
     ) -> None:
--- a/features/platform/forwarding.feature
+++ b/features/platform/forwarding.feature
@@ -82,6 +82,11 @@
     Then the caller gets every event once, in order, as a whole answer
     And the second server was asked to go on after the last event
 
+  # Guards against a begun answer that ends because no slot is free to go on with it.
+  Scenario: A resumable stream whose server falls silent waits for a slot to go on
+    When a resumable stream pauses midway, and its slot then goes to another request for 3 s
+    Then both callers get every event once, in order, as whole answers
+
   Scenario: A stream that may not be resumed is broken off, and never looks complete
     When a stream that may not be resumed breaks midway
     Then the caller gets the first events and no end
--- a/features/steps/platform_forwarding.py
+++ b/features/steps/platform_forwarding.py
@@ -283,6 +283,42 @@
     play(context, calling("POST", "/go-on/a", Behaviour.PAUSE_MIDWAY), service=MODEL)
 
 
+@when("a resumable stream pauses midway, and its slot then goes to another request for 3 s")
+def when_slot_goes(context: Context) -> None:
+    async def run() -> Seen:
+        seen = Seen()
+        async with platform_fleet() as fleet:
+            engine = await fleet.add_engine("i-0", MODEL, slots=1)
+            engine.event_gap_s = 0.5
+            engine.behaviours.append(Behaviour.PAUSE_MIDWAY)
+            longer = fleet.config(version=9)
+            for route in longer["routes"]:
+                route["timeout_ms"] = 10_000
+            fleet.store.put("config", "main", longer)
+            await anyio.sleep(0.3)
+
+            async def call(path: str) -> None:
+                answer = await Caller(fleet.nodes["vm-1"]).call("POST", path, BODY)
+                assert answer is not None
+                seen.answers.append(answer)
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(call, "/go-on/a")
+                await anyio.sleep(0.5)
+                tasks.start_soon(call, "/ask/a")
+        return seen
+
+    context.seen = anyio.run(run)
+
+
+@then("both callers get every event once, in order, as whole answers")
+def then_both_whole(context: Context) -> None:
+    assert len(context.seen.answers) == 2
+    for answer in context.seen.answers:
+        assert answer.status == 200 and answer.is_whole, answer
+        assert answer.body == b"".join(event(number) for number in range(1, 7)), answer
+
+
 @when("a caller leaves while a server works")
 def when_leaves(context: Context) -> None:
     async def behave_as(fleet: PlatformFleet, caller: Caller, seen: Seen) -> None:
