Send nothing to a server whose answer says that it is draining

What callers saw: a server that leaves says so in its answers, and nodes went on sending requests and items there until the store's entry changed; a node that the store turns away sent them until the server was gone. Cause: a server's draining was read from its entry alone. The header was passed on and not decoded.

Ruled out: that the header does not reach the caller; it does, in whole answers and streams.

Change: the dialect decodes the header into AnswerFacts.is_draining. EngineClient takes it at the head of every answer, stray ones and those not run included, into LiveServers, which keeps it by incarnation, and sends nothing to a server that is draining (ServerNotReady, before and after it has a connection). Online requests and items give such a slot back and ask again with the server excluded, a bounded number of times. SlotRelease carries the start of the server and whether it is draining, so that the owner of the pool grants nothing there; an earlier start than the owner's is no news. An owner all of whose servers are draining refuses online requests at once (NoServer) in place of letting them wait for their deadline. Entries whose time of start does not fit a peer message name no server.

--- a/briarvale/_generated/messages.py
+++ b/briarvale/_generated/messages.py
@@ -138,6 +138,8 @@
     time_between_tokens_ms: int = 0
     backend_server: str = ""
     fingerprint: str = ""
+    server_started_at_ms: int = 0
+    is_server_draining: bool = False
 
 
 class HeldGrant(NamedTuple):
@@ -542,6 +544,8 @@
         reader.timeBetweenTokensMs,
         reader.backendServer,
         reader.fingerprint,
+        reader.serverStartedAtMs,
+        reader.isServerDraining,
     )
 
 
@@ -552,6 +556,8 @@
     builder.timeBetweenTokensMs = message.time_between_tokens_ms
     builder.backendServer = message.backend_server
     builder.fingerprint = message.fingerprint
+    builder.serverStartedAtMs = message.server_started_at_ms
+    builder.isServerDraining = message.is_server_draining
 
 
 def _read_held_grant(reader: Any) -> HeldGrant:
--- a/briarvale/backend_connections.py
+++ b/briarvale/backend_connections.py
@@ -36,8 +36,8 @@
     ) -> None:
         """Keeps the connection after a whole answer, else closes it."""
         kept = self._idle.setdefault(server.incarnation, [])
-        may_keep = facts is not None and not facts.is_closing and len(kept) < MAX_IDLE_PER_SERVER
-        if facts is None or not may_keep or not connection.finish():
+        is_over = facts is None or facts.is_closing or facts.is_draining
+        if facts is None or is_over or len(kept) >= MAX_IDLE_PER_SERVER or not connection.finish():
             await connection.aclose()
             return
         idle_s = facts.keep_alive_s if facts.keep_alive_s is not None else DEFAULT_IDLE_S
--- a/briarvale/engine_run.py
+++ b/briarvale/engine_run.py
@@ -7,10 +7,10 @@
 
 from .backend_connections import BackendConnections
 from .clock import Clock
-from .errors import DeadlineExceeded, ServerFull, ServerLost
+from .errors import DeadlineExceeded, ServerFull, ServerLost, ServerNotReady
 from .forward_request import AnswerFacts, EngineDialect, ForwardRequest
 from .http_wire import AnswerHead, ClientConnection, OutgoingRequest
-from .live_servers import LiveServer
+from .live_servers import LiveServer, LiveServers
 
 MAX_STRAY_ANSWERS = 3
 
@@ -35,18 +35,24 @@
 
 
 class EngineClient:
-    """Runs requests at backend servers.
+    """Runs requests at backend servers, but at none that is draining.
 
     Args:
         connections: Connections to backend servers.
+        servers: Learns from answers which servers are draining.
         dialect: Names on the wire.
         clock: Source of instants.
     """
 
     def __init__(
-        self, connections: BackendConnections, dialect: EngineDialect, clock: Clock
+        self,
+        connections: BackendConnections,
+        servers: LiveServers,
+        dialect: EngineDialect,
+        clock: Clock,
     ) -> None:
         self._connections = connections
+        self._servers = servers
         self._dialect = dialect
         self._clock = clock
 
@@ -63,8 +69,10 @@
             ServerConnectFailed: If no byte was sent.
             ServerFull: If the server states that it did not run the request.
             ServerLost: If the connection broke or carried no answer.
+            ServerNotReady: If the server is draining; nothing was sent.
             DeadlineExceeded: If the deadline has passed before anything was sent.
         """
+        self._check_ready(server)
         left_ms = request.deadline_at_ms - self._clock.now_ms()
         if left_ms <= 0:
             raise DeadlineExceeded("the deadline passed before the request was sent")
@@ -73,8 +81,10 @@
         connection = await self._connections.take(server)
         run: EngineRun | None = None
         try:
+            # Opening a connection takes time, in which an answer to another request may have come.
+            self._check_ready(server)
             await connection.send(outgoing)
-            run = await self._find_answer(connection, request)
+            run = await self._find_answer(connection, request, server)
             if run.facts.was_not_run:
                 raise ServerFull(f"{server.id} did not run it: status {run.head.status}")
             yield run
@@ -83,13 +93,19 @@
             with anyio.CancelScope(shield=True):
                 await self._connections.give_back(server, connection, whole)
 
+    def _check_ready(self, server: LiveServer) -> None:
+        if self._servers.is_draining(server):
+            raise ServerNotReady(f"{server.id} is draining")
+
     async def _find_answer(
-        self, connection: ClientConnection, request: ForwardRequest
+        self, connection: ClientConnection, request: ForwardRequest, server: LiveServer
     ) -> EngineRun:
         """Reads answers until the one to this request; others belong to earlier ones."""
         for _ in range(MAX_STRAY_ANSWERS):
             head = await connection.read_head()
             facts = self._dialect.answer_facts(head)
+            if facts.is_draining:
+                self._servers.note_draining(server)
             if facts.request_id in ("", request.request_id):
                 return EngineRun(connection, head, facts)
             await connection.skip_answer()
--- a/briarvale/forward_request.py
+++ b/briarvale/forward_request.py
@@ -55,6 +55,7 @@
         was_not_run: Whether the server states that it didn't run the request.
         is_signed: Whether a backend server signed the answer.
         is_closing: Whether the connection carries no further request.
+        is_draining: Whether the server leaves and takes no later request.
         keep_alive_s: How long the server keeps an idle connection; none if it doesn't say.
     """
 
@@ -62,6 +63,7 @@
     was_not_run: bool
     is_signed: bool
     is_closing: bool
+    is_draining: bool
     keep_alive_s: float | None
 
 
--- a/briarvale/forwarding.py
+++ b/briarvale/forwarding.py
@@ -21,6 +21,7 @@
     ServerFailed,
     ServerFull,
     ServerLost,
+    ServerNotReady,
     ServerStalled,
 )
 from .event_stream import EventCursor, EventSplitter
@@ -143,7 +144,7 @@
                 if progress.full_answers >= MAX_FULL_ANSWERS:
                     raise
                 await anyio.sleep(RETRY_PAUSE_MS * random.uniform(0.5, 1.5) / MS_PER_S)
-            except ServerConnectFailed as error:
+            except (ServerConnectFailed, ServerNotReady) as error:
                 self._note_attempt(request, progress, error)
                 progress.full_answers += 1
                 if progress.full_answers >= MAX_FULL_ANSWERS:
@@ -231,6 +232,8 @@
             self._lone_choice.note_end(server, outcome, self._clock.now_ms())
             if slot is not None:
                 slot.outcome = outcome
+                if self._servers.is_draining(server):
+                    slot.note_draining(server)
 
     async def _exchange(self, attempt: _Attempt, sink: AnswerSink, progress: _Progress) -> Outcome:
         """Forwards one run's answer; gives up a silent one in time for another run."""
--- a/briarvale/live_servers.py
+++ b/briarvale/live_servers.py
@@ -1,5 +1,6 @@
 """The backend servers as their own entries in the store tell, each start an incarnation."""
 
+from collections import OrderedDict
 from collections.abc import Callable, Iterable, Iterator
 from typing import NamedTuple
 
@@ -7,6 +8,9 @@
 from .notifier import Notifier
 from .peer import PeerAddress
 
+# Starts that are remembered to be draining, the latest ones; most of them are long gone.
+MAX_DRAINING_STARTS = 1_024
+
 log = logs.part("servers")
 
 __all__ = ["LiveServer", "LiveServers"]
@@ -40,6 +44,8 @@
     While the store is away, entries may lapse although their servers live. So an entry that is
     missing in the first list after an outage is kept for a while.
 
+    A start that has said in an answer that it is draining stays so, whatever its entry says later.
+
     Args:
         now_ms: Returns the current instant.
         return_ms: How long a missing entry is kept after an outage.
@@ -50,6 +56,7 @@
         self._return_ms = return_ms
         self._servers: dict[str, LiveServer] = {}
         self._missing_until_ms: dict[str, int] = {}
+        self._draining_starts: OrderedDict[tuple[str, int], None] = OrderedDict()
         self.is_known = False
         self.changed = Notifier()
 
@@ -67,6 +74,14 @@
         """Returns the servers of a service that take new work."""
         return [s for s in self._servers.values() if s.service == service and not s.is_draining]
 
+    def is_draining(self, server: LiveServer) -> bool:
+        """Whether this start of a server takes no new work, by its entry or by its answers."""
+        if server.incarnation in self._draining_starts:
+            return True
+        known = self._servers.get(server.id)
+        is_same_start = known is not None and known.incarnation == server.incarnation
+        return known.is_draining if known is not None and is_same_start else server.is_draining
+
     def services(self) -> set[str]:
         """Returns the services that have a backend server."""
         return {server.service for server in self._servers.values()}
@@ -90,6 +105,26 @@
         self._put(server)
         self.changed.notify()
 
+    def note_draining(self, server: LiveServer) -> None:
+        """Takes that this start of a server has said in an answer that it is draining."""
+        if server.incarnation in self._draining_starts:
+            return
+        self._draining_starts[server.incarnation] = None
+        while len(self._draining_starts) > MAX_DRAINING_STARTS:
+            self._draining_starts.popitem(last=False)
+        log.info(
+            "Server {} is draining.",
+            server.id,
+            backend_server=server.id,
+            service=server.service,
+            started_at_ms=server.started_at_ms,
+            reason="its answer says so",
+        )
+        known = self._servers.get(server.id)
+        if known is not None and known.incarnation == server.incarnation:
+            self._servers[server.id] = known._replace(is_draining=True)
+            self.changed.notify()
+
     def remove(self, server_id: str) -> None:
         """Takes the removal of an entry."""
         if server_id not in self._servers:
@@ -108,6 +143,8 @@
 
     def _put(self, server: LiveServer) -> None:
         self._missing_until_ms.pop(server.id, None)
+        if server.incarnation in self._draining_starts:
+            server = server._replace(is_draining=True)
         known = self._servers.get(server.id)
         if known == server:
             return
@@ -120,6 +157,7 @@
             service=server.service,
             started_at_ms=server.started_at_ms,
             is_draining=server.is_draining,
+            reason="its entry says so",
         )
 
     def _drop(self, server_id: str, reason: str) -> None:
--- a/briarvale/platform/dialect.py
+++ b/briarvale/platform/dialect.py
@@ -13,6 +13,8 @@
 EXPECTED_SERVER = b"briarvale-expect-instance"
 NOT_RUN = b"briarvale-not-executed"
 SIGNATURE = b"briarvale-server-signature"
+# "1" where the server is draining.
+DRAINING = b"server-leaving"
 LAST_EVENT_ID = b"last-event-id"
 WAIT_MS = b"briarvale-wait-ms"
 # Headers that a node sets itself.
@@ -41,6 +43,7 @@
             was_not_run=find_header(head.headers, NOT_RUN) is not None or head.status == 421,
             is_signed=find_header(head.headers, SIGNATURE) is not None,
             is_closing=b"close" in connection,
+            is_draining=(find_header(head.headers, DRAINING) or b"").strip() == b"1",
             keep_alive_s=_keep_alive_s(find_header(head.headers, b"keep-alive")),
         )
 
--- a/briarvale/platform/documents.py
+++ b/briarvale/platform/documents.py
@@ -26,6 +26,8 @@
 
 DEFAULT_RETENTION_S = 60
 DEFAULT_COMPLETION_MS = 60_000
+# Peer messages have 64 bits for an instant.
+MAX_INSTANT_MS = 2**64 - 1
 
 log = logs.part("config")
 
@@ -75,6 +77,8 @@
         raise ValueError(f"slots: {slots!r}")
     if isinstance(started_at_ms, bool) or not isinstance(started_at_ms, int):
         raise ValueError(f"born: {started_at_ms!r}")
+    if not 0 <= started_at_ms <= MAX_INSTANT_MS:
+        raise ValueError(f"born: {started_at_ms}")
     if not host or not isinstance(zone, str):
         raise ValueError("address or zone")
     return LiveServer(
--- a/briarvale/platform/node.py
+++ b/briarvale/platform/node.py
@@ -201,7 +201,7 @@
         settings = self._settings
         zone = settings.parts.availability_zone
         slots = SlotClient(self._environment, self.cluster, tasks, OWNER_PATIENCE)
-        engines = EngineClient(BackendConnections(), PlatformDialect(), self._clock)
+        engines = EngineClient(BackendConnections(), self.servers, PlatformDialect(), self._clock)
         membership = self.cluster.membership
         crashes = CrashGuard(self._clock, membership.suspects, membership.publish)
         parts = ServingParts(self._clock, self.servers, slots, engines, crashes, zone)
--- a/briarvale/pool_server.py
+++ b/briarvale/pool_server.py
@@ -34,13 +34,19 @@
 
     def __init__(self, server: LiveServer) -> None:
         self.server = server
-        self.is_ready = True
+        self.is_listed = True
+        self.is_draining = False
         self.grants = GrantTable()
         self.prefixes: OrderedDict[str, None] = OrderedDict()
         self.foreign_runs = 0
         self.record = ServerRecord()
         self.slowness = 1.0
 
+    @property
+    def is_ready(self) -> bool:
+        """Whether it takes new work, by its entry and by what holders were told by it."""
+        return self.is_listed and not self.is_draining
+
     @property
     def free(self) -> int:
         """Slots that may be granted now."""
--- a/briarvale/schema/messages.capnp
+++ b/briarvale/schema/messages.capnp
@@ -55,6 +55,8 @@
   timeBetweenTokensMs @3 :UInt32;
   backendServer @4 :Text;
   fingerprint @5 :Text;
+  serverStartedAtMs @6 :UInt64;
+  isServerDraining @7 :Bool;
 }
 struct HeldGrant {
   grantId @0 :Text;
--- a/briarvale/slot_client.py
+++ b/briarvale/slot_client.py
@@ -31,6 +31,7 @@
     Quarantined,
     ServerNotReady,
 )
+from .live_servers import LiveServer
 from .owner_link import HEARTBEAT_INTERVAL_MS, MAX_SILENCE_MS, OwnerLink, PendingRequest
 from .peer import CONNECT_TIMEOUT_S, PeerAddress
 from .peer_environment import PeerEnvironment
@@ -60,7 +61,13 @@
 
 
 class HeldSlot:
-    """A granted slot. `revoked` is set when the owner wants it back."""
+    """A granted slot.
+
+    Attributes:
+        revoked: Set when the owner wants it back.
+        server_started_at_ms: Which start of the backend server the slot was used for.
+        is_server_draining: Whether the owner is to grant no further slot at that start.
+    """
 
     def __init__(self, grant: HeldGrant) -> None:
         self.grant = grant
@@ -68,6 +75,13 @@
         self.outcome = Outcome.CANCELLED
         self.tokens = 0
         self.time_between_tokens_ms = 0
+        self.server_started_at_ms = 0
+        self.is_server_draining = False
+
+    def note_draining(self, server: LiveServer) -> None:
+        """Takes that this start of the backend server is draining."""
+        self.server_started_at_ms = server.started_at_ms
+        self.is_server_draining = True
 
 
 class ServerLoad(NamedTuple):
@@ -141,7 +155,7 @@
         Raises:
             Overloaded: If the owner refuses; says when to come back.
             OwnerUnreachable: If the owner can't be reached.
-            NoServer: If the backend server has no owner.
+            NoServer: If the backend server has no owner, or all servers of the pool are draining.
         """
         slot = await self._acquire_from_owner(request)
         try:
@@ -234,6 +248,8 @@
                 slot.time_between_tokens_ms,
                 slot.grant.backend_server,
                 slot.grant.fingerprint,
+                slot.server_started_at_ms,
+                slot.is_server_draining,
             )
         )
 
@@ -362,6 +378,9 @@
         if refusal.code == ServerNotReady.code:
             pending.fail(ServerNotReady(f"{server} takes no new work"))
             return
+        if refusal.code == NoServer.code:
+            pending.fail(NoServer(f"no server of {server} takes new work"))
+            return
         if refusal.code == Quarantined.code:
             pending.fail(Quarantined("this request crashed several backend servers"))
             return
--- a/briarvale/slot_pool.py
+++ b/briarvale/slot_pool.py
@@ -20,7 +20,7 @@
     WorkClass,
 )
 from .clock import MS_PER_S, Clock
-from .errors import NotOwner, Overloaded, OwnerUnreachable
+from .errors import NoServer, NotOwner, Overloaded, OwnerUnreachable
 from .grants import Grant
 from .headroom import PeakDemand
 from .holder import Holder
@@ -98,7 +98,7 @@
         ready = {server.id: server for server in servers}
         for server_id, known in list(self._servers.items()):
             server = ready.get(server_id)
-            known.is_ready = server is not None
+            known.is_listed = server is not None
             if server is not None and server.incarnation != known.server.incarnation:
                 del self._servers[server_id]
             elif server is not None:
@@ -178,6 +178,7 @@
         for server in self._servers.values():
             grant = server.grants.remove(release.grant_id)
             if grant is not None:
+                self._note_draining(server, release)
                 self._health.note_outcome(server, release.outcome, now_ms)
                 if grant.held.work_class is WorkClass.ONLINE:
                     took_ms = now_ms - grant.granted_at_ms
@@ -187,6 +188,18 @@
                 self.pump()
                 return
 
+    def _note_draining(self, server: PoolServer, release: SlotRelease) -> None:
+        """Takes what the holder was told by the server, if it was this start of it."""
+        is_same_start = release.server_started_at_ms == server.server.started_at_ms
+        if not release.is_server_draining or not is_same_start or server.is_draining:
+            return
+        server.is_draining = True
+        log.info(
+            "Grants nothing on a server that told a holder that it is draining.",
+            backend_server=server.server.id,
+            started_at_ms=release.server_started_at_ms,
+        )
+
     def adopt(self, held: HeldGrant, holder: Holder) -> None:
         """Takes over a grant that an earlier owner, or an earlier connection, gave."""
         server = self._servers.get(held.backend_server)
@@ -268,6 +281,9 @@
         now_ms = self._clock.now_ms()
         if now_ms < self._grant_from_ms:
             return
+        if not any(server.is_ready for server in self._servers.values()):
+            self._refuse_online(now_ms)
+            return
         self._grant_queue(WorkClass.ONLINE, now_ms)
         self._online_peak.observe(self._held_by(WorkClass.ONLINE), now_ms)
         if self._waiting[WorkClass.ONLINE]:
@@ -275,6 +291,12 @@
         elif now_ms >= self._batch_from_ms:
             self._grant_batch(now_ms)
 
+    def _refuse_online(self, now_ms: int) -> None:
+        """Refuses the online requests that wait: all servers are draining. Items wait on."""
+        for waiter in self._waiting[WorkClass.ONLINE].clear():
+            retry_at_ms = now_ms + RETRY_DELAY_MS
+            self._refuse(waiter.request, waiter.holder, retry_at_ms, NoServer.code)
+
     def _grant_batch(self, now_ms: int) -> None:
         """Starts items in slots that online requests did not need a moment ago either.
 
--- a/briarvale/work_items.py
+++ b/briarvale/work_items.py
@@ -16,6 +16,7 @@
     ServerConnectFailed,
     ServerFull,
     ServerLost,
+    ServerNotReady,
     ServerStalled,
 )
 from .event_stream import EventCursor, EventSplitter
@@ -156,6 +157,12 @@
                 slot.outcome = Outcome.FAILED
                 state.excluded = [server.id]
                 raise
+            except ServerNotReady:
+                state.excluded = [server.id]
+                raise
+            finally:
+                if self._servers.is_draining(server):
+                    slot.note_draining(server)
 
     def _slot_request(self, job: WorkJob, request: ForwardRequest, state: ItemState) -> SlotRequest:
         wanted = self._parts.slot_request(
--- /dev/null
+++ b/features/steps/platform_draining.py
@@ -0,0 +1,376 @@
+"""Steps of servers whose answers say that they drain: real nodes and stand-ins, on loopback."""
+
+import time
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import anyio
+from behave import then, when
+from behave.runner import Context
+
+from briarvale._generated.messages import Outcome, SlotGrant, SlotRelease
+from briarvale.live_servers import LiveServer
+from briarvale.peer import PeerAddress
+from briarvale.server_record import AVOID_START_MS
+from briarvale.slot_pool import BATCH_GRACE_MS, REPORT_GRACE_MS, SlotPool
+from features.steps.platform_batch import read_all, submit
+from features.steps.pool_policy import SetClock, asked
+from features.support.holders import RecordingHolder
+from features.support.platform_engine import Behaviour
+from features.support.platform_fleet import (
+    MODEL,
+    PLAIN,
+    Answer,
+    Caller,
+    FleetNode,
+    PlatformFleet,
+    job_body,
+    platform_fleet,
+)
+
+LEAVING, STAYING = "i-leaving", "i-staying"
+HEADER = "server-leaving"
+BODY = b"look"
+FOLLOWING = 12
+TARGET_S = 0.3
+SLOW_GAP_S = 0.25
+# Until the owner has taken the release of a slot, and nodes have heard of a written entry.
+HEARD_S = 0.3
+# A server that failed is used last until then.
+AVOIDED_S = 1.2 * AVOID_START_MS / 1_000
+# A fresh owner of a pool has online requests go on without it until then.
+OWNER_READY_S = 2 * REPORT_GRACE_MS / 1_000
+
+
+class Seen:
+    """What a play saw."""
+
+    def __init__(self) -> None:
+        self.first: Answer | None = None
+        self.following: list[Answer] = []
+        self.reached = 0
+        self.took_s = 0.0
+        self.facts: dict[str, Any] = {}
+
+
+Play = Callable[[PlatformFleet, Seen], Awaitable[None]]
+
+
+def play(context: Context, behave_as: Play, *, nodes: int = 1, service: str = PLAIN) -> None:
+    """Runs `behave_as(fleet, seen)` against a server that leaves and one that stays."""
+
+    async def run() -> Seen:
+        seen = Seen()
+        async with platform_fleet(nodes) as fleet:
+            for name in (LEAVING, STAYING):
+                await fleet.add_engine(name, service)
+            fleet.engines[LEAVING].is_leaving = True
+            await anyio.sleep(OWNER_READY_S)
+            await behave_as(fleet, seen)
+        return seen
+
+    context.seen = anyio.run(run)
+
+
+async def call(node: FleetNode, path: str) -> Answer:
+    """Sends one request on a new connection."""
+    answer = await Caller(node).call("POST", path, BODY)
+    assert answer is not None
+    return answer
+
+
+async def call_until_told(fleet: PlatformFleet, node: FleetNode, path: str) -> Answer:
+    """Sends requests until the server that leaves has got one; returns the answer to that."""
+    engine = fleet.engines[LEAVING]
+    for _ in range(20):
+        answer = await call(node, path)
+        if engine.seen:
+            return answer
+    raise AssertionError("the server that leaves got no request")
+
+
+async def follow(
+    fleet: PlatformFleet, seen: Seen, node: FleetNode, path: str, count: int = FOLLOWING
+) -> None:
+    """Sends the requests that must not reach the server that leaves."""
+    engine = fleet.engines[LEAVING]
+    before = len(engine.seen)
+    started_s = time.monotonic()
+    for _ in range(count):
+        seen.following.append(await call(node, path))
+    seen.took_s = time.monotonic() - started_s
+    seen.reached = len(engine.seen) - before
+
+
+async def follow_at_once(
+    fleet: PlatformFleet, seen: Seen, node: FleetNode, path: str, count: int
+) -> None:
+    """Sends such requests together, so that the other server alone has too few slots."""
+    engine = fleet.engines[LEAVING]
+    before = len(engine.seen)
+
+    async def one() -> None:
+        seen.following.append(await call(node, path))
+
+    async with anyio.create_task_group() as tasks:
+        for _ in range(count):
+            tasks.start_soon(one)
+    seen.reached = len(engine.seen) - before
+
+
+def told_by(path: str, behaviour: Behaviour) -> Play:
+    """Returns a play in which the first answer of the server that leaves is of some kind."""
+
+    async def behave_as(fleet: PlatformFleet, seen: Seen) -> None:
+        node = fleet.nodes["vm-1"]
+        fleet.engines[LEAVING].usual = behaviour
+        seen.first = await call_until_told(fleet, node, path)
+        await anyio.sleep(AVOIDED_S)
+        await follow(fleet, seen, node, path)
+
+    return behave_as
+
+
+@when("one of two servers says so in a success and 12 requests follow")
+def when_success(context: Context) -> None:
+    play(context, told_by("/look/a", Behaviour.SERVE))
+
+
+@when("one of two servers says so in a failure that may not be repeated and 12 requests follow")
+def when_failure(context: Context) -> None:
+    play(context, told_by("/pay/a", Behaviour.FAIL))
+
+
+@when("one of two servers says so in a refusal that says it has not run and 12 requests follow")
+def when_not_run(context: Context) -> None:
+    play(context, told_by("/pay/a", Behaviour.SAY_FULL))
+
+
+@then("the caller gets the server's own header")
+def then_header(context: Context) -> None:
+    first = context.seen.first
+    assert first.headers.get(HEADER) == "1", first
+    assert first.headers["briarvale-server-signature"].startswith(LEAVING), first
+
+
+@then("the caller gets the other server's answer")
+def then_other(context: Context) -> None:
+    first = context.seen.first
+    assert first.status == 200 and HEADER not in first.headers, first
+
+
+@then("that server gets none of the requests that follow, and all are answered")
+def then_none(context: Context) -> None:
+    statuses = [answer.status for answer in context.seen.following]
+    assert statuses and set(statuses) == {200}, [
+        a for a in context.seen.following if a.status != 200
+    ]
+    assert context.seen.reached == 0, f"{context.seen.reached} of {len(statuses)} reached it"
+
+
+async def stream_midway(
+    fleet: PlatformFleet, seen: Seen, node: FleetNode, following: Callable[[], Awaitable[None]]
+) -> None:
+    """Has the server that leaves answer a stream, and does something before the stream ends."""
+    engine = fleet.engines[LEAVING]
+    engine.event_gap_s = SLOW_GAP_S
+    fleet.engines[STAYING].event_gap_s = 0.0
+
+    async def stream() -> None:
+        seen.first = await call_until_told(fleet, node, "/ask/a")
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(stream)
+        with anyio.fail_after(5):
+            while not engine.running:
+                await anyio.sleep(0.01)
+        await anyio.sleep(SLOW_GAP_S / 2)
+        assert engine.running, "the stream ended too soon"
+        await following()
+
+
+@when("one of two servers says so at the head of a stream and 6 requests follow before its end")
+def when_stream(context: Context) -> None:
+    async def behave_as(fleet: PlatformFleet, seen: Seen) -> None:
+        node = fleet.nodes["vm-1"]
+
+        async def following() -> None:
+            await follow_at_once(fleet, seen, node, "/ask/a", 6)
+
+        await stream_midway(fleet, seen, node, following)
+
+    play(context, behave_as, service=MODEL)
+
+
+@when("one of two servers says so in the answer to an item and more items follow")
+def when_item(context: Context) -> None:
+    async def behave_as(fleet: PlatformFleet, seen: Seen) -> None:
+        node = fleet.nodes["vm-1"]
+        engine = fleet.engines[LEAVING]
+        for number in range(10):
+            job_id = f"job-first-{number}"
+            await submit(node, job_body([f"{job_id}-item"]), job_id)
+            await read_all(node, 1, job_id)
+            if engine.seen:
+                break
+        assert engine.seen, "the server that leaves got no item"
+        before = len(engine.seen)
+        items = [f"item-{number}" for number in range(6)]
+        await submit(node, job_body(items), "job-next")
+        seen.facts["results"] = await read_all(node, len(items), "job-next")
+        seen.reached = len(engine.seen) - before
+
+    play(context, behave_as, service=MODEL)
+
+
+@then("that server gets none of the items that follow, and all are done")
+def then_items(context: Context) -> None:
+    assert {row["state"] for row in context.seen.facts["results"]} == {"done"}
+    assert context.seen.reached == 0, context.seen.reached
+
+
+def owner_and_other(fleet: PlatformFleet, service: str) -> tuple[FleetNode, FleetNode]:
+    """Returns the node that owns a service's pool, and one that asks it."""
+    asks = fleet.nodes["vm-1"].node
+    assert asks is not None
+    owner = asks.cluster.pool_owner(service)
+    assert owner is not None
+    return fleet.nodes[owner], next(n for name, n in fleet.nodes.items() if name != owner)
+
+
+def count_slots(node: FleetNode, seen: Seen) -> None:
+    """Counts the slots that a node grants as the owner of a pool."""
+    assert node.node is not None
+    pools = node.node.cluster.pools
+    handle = pools.handle
+    seen.facts["asked"] = 0
+
+    def counting(holder: Any, message: Any) -> None:
+        seen.facts["asked"] += type(message).__name__ == "SlotRequest"
+        handle(holder, message)
+
+    pools.handle = counting  # type: ignore[method-assign]
+
+
+@when("a node without the store passes such a stream on and asks its owner for more slots")
+def when_cut_off(context: Context) -> None:
+    async def behave_as(fleet: PlatformFleet, seen: Seen) -> None:
+        owner, other = owner_and_other(fleet, MODEL)
+        fleet.gates[other.name].is_refusing = True
+
+        async def following() -> None:
+            count_slots(owner, seen)
+            await follow_at_once(fleet, seen, other, "/ask/a", 6)
+
+        await stream_midway(fleet, seen, other, following)
+
+    play(context, behave_as, nodes=2, service=MODEL)
+
+
+@then("the owner was asked for no more than 2 slots a request")
+def then_slots(context: Context) -> None:
+    asked_count = context.seen.facts["asked"]
+    assert 0 < asked_count <= 2 * len(context.seen.following), asked_count
+
+
+@when("a node passes such an answer on and 12 requests follow at another node")
+def when_owner_learns(context: Context) -> None:
+    async def behave_as(fleet: PlatformFleet, seen: Seen) -> None:
+        owner, other = owner_and_other(fleet, PLAIN)
+        await call_until_told(fleet, other, "/look/a")
+        await anyio.sleep(HEARD_S)
+        await follow(fleet, seen, owner, "/look/a")
+
+    play(context, behave_as, nodes=2)
+
+
+@when("a node without an owner passes such an answer on and 12 requests follow")
+def when_lone(context: Context) -> None:
+    async def behave_as(fleet: PlatformFleet, seen: Seen) -> None:
+        node = fleet.nodes["vm-1"]
+        assert node.node is not None
+        node.node.cluster.owner_address = lambda _: None  # type: ignore[method-assign]
+        seen.first = await call_until_told(fleet, node, "/look/a")
+        await follow(fleet, seen, node, "/look/a")
+
+    play(context, behave_as)
+
+
+@when("both servers say so in answers and another request follows")
+def when_all_leave(context: Context) -> None:
+    async def behave_as(fleet: PlatformFleet, seen: Seen) -> None:
+        node = fleet.nodes["vm-1"]
+        engines = fleet.engines.values()
+        for engine in engines:
+            engine.is_leaving = True
+        for _ in range(20):
+            await call(node, "/look/a")
+            if all(engine.seen for engine in engines):
+                break
+        before = sum(len(engine.seen) for engine in engines)
+        await follow(fleet, seen, node, "/look/a", 1)
+        seen.reached = sum(len(engine.seen) for engine in engines) - before
+
+    play(context, behave_as)
+
+
+@then("it is refused as not run within a quarter of its target, and no server gets it")
+def then_refused(context: Context) -> None:
+    answer = context.seen.following[0]
+    assert answer.status == 503 and answer.json()["not_run"], answer
+    assert context.seen.reached == 0
+    assert context.seen.took_s < TARGET_S / 4, context.seen.took_s
+
+
+@when("a server that said so writes its entry again, and then starts anew under its id")
+def when_anew(context: Context) -> None:
+    async def behave_as(fleet: PlatformFleet, seen: Seen) -> None:
+        node, engine = fleet.nodes["vm-1"], fleet.engines[LEAVING]
+        await call_until_told(fleet, node, "/look/a")
+        spec = fleet.store.kinds["servers"][LEAVING]["spec"]
+        fleet.store.put("servers", LEAVING, spec | {"sequence": 2, "slots": 5})
+        await anyio.sleep(HEARD_S)
+        await follow(fleet, seen, node, "/look/a")
+        engine.is_leaving = False
+        fleet.store.put("servers", LEAVING, spec | {"born": spec["born"] + 60_000})
+        await anyio.sleep(HEARD_S)
+        reached = seen.reached
+        await follow_at_once(fleet, seen, node, "/look/a", FOLLOWING)
+        seen.facts["reached after"], seen.reached = seen.reached, reached
+
+    play(context, behave_as)
+
+
+@then("it gets none after the first and requests again after the second")
+def then_anew(context: Context) -> None:
+    assert context.seen.reached == 0, context.seen.reached
+    assert context.seen.facts["reached after"] > 0
+
+
+@when("a slot is given back because an earlier start of its server is draining")
+def when_other_start(context: Context) -> None:
+    clock = SetClock()
+    pool, holder = SlotPool("desk", clock), RecordingHolder()
+    address = PeerAddress("127.0.0.1", 1)
+    pool.configure([LiveServer("i-0", "desk", address, "a", 4, started_at_ms=2)])
+    clock.ms += BATCH_GRACE_MS
+    context.grants = []
+    for number, started_at_ms in enumerate((1, 2, 2)):
+        holder.messages.clear()
+        pool.submit(asked(f"r{number}", clock), holder)
+        granted = [m for m in holder.messages if isinstance(m, SlotGrant)]
+        context.grants.append(len(granted))
+        for grant in granted:
+            pool.release(
+                SlotRelease(
+                    grant.grant_id,
+                    Outcome.CANCELLED,
+                    server_started_at_ms=started_at_ms,
+                    is_server_draining=True,
+                )
+            )
+
+
+@then("the pool goes on granting slots there, until the present start is named")
+def then_other_start(context: Context) -> None:
+    assert context.grants == [1, 1, 0], context.grants
--- a/features/support/platform_engine.py
+++ b/features/support/platform_engine.py
@@ -57,6 +57,7 @@
         self.event_gap_s = EVENT_GAP_S
         self.behaviours: deque[Behaviour] = deque()
         self.usual = Behaviour.SERVE
+        self.is_leaving = False
         self.seen: list[SeenRequest] = []
         self.running = 0
         self.finished = 0
@@ -80,7 +81,8 @@
             await responder.answer(200, (), json.dumps(report).encode())
             return
         if seen.header(b"briarvale-expect-instance") != self.id:
-            await responder.answer(421, ((b"briarvale-instance-id", self.id.encode()),), b"")
+            rows = ((b"briarvale-instance-id", self.id.encode()), *self._leaving_rows)
+            await responder.answer(421, rows, b"")
             return
         self.seen.append(seen)
         behaviour = self.behaviours.popleft() if self.behaviours else self.usual
@@ -91,12 +93,19 @@
         finally:
             self.running -= 1
 
+    @property
+    def _leaving_rows(self) -> tuple[tuple[bytes, bytes], ...]:
+        """Headers by which a server that leaves says so."""
+        return ((b"server-leaving", b"1"),) if self.is_leaving else ()
+
     async def _answer(self, behaviour: Behaviour, seen: SeenRequest, responder: Responder) -> None:
         signed = ((b"briarvale-request-attempt-id", seen.request_id.encode()),)
         signed += ((b"briarvale-server-signature", f"{self.id}.{seen.request_id}".encode()),)
+        leaving = self._leaving_rows
+        signed += leaving
         match behaviour:
             case Behaviour.SAY_FULL:
-                await responder.answer(503, ((b"briarvale-not-executed", b"1"),), b"")
+                await responder.answer(503, ((b"briarvale-not-executed", b"1"), *leaving), b"")
             case Behaviour.BREAK_AT_ONCE:
                 raise CallerGone("breaks off")
             case Behaviour.FAIL:
