--- a/briarvale/forwarding.py
+++ b/briarvale/forwarding.py
@@ -51,6 +51,8 @@
 RUN_FAILURES = (ServerLost, ServerFailed, ServerStalled, ServerConnectFailed, ServerFull)
 # Why there was no run at all.
 NO_RUN = (Overloaded, NoServer, OwnerUnreachable, ServerNotReady, ServerFull, ServerConnectFailed)
+# Why a server that was granted did not run it, though another may.
+TRIED_ELSEWHERE = (ServerFull, ServerConnectFailed, ServerNotReady)
 # A stream that may go on elsewhere is given up after a pause of so many times the longest in time.
 STALL_GAPS = 2
 
@@ -169,7 +171,7 @@
 
         An answer that has begun is not ended while it may yet be finished in time.
         """
-        if not sink.has_started and not isinstance(error, (ServerFull, ServerConnectFailed)):
+        if not sink.has_started and not isinstance(error, TRIED_ELSEWHERE):
             raise error
         self._note_attempt(request, progress, error)
         if sink.has_started:
@@ -251,6 +253,8 @@
             self._lone_choice.note_end(server, outcome, self._clock.now_ms())
             if slot is not None:
                 slot.outcome = outcome
+                if self._servers.is_draining(server):
+                    slot.note_draining(server)
 
     async def _exchange(self, attempt: _Attempt, sink: AnswerSink, progress: _Progress) -> Outcome:
         """Forwards one run's answer; gives up a silent one in time for another run."""
