Keep bodies and texts of jobs out of what every node lists and watches

Cause: heads of jobs held all bodies and log entries all texts, and both stand in the kind that every node lists and watches. When the watches were cut, 69 nodes read some 35 MB each through links of 15 Mbit/s; the zone's watching node took 3.1 s for its list, the others longer. A list counts as current once it is read, though it tells of the instant at which it began, and the next watch carried seconds of bulk again. The reader's position, listed at 27.009 s, was not known at two nodes 2.7 s and 3 s later. Class: bulk data on the path of what all nodes must know soon. A process that lists 300 such jobs grew to 165 MB on machines of 128 MB, and kept them; it would be killed, and its callers' requests lost with it. Ruled out: the log itself (the entry was written once, in order), the store's answer, the readers' position. Change: heads and entries hold ids alone; bodies are objects of kind workitems, texts of worktexts, which nobody lists. Texts are written before the entry that names them by its nonce, so the entry is still the commit. Pages read texts from the store; nodes keep none. The digests that watching nodes made are needless and gone, as is the loading of large heads by every node. Replaced: 'A digest that comes again is passed on as it is', since no node makes digests any more, by 'What every node lists of jobs are ids alone', which asserts the same of what the store holds. 'A job whose acceptance was written and not answered' now loses the head's answer and the items' apart; Overtake names its kind. After: features/platform memory, feeds, batch, narrow_links, claims pass (53 scenarios).

--- a/briarvale/feed_publisher.py
+++ b/briarvale/feed_publisher.py
@@ -6,13 +6,13 @@
 
 import json
 from collections import deque
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 
 import anyio
 
 from . import logs
 from ._generated.messages import FeedBeat, FeedList, FeedLost, FeedRow, FeedSubscribe, FeedUpdate
-from .object_feed import ChangeList, FeedChange, FeedObject, ObjectList, RowDigest
+from .object_feed import ChangeList, FeedChange, FeedObject, ObjectList
 from .peer_connection import PeerConnection
 
 BEAT_INTERVAL_S = 0.4
@@ -63,14 +63,9 @@
 
 
 class FeedPublisher:
-    """Keeps the recent changes of each kind that this node watches, and its subscribers.
+    """Keeps the recent changes of each kind that this node watches, and its subscribers."""
 
-    Args:
-        digests: What of an object is passed on, by kind; the whole object of other kinds.
-    """
-
-    def __init__(self, digests: Mapping[str, RowDigest]) -> None:
-        self._digests = digests
+    def __init__(self) -> None:
         self._kinds: dict[str, _PublishedKind] = {}
         self._lists: dict[str, Callable[[], ObjectList]] = {}
         self._sequence = 0
@@ -90,8 +85,7 @@
         if not found.changes:
             known.revision = max(known.revision, found.revision)
             return
-        digest = self._digests.get(kind)
-        rows = tuple(_encode_row(change, digest) for change in found.changes)
+        rows = tuple(_encode_row(change) for change in found.changes)
         if sum(len(row.value) for row in rows) > MAX_UPDATE_BYTES:
             self.lose(kind)
             return
@@ -117,7 +111,7 @@
         subscriber.notify(missed._replace(number=wanted.number))
 
     def serve_lists(self, kind: str, snapshot: Callable[[], ObjectList]) -> None:
-        """Takes how to list a kind, as digests, while this node watches it."""
+        """Takes how to list a kind while this node watches it."""
         self._lists[kind] = snapshot
 
     def answer_list(self, asker: PeerConnection, wanted: FeedList) -> None:
@@ -126,7 +120,7 @@
         is_known = wanted.kind in self._kinds and wanted.kind in self._lists
         if is_known:
             listed = self._lists[wanted.kind]()
-            rows = tuple(_encode_row(FeedChange(row, False), None) for row in listed.objects)
+            rows = tuple(_encode_row(FeedChange(row, False)) for row in listed.objects)
         if not is_known or sum(len(row.value) for row in rows) > MAX_LIST_BYTES:
             asker.notify(FeedLost(wanted.kind, wanted.number))
             return
@@ -147,8 +141,8 @@
                 subscriber.notify(FeedBeat(self._sequence))
 
 
-def _encode_row(change: FeedChange, digest: RowDigest | None) -> FeedRow:
-    row = change.object if digest is None else digest(change.object)
+def _encode_row(change: FeedChange) -> FeedRow:
+    row = change.object
     is_json = not isinstance(row.value, bytes)
     value = row.value if isinstance(row.value, bytes) else json.dumps(row.value).encode()
     return FeedRow(row.name, value, row.revision, change.is_deleted, is_json)
--- a/briarvale/object_feed.py
+++ b/briarvale/object_feed.py
@@ -4,7 +4,6 @@
 """
 
 import random
-from collections.abc import Callable
 from typing import NamedTuple, Protocol
 
 import anyio
@@ -30,7 +29,6 @@
     "FeedStore",
     "ObjectFeed",
     "ObjectList",
-    "RowDigest",
 ]
 
 
@@ -42,9 +40,6 @@
     revision: int
 
 
-RowDigest = Callable[[FeedObject], FeedObject]
-
-
 class FeedChange(NamedTuple):
     """One change of a kind."""
 
@@ -94,7 +89,6 @@
         kind: Kind of the objects.
         handler: Told of the list and of changes.
         is_kept: Whether the objects are kept, for peers that ask this node rather than the store.
-        digest: What is kept of an object; the whole object by default.
         watch_ms: How long a watch waits; one that hears nothing, though it should, ends by then.
         pause_s: Time between watches that brought changes; those that come meanwhile share a call.
     """
@@ -106,7 +100,6 @@
         handler: FeedHandler,
         *,
         is_kept: bool = False,
-        digest: RowDigest | None = None,
         watch_ms: int = WATCH_MS,
         pause_s: float = 0.0,
     ) -> None:
@@ -117,7 +110,6 @@
         self._failing_since_s: float | None = None
         self._is_interrupted = False
         self._is_kept = is_kept
-        self._digest = digest
         self._watch_ms = watch_ms
         self._pause_s = pause_s
         self._rows: dict[str, FeedObject] = {}
@@ -195,19 +187,16 @@
     def _take_list(self, listed: ObjectList, *, after_outage: bool) -> None:
         self._revision = listed.revision
         if self._is_kept:
-            self._rows = {row.name: self._kept(row) for row in listed.objects}
+            self._rows = {row.name: row for row in listed.objects}
         self._handler.take_list(listed.objects, after_outage=after_outage)
 
     def _take_change(self, change: FeedChange) -> None:
         if self._is_kept and change.is_deleted:
             self._rows.pop(change.object.name, None)
         elif self._is_kept:
-            self._rows[change.object.name] = self._kept(change.object)
+            self._rows[change.object.name] = change.object
         self._handler.take_change(change)
 
-    def _kept(self, row: FeedObject) -> FeedObject:
-        return row if self._digest is None else self._digest(row)
-
     def _was_away(self) -> bool:
         since_s = self._failing_since_s
         return since_s is not None and anyio.current_time() - since_s > OUTAGE_S
--- a/briarvale/platform/node.py
+++ b/briarvale/platform/node.py
@@ -31,7 +31,7 @@
 from ..vm_directory import VMS_KIND, VmDirectory
 from ..vm_drains import VmDrains
 from ..work_items import WorkItemRunner
-from ..work_jobs import JOBS_KIND, JobDirectory, job_digest
+from ..work_jobs import JOBS_KIND, JobDirectory
 from ..work_runner import WorkRunner
 from ..work_service import WorkService
 from .batch_door import BatchDoor, ItemRequests
@@ -44,8 +44,8 @@
 
 ROLE = "node"
 RELAYED_KINDS = (CONFIG_KIND, SERVERS_KIND)
-# Kinds of which nodes pass on less than the store has.
-DIGESTS = {JOBS_KIND: job_digest}
+# Long lists, which the publisher passes on.
+PUBLISHED_LISTS = (JOBS_KIND,)
 # Changes of these kinds have bounds of a few seconds, so no watch on them is trusted for long.
 SHORT_WATCH_MS = 5_000
 # Changes of these come in bursts, and nothing hangs on a fraction of a second.
@@ -121,14 +121,14 @@
             fetch_runs,
             self._directory.processor_cores,
         )
-        self._publisher = self.cluster.publisher = FeedPublisher(DIGESTS)
+        self._publisher = self.cluster.publisher = FeedPublisher()
         self.feed_source = FeedSource(
             self._store,
             self._publisher,
             self._environment.transport,
             self.cluster.feed_publisher,
             patient_kinds=frozenset((VMS_KIND,)),
-            listed_by_publisher=frozenset(DIGESTS),
+            listed_by_publisher=frozenset(PUBLISHED_LISTS),
         )
         self.jobs = JobDirectory()
         self._budget = StoreBudget(
@@ -177,14 +177,13 @@
                 self.feed_source,
                 kind,
                 handler,
-                is_kept=is_relayed or kind in DIGESTS,
-                digest=DIGESTS.get(kind),
+                is_kept=is_relayed or kind in PUBLISHED_LISTS,
                 watch_ms=SHORT_WATCH_MS if is_relayed else WATCH_MS,
                 pause_s=PAUSES_S.get(kind, 0.0),
             )
             self._feeds[kind] = feed
             tasks.start_soon(feed.run)
-        for kind in DIGESTS:
+        for kind in PUBLISHED_LISTS:
             self._publisher.serve_lists(kind, self._feeds[kind].snapshot)
         relayed = {kind: self._feeds[kind] for kind in RELAYED_KINDS}
         relay = FeedRelay(relayed, self._environment.transport, self.cluster.peer_addresses)
--- a/briarvale/shard_log.py
+++ b/briarvale/shard_log.py
@@ -6,15 +6,16 @@
 import json
 import secrets
 from collections.abc import Iterable
-from typing import NamedTuple
+from typing import NamedTuple, Protocol
 
 from .errors import ObjectExists, ObjectNotFound, ShardSealed
-from .object_store import ObjectStore
+from .object_store import StoredObject
 from .store_budget import StoreBudget
 
 SEPARATOR_BYTES = 2
 
 __all__ = [
+    "EntryStore",
     "ItemProgress",
     "ItemResult",
     "LogEntry",
@@ -74,7 +75,8 @@
     Attributes:
         progress: How far unfinished items have come, for the next runner.
         runner: Who runs the shard from here on; none if that doesn't change.
-        is_digest: Whether the texts of results are left out; never so in the store.
+        is_digest: Whether the texts of results are left out, and kept in an object of their own.
+        has_progress: Whether `progress` is left out with them.
     """
 
     sequence: int
@@ -84,11 +86,20 @@
     progress: tuple[ItemProgress, ...] = ()
     runner: RunnerId | None = None
     is_digest: bool = False
+    has_progress: bool = False
+
+    @property
+    def has_texts(self) -> bool:
+        """Whether it holds what a digest leaves out."""
+        return any(result.text for result in self.results) or bool(self.progress)
 
     def digest(self) -> "LogEntry":
         """Returns which results it lists, without their texts."""
         results = tuple(result._replace(text="") for result in self.results)
-        return self._replace(results=results, progress=(), is_digest=bool(results))
+        has_progress = bool(self.progress)
+        return self._replace(
+            results=results, progress=(), is_digest=True, has_progress=has_progress
+        )
 
     def encode(self) -> bytes:
         """Returns the JSON that the Object API keeps."""
@@ -104,16 +115,26 @@
         return cls(**row)
 
 
+class EntryStore(Protocol):
+    """Where the entries of a log are; the Object API is one."""
+
+    async def get(self, key: str) -> StoredObject:
+        """Reads one entry; raises `ObjectNotFound`."""
+
+    async def create(self, key: str, value: bytes) -> int:
+        """Creates an entry and returns its version; raises `ObjectExists`."""
+
+
 class ShardLog:
     """Reads and appends a shard's log. It keeps which items have results, not the results.
 
     Args:
-        store: The Object API.
+        store: Where the entries are.
         budget: Paces and retries the calls.
         prefix: Prefix of the entries' keys.
     """
 
-    def __init__(self, store: ObjectStore, budget: StoreBudget, prefix: str) -> None:
+    def __init__(self, store: EntryStore, budget: StoreBudget, prefix: str) -> None:
         self._store = store
         self._budget = budget
         self._prefix = prefix
--- a/briarvale/work_jobs.py
+++ b/briarvale/work_jobs.py
@@ -2,6 +2,9 @@
 
 A job is a head object, made last, after its parts; making it is the acceptance. Its results are a
 log of immutable entries, as in `shard_log`; the order of the log gives each result its position.
+
+Every node lists and watches heads and logs, so these hold ids alone. Bodies of items and texts of
+results are objects of other kinds, which only nodes that run or read the job get.
 """
 
 import json
@@ -17,8 +20,8 @@
 from .shard_log import NO_RUNNER, ItemResult, LogEntry, RunnerId
 
 JOBS_KIND = "workjobs"
-# Stands in the JSON of digests alone: within a text its quotes would be escaped.
-DIGEST_MARK = b'"is_digest": true'
+PARTS_KIND = "workitems"
+TEXTS_KIND = "worktexts"
 PART_BYTES = 800_000
 
 log = logs.part("jobs")
@@ -27,13 +30,14 @@
     "JOBS_KIND",
     "JobDirectory",
     "KnownJob",
+    "TextSource",
     "WorkItem",
     "WorkJob",
-    "job_digest",
     "job_key",
     "job_log_prefix",
     "part_key",
     "split_parts",
+    "texts_key",
 ]
 
 
@@ -52,11 +56,11 @@
 
 
 class WorkJob(NamedTuple):
-    """The head of an accepted job; its items are inline or in `part_count` further objects.
+    """An accepted job; the store keeps its digest, and its items in `part_count` further objects.
 
     Attributes:
         runner: Who runs it first: the process that accepted it.
-        is_digest: Whether all of the items but their ids is left out; never so in the store.
+        is_digest: Whether all of the items but their ids is left out.
     """
 
     job_id: str
@@ -90,16 +94,33 @@
         return cls(**row)
 
 
+class TextSource(NamedTuple):
+    """Where the text of a result is: the key of an object that holds an entry of the log.
+
+    Attributes:
+        first_position: Position of the first result of that entry.
+    """
+
+    key: str
+    first_position: int
+
+
 class KnownJob:
     """A job as this node knows it: head, results in their positions, and whether it has ended.
 
     Attributes:
+        job: The digest of the job.
+        whole: The job with its items, from its acceptance here until its run begins.
+        results: Results without their texts.
+        sources: Where the text of each result is.
         none_further_at_s: Latest instant at which the store surely held no further entry.
     """
 
     def __init__(self, job: WorkJob) -> None:
-        self.job = job
+        self.job = job.digest()
+        self.whole: WorkJob | None = None
         self.results: list[ItemResult] = []
+        self.sources: list[TextSource] = []
         self.next_sequence = 0
         self.is_ended = False
         self.runner = job.runner
@@ -107,8 +128,6 @@
         self.none_further_at_s = -math.inf
         self.changed = Notifier()
         self._early: dict[int, LogEntry] = {}
-        # Positions whose texts are not known here, and the log entries that hold them.
-        self._textless: dict[int, int] = {}
 
     @property
     def is_complete(self) -> bool:
@@ -122,36 +141,21 @@
         self._early[entry.sequence] = entry
         is_news = False
         while self.next_sequence in self._early:
-            following = self._early.pop(self.next_sequence)
-            if following.is_digest:
-                first = len(self.results)
-                places = range(first, first + len(following.results))
-                self._textless |= dict.fromkeys(places, following.sequence)
-            self.results += following.results
-            self.is_ended = self.is_ended or following.is_seal
-            if following.runner is not None:
-                self.runner = following.runner
-                self.runner_since_s = anyio.current_time()
-            self.next_sequence += 1
+            self._take_next(self._early.pop(self.next_sequence))
             is_news = True
         if is_news:
             self.changed.notify()
 
-    def textless_sequences(self, after: int) -> list[int]:
-        """Returns the entries whose texts are to be read for the results from a position on."""
-        return sorted({entry for place, entry in self._textless.items() if place >= after})
-
-    def fill(self, entry: LogEntry) -> None:
-        """Takes the texts of an entry that came without."""
-        places = sorted(place for place, one in self._textless.items() if one == entry.sequence)
-        for place, result in zip(places, entry.results, strict=False):
-            self.results[place] = result
-            del self._textless[place]
-
-    def whole_results(self, after: int) -> list[ItemResult]:
-        """Returns the results from a position up to the first whose text is not known."""
-        until = min((place for place in self._textless if place >= after), default=None)
-        return self.results[after:until]
+    def _take_next(self, entry: LogEntry) -> None:
+        source = TextSource(_texts_key(self.job.job_id, entry), len(self.results))
+        self.sources += [source] * len(entry.results)
+        self.results += entry.digest().results
+        self.is_ended = self.is_ended or entry.is_seal
+        if entry.runner is not None:
+            self.runner = entry.runner
+            self.runner_since_s = anyio.current_time()
+            self.whole = None
+        self.next_sequence = entry.sequence + 1
 
 
 class JobDirectory:
@@ -160,7 +164,6 @@
     def __init__(self) -> None:
         self._jobs: dict[str, KnownJob] = {}
         self._early: dict[str, list[LogEntry]] = {}
-        self._unloaded: set[str] = set()
         self.changed = Notifier()
 
     def __iter__(self) -> Iterator[KnownJob]:
@@ -173,8 +176,6 @@
     def put(self, job: WorkJob) -> KnownJob:
         """Takes a job's head; returns what is known of it."""
         known = self._jobs.get(job.job_id)
-        if known is not None and known.job.is_digest and not job.is_digest:
-            known.job = job
         if known is None:
             known = KnownJob(job)
             self._jobs[job.job_id] = known
@@ -183,18 +184,6 @@
             self.changed.notify()
         return known
 
-    def note_unloaded(self, job_id: str) -> None:
-        """Takes that a job has items in further objects, which nobody has read yet."""
-        if job_id not in self._jobs:
-            self._unloaded.add(job_id)
-            self.changed.notify()
-
-    def take_unloaded(self) -> list[str]:
-        """Returns the jobs whose items are to be read, and forgets them."""
-        unloaded = sorted(self._unloaded - self._jobs.keys())
-        self._unloaded.clear()
-        return unloaded
-
     def take_entry(self, job_id: str, entry: LogEntry) -> None:
         """Takes an entry of a job's log."""
         known = self._jobs.get(job_id)
@@ -221,33 +210,13 @@
         value = row.value if isinstance(row.value, bytes) else b""
         try:
             if not place:
-                job = WorkJob.decode(value)
-                if job.part_count:
-                    self.note_unloaded(job_id)
-                else:
-                    self.put(job)
+                self.put(WorkJob.decode(value))
             elif place.startswith("log."):
                 self.take_entry(job_id, LogEntry.decode(value))
         except (KeyError, TypeError, ValueError) as error:
             log.warning("Can't read {}: {!r}.", row.name, error, object=row.name)
 
 
-def job_digest(row: FeedObject) -> FeedObject:
-    """Returns what of a stored object nodes need to know that neither run nor read the job."""
-    _, _, place = row.name.partition(".")
-    value = row.value if isinstance(row.value, bytes) else b""
-    if DIGEST_MARK in value:
-        return row
-    try:
-        if not place:
-            return row._replace(value=WorkJob.decode(value).digest().encode())
-        if place.startswith("log."):
-            return row._replace(value=LogEntry.decode(value).digest().encode())
-    except (KeyError, TypeError, ValueError) as error:
-        log.warning("Can't read {}: {!r}.", row.name, error, object=row.name)
-    return row._replace(value=b"")
-
-
 def decode_items(rows: Iterable[list[object]]) -> tuple[WorkItem, ...]:
     """Reads items from the rows of their JSON."""
     items = []
@@ -278,9 +247,20 @@
 
 def part_key(job_id: str, index: int) -> str:
     """Returns the key of one part of a job's items."""
-    return f"{JOBS_KIND}/{job_id}.part.{index}"
+    return f"{PARTS_KIND}/{job_id}.{index}"
 
 
 def job_log_prefix(job_id: str) -> str:
     """Returns the prefix of the keys of a job's log."""
     return f"{JOBS_KIND}/{job_id}.log."
+
+
+def texts_key(job_id: str, nonce: str) -> str:
+    """Returns the key of the object with the texts of the log entry that has this nonce."""
+    return f"{TEXTS_KIND}/{job_id}.{nonce}"
+
+
+def _texts_key(job_id: str, entry: LogEntry) -> str:
+    if entry.is_digest:
+        return texts_key(job_id, entry.nonce)
+    return f"{job_log_prefix(job_id)}{entry.sequence:06d}"
--- a/briarvale/work_runner.py
+++ b/briarvale/work_runner.py
@@ -10,7 +10,7 @@
 
 from . import logs, metrics
 from .clock import Clock
-from .errors import BriarvaleError, NotReady, ShardSealed, StoreThrottled, StoreUnavailable
+from .errors import NotReady, ShardSealed, StoreThrottled, StoreUnavailable
 from .node_cluster import NodeCluster
 from .peer import PeerIdentity
 from .shard_log import NO_RUNNER, ItemResult, RunnerId, ShardLog, fitting_results
@@ -39,6 +39,7 @@
 
     def __init__(self, known: KnownJob) -> None:
         self.known = known
+        self.job = known.job
         self.claimed_from = known.runner
         self.results: list[ItemResult] = []
         self.states: dict[int, ItemState] = {}
@@ -92,7 +93,6 @@
     async def run(self) -> None:
         """Runs until cancelled."""
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._keep_heads_loaded)
             while True:
                 self._follow()
                 self._start(tasks)
@@ -157,27 +157,12 @@
         with anyio.move_on_after(LOOK_INTERVAL_S):
             await self._directory.changed.wait()
 
-    async def _keep_heads_loaded(self) -> None:
-        """Reads large jobs beside all else, since that may take long."""
-        while True:
-            await self._load_heads()
-            await self._wait_news()
-
-    async def _load_heads(self) -> None:
-        """Reads the items of large jobs, of which the feed brought only the head."""
-        for job_id in self._directory.take_unloaded():
-            try:
-                await self._service.find(job_id)
-            except BriarvaleError as error:
-                log.info("Can't read a job yet: {}.", error, job_id=job_id)
-                self._directory.note_unloaded(job_id)
-
     async def _run_job(self, running: _RunningJob) -> None:
         job = running.known.job
         shard_log = self._service.open_log(job.job_id)
         try:
             with running.scope:
-                await self._service.load_items(running.known)
+                running.job = await self._service.load(running.known)
                 await self._replay(shard_log)
                 if await self._claim(running, shard_log):
                     await self._run_items(running, shard_log)
@@ -190,6 +175,7 @@
             log.exception("A job stopped: {!r}.", error, job_id=job.job_id)
         finally:
             del self._running[job.job_id]
+            running.known.whole = None
             self._retry_at_s[job.job_id] = anyio.current_time() + RETRY_S
 
     async def _claim(self, running: _RunningJob, shard_log: ShardLog) -> bool:
@@ -265,7 +251,7 @@
 
     async def _run_item(self, running: _RunningJob, state: ItemState) -> None:
         try:
-            running.add(await self._items.run(running.known.job, state))
+            running.add(await self._items.run(running.job, state))
         except Exception as error:
             # The item stays open, and the job's next run takes it up again.
             log.exception("An item failed: {!r}.", error, job_id=running.known.job.job_id)
--- a/briarvale/work_service.py
+++ b/briarvale/work_service.py
@@ -20,9 +20,10 @@
     StoreThrottled,
     StoreUnavailable,
 )
+from .job_log_store import JobLogStore
 from .object_store import ObjectStore
 from .peer import PeerIdentity
-from .shard_log import ItemResult, RunnerId, ShardLog, fitting_results
+from .shard_log import ItemResult, LogEntry, RunnerId, ShardLog, fitting_results
 from .store_budget import StoreBudget
 from .work_jobs import (
     JobDirectory,
@@ -37,6 +38,8 @@
 )
 
 MAX_PAGE_BYTES = 900_000
+# A page is answered with what was read by then, if it is anything.
+MAX_PAGE_S = 0.5
 RETRY_PAUSE_S = 0.1
 # Readers rely on what any node told over a second ago.
 MAX_LOOK_AGE_S = 0.5
@@ -103,7 +106,7 @@
             # Another node accepted it first, or an earlier attempt of this one took effect.
             log.info("The job stands already.", job_id=job.job_id)
             return
-        self._directory.put(job)
+        self._directory.put(stored).whole = job
         log.info(
             "Accepted a job.",
             job_id=job.job_id,
@@ -125,10 +128,9 @@
         await self._wait_for_result(known, after, wait_until_ms)
         if not known.is_complete and len(known.results) <= after:
             await self._catch_up(known, is_needed=True)
-        await self._fill(known, after)
-        page = _page(known, after)
-        if len(known.results) > after and not page.results:
-            raise NotReady(f"the store can't tell the results from {after} on")
+        page = ResultsPage(len(known.job.items), after, ())
+        if len(known.results) > after:
+            page = await self._read_page(known, after)
         if not page.results and not known.is_complete:
             log.info(
                 "Told a reader of no further result.",
@@ -148,21 +150,39 @@
             with anyio.move_on_after(left_s):
                 await known.changed.wait()
 
-    async def _fill(self, known: KnownJob, after: int) -> None:
-        """Reads texts that the feed left out, as far as the store can tell now."""
-        prefix = job_log_prefix(known.job.job_id)
-        shard_log = ShardLog(self._store, self._read_budget, prefix)
+    async def _read_page(self, known: KnownJob, after: int) -> ResultsPage:
+        """Reads the texts of results from a position on; at least one, and as fit in a page.
+
+        Raises:
+            NotReady: If the store can't tell the first.
+        """
+        results: list[ItemResult] = []
+        read_until_s = anyio.current_time() + MAX_PAGE_S
         try:
-            for sequence in known.textless_sequences(after):
-                known.fill(await shard_log.read_entry(sequence))
+            while after + len(results) < len(known.results):
+                found = await self._read_texts(known, after + len(results))
+                fitting = fitting_results([*results, *found], MAX_PAGE_BYTES)
+                is_full = len(fitting) < len(results) + len(found)
+                results = fitting
+                if is_full or anyio.current_time() >= read_until_s:
+                    break
         except (ObjectNotFound, StoreThrottled, StoreUnavailable) as error:
             log.info("Can't read texts: {}.", error, job_id=known.job.job_id, after=after)
+            if not results:
+                raise NotReady(f"the store can't tell the results from {after} on") from error
+        return ResultsPage(len(known.job.items), after + len(results), tuple(results))
+
+    async def _read_texts(self, known: KnownJob, position: int) -> tuple[ItemResult, ...]:
+        """Reads the rest of the log entry that holds a position's result."""
+        source = known.sources[position]
+        stored = await self._read_budget.call(self._store.get, source.key)
+        return LogEntry.decode(stored.value).results[position - source.first_position :]
 
     async def body(self, job_id: str, item_id: str) -> WorkItem:
         """Returns an item of a job that has not ended; raises `NotFound`."""
         known = await self.find(job_id)
-        await self.load_items(known)
-        for item in known.job.items:
+        job = await self.load(known)
+        for item in job.items:
             if item.id == item_id and not known.is_ended:
                 return item
         raise NotFound(f"no item {item_id} in job {job_id}")
@@ -187,7 +207,10 @@
 
     def open_log(self, job_id: str) -> ShardLog:
         """Returns the log of a job's results."""
-        return ShardLog(self._store, self._budget, job_log_prefix(job_id))
+        return self._open_log(job_id, self._budget)
+
+    def _open_log(self, job_id: str, budget: StoreBudget) -> ShardLog:
+        return ShardLog(JobLogStore(self._store, job_id), budget, job_log_prefix(job_id))
 
     async def find(self, job_id: str) -> KnownJob:
         """Returns a job, from the store if this node doesn't know it.
@@ -200,7 +223,7 @@
         if known is not None:
             return known
         try:
-            job = await self._load(job_id)
+            job = await self._load_head(job_id)
         except ObjectNotFound as error:
             raise NotFound(f"no job {job_id}") from error
         except (StoreThrottled, StoreUnavailable) as error:
@@ -209,22 +232,28 @@
         await self._catch_up(known, is_needed=True)
         return known
 
-    async def load_items(self, known: KnownJob) -> None:
-        """Reads what the feed left out of a job's items; raises `NotReady`."""
-        if not known.job.is_digest:
-            return
+    async def load(self, known: KnownJob) -> WorkJob:
+        """Returns a job with its items whole; raises `NotReady`."""
+        if known.whole is not None:
+            return known.whole
         try:
-            known.job = await self._load(known.job.job_id)
+            return await self._load(known.job.job_id)
         except (ObjectNotFound, StoreThrottled, StoreUnavailable) as error:
             raise NotReady(f"the store can't tell: {error}") from error
 
     async def _load(self, job_id: str) -> WorkJob:
-        stored = await self._read_budget.call(self._store.get, job_key(job_id))
-        job = WorkJob.decode(stored.value)
+        job = await self._load_head(job_id)
+        if not job.is_digest:
+            return job
+        items: tuple[WorkItem, ...] = ()
         for index in range(job.part_count):
             part = await self._read_budget.call(self._store.get, part_key(job_id, index))
-            job = job._replace(items=job.items + decode_items(json.loads(part.value)))
-        return job
+            items += decode_items(json.loads(part.value))
+        return job._replace(items=items, is_digest=False)
+
+    async def _load_head(self, job_id: str) -> WorkJob:
+        stored = await self._read_budget.call(self._store.get, job_key(job_id))
+        return WorkJob.decode(stored.value)
 
     async def _catch_up(self, known: KnownJob, *, is_needed: bool) -> None:
         """Reads entries that the feed has not brought yet, unless the store was just asked.
@@ -235,8 +264,7 @@
         asked_at_s = anyio.current_time()
         if asked_at_s - known.none_further_at_s < MAX_LOOK_AGE_S:
             return
-        prefix = job_log_prefix(known.job.job_id)
-        shard_log = ShardLog(self._store, self._read_budget, prefix)
+        shard_log = self._open_log(known.job.job_id, self._read_budget)
         try:
             while not known.is_complete:
                 known.take(await shard_log.read_entry(known.next_sequence))
@@ -248,14 +276,12 @@
                 raise NotReady("the store can't tell") from error
 
     async def _create_parts(self, job: WorkJob, answer_by_ms: int) -> WorkJob:
-        """Stores items that are too many for the head; returns the head to store."""
+        """Stores the items of a job; returns the head to store."""
         parts = split_parts(job.items)
-        if len(parts) == 1:
-            return job
         for index, part in enumerate(parts):
             value = json.dumps(part).encode()
             await self._create(part_key(job.job_id, index), value, answer_by_ms, is_head=False)
-        return job._replace(items=(), part_count=len(parts))
+        return job.digest()._replace(part_count=len(parts))
 
     async def _create(self, key: str, value: bytes, answer_by_ms: int, *, is_head: bool) -> bool:
         """Creates an object; false if one stands already, which says the same."""
@@ -279,8 +305,3 @@
         raise AcceptanceRefused(
             f"the store did not take it: {failure}", retry_at_ms=now_ms + ANSWER_RESERVE_MS
         )
-
-
-def _page(known: KnownJob, after: int) -> ResultsPage:
-    chosen = fitting_results(known.whole_results(after), MAX_PAGE_BYTES)
-    return ResultsPage(len(known.job.items), after + len(chosen), tuple(chosen))
--- a/features/platform/batch.feature
+++ b/features/platform/batch.feature
@@ -60,10 +60,15 @@
     When the store turns every write away while a job is submitted
     Then the caller gets 503 and nothing of the job is kept
 
-  Scenario: A job whose acceptance was written and not answered is accepted
-    When the store writes the job and loses the answer
+  Scenario Outline: A job whose acceptance was written and not answered is accepted
+    When the store writes <part> and loses the answer
     Then the caller gets 202 and the job is done
 
+    Examples:
+      | part      |
+      | its head  |
+      | its items |
+
   Scenario: Results wait for a store that is away
     When the store is away while a job runs, and comes back
     Then the job is done, and no node has ended
--- a/features/platform/feeds.feature
+++ b/features/platform/feeds.feature
@@ -28,9 +28,9 @@
     Then one of these lists the jobs from the store, and all know the results within 4 s
     And a reader at each of them gets the texts
 
-  Scenario: A digest that comes again is passed on as it is
-    When a job and an entry, whose texts speak of digests, are digested twice
-    Then each digest is without texts and the second the same as the first
+  Scenario: What every node lists of jobs are ids alone
+    When a job of items with bodies is done, and its entries are listed as each node lists them
+    Then what is listed names all items and holds neither a body nor a text, which stand elsewhere
 
   Scenario: Texts that the store can't tell now
     When a node knows results without texts and the store turns it away
--- a/features/steps/platform_batch.py
+++ b/features/steps/platform_batch.py
@@ -9,6 +9,7 @@
 from behave import then, when
 from behave.runner import Context
 
+from briarvale.work_jobs import JOBS_KIND, PARTS_KIND
 from features.support.platform_engine import Behaviour, whole_text
 from features.support.platform_fleet import (
     CRASH_S,
@@ -502,7 +503,7 @@
 @when("the node that runs a job stops gracefully just as another entry takes its place")
 def when_overtaken(context: Context) -> None:
     async def behave_as(fleet: PlatformFleet, facts: dict[str, Any]) -> None:
-        fleet.store.faults.overtake = Overtake(HANDED_OVER, foreign_entry)
+        fleet.store.faults.overtake = Overtake(JOBS_KIND, HANDED_OVER, foreign_entry)
         await lose_runner(lambda node: node.stopped.set())(fleet, facts)
         entries = fleet.store.kinds["workjobs"].values()
         texts = [json.loads(row["spec"]["text"]) for row in entries]
@@ -563,9 +564,10 @@
     assert context.facts["kept"] == []
 
 
-@when("the store writes the job and loses the answer")
-def when_lost(context: Context) -> None:
+@when("the store writes {part} and loses the answer")
+def when_lost(context: Context, part: str) -> None:
     async def behave_as(fleet: PlatformFleet, facts: dict[str, Any]) -> None:
+        fleet.store.faults.lose_kind = {"its head": JOBS_KIND, "its items": PARTS_KIND}[part]
         fleet.store.faults.lose_next_writes = 1
         facts["answer"] = await submit(fleet.nodes["vm-1"], job_body(ITEMS))
         facts["results"] = await read_all(fleet.nodes["vm-1"])
--- a/features/steps/platform_feeds.py
+++ b/features/steps/platform_feeds.py
@@ -1,5 +1,6 @@
 """Steps of the feeds that nodes share: real nodes and a store, on loopback."""
 
+import base64
 import json
 from collections.abc import Callable
 from typing import Any
@@ -14,18 +15,11 @@
 from briarvale.feed_link import FeedLink
 from briarvale.feed_publisher import MAX_UPDATE_BYTES, FeedPublisher
 from briarvale.feed_source import FeedSource
-from briarvale.object_feed import ChangeList, FeedObject, ObjectFeed, ObjectList
+from briarvale.object_feed import ChangeList, ObjectFeed, ObjectList
 from briarvale.peer import PeerAddress, PeerIdentity, TcpTransport
-from briarvale.shard_log import ItemResult, LogEntry, RunnerId
+from briarvale.shard_log import ItemResult, LogEntry
 from briarvale.vm_list import VmEntry, VmStatus
-from briarvale.work_jobs import (
-    DIGEST_MARK,
-    JOBS_KIND,
-    JobDirectory,
-    WorkItem,
-    WorkJob,
-    job_digest,
-)
+from briarvale.work_jobs import JOBS_KIND, JobDirectory
 from features.steps.platform_batch import ITEMS, JOB, play, read, read_all, runner_of, submit
 from features.support.platform_engine import whole_text
 from features.support.platform_fleet import Caller, FleetNode, PlatformFleet, free_port, job_body
@@ -272,21 +266,29 @@
     assert answer.status == 503 and float(answer.headers["retry-after"]) >= 0, answer
 
 
-@when("a job and an entry, whose texts speak of digests, are digested twice")
-def when_digested(context: Context) -> None:
-    item = WorkItem("a", "/lot/a", (("x", "y"),), DIGEST_MARK.decode())
-    job = WorkJob("j", "h", "s", 1, 1, 2, 3, 3, (item,), runner=RunnerId("vm-1", "b"))
-    entry = LogEntry(0, "n", (ItemResult(0, DIGEST_MARK.decode(), ""),))
-    rows = (FeedObject("j", job.encode(), 1), FeedObject("j.log.0", entry.encode(), 2))
-    context.digests = [(job_digest(row), job_digest(job_digest(row))) for row in rows]
+@when("a job of items with bodies is done, and its entries are listed as each node lists them")
+def when_stored(context: Context) -> None:
+    async def behave_as(fleet: PlatformFleet, facts: dict[str, Any]) -> None:
+        node = next(iter(fleet.nodes.values()))
+        await submit(node, job_body(ITEMS))
+        await read_all(node)
+        rows = fleet.store.kinds[JOBS_KIND].values()
+        facts["listed"] = [row["spec"]["text"] for row in rows]
+        other = {kind: rows for kind, rows in fleet.store.kinds.items() if kind != JOBS_KIND}
+        facts["elsewhere"] = json.dumps(other)
+
+    play(context, behave_as, nodes=1)
 
 
-@then("each digest is without texts and the second the same as the first")
-def then_same_digest(context: Context) -> None:
-    (job, _), (entry, _) = context.digests
-    assert WorkJob.decode(job.value).items == (WorkItem("a", "", (), ""),), job
-    assert LogEntry.decode(entry.value).results == (ItemResult(0, "", ""),), entry
-    assert all(first == second for first, second in context.digests), context.digests
+@then("what is listed names all items and holds neither a body nor a text, which stand elsewhere")
+def then_ids_alone(context: Context) -> None:
+    listed = "".join(context.facts["listed"])
+    text = whole_text(6).partition("\n")[0]
+    assert all(item in listed for item in ITEMS), listed
+    for item in ITEMS:
+        body = base64.b64encode(f"prompt of {item}".encode()).decode()
+        assert body not in listed and body in context.facts["elsewhere"], listed
+    assert text not in listed and text in context.facts["elsewhere"], listed
 
 
 class InterruptedStore:
@@ -318,7 +320,7 @@
     async def run() -> None:
         store = InterruptedStore()
         lost = PeerAddress("127.0.0.1", free_port())
-        publisher = FeedPublisher({})
+        publisher = FeedPublisher()
         transport = TcpTransport(PeerIdentity("vm-1", "node", "b"), "test")
         jobs = frozenset((JOBS_KIND,))
         source = FeedSource(store, publisher, transport, lambda: lost, listed_by_publisher=jobs)
--- /dev/null
+++ b/features/steps/platform_memory.py
@@ -0,0 +1,143 @@
+"""Steps of what nodes read and keep of jobs that they neither run nor read."""
+
+import base64
+import json
+import os
+import subprocess
+import tempfile
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+from typing import Any
+from unittest import mock
+
+import anyio
+from behave import then, when
+from behave.runner import Context
+
+from briarvale.node_settings import NodeSettings
+from briarvale.peer import PeerAddress
+from briarvale.work_jobs import JOBS_KIND
+from features.steps.platform_batch import play
+from features.steps.platform_edges import start_process
+from features.steps.platform_feeds import LINK_S, STARTED_S
+from features.support.platform_boot import boot_text
+from features.support.platform_fleet import Caller, FleetNode, PlatformFleet, free_port
+
+ITEMS_A_JOB = 10
+ITEM_BYTES = 15_000
+CALLERS = 8
+DAY_JOBS = 300
+FEW_JOBS = 30
+# What the smallest machines of the users have.
+MEMORY_BYTES = 128_000_000
+MAX_LISTED_BYTES_A_JOB = 3_000
+LIST_TIMEOUT_S = 60.0
+LIST_AGAIN_S = 3.0
+JOBS_PATH = f"/briarvale/objects/{JOBS_KIND}"
+
+
+def bulky_job(job_id: str) -> bytes:
+    """Returns a job whose items' bodies no compression makes smaller."""
+    rows = [
+        {
+            "id": f"{job_id}-{index}",
+            "path": f"/lot/{index}",
+            "headers": {"Briarvale-Model": "m", "Briarvale-Token-Usage": "100,50"},
+            "body": base64.b64encode(os.urandom(ITEM_BYTES)).decode(),
+            "tokens": 150,
+        }
+        for index in range(ITEMS_A_JOB)
+    ]
+    return json.dumps({"items": rows}).encode()
+
+
+async def keep_jobs(node: FleetNode, count: int) -> None:
+    """Has a node accept jobs, and ends each, so that nobody runs them."""
+    waiting = [f"job-{number}" for number in range(count)]
+
+    async def call() -> None:
+        while waiting:
+            job_id = waiting.pop()
+            caller = Caller(node)
+            answer = await caller.call("POST", "/lot/", bulky_job(job_id), request_id=job_id)
+            assert answer is not None and answer.status == 202, answer
+            answer = await Caller(node).call("DELETE", f"/briarvale/lots/{job_id}")
+            assert answer is not None and answer.status == 200, answer
+
+    async with anyio.create_task_group() as tasks:
+        for _ in range(CALLERS):
+            tasks.start_soon(call)
+
+
+def elsewhere(settings: NodeSettings) -> NodeSettings:
+    """Returns the settings of another node with the same way to the store."""
+    parts = settings.parts._replace(vm="vm-9", host="127.0.0.31", peer_port=free_port())
+    front, readiness = (PeerAddress(parts.host, free_port()) for _ in range(2))
+    return settings._replace(parts=parts, front=front, readiness=readiness)
+
+
+@contextmanager
+def node_process(settings: NodeSettings) -> Iterator["subprocess.Popen[str]"]:
+    """Runs a node's process inside the block."""
+    with tempfile.TemporaryDirectory() as folder:
+        process = start_process(boot_text(settings), Path(folder), str(free_port()))
+        try:
+            yield process
+        finally:
+            process.kill()
+            process.communicate()
+
+
+def peak_bytes(process: "subprocess.Popen[str]") -> int:
+    """Returns the largest resident size that a process has had."""
+    lines = Path(f"/proc/{process.pid}/status").read_text().splitlines()
+    row = next(line for line in lines if line.startswith("VmHWM:"))
+    return int(row.split()[1]) * 1_024
+
+
+@when("300 jobs, each of 10 items of 15 kB, stand in the store and a node's process starts")
+def when_day(context: Context) -> None:
+    async def behave_as(fleet: PlatformFleet, facts: dict[str, Any]) -> None:
+        node = next(iter(fleet.nodes.values()))
+        await keep_jobs(node, DAY_JOBS)
+        node.kill()
+        await node.ended.wait()
+        gate = fleet.gates[node.name]
+        gate.watches.clear()
+        with node_process(elsewhere(node.settings)) as process:
+            with anyio.fail_after(LIST_TIMEOUT_S):
+                while not gate.watches[JOBS_PATH]:
+                    await anyio.sleep(0.1)
+            facts["peak_bytes"] = peak_bytes(process)
+
+    play(context, behave_as, nodes=1, engines=0)
+
+
+@then("it has listed the jobs within 128 MB of memory")
+def then_within(context: Context) -> None:
+    assert context.facts["peak_bytes"] < MEMORY_BYTES, context.facts["peak_bytes"]
+
+
+@when("30 jobs, each of 10 items of 15 kB, stand in the store and it cuts all watches")
+def when_cut(context: Context) -> None:
+    async def behave_as(fleet: PlatformFleet, facts: dict[str, Any]) -> None:
+        await anyio.sleep(LINK_S)
+        await keep_jobs(next(iter(fleet.nodes.values())), FEW_JOBS)
+        gates = list(fleet.gates.values())
+        for gate in gates:
+            gate.listed_bytes.clear()
+        fleet.store.compact()
+        fleet.store.cut_watches()
+        await anyio.sleep(LIST_AGAIN_S)
+        facts["listed"] = [gate.listed_bytes[JOBS_PATH] / FEW_JOBS for gate in gates]
+
+    # Only nodes that have just started wait for the one that watches.
+    with mock.patch("briarvale.feed_source.LIST_WAIT_S", STARTED_S):
+        play(context, behave_as, nodes=4, engines=0)
+
+
+@then("no node reads more than 3 kB for each job")
+def then_little(context: Context) -> None:
+    assert max(context.facts["listed"]) > 0, context.facts["listed"]
+    assert max(context.facts["listed"]) < MAX_LISTED_BYTES_A_JOB, context.facts["listed"]
--- a/features/steps/platform_narrow.py
+++ b/features/steps/platform_narrow.py
@@ -14,7 +14,7 @@
 from briarvale.node_settings import StoreLimits
 from briarvale.peer import PeerAddress
 from briarvale.platform.store import PlatformStore
-from briarvale.work_jobs import JOBS_KIND, WorkJob
+from briarvale.work_jobs import JOBS_KIND, PARTS_KIND, WorkItem, WorkJob
 from features.steps.platform_batch import ITEMS, play, read_all, submit
 from features.support.narrow_link import NarrowLink
 from features.support.platform_fleet import PlatformFleet, free_port, job_body
@@ -134,14 +134,15 @@
 
 def large_head(number: int) -> dict[str, str]:
     """Returns the stored head of a job whose items are in a further object."""
-    job = WorkJob(f"large-{number}", "desk.example", "desk", 0, 0, 0, 0, 3, (), part_count=1)
-    return {"text": job.encode().decode()}
+    item = WorkItem(f"large-item-{number}", "", (), "")
+    job = WorkJob(f"large-{number}", "desk.example", "desk", 0, 0, 0, 0, 3, (item,), part_count=1)
+    return {"text": job.digest().encode().decode()}
 
 
 @when("a node of one can read no part of 12 large jobs, and a small job is submitted")
 def when_large(context: Context) -> None:
     async def behave_as(fleet: PlatformFleet, facts: dict[str, Any]) -> None:
-        fleet.gates["vm-1"].silent_path = ".part."
+        fleet.gates["vm-1"].silent_path = f"/{PARTS_KIND}/"
         for number in range(12):
             fleet.store.put(JOBS_KIND, f"large-{number}", large_head(number))
         await anyio.sleep(LISTED_AFTER_S)
--- a/features/support/platform_store.py
+++ b/features/support/platform_store.py
@@ -29,8 +29,9 @@
 
 
 class Overtake(NamedTuple):
-    """Another writer's object that takes the place of the next create whose text has a marker."""
+    """Another writer's object that takes the place of a kind's next create that has a marker."""
 
+    kind: str
     marker: str
     spec: Callable[[Row], Row]
 
@@ -42,6 +43,8 @@
         self.refuse_status = 0
         self.refused_verbs: set[bytes] = {b"GET", b"POST", b"PUT", b"DELETE"}
         self.lose_next_writes = 0
+        # Only writes of this kind are lost; of all kinds if it is empty.
+        self.lose_kind = ""
         self.are_watches_deaf = False
         self.watch_cuts = 0
         self.refused_hosts: set[str] = set()
@@ -104,7 +107,7 @@
             await self._read(kind, unquote(name), fields, responder)
             return
         status, row = self._change(request.method, kind, unquote(name), fields, body)
-        if self.faults.lose_next_writes:
+        if self.faults.lose_next_writes and self.faults.lose_kind in ("", kind):
             self.faults.lose_next_writes -= 1
             raise BriarvaleError("the answer is lost")
         await _answer(responder, status, row)
@@ -157,7 +160,7 @@
         known = rows.get(name)
         if verb == b"POST":
             overtake = self.faults.overtake
-            if overtake is not None and overtake.marker in json.dumps(body):
+            if overtake and overtake.kind == kind and overtake.marker in json.dumps(body):
                 self.faults.overtake = None
                 known = self._write(
                     kind, {"metadata": {"name": name}, "spec": overtake.spec(body["spec"])}
@@ -202,8 +205,10 @@
         # Calls whose path holds this text are never answered; none if it is empty.
         self.silent_path = ""
         self.watch_calls = 0
-        # Calls for whole kinds, by path.
+        # Calls for whole kinds, the bytes of their answers, and watches, by path.
         self.list_calls: Counter[str] = Counter()
+        self.listed_bytes: Counter[str] = Counter()
+        self.watches: Counter[str] = Counter()
 
     async def refuse(self, error: BriarvaleError, responder: Responder) -> None:
         """Answers what can't be read."""
@@ -211,9 +216,13 @@
 
     async def handle(self, request: IngressRequest, responder: Responder) -> None:
         """Passes a call on, or turns it away; waiting watches end when the gate closes."""
-        self.watch_calls += b"?watch=" in request.target
-        if request.method == b"GET" and b"watch=" not in request.target:
-            self.list_calls[request.target.decode().partition("?")[0]] += 1
+        path = request.target.decode().partition("?")[0]
+        is_watch = b"?watch=" in request.target
+        self.watch_calls += is_watch
+        if is_watch:
+            self.watches[path] += 1
+        elif request.method == b"GET":
+            self.list_calls[path] += 1
         if self.is_refusing:
             await _answer(responder, 503, {})
             return
@@ -221,7 +230,7 @@
             await anyio.sleep_forever()
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._watch_gate, tasks.cancel_scope)
-            await self._store.handle(request, _Muted(responder, self))
+            await self._store.handle(request, _Muted(responder, self, path))
             tasks.cancel_scope.cancel()
         if not responder.has_started:
             await _answer(responder, 503, {})
@@ -233,16 +242,18 @@
 
 
 class _Muted:
-    """Holds answers back while a gate is silent."""
+    """Holds answers back while a gate is silent, and counts their bytes."""
 
-    def __init__(self, responder: Responder, gate: StoreGate) -> None:
+    def __init__(self, responder: Responder, gate: StoreGate, path: str) -> None:
         self._responder = responder
         self._gate = gate
+        self._path = path
 
     async def answer(self, status: int, headers: Any, body: bytes) -> None:
         """Sends a whole answer once the gate passes it."""
         while self._gate.is_silent:
             await anyio.sleep(0.05)
+        self._gate.listed_bytes[self._path] += len(body)
         await self._responder.answer(status, headers, body)
 
 
