--- a/briarvale/work_items.py
+++ b/briarvale/work_items.py
@@ -12,10 +12,10 @@
 from .errors import (
     BriarvaleError,
     DeadlineExceeded,
-    Quarantined,
     ServerConnectFailed,
     ServerFull,
     ServerLost,
+    ServerNotReady,
     ServerStalled,
 )
 from .event_stream import EventCursor, EventSplitter
@@ -28,12 +28,14 @@
 from .work_jobs import WorkItem, WorkJob
 
 SLOT_WAIT_MS = 5_000
+# How long an item waits for another server than the one that its last run failed on.
+ELSEWHERE_WAIT_MS = 1_000
 # Callers give a stream up after two seconds of silence; an item may wait a little longer.
 MAX_SILENCE_S = 3.0
-MAX_SUSPECT_TRIALS = 3
-SUSPECT_PAUSE_S = 3.0
 RETRY_START_S = 0.05
 RETRY_MAX_S = 1.0
+# More would take the pause beyond what a float can hold.
+MAX_DOUBLINGS = 10
 ITEM_REFUSED = "item_refused"
 ATTEMPTS_EXHAUSTED = "attempts_exhausted"
 GIVEN_UP = "given_up"
@@ -64,7 +66,6 @@
         self.cursor = EventCursor(None if progress is None else progress.last_event_id)
         self.failures = 0
         self.waits = 0
-        self.trials = 0
         self.heard_at_s = 0.0
         self.is_stalled = False
         self.excluded: list[str] = []
@@ -93,11 +94,15 @@
         self._servers = parts.servers
         self._slots = parts.slots
         self._engines = parts.engines
-        self._crashes = parts.crashes
         self._decoder = decoder
 
     async def run(self, job: WorkJob, state: ItemState) -> ItemResult:
-        """Runs an item until it has a result; an error code says why it was given up."""
+        """Runs an item until it has a result; an error code says why it was given up.
+
+        An item is owed until its route lets it end, so another run follows each that is lost, on
+        another server if there is one, however many servers crashed under it. Its losses say
+        nothing of online requests, whose content differs, so `CrashGuard` is not told of them.
+        """
         item = job.items[state.index]
         request = self._decoder.item_request(job, item, base64.b64decode(item.body_base64))
         while not state.is_whole and not state.error_code:
@@ -105,7 +110,6 @@
                 state.error_code = GIVEN_UP
                 break
             try:
-                await self._wait_if_suspect(job, request, state)
                 await self._run_once(job, request, state)
                 state.waits = 0
             except BriarvaleError as error:
@@ -118,50 +122,37 @@
                     reason=str(error),
                     events=len(state.data),
                 )
-                limit_s = min(RETRY_MAX_S, RETRY_START_S * 2**state.waits)
-                await anyio.sleep(limit_s * random.uniform(0.5, 1.0))
+                await _back_off(state.waits)
         text = "" if state.error_code else "\n".join(state.data)
         return ItemResult(state.index, text, state.error_code)
 
-    async def _wait_if_suspect(
-        self, job: WorkJob, request: ForwardRequest, state: ItemState
-    ) -> None:
-        """Lets an item that crashed servers run again a few times, further and further apart.
-
-        It may have run beside the one that crashed them. It can't be listed as given up before its
-        route allows, so after that it waits.
-        """
-        try:
-            self._crashes.check(request.fingerprint)
-        except Quarantined:
-            state.trials += 1
-            if state.trials <= MAX_SUSPECT_TRIALS:
-                await anyio.sleep(SUSPECT_PAUSE_S * state.trials)
-            else:
-                await self._clock.sleep_until(job.give_up_at_ms)
-                raise
-
     async def _run_once(self, job: WorkJob, request: ForwardRequest, state: ItemState) -> None:
-        async with self._slots.hold(self._slot_request(job, request, state)) as slot:
+        wanted = self._slot_request(job, request, state)
+        state.excluded = []
+        async with self._slots.hold(wanted) as slot:
             server = self._servers.get(slot.grant.backend_server)
             if server is None:
                 raise ServerConnectFailed("the granted server has no entry here")
-            state.excluded = []
-            began_at_ms = self._clock.now_ms()
             try:
                 await self._run_at(job, request, state, slot, server)
-            except (ServerLost, ServerConnectFailed, ServerFull, ServerStalled) as error:
-                if isinstance(error, ServerLost):
-                    await self._crashes.note_loss(request.fingerprint, server, began_at_ms)
+            except (ServerLost, ServerConnectFailed, ServerFull, ServerStalled):
                 slot.outcome = Outcome.FAILED
                 state.excluded = [server.id]
                 raise
+            except ServerNotReady:
+                state.excluded = [server.id]
+                raise
+            finally:
+                if self._servers.is_draining(server):
+                    slot.note_draining(server)
 
     def _slot_request(self, job: WorkJob, request: ForwardRequest, state: ItemState) -> SlotRequest:
+        """Returns the request for a slot: elsewhere for a while after a loss, then anywhere."""
+        wait_ms = ELSEWHERE_WAIT_MS if state.excluded else SLOT_WAIT_MS
         wanted = self._parts.slot_request(
             request,
             WorkClass.BATCH,
-            deadline_ms=self._clock.now_ms() + SLOT_WAIT_MS,
+            deadline_ms=self._clock.now_ms() + wait_ms,
             priority=job.priority,
             excluded=state.excluded,
         )
@@ -245,6 +236,12 @@
                 raise ServerLost(f"status {status}")
 
 
+async def _back_off(waits: int) -> None:
+    """Pauses before an item asks for its next slot, longer after each wait in a row."""
+    limit_s = min(RETRY_MAX_S, RETRY_START_S * 2 ** min(waits, MAX_DOUBLINGS))
+    await anyio.sleep(limit_s * random.uniform(0.5, 1.0))
+
+
 async def _cancel_when_silent(state: ItemState, scope: anyio.CancelScope) -> None:
     """Ends a run whose server has sent nothing for too long, though its connection stands."""
     state.heard_at_s = anyio.current_time()
--- a/briarvale/work_runner.py
+++ b/briarvale/work_runner.py
@@ -10,7 +10,7 @@
 
 from . import logs, metrics
 from .clock import Clock
-from .errors import BriarvaleError, NotReady, ShardSealed, StoreThrottled, StoreUnavailable
+from .errors import NotReady, ShardSealed, StoreThrottled, StoreUnavailable
 from .node_cluster import NodeCluster
 from .peer import PeerIdentity
 from .shard_log import NO_RUNNER, ItemResult, RunnerId, ShardLog, fitting_results
@@ -26,6 +26,8 @@
 STORE_PAUSE_S = 0.2
 HAND_OVER_S = 2.0
 CLAIM_GRACE_S = 3.0
+# A node that may not reach the store, or not live, is waited for this long before the next claims.
+CLAIM_STEP_S = 3.0
 
 log = logs.part("batch")
 
@@ -37,6 +39,7 @@
 
     def __init__(self, known: KnownJob) -> None:
         self.known = known
+        self.job = known.job
         self.claimed_from = known.runner
         self.results: list[ItemResult] = []
         self.states: dict[int, ItemState] = {}
@@ -78,6 +81,8 @@
         self._clock = clock
         self._running: dict[str, _RunningJob] = {}
         self._retry_at_s: dict[str, float] = {}
+        # Since when jobs are known here to have no runner that lives.
+        self._orphaned_at_s: dict[str, float] = {}
         self._is_stopping = False
 
     @property
@@ -91,9 +96,7 @@
             while True:
                 self._follow()
                 self._start(tasks)
-                await self._load_heads()
-                with anyio.move_on_after(LOOK_INTERVAL_S):
-                    await self._directory.changed.wait()
+                await self._wait_news()
 
     async def drain(self) -> None:
         """Stops all items, lists what is done, and leaves the rest to the next runners."""
@@ -113,8 +116,11 @@
         now_s = anyio.current_time()
         for known in self._directory:
             job_id = known.job.job_id
+            if known.is_complete:
+                self._orphaned_at_s.pop(job_id, None)
+                continue
             is_due = self._retry_at_s.get(job_id, 0.0) <= now_s
-            if known.is_complete or job_id in self._running or self._is_stopping or not is_due:
+            if job_id in self._running or self._is_stopping or not is_due:
                 continue
             if known.runner == self._own or self._may_claim(known):
                 self._running[job_id] = _RunningJob(known)
@@ -124,32 +130,39 @@
         """Whether the job has no runner that lives, and falls to this node.
 
         A node whose earlier life ran the job claims it itself; the others can't tell its lives
-        apart. Who claimed a job a moment ago lives, whatever the membership knows of it.
+        apart. Where the node that should claim a job does not, the next one does after a while.
         """
         if known.runner.vm == self._own.vm:
             return True
-        if not self._cluster.is_mine(known.job.job_id):
+        job_id = known.job.job_id
+        if not self._is_orphaned(known):
+            self._orphaned_at_s.pop(job_id, None)
             return False
+        now_s = anyio.current_time()
+        since_s = self._orphaned_at_s.setdefault(job_id, now_s)
+        rank = self._cluster.rank(job_id)
+        return rank is not None and now_s - since_s >= rank * CLAIM_STEP_S
+
+    def _is_orphaned(self, known: KnownJob) -> bool:
+        """Whether the job was given back or its runner is surely lost.
+
+        Who claimed a job a moment ago lives, whatever the membership knows of it.
+        """
         if known.runner == NO_RUNNER:
             return True
         is_fresh = anyio.current_time() - known.runner_since_s < CLAIM_GRACE_S
         return self._cluster.is_settled and not is_fresh and self._cluster.is_lost(known.runner.vm)
 
-    async def _load_heads(self) -> None:
-        """Reads the items of large jobs, of which the feed brought only the head."""
-        for job_id in self._directory.take_unloaded():
-            try:
-                await self._service.find(job_id)
-            except BriarvaleError as error:
-                log.info("Can't read a job yet: {}.", error, job_id=job_id)
-                self._directory.note_unloaded(job_id)
+    async def _wait_news(self) -> None:
+        with anyio.move_on_after(LOOK_INTERVAL_S):
+            await self._directory.changed.wait()
 
     async def _run_job(self, running: _RunningJob) -> None:
         job = running.known.job
         shard_log = self._service.open_log(job.job_id)
         try:
             with running.scope:
-                await self._service.load_items(running.known)
+                running.job = await self._service.load(running.known)
                 await self._replay(shard_log)
                 if await self._claim(running, shard_log):
                     await self._run_items(running, shard_log)
@@ -162,6 +175,7 @@
             log.exception("A job stopped: {!r}.", error, job_id=job.job_id)
         finally:
             del self._running[job.job_id]
+            running.known.whole = None
             self._retry_at_s[job.job_id] = anyio.current_time() + RETRY_S
 
     async def _claim(self, running: _RunningJob, shard_log: ShardLog) -> bool:
@@ -237,7 +251,7 @@
 
     async def _run_item(self, running: _RunningJob, state: ItemState) -> None:
         try:
-            running.add(await self._items.run(running.known.job, state))
+            running.add(await self._items.run(running.job, state))
         except Exception as error:
             # The item stays open, and the job's next run takes it up again.
             log.exception("An item failed: {!r}.", error, job_id=running.known.job.job_id)
--- a/features/platform/batch.feature
+++ b/features/platform/batch.feature
@@ -21,6 +21,21 @@
     When two backend servers crash while they run the same item
     Then the item is done by the other server
 
+  # Guards against an item that several crashes, each elsewhere, left without a place until it expired.
+  Scenario: An item that ran on five servers as they crashed is done once all is calm
+    When the backend server that runs an item crashes, 5 times in a row
+    Then the item is done within 5 s of the last disturbance
+
+  # Guards against turns of waiting for a slot that used up the places that crashes left to an item.
+  Scenario: An item that crashed with two servers and lost its slots is done once all is calm
+    When the backend server that runs an item crashes twice, and online requests take its slot 4 times
+    Then the item is done within 5 s of the last disturbance
+
+  # Guards against an item that waits for other servers without end while its last one has room.
+  Scenario: An item that a server broke off runs there again if all others stay full
+    When a server breaks an item off while another item fills the only other server for 15 s
+    Then the item is done within 5 s
+
   Scenario: An ended job stops and keeps what it listed
     When a caller ends a job that runs, at another node, twice
     Then its items stop at the backend servers and nothing more is listed
@@ -45,10 +60,15 @@
     When the store turns every write away while a job is submitted
     Then the caller gets 503 and nothing of the job is kept
 
-  Scenario: A job whose acceptance was written and not answered is accepted
-    When the store writes the job and loses the answer
+  Scenario Outline: A job whose acceptance was written and not answered is accepted
+    When the store writes <part> and loses the answer
     Then the caller gets 202 and the job is done
 
+    Examples:
+      | part      |
+      | its head  |
+      | its items |
+
   Scenario: Results wait for a store that is away
     When the store is away while a job runs, and comes back
     Then the job is done, and no node has ended
