--- a/features/steps/platform_claims.py
+++ b/features/steps/platform_claims.py
@@ -8,10 +8,13 @@
 
 from briarvale.rendezvous import first_by_rendezvous
 from features.steps.platform_batch import JOB, play, read_all, runner_of, submit
+from features.support.claim_fleet import ClaimFleet
 from features.support.platform_fleet import PlatformFleet, job_body
+from features.support.virtual import run_virtual
 
 # The runner's end is noticed after 3 s, and its job runs for 3 s.
 BOUND_S = 12.0
+CALM_S = 10.0
 
 
 @when("the runner of a job is killed, and of the two others the first to claim it has no store")
@@ -37,3 +40,21 @@
 @then("the job is done within 12 s of the runner's end")
 def then_done(context: Context) -> None:
     assert context.facts["done after s"] < BOUND_S, context.facts["done after s"]
+
+
+@when("{count:d} short schedules of faults are played in virtual time, each with 6 jobs")
+def when_schedules(context: Context, count: int) -> None:
+    context.open_jobs = {}
+    context.accepted = 0
+    for seed in range(count):
+        fleet = ClaimFleet(seed)
+        open_jobs = run_virtual(fleet.play, CALM_S, seed=seed)
+        context.accepted += len(fleet.accepted)
+        if open_jobs:
+            context.open_jobs[seed] = (open_jobs, fleet.told)
+
+
+@then("all items of all accepted jobs are listed 10 s after the last fault")
+def then_all_listed(context: Context) -> None:
+    assert context.accepted > 0
+    assert not context.open_jobs, context.open_jobs
--- /dev/null
+++ b/features/support/claim_fleet.py
@@ -0,0 +1,305 @@
+"""Runners of jobs in virtual time, with a store and a view of the fleet that go wrong by a seed.
+
+The runner, the service and the log are the product's. Who counts as alive is told by the test, late
+and differently to each node, as the membership may for a while.
+"""
+
+import random
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
+
+import anyio
+from anyio.abc import TaskGroup
+
+from briarvale.clock import Clock
+from briarvale.errors import BriarvaleError, StoreThrottled, StoreUnavailable
+from briarvale.object_feed import FeedObject
+from briarvale.peer import PeerIdentity
+from briarvale.rendezvous import rank_by_rendezvous
+from briarvale.shard_log import ItemResult, LogEntry
+from briarvale.standins.object_api import StandinObjectApi
+from briarvale.store_budget import BackOff, CallRates, StoreBudget
+from briarvale.work_items import ItemState
+from briarvale.work_jobs import JOBS_KIND, JobDirectory, WorkItem, WorkJob, job_log_prefix
+from briarvale.work_runner import WorkRunner
+from briarvale.work_service import WorkService
+
+NODES = 4
+JOBS = 6
+TROUBLE_S = 20.0
+SETTLE_S = 3.0
+STOP_S = 3.0
+CALL_TIMEOUT_S = 1.5
+FEED_INTERVAL_S = 0.3
+RUN_MAX_S = 1.5
+
+T = TypeVar("T")
+
+__all__ = ["ClaimFleet", "TROUBLE_S"]
+
+
+class _StoreWay:
+    """One node's way to the store, which may be cut."""
+
+    def __init__(self, store: StandinObjectApi) -> None:
+        self._store = store
+        self.is_silent = False
+        self.is_refusing = False
+
+    async def get(self, key: str) -> object:
+        """Reads an object."""
+        return await self._pass(lambda: self._store.get(key))
+
+    async def create(self, key: str, value: bytes) -> object:
+        """Creates an object."""
+        return await self._pass(lambda: self._store.create(key, value))
+
+    async def _pass(self, call: Callable[[], Awaitable[T]]) -> T:
+        if self.is_refusing:
+            raise StoreThrottled("turned away")
+        if self.is_silent:
+            await anyio.sleep(CALL_TIMEOUT_S)
+            raise StoreUnavailable("silence")
+        return await call()
+
+
+class _View:
+    """What a node believes of the fleet; stands in for `NodeCluster`."""
+
+    def __init__(self, name: str, started_at_s: float, fleet: "ClaimFleet") -> None:
+        self._name = name
+        self._started_at_s = started_at_s
+        self._fleet = fleet
+        self.alive: dict[str, float] = {}
+        self.blind_until_s = 0.0
+
+    def look(self) -> None:
+        """Takes who is alive now, unless this node is blind."""
+        if anyio.current_time() >= self.blind_until_s:
+            self.alive = self._fleet.alive()
+
+    @property
+    def is_settled(self) -> bool:
+        """Whether it has been up for a while."""
+        return anyio.current_time() - self._started_at_s >= SETTLE_S
+
+    def is_lost(self, vm: str) -> bool:
+        """Whether a node counts as gone."""
+        return vm not in self.alive
+
+    def is_mine(self, key: str) -> bool:
+        """Whether a key falls to this node first."""
+        return self.rank(key) == 0
+
+    def rank(self, key: str) -> int | None:
+        """Returns this node's place for a key."""
+        now_s = anyio.current_time()
+        settled = [name for name, at_s in self.alive.items() if now_s - at_s >= SETTLE_S]
+        ranked = rank_by_rendezvous(key, settled or self.alive)
+        return ranked.index(self._name) if self._name in ranked else None
+
+
+class _Items:
+    """Runs items: each takes a moment."""
+
+    async def run(self, job: WorkJob, state: ItemState) -> ItemResult:
+        """Runs an item."""
+        await anyio.sleep(random.uniform(0.1, RUN_MAX_S))
+        return ItemResult(state.index, f"text {state.index}")
+
+
+class _Life:
+    """One life of a node."""
+
+    def __init__(self, name: str, fleet: "ClaimFleet") -> None:
+        self.name = name
+        self.started_at_s = anyio.current_time()
+        self.is_stopping = False
+        self.is_leaving = False
+        self.way = _StoreWay(fleet.store)
+        self.view = _View(name, self.started_at_s, fleet)
+        self.scope = anyio.CancelScope()
+        self._fleet = fleet
+        self._directory = JobDirectory()
+        identity = PeerIdentity(name, "node", random.randbytes(4).hex())
+        clock = Clock.from_system()
+        budget = StoreBudget(
+            give_up_after_s=3.0,
+            back_off=BackOff(start_s=0.1, max_s=1.0),
+            rates=CallRates(min_per_s=10.0),
+        )
+        self.service = WorkService(
+            self.way,  # type: ignore[arg-type]
+            budget,
+            StoreBudget(give_up_after_s=0.0),
+            self._directory,
+            clock,
+            lambda: True,
+            identity,
+        )
+        self.runner = WorkRunner(
+            self.view,  # type: ignore[arg-type]
+            identity,
+            self._directory,
+            self.service,
+            _Items(),  # type: ignore[arg-type]
+            clock,
+        )
+
+    async def run(self) -> None:
+        """Runs until the node is killed or has stopped."""
+        with self.scope:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self.runner.run)
+                tasks.start_soon(self._follow_jobs)
+                while True:
+                    self.view.look()
+                    await anyio.sleep(random.uniform(0.5, 2.0))
+
+    async def stop(self) -> None:
+        """Stops gracefully."""
+        self.is_stopping = True
+        with anyio.move_on_after(STOP_S):
+            await self.runner.drain()
+        self.is_leaving = True
+        await anyio.sleep(random.uniform(0, 2))
+        self.scope.cancel()
+
+    async def _follow_jobs(self) -> None:
+        taken: set[str] = set()
+        while True:
+            await anyio.sleep(random.uniform(0, 2 * FEED_INTERVAL_S))
+            if self.way.is_silent or self.way.is_refusing:
+                continue
+            news = [key for key in self._fleet.store.peek_keys(JOBS_KIND) if key not in taken]
+            taken.update(news)
+            values = ((key, self._fleet.store.peek(key)) for key in news)
+            rows = tuple(FeedObject(key.partition("/")[2], value, 1) for key, value in values)
+            self._directory.take_list(rows, after_outage=False)
+
+
+class ClaimFleet:
+    """Nodes, jobs and a schedule of faults.
+
+    Args:
+        seed: Seed of the store's faults; the schedule draws from `random`.
+    """
+
+    def __init__(self, seed: int) -> None:
+        self.store = StandinObjectApi(seed)
+        self.lives: list[_Life] = []
+        self.accepted: list[WorkJob] = []
+        self.told: list[str] = []
+        self._names = 0
+
+    def alive(self) -> dict[str, float]:
+        """Returns the nodes that take part, and when they started."""
+        return {life.name: life.started_at_s for life in self.lives if not life.is_leaving}
+
+    def _open_jobs(self) -> list[str]:
+        return [job.job_id for job in self.accepted if self._listed(job) < len(job.items)]
+
+    def _listed(self, job: WorkJob) -> int:
+        values = map(self.store.peek, self.store.peek_keys(job_log_prefix(job.job_id)))
+        entries = [LogEntry.decode(value) for value in values if value]
+        return len({result.item_index for entry in entries for result in entry.results})
+
+    async def play(self, calm_s: float) -> list[str]:
+        """Plays a time of trouble, then a calm one; returns the jobs with an item not listed."""
+        faults = self.store.faults
+        async with anyio.create_task_group() as tasks:
+            for _ in range(NODES):
+                self._start(tasks, self._new_name())
+            faults.lose_answer_probability = random.choice((0.0, 0.3))
+            faults.late_write_probability = random.choice((0.0, 0.3))
+            faults.late_write_s = random.uniform(0.5, 6.0)
+            tasks.start_soon(self._submit)
+            with anyio.move_on_after(TROUBLE_S):
+                while True:
+                    await anyio.sleep(random.expovariate(0.7))
+                    self._harm(tasks)
+            faults.lose_answer_probability = faults.late_write_probability = 0.0
+            if all(life.is_stopping for life in self.lives):
+                self._start(tasks, self._new_name())
+            while any(life.is_stopping for life in self.lives):
+                await anyio.sleep(0.1)
+            for life in self.lives:
+                life.way.is_silent = life.way.is_refusing = False
+                life.view.blind_until_s = 0.0
+            await anyio.sleep(calm_s)
+            open_jobs = self._open_jobs()
+            tasks.cancel_scope.cancel()
+        return open_jobs
+
+    def _new_name(self) -> str:
+        self._names += 1
+        return f"vm-{self._names}"
+
+    def _start(self, tasks: TaskGroup, name: str) -> None:
+        life = _Life(name, self)
+        self.lives.append(life)
+        self._tell(f"{name} starts")
+        tasks.start_soon(self._live, life)
+
+    async def _live(self, life: _Life) -> None:
+        await life.run()
+        self.lives.remove(life)
+
+    async def _submit(self) -> None:
+        for number in range(JOBS):
+            await anyio.sleep(random.uniform(0, TROUBLE_S / JOBS))
+            items = tuple(WorkItem(f"{number}-{n}", "/", (), "") for n in range(4))
+            job = WorkJob(f"job-{number}", "h", "s", 0, 0, 0, 0, 3, items)
+            ready = [life for life in self.lives if not life.is_leaving]
+            if not ready:
+                continue
+            life = random.choice(ready)
+            try:
+                await life.service.accept(job, life.service._clock.now_ms() + 3_000)
+            except BriarvaleError as error:
+                self._tell(f"{job.job_id} is not accepted at {life.name}: {error.code}")
+                continue
+            self.accepted.append(job)
+            self._tell(f"{job.job_id} is accepted at {life.name}")
+
+    def _harm(self, tasks: TaskGroup) -> None:
+        if not self.lives:
+            self._start(tasks, self._new_name())
+            return
+        life = random.choice(self.lives)
+        match random.choice(("kill", "stop", "all", "silent", "refusing", "blind", "start")):
+            case "kill":
+                self._kill(tasks, life)
+            case "stop" if not life.is_stopping:
+                self._tell(f"{life.name} stops")
+                tasks.start_soon(life.stop)
+                tasks.start_soon(self._come_back, tasks, life.name)
+            case "all":
+                for one in list(self.lives):
+                    self._kill(tasks, one)
+            case "silent":
+                life.way.is_silent = True
+                self._tell(f"the store is silent to {life.name}")
+            case "refusing":
+                life.way.is_refusing = not life.way.is_refusing
+                self._tell(f"the store refuses {life.name}: {life.way.is_refusing}")
+            case "blind":
+                life.view.blind_until_s = anyio.current_time() + random.uniform(2, 10)
+                self._tell(f"{life.name} hears of nobody")
+            case "start" if len(self.lives) < 2 * NODES:
+                self._start(tasks, self._new_name())
+
+    def _kill(self, tasks: TaskGroup, life: _Life) -> None:
+        self._tell(f"{life.name} is killed")
+        life.scope.cancel()
+        tasks.start_soon(self._come_back, tasks, life.name)
+
+    async def _come_back(self, tasks: TaskGroup, name: str) -> None:
+        """Starts a node again, under its name or another, or not at all."""
+        is_back = random.random() < 0.7
+        await anyio.sleep(random.uniform(0.3, 8.0))
+        if is_back and anyio.current_time() < TROUBLE_S and name not in self.alive():
+            self._start(tasks, name if random.random() < 0.7 else self._new_name())
+
+    def _tell(self, text: str) -> None:
+        self.told.append(f"{anyio.current_time():.2f} s: {text}")
