Refuse what still waits for a slot before the process ends

What callers saw: around a SIGTERM, a request that the node had read whole, and that had never been passed on to a server, ended with its connection and without an answer.

Cause: a node that stops answers what it has read until 0.7 s before it would be killed, then ends and cuts the rest. A request that waits for a slot at another node's pool may wait for its whole deadline, longer than the grace period, and nobody told it that the process was about to end.

Evidence: features/platform/forwarding.feature, "A node that stops refuses what still waits for a slot before it ends": before the change the caller got `Answer(status=0, headers={}, body=b'', is_whole=False)` after 4.3 s of a grace of 5 s, and only the run that held the slot had reached the server. After it: 503, not run, 3.3 s after the SIGTERM.

Ruled out: the server (the request never reached it) and the pool's owner (another node, which stays).

Change: waits for slots end 1 s before the process does, with a refusal that says truly whether the request has run. The test failed before and passes after.

--- a/briarvale/forwarding.py
+++ b/briarvale/forwarding.py
@@ -2,6 +2,7 @@
 
 import math
 import random
+from contextlib import AsyncExitStack
 from typing import NamedTuple, Protocol
 
 import anyio
@@ -9,6 +10,7 @@
 from . import logs, metrics
 from ._generated.messages import Outcome, SlotRequest, WorkClass
 from .answer_times import AnswerTimes
+from .caller_patience import wait_until_ms
 from .clock import MS_PER_S
 from .engine_run import EngineRun
 from .errors import (
@@ -35,11 +37,8 @@
 from .silence import Pauses, Silence
 from .slot_client import HeldSlot
 from .traces import tracer
+from .wait_limit import WaitLimit
 
-# A caller's own patience with a stream that sends nothing.
-MIN_PATIENCE_MS = 2_000
-PATIENCE_TARGETS = 4
-PATIENCE_GAPS = 8
 RETRY_PAUSE_MS = 20
 MAX_FULL_ANSWERS = 8
 MAX_BUFFERED_BYTES = 1_000_000
@@ -104,6 +103,9 @@
 
     Args:
         parts: What runs requests.
+
+    Attributes:
+        waits: Bounds the waits for slots when this node stops.
     """
 
     def __init__(self, parts: ServingParts) -> None:
@@ -115,6 +117,7 @@
         self._crashes = parts.crashes
         self._lone_choice = LoneChoice(parts.servers)
         self._answer_times = AnswerTimes()
+        self.waits = WaitLimit(parts.clock)
 
     async def forward(self, request: ForwardRequest, sink: AnswerSink) -> None:
         """Runs a request to its end; raises the failure if no answer was begun.
@@ -187,7 +190,9 @@
         wanted = self._slot_request(request, progress)
         asked_at_ms = self._clock.now_ms()
         try:
-            async with self._slots.hold(wanted) as slot:
+            async with AsyncExitStack() as stack:
+                with self.waits.limit():
+                    slot = await stack.enter_async_context(self._slots.hold(wanted))
                 log.info(
                     "Got a slot.",
                     request_id=request.request_id,
@@ -213,7 +218,7 @@
         wanted = self._parts.slot_request(
             request,
             WorkClass.ONLINE,
-            deadline_ms=_wait_until_ms(request, self._clock.now_ms(), progress.has_events),
+            deadline_ms=wait_until_ms(request, self._clock.now_ms(), progress.has_events),
             priority=request.route.priority,
             excluded=progress.excluded,
         )
@@ -378,18 +383,3 @@
 def _may_run_again(request: ForwardRequest, sink: AnswerSink, progress: _Progress) -> bool:
     """Whether there may be another run if the present one brings no answer."""
     return _has_attempts(request, progress) and _may_repeat(request, sink, progress)
-
-
-def _wait_until_ms(request: ForwardRequest, now_ms: int, has_events: bool) -> int:
-    """Returns until when a slot is worth waiting for: the caller's own patience."""
-    match request.route.kind:
-        case StreamRoute(gap_target_ms=gap_ms):
-            patience_ms = max(
-                MIN_PATIENCE_MS,
-                PATIENCE_TARGETS * request.route.target_latency_ms,
-                PATIENCE_GAPS * gap_ms,
-            )
-            since_ms = now_ms if has_events else request.received_at_ms
-            return min(request.answer_by_ms, since_ms + patience_ms)
-        case _:
-            return request.answer_by_ms
--- a/briarvale/platform/node.py
+++ b/briarvale/platform/node.py
@@ -57,6 +57,8 @@
 BALANCER_LAG_MS = 3_000
 # What is kept back of the time until the process is killed.
 GRACE_RESERVE_MS = 700
+# A request that gets its slot later than this before the end would be cut in its run.
+WAIT_RESERVE_MS = 1_000
 IDLE_POLL_S = 0.1
 # An owner that is lost must cost a request less than its latency objective.
 OWNER_PATIENCE = OwnerPatience(
@@ -143,6 +145,7 @@
         self._is_stopping = False
         self._ingress: Ingress | None = None
         self._runner: WorkRunner | None = None
+        self._forwarder: Forwarder | None = None
 
     @property
     def is_ready(self) -> bool:
@@ -205,7 +208,7 @@
         membership = self.cluster.membership
         crashes = CrashGuard(self._clock, membership.suspects, membership.publish)
         parts = ServingParts(self._clock, self.servers, slots, engines, crashes, zone)
-        forwarder = Forwarder(parts)
+        self._forwarder = Forwarder(parts)
         service = WorkService(
             self._store,
             self._budget,
@@ -220,7 +223,7 @@
         self._runner = WorkRunner(self.cluster, identity, self.jobs, service, items, self._clock)
         tasks.start_soon(self._runner.run)
         door = FrontDoor(
-            self._clock, lambda: self.routes.table, forwarder, BatchDoor(service, self._clock)
+            self._clock, lambda: self.routes.table, self._forwarder, BatchDoor(service, self._clock)
         )
         if settings.front is not None:
             self._ingress = Ingress(door)
@@ -240,6 +243,8 @@
         self._set_ingress(IngressState.CLOSING)
         refuse_at_ms = now_ms + BALANCER_LAG_MS
         kill_at_ms = now_ms + self._settings.bounds.grace_ms - GRACE_RESERVE_MS
+        if self._forwarder is not None:
+            self._forwarder.waits.end_at(kill_at_ms - WAIT_RESERVE_MS)
         if self._runner is not None:
             with anyio.move_on_after(BALANCER_LAG_MS / MS_PER_S):
                 await self._runner.drain()
--- a/features/platform/forwarding.feature
+++ b/features/platform/forwarding.feature
@@ -109,6 +109,12 @@
     And later requests on open connections are refused as not run
     And the node ends within its grace
 
+  # Guards against a request that is read, waits for a slot and is cut with the process.
+  Scenario: A node that stops refuses what still waits for a slot before it ends
+    When a node stops while a request waits there for the one slot, which another node's run holds
+    Then the waiting request is refused as not run
+    And the node ends within its grace
+
   Scenario: A node that the store turns away learns from its peers
     When the store turns one of two nodes away and a route and a server are added
     Then the node serves the new route at the new server within 4 s
--- a/features/steps/platform_forwarding.py
+++ b/features/steps/platform_forwarding.py
@@ -464,6 +464,55 @@
     assert context.seen.facts["ended after s"] < GRACE_MS / 1_000
 
 
+@when("a node stops while a request waits there for the one slot, which another node's run holds")
+def when_stops_waiting(context: Context) -> None:
+    async def run() -> Seen:
+        seen = Seen()
+        async with platform_fleet(2) as fleet:
+            engine = await fleet.add_engine("i-0", PLAIN, slots=1)
+            engine.usual = Behaviour.HANG
+            longer = fleet.config(version=9)
+            for route in longer["routes"]:
+                route["timeout_ms"] = 12_000
+            fleet.store.put("config", "main", longer)
+            await anyio.sleep(0.5)
+            seen.engines.append(engine)
+            some_node = fleet.nodes["vm-1"].node
+            assert some_node is not None
+            owner = some_node.cluster.pool_owner(PLAIN)
+            # The pool's owner stays, so that the request waits there all the while.
+            node = next(other for name, other in fleet.nodes.items() if name != owner)
+            holder = Caller(fleet.nodes[owner or ""])
+
+            async def wait_there() -> None:
+                answer = await Caller(node).call("POST", "/pay/b", BODY)
+                assert answer is not None
+                seen.answers.append(answer)
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(holder.call, "POST", "/pay/a", BODY)
+                await anyio.sleep(0.3)
+                tasks.start_soon(wait_there)
+                await anyio.sleep(0.3)
+                started_s = time.monotonic()
+                node.stopped.set()
+                await node.ended.wait()
+                seen.facts["ended after s"] = time.monotonic() - started_s
+                await anyio.sleep(0.1)
+                tasks.cancel_scope.cancel()
+        return seen
+
+    context.seen = anyio.run(run)
+
+
+@then("the waiting request is refused as not run")
+def then_waiting_refused(context: Context) -> None:
+    assert context.seen.reached == 1, context.seen.reached
+    answer = context.seen.answers[0]
+    assert answer.status == 503 and answer.is_whole, answer
+    assert answer.json()["not_run"], answer
+
+
 @when("the store turns one of two nodes away and a route and a server are added")
 def when_turned_away(context: Context) -> None:
     async def run() -> Seen:
