Give up runs whose server sends bytes without end

What callers saw: while a server sent bytes without end in place of an answer, a request waited for its route's time-out and got 504; a resumable stream did not go on elsewhere; an item was never done, since a server that trickles is never silent. Cause: heads and chunk sizes had a bound in bytes, by h11; informational answers, bodies of answers to other requests, single events, texts of items, failed answers to items and whole bodies (store, report of load) had none, and any byte ended a pause in a stream.

Ruled out, and kept as guards (they passed): a line and lines of a head without end, their trickle, the size line of a chunk, bytes after a whole answer, informational answers at a request that may be repeated or an item.

Change: named bounds in the connection (MAX_INFORMATIONAL_ANSWERS, MAX_STRAY_BYTES, read_whole_body with a size), in the event splitter (MAX_EVENT_BYTES), and for an item's text and failed answer. Beyond them the run is lost with AnswerTooLong, a kind of ServerGarbled, so that what is repeated and what is answered 502 stays as for a lost server. An item whose text is too long starts over, since another server can't go on after events that were never made. A pause ends with a new event, in streams and items, no longer with any byte; the time in which a caller reads does not count, as before. Whole streams and plain bodies keep no bound in bytes: 8 MB to a caller that reads late, and a stream of 40 events of 200 kB, arrive whole, before and after.

Not changed: the product's own clients over httpx (service_client, engine_client).

--- a/briarvale/engine_run.py
+++ b/briarvale/engine_run.py
@@ -33,6 +33,12 @@
             self.is_whole = True
         return data
 
+    async def read_whole(self, max_bytes: int) -> bytes:
+        """Reads the whole body; raises `AnswerTooLong` if it is over a size."""
+        body = await self._connection.read_whole_body(max_bytes)
+        self.is_whole = True
+        return body
+
 
 class EngineClient:
     """Runs requests at backend servers, but at none that is draining.
--- a/briarvale/errors.py
+++ b/briarvale/errors.py
@@ -202,6 +202,12 @@
     code, http_status = "server_garbled", 502
 
 
+class AnswerTooLong(ServerGarbled):
+    """The backend server sent more than an answer, or a part of one, may have."""
+
+    code, http_status = "answer_too_long", 502
+
+
 class ServerFull(BriarvaleError):
     """The backend server says that it did not run the request."""
 
@@ -251,7 +257,7 @@
 
 
 class ServerStalled(BriarvaleError):
-    """The backend server sent nothing for too long."""
+    """The backend server sent nothing of an answer for too long."""
 
     code, http_status = "server_stalled", 504
 
--- a/briarvale/event_stream.py
+++ b/briarvale/event_stream.py
@@ -2,10 +2,11 @@
 
 from typing import NamedTuple
 
-from .errors import ServerLost
+from .errors import AnswerTooLong, ServerLost
 
 __all__ = ["EventCursor", "EventSplitter", "StreamEvent"]
 
+MAX_EVENT_BYTES = 1_048_576
 END_OF_EVENT = (b"\n\n", b"\r\n\r\n")
 
 
@@ -51,12 +52,18 @@
         return bool(self._buffer.strip())
 
     def feed(self, data: bytes) -> list[StreamEvent]:
-        """Takes the next bytes; returns the events that they complete."""
+        """Takes the next bytes; returns the events that they complete.
+
+        Raises:
+            AnswerTooLong: If an event has no end within `MAX_EVENT_BYTES`.
+        """
         self._buffer += data
         events = []
         while (end := _end_of_first(self._buffer)) > 0:
             events.append(_parse(self._buffer[:end]))
             self._buffer = self._buffer[end:]
+        if len(self._buffer) > MAX_EVENT_BYTES:
+            raise AnswerTooLong(f"an event is over {MAX_EVENT_BYTES} bytes")
         return events
 
 
--- a/briarvale/forwarding.py
+++ b/briarvale/forwarding.py
@@ -243,7 +243,9 @@
         with silence.scope:
             outcome = await self._forward_answer(attempt, sink, progress, silence)
         if outcome is None:
-            raise ServerStalled(f"{attempt.server.id} sent nothing for {silence.limit_ms} ms")
+            raise ServerStalled(
+                f"{attempt.server.id} sent no answer or event for {silence.limit_ms} ms"
+            )
         return outcome
 
     def _patience_ms(self, request: ForwardRequest, sink: AnswerSink, progress: _Progress) -> float:
@@ -322,6 +324,7 @@
         events = [event for event in splitter.feed(data) if progress.cursor.takes(event)]
         if not events:
             continue
+        pauses.note_event()
         progress.has_events = True
         if not sink.has_started:
             await sink.start(run.head)
--- a/briarvale/http_wire.py
+++ b/briarvale/http_wire.py
@@ -14,11 +14,14 @@
 import h11
 from anyio.abc import SocketAttribute, SocketStream
 
-from .errors import ServerConnectFailed, ServerGarbled, ServerLost
+from .errors import AnswerTooLong, ServerConnectFailed, ServerGarbled, ServerLost
 from .peer import PeerAddress
 
 READ_BYTES = 65_536
+# Also of the head of a chunk, and of trailers.
 MAX_HEAD_BYTES = 65_536
+MAX_INFORMATIONAL_ANSWERS = 8
+MAX_STRAY_BYTES = 1_048_576
 # A peer that is gone without a reset is found by probes after about two seconds.
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
@@ -147,13 +150,19 @@
             self._is_sent = True
 
     async def read_head(self) -> AnswerHead:
-        """Reads the status and headers of the answer, past informational ones."""
-        while True:
+        """Reads the status and headers of the answer, past a few informational ones.
+
+        Raises:
+            ServerLost: If the connection broke.
+            ServerGarbled: If something else came; `AnswerTooLong` if it came without end.
+        """
+        for _ in range(MAX_INFORMATIONAL_ANSWERS + 1):
             event = await self._next_event()
             if isinstance(event, h11.Response):
                 return AnswerHead(event.status_code, tuple(event.headers))
             if not isinstance(event, h11.InformationalResponse):
                 raise ServerGarbled("no answer where one was due")
+        raise AnswerTooLong(f"over {MAX_INFORMATIONAL_ANSWERS} informational answers")
 
     async def read_body(self) -> bytes:
         """Reads the next bytes of the body; empty at its end."""
@@ -164,19 +173,26 @@
             return b""
         raise ServerGarbled("the connection ended within an answer")
 
-    async def exchange(self, request: OutgoingRequest) -> WholeAnswer:
-        """Sends a request and reads its answer to the end."""
-        await self.send(request)
-        head = await self.read_head()
+    async def read_whole_body(self, max_bytes: int) -> bytes:
+        """Reads a body to its end; raises `AnswerTooLong` if it is over a size."""
         chunks = []
+        size_bytes = 0
         while chunk := await self.read_body():
+            size_bytes += len(chunk)
+            if size_bytes > max_bytes:
+                raise AnswerTooLong(f"a body is over {max_bytes} bytes")
             chunks.append(chunk)
-        return WholeAnswer(head.status, b"".join(chunks))
+        return b"".join(chunks)
+
+    async def exchange(self, request: OutgoingRequest, max_body_bytes: int) -> WholeAnswer:
+        """Sends a request and reads its answer to the end."""
+        await self.send(request)
+        head = await self.read_head()
+        return WholeAnswer(head.status, await self.read_whole_body(max_body_bytes))
 
     async def skip_answer(self) -> None:
         """Reads the rest of an answer that belongs to no request, and expects the next one."""
-        while await self.read_body():
-            pass
+        await self.read_whole_body(MAX_STRAY_BYTES)
         left, _ = self._h11.trailing_data
         if self._request is None or self._h11.their_state is h11.MUST_CLOSE:
             raise ServerGarbled("an answer to another request ended the connection")
--- a/briarvale/platform/engine_report.py
+++ b/briarvale/platform/engine_report.py
@@ -9,6 +9,7 @@
 
 REPORT_PATH = b"/briarvale/report"
 CONNECT_TIMEOUT_S = 0.3
+MAX_REPORT_BYTES = 1_048_576
 
 __all__ = ["fetch_runs"]
 
@@ -18,13 +19,13 @@
 
     Raises:
         ServerConnectFailed, ServerLost: If it gives no answer.
-        ServerGarbled: If the answer is no report, as from a service without models.
+        ServerGarbled: If the answer is no report, as from a service without models, or too long.
     """
     connection = await ClientConnection.open(server.address, CONNECT_TIMEOUT_S)
     try:
         host = f"{server.address.host}:{server.address.port}".encode()
         request = OutgoingRequest(b"GET", REPORT_PATH, ((b"host", host),))
-        answer = await connection.exchange(request)
+        answer = await connection.exchange(request, MAX_REPORT_BYTES)
     finally:
         await connection.aclose()
     try:
--- a/briarvale/platform/store.py
+++ b/briarvale/platform/store.py
@@ -33,6 +33,8 @@
 WATCH_GRACE_S = 1.0
 MAX_IDLE_CONNECTIONS = 4
 MAX_IDLE_S = 10.0
+# Pages of lists and events of watches hold about one megabyte.
+MAX_ANSWER_BYTES = 16 * 1_048_576
 OBJECTS_PATH = "/briarvale/objects"
 
 __all__ = ["PlatformStore"]
@@ -156,7 +158,7 @@
         connection = await self._connect()
         is_kept = False
         try:
-            answer = await connection.exchange(request)
+            answer = await connection.exchange(request, MAX_ANSWER_BYTES)
             is_kept = connection.finish() and len(self._idle) < MAX_IDLE_CONNECTIONS
             return answer
         finally:
--- a/briarvale/work_items.py
+++ b/briarvale/work_items.py
@@ -10,6 +10,7 @@
 from ._generated.messages import Outcome, SlotRequest, WorkClass
 from .clock import MS_PER_S
 from .errors import (
+    AnswerTooLong,
     BriarvaleError,
     DeadlineExceeded,
     Quarantined,
@@ -19,7 +20,7 @@
     ServerNotReady,
     ServerStalled,
 )
-from .event_stream import EventCursor, EventSplitter
+from .event_stream import EventCursor, EventSplitter, StreamEvent
 from .forward_request import ForwardRequest
 from .live_servers import LiveServer
 from .serving_parts import ServingParts
@@ -29,7 +30,10 @@
 from .work_jobs import WorkItem, WorkJob
 
 SLOT_WAIT_MS = 5_000
-# Callers give a stream up after two seconds of silence; an item may wait a little longer.
+# With its escapes, a text of this size still fits into one object of the store.
+MAX_TEXT_BYTES = 400_000
+MAX_FAILURE_BYTES = 1_048_576
+# Callers give a stream up after two seconds without an event; an item may wait a little longer.
 MAX_SILENCE_S = 3.0
 MAX_SUSPECT_TRIALS = 3
 SUSPECT_PAUSE_S = 3.0
@@ -62,6 +66,7 @@
     def __init__(self, index: int, progress: ItemProgress | None = None) -> None:
         self.index = index
         self.data: list[str] = [] if progress is None else [progress.text]
+        self.text_bytes = sum(len(text.encode()) for text in self.data)
         self.cursor = EventCursor(None if progress is None else progress.last_event_id)
         self.failures = 0
         self.waits = 0
@@ -72,6 +77,23 @@
         self.is_whole = False
         self.error_code = ""
 
+    def take(self, events: list[StreamEvent]) -> None:
+        """Takes events that are new; raises `AnswerTooLong` if the text has become too long."""
+        for event in events:
+            if not self.cursor.takes(event):
+                continue
+            self.heard_at_s = anyio.current_time()
+            self.data.append(event.data)
+            self.text_bytes += len(event.data.encode()) + 1
+        if self.text_bytes > MAX_TEXT_BYTES:
+            raise AnswerTooLong(f"the text of an item is over {MAX_TEXT_BYTES} bytes")
+
+    def start_over(self) -> None:
+        """Forgets what has arrived."""
+        self.data.clear()
+        self.text_bytes = 0
+        self.cursor = EventCursor()
+
     @property
     def progress(self) -> ItemProgress | None:
         """How far it has come; none if another runner could not go on from there."""
@@ -154,6 +176,8 @@
             except (ServerLost, ServerConnectFailed, ServerFull, ServerStalled) as error:
                 if isinstance(error, ServerLost):
                     await self._crashes.note_loss(request.fingerprint, server, began_at_ms)
+                if state.text_bytes > MAX_TEXT_BYTES:
+                    state.start_over()
                 slot.outcome = Outcome.FAILED
                 state.excluded = [server.id]
                 raise
@@ -193,7 +217,7 @@
                 error = await self._stream(job, request, state, server)
                 tasks.cancel_scope.cancel()
             if state.is_stalled:
-                error = ServerStalled(f"{server.id} sent nothing for {MAX_SILENCE_S} s")
+                error = ServerStalled(f"{server.id} sent no event for {MAX_SILENCE_S} s")
             if error is not None:
                 raise error
         if state.failures > failures_before:
@@ -224,18 +248,16 @@
         splitter = EventSplitter()
         if state.cursor.last_id is None:
             # Events without ids can't be gone on after.
-            state.data.clear()
+            state.start_over()
         async with self._engines.run(request, server, state.cursor.last_id) as run:
             if run.head.status != 200:
-                while await run.read():
-                    pass
+                await run.read_whole(MAX_FAILURE_BYTES)
                 self._note_failure(job, run.head.status, state)
                 return
             if not run.facts.is_signed:
                 raise ServerLost("a success without a signature")
             while data := await run.read():
-                state.heard_at_s = anyio.current_time()
-                state.data += [e.data for e in splitter.feed(data) if state.cursor.takes(e)]
+                state.take(splitter.feed(data))
             if splitter.has_rest:
                 raise ServerLost("the stream ended within an event")
             state.is_whole = True
@@ -253,7 +275,7 @@
 
 
 async def _cancel_when_silent(state: ItemState, scope: anyio.CancelScope) -> None:
-    """Ends a run whose server has sent nothing for too long, though its connection stands."""
+    """Ends a run whose server has sent no event for too long, though its connection stands."""
     state.heard_at_s = anyio.current_time()
     state.is_stalled = False
     while (left_s := state.heard_at_s + MAX_SILENCE_S - anyio.current_time()) > 0:
--- /dev/null
+++ b/features/platform/endless.feature
@@ -0,0 +1,73 @@
+Feature: Bytes without end are no answer, and cost neither memory nor the caller's time
+
+  # Guards against: a run that goes on until the route's time-out, or fills memory, while a server
+  # sends bytes without end in place of an answer.
+  Scenario Outline: An idempotent request runs again elsewhere
+    When a server of two answers an idempotent request with <bytes> without end
+    Then the caller gets the other server's answer within 2 s
+    And the faulty run was ended after a bounded number of bytes
+
+    Examples:
+      | bytes                                     |
+      | a line of a head                          |
+      | lines of a head                           |
+      | informational answers                     |
+      | the body of an answer to another request  |
+      | the size line of a chunk                  |
+      | a trickle of lines of a head              |
+
+  Scenario: Bytes after a whole answer
+    When a server of two answers an idempotent request with bytes after a whole answer without end
+    Then the caller gets the whole answer and the faulty run was ended
+
+  Scenario Outline: A non-idempotent request is answered as lost
+    When a server of two answers a non-idempotent request with <bytes> without end
+    Then the caller gets 502 within 2 s
+    And the faulty run was ended after a bounded number of bytes
+
+    Examples:
+      | bytes                                     |
+      | informational answers                     |
+      | the body of an answer to another request  |
+
+  # Guards against: a splitter that keeps all of an event without end, and pauses that any byte resets.
+  Scenario Outline: A resumable stream goes on at another server
+    When a server of two answers a resumable stream with <bytes> without end
+    Then the caller gets every event once and the end of the stream within 3 s
+    And the faulty run was ended after a bounded number of bytes
+
+    Examples:
+      | bytes                   |
+      | one event               |
+      | a trickle of one event  |
+      | the same event          |
+
+  Scenario: A stream that may not be resumed
+    When a server of two answers a stream with one event without end
+    Then the caller gets 502 within 2 s
+    And the faulty run was ended after a bounded number of bytes
+
+  # Guards against: items that are held for good by a server that never ends and is never silent.
+  Scenario Outline: An item is placed elsewhere
+    When a server of two answers an item with <bytes> without end
+    Then the item is done by the other server within 8 s, with its whole text
+    And the faulty run was ended after a bounded number of bytes
+
+    Examples:
+      | bytes                   |
+      | informational answers   |
+      | one event               |
+      | a trickle of one event  |
+      | the same event          |
+      | ever more events        |
+      | the body of a failure   |
+
+  # Guards against: calls that collect a whole body, of whatever size, in memory.
+  Scenario: A report of load without end
+    When a server answers the question for its load with a body without end
+    Then the question fails as an answer that is too long, after a bounded number of bytes
+
+  # Guards against: bounds that cut off answers which are only long.
+  Scenario: Long answers still pass
+    When a caller that reads slowly asks for a stream of 40 events of 200 kB and a body of 8 MB
+    Then it gets both whole
--- /dev/null
+++ b/features/steps/platform_endless.py
@@ -0,0 +1,278 @@
+"""Steps of servers that send bytes without end: real nodes and stand-ins, on loopback."""
+
+import time
+from typing import Any
+
+import anyio
+from behave import then, when
+from behave.runner import Context
+
+from briarvale.errors import AnswerTooLong
+from briarvale.http_wire import AnswerHead
+from briarvale.ingress import Ingress, IngressRequest, Responder
+from briarvale.live_servers import LiveServer
+from briarvale.peer import PeerAddress
+from briarvale.platform.engine_report import fetch_runs
+from features.steps.platform_batch import read_all, submit
+from features.support.endless_answers import Endless, EndlessAnswer
+from features.support.platform_engine import PlatformEngineStandin, SeenRequest, event, whole_text
+from features.support.platform_fleet import (
+    MODEL,
+    PLAIN,
+    Answer,
+    Caller,
+    PlatformFleet,
+    free_port,
+    job_body,
+    platform_fleet,
+)
+
+BODY = b"look"
+EVENT_COUNT = 6
+# What is read of one answer at most, and what the buffers of a connection on loopback may hold.
+MAX_TAKEN_BYTES = 24_000_000
+ENDED_S = 0.3
+LONG_EVENT = b"x" * 200_000
+LONG_EVENTS = 40
+LONG_BODY = b"y" * 8_000_000
+
+
+class Seen:
+    """What a play saw."""
+
+    def __init__(self, endless: EndlessAnswer) -> None:
+        self.endless = endless
+        self.answers: list[Answer] = []
+        self.results: list[dict[str, str]] = []
+        self.took_s = 0.0
+        self.still_running = 0
+
+
+def spoil_first(engines: list[PlatformEngineStandin], endless: EndlessAnswer) -> None:
+    """Has the first request at any of the servers answered without end."""
+    is_spoiled = False
+
+    def spoil(engine: PlatformEngineStandin) -> None:
+        serve = engine._answer
+
+        async def answer(behaviour: Any, seen: SeenRequest, responder: Responder) -> None:
+            nonlocal is_spoiled
+            if is_spoiled:
+                await serve(behaviour, seen, responder)
+                return
+            is_spoiled = True
+            rows = ((b"briarvale-request-attempt-id", seen.request_id.encode()),)
+            rows += ((b"briarvale-server-signature", b"spoiled"),)
+            await endless.send(rows, responder)
+
+        engine._answer = answer  # type: ignore[method-assign]
+
+    for engine in engines:
+        spoil(engine)
+
+
+def play(context: Context, path: str, name: str, service: str = PLAIN) -> None:
+    """Sends one request, whose first run is answered without end."""
+    seen = Seen(EndlessAnswer(Endless(name)))
+
+    async def run() -> None:
+        async with platform_fleet() as fleet:
+            engines = [await fleet.add_engine(f"i-{n}", service) for n in range(2)]
+            caller = Caller(fleet.nodes["vm-1"])
+            for _ in range(6):
+                await caller.call("POST", path, BODY)
+            spoil_first(engines, seen.endless)
+            started_s = time.monotonic()
+            answer = await caller.call("POST", path, BODY, request_id="req-1")
+            assert answer is not None
+            seen.answers.append(answer)
+            seen.took_s = time.monotonic() - started_s
+            await anyio.sleep(ENDED_S)
+            seen.still_running = sum(engine.running for engine in engines)
+
+    anyio.run(run)
+    context.seen = seen
+
+
+@when("a server of two answers an idempotent request with {name} without end")
+def when_safe(context: Context, name: str) -> None:
+    play(context, "/look/a", name)
+
+
+@when("a server of two answers a non-idempotent request with {name} without end")
+def when_unsafe(context: Context, name: str) -> None:
+    play(context, "/pay/a", name)
+
+
+@when("a server of two answers a resumable stream with {name} without end")
+def when_resumable(context: Context, name: str) -> None:
+    play(context, "/go-on/a", name, MODEL)
+
+
+@when("a server of two answers a stream with {name} without end")
+def when_stream(context: Context, name: str) -> None:
+    play(context, "/ask/a", name, MODEL)
+
+
+@then("the caller gets the other server's answer within {limit_s:d} s")
+def then_other(context: Context, limit_s: int) -> None:
+    answer = context.seen.answers[0]
+    assert answer.status == 200 and answer.body == b"body of req-1", (answer, context.seen.took_s)
+    assert context.seen.took_s < limit_s, context.seen.took_s
+
+
+@then("the caller gets the whole answer and the faulty run was ended")
+def then_whole(context: Context) -> None:
+    answer = context.seen.answers[0]
+    assert answer.status == 200 and answer.body == b"sound", answer
+    then_ended(context)
+
+
+@then("the caller gets 502 within {limit_s:d} s")
+def then_502(context: Context, limit_s: int) -> None:
+    answer = context.seen.answers[0]
+    assert answer.status == 502, (answer, context.seen.took_s)
+    assert context.seen.took_s < limit_s, context.seen.took_s
+
+
+@then("the caller gets every event once and the end of the stream within {limit_s:d} s")
+def then_events(context: Context, limit_s: int) -> None:
+    answer = context.seen.answers[0]
+    assert answer.is_whole, (answer.status, len(answer.body), context.seen.took_s)
+    assert answer.body == b"".join(event(n) for n in range(1, EVENT_COUNT + 1)), answer.body[:500]
+    assert context.seen.took_s < limit_s, context.seen.took_s
+
+
+@then("the faulty run was ended after a bounded number of bytes")
+def then_ended(context: Context) -> None:
+    assert context.seen.still_running == 0
+    assert 0 < context.seen.endless.sent_bytes < MAX_TAKEN_BYTES, context.seen.endless.sent_bytes
+
+
+@when("a server of two answers an item with {name} without end")
+def when_item(context: Context, name: str) -> None:
+    seen = Seen(EndlessAnswer(Endless(name)))
+
+    async def run() -> None:
+        async with platform_fleet() as fleet:
+            engines = [await fleet.add_engine(f"i-{n}", MODEL) for n in range(2)]
+            spoil_first(engines, seen.endless)
+            await submit(fleet.nodes["vm-1"], job_body(["item-a"]))
+            started_s = time.monotonic()
+            with anyio.move_on_after(12):
+                seen.results = await read_all(fleet.nodes["vm-1"], 1)
+            seen.took_s = time.monotonic() - started_s
+            seen.still_running = sum(engine.running for engine in engines)
+
+    anyio.run(run)
+    context.seen = seen
+
+
+@then("the item is done by the other server within {limit_s:d} s, with its whole text")
+def then_item(context: Context, limit_s: int) -> None:
+    assert context.seen.results, f"not done, {context.seen.endless.sent_bytes} bytes were sent"
+    result = context.seen.results[0]
+    assert result["state"] == "done" and result["text"] == whole_text(EVENT_COUNT), result
+    assert context.seen.took_s < limit_s, context.seen.took_s
+
+
+class EndlessReport:
+    """A server that answers the question for its load without end."""
+
+    def __init__(self, endless: EndlessAnswer) -> None:
+        self._endless = endless
+        self.limits = PlatformEngineStandin.limits
+
+    async def handle(self, request: IngressRequest, responder: Responder) -> None:
+        """Answers."""
+        await self._endless.send((), responder)
+
+    async def refuse(self, error: Any, responder: Responder) -> None:
+        """Answers what can't be read."""
+        await responder.answer(400, (), b"")
+
+
+@when("a server answers the question for its load with a body without end")
+def when_report(context: Context) -> None:
+    seen = Seen(EndlessAnswer(Endless.ONE_EVENT))
+    context.error = None
+
+    async def run() -> None:
+        address = PeerAddress("127.0.0.1", free_port())
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(Ingress(EndlessReport(seen.endless)).serve, address)
+            await anyio.sleep(0.1)
+            try:
+                with anyio.fail_after(3):
+                    await fetch_runs(LiveServer("i-0", MODEL, address, "a", 4))
+            except (AnswerTooLong, TimeoutError) as error:
+                context.error = error
+            tasks.cancel_scope.cancel()
+
+    anyio.run(run)
+    context.seen = seen
+
+
+@then("the question fails as an answer that is too long, after a bounded number of bytes")
+def then_report(context: Context) -> None:
+    assert isinstance(context.error, AnswerTooLong), repr(context.error)
+    then_ended(context)
+
+
+@when("a caller that reads slowly asks for a stream of 40 events of 200 kB and a body of 8 MB")
+def when_long(context: Context) -> None:
+    context.answers = []
+
+    async def run() -> None:
+        async with platform_fleet() as fleet:
+            for name, service, serve in (
+                ("i-stream", MODEL, send_long_events),
+                ("i-plain", PLAIN, send_long_body),
+            ):
+                engine = await fleet.add_engine(name, service)
+                engine._answer = serve  # type: ignore[method-assign]
+            for path in ("/go-on/a", "/look/a"):
+                context.answers.append(await read_slowly(fleet, path))
+
+    anyio.run(run)
+
+
+def _head(rows: tuple[tuple[bytes, bytes], ...]) -> AnswerHead:
+    return AnswerHead(200, (*rows, (b"content-type", b"text/event-stream")))
+
+
+async def send_long_events(behaviour: Any, seen: SeenRequest, responder: Responder) -> None:
+    """Streams long events."""
+    rows = ((b"briarvale-server-signature", b"sound"),)
+    await responder.start(_head(rows))
+    for number in range(1, LONG_EVENTS + 1):
+        await responder.send(b"id: %d\ndata: %s\n\n" % (number, LONG_EVENT))
+    await responder.finish()
+
+
+async def send_long_body(behaviour: Any, seen: SeenRequest, responder: Responder) -> None:
+    """Answers with a long body."""
+    await responder.answer(200, ((b"briarvale-server-signature", b"sound"),), LONG_BODY)
+
+
+async def read_slowly(fleet: PlatformFleet, path: str) -> Answer:
+    """Sends a request, waits for longer than a stream may pause, then reads the answer."""
+    caller = Caller(fleet.nodes["vm-1"])
+    read = caller._read
+
+    async def read_late() -> Answer:
+        await anyio.sleep(1.5)
+        return await read()
+
+    caller._read = read_late  # type: ignore[method-assign]
+    answer = await caller.call("POST", path, BODY)
+    assert answer is not None
+    return answer
+
+
+@then("it gets both whole")
+def then_long(context: Context) -> None:
+    stream, plain = context.answers
+    assert stream.status == 200 and stream.is_whole, (stream.status, len(stream.body))
+    assert stream.body.count(b"data: ") == LONG_EVENTS
+    assert plain.status == 200 and plain.body == LONG_BODY, (plain.status, len(plain.body))
