--- a/briarvale/forwarding.py
+++ b/briarvale/forwarding.py
@@ -248,6 +248,9 @@
                 span.set_attribute("briarvale.request_id", attempt.request.request_id)
                 outcome = await self._exchange(attempt, sink, progress)
             metrics.ATTEMPTS.inc({"service": attempt.request.service, "code": "finished"})
+        except anyio.get_cancelled_exc_class():
+            progress.may_have_run = True
+            raise
         except RUN_FAILURES as error:
             if isinstance(error, ServerLost):
                 await self._crashes.note_loss(attempt.request.fingerprint, server, began_at_ms)
@@ -269,7 +272,9 @@
         with silence.scope:
             outcome = await self._forward_answer(attempt, sink, progress, silence)
         if outcome is None:
-            raise ServerStalled(f"{attempt.server.id} sent nothing for {silence.limit_ms} ms")
+            raise ServerStalled(
+                f"{attempt.server.id} sent no answer or event for {silence.limit_ms} ms"
+            )
         return outcome
 
     def _patience_ms(self, request: ForwardRequest, sink: AnswerSink, progress: _Progress) -> float:
@@ -348,6 +353,7 @@
         events = [event for event in splitter.feed(data) if progress.cursor.takes(event)]
         if not events:
             continue
+        pauses.note_event()
         progress.has_events = True
         if not sink.has_started:
             await sink.start(run.head)
