Let a node that grants nothing sleep instead of ticking

The loop that grants slots woke ten times a second on each node, and of a large fleet all but one or two own no pool. It waits for a first pool now, and ticks as before once there is one.

--- a/briarvale/slot_granters.py
+++ b/briarvale/slot_granters.py
@@ -91,6 +91,7 @@
 
     def _take_up(self, name: str, queue: Granter) -> None:
         self._queues[name] = queue
+        self._changed.set()
         self._adopt_early(name)
         log.info("Owns {}.", name)
 
@@ -133,6 +134,7 @@
         """Ticks, and starts what waits for prefill as soon as it may, until cancelled."""
         tick_at_ms = self._clock.now_ms()
         while True:
+            await self._wait_owned()
             if self._clock.now_ms() >= tick_at_ms:
                 tick_at_ms = self._clock.now_ms() + TICK_INTERVAL_MS
                 self.tick()
@@ -140,6 +142,11 @@
             self._changed = anyio.Event()
             await self._wait_due(tick_at_ms)
 
+    async def _wait_owned(self) -> None:
+        while not self._queues:
+            self._changed = anyio.Event()
+            await self._changed.wait()
+
     def _pump_due(self) -> None:
         now_ms = self._clock.now_ms()
         for queue in self._queues.values():
