Work out the candidates for pools once for all services

Four times a second each node works out who owns the pool of each service, and for each it filtered all VMs by health, age and processor time. The candidates are the same for all services, so they are kept until the next settling, as the owners are.

features/platform (forwarding, pool_policy, owners): 43 scenarios passed.

--- a/briarvale/node_cluster.py
+++ b/briarvale/node_cluster.py
@@ -82,6 +82,7 @@
         self._connections: list[PeerConnection] = []
         # Each request asks; worked out again when the membership changes, and with time.
         self._pool_owners: dict[str, str | None] = {}
+        self._candidates: list[str] | None = None
 
     def alive(self) -> list[str]:
         """Returns the nodes that take part, this one included unless it leaves."""
@@ -109,17 +110,21 @@
     def pool_owner(self, service: str) -> str | None:
         """Returns the node that grants the slots of a service, which costs it processor time."""
         if service not in self._pool_owners:
-            settled = [vm.vm for vm in self._settled()]
-            strong = self._strong(settled or self.alive())
-            chosen = next(iter(first_by_rendezvous(service, strong, 1)), None)
+            chosen = next(iter(first_by_rendezvous(service, self._owner_candidates(), 1)), None)
             self._pool_owners[service] = chosen
         return self._pool_owners[service]
 
+    def _owner_candidates(self) -> list[str]:
+        if self._candidates is None:
+            settled = [vm.vm for vm in self._settled()]
+            self._candidates = self._strong(settled or self.alive())
+        return self._candidates
+
     def _strong(self, names: list[str]) -> list[str]:
         """Returns the nodes whose processor time is near to the best of these."""
-        best_cores = max(map(self._processor_cores, names), default=0.0)
-        floor_cores = best_cores * STRONG_SHARE
-        return [name for name in names if self._processor_cores(name) >= floor_cores]
+        cores = {name: self._processor_cores(name) for name in names}
+        floor_cores = max(cores.values(), default=0.0) * STRONG_SHARE
+        return [name for name in names if cores[name] >= floor_cores]
 
     def _settled(self) -> list[VmState]:
         """Returns the nodes that take part and started a while ago, or with the oldest ones."""
@@ -185,6 +190,7 @@
     def _settle(self) -> None:
         self._servers.expire()
         self._pool_owners.clear()
+        self._candidates = None
         if not self.membership.vms:
             return
         services = self._servers.services()
