Judge a server's failures by its latest outcomes only

Whether a server fails is asked at the end of each run, by the pool's owner and by the node that ran it. Each answer copied and filtered up to 256 outcomes, of which eight count. They are read from the newest back now; outcomes are added in order of time, so the same eight are found.

--- a/briarvale/outliers.py
+++ b/briarvale/outliers.py
@@ -2,6 +2,7 @@
 
 from collections import deque
 from collections.abc import Iterable
+from itertools import islice, takewhile
 from statistics import median
 from typing import NamedTuple
 
@@ -15,6 +16,8 @@
 SLOW_FACTOR = 2.0
 EJECTABLE_PART = 1 / 3
 ERRORS = (Outcome.FAILED, Outcome.CRASHED)
+# Outcomes that say whether the server works.
+TELLING = (*ERRORS, Outcome.FINISHED)
 
 __all__ = ["OutcomeWindow", "StreamOutcome", "ejectable_count"]
 
@@ -43,8 +46,9 @@
 
     def is_failing(self, now_ms: int) -> bool:
         """Whether half of the latest streams, and several, ended with an error."""
-        telling = [o for o in self._recent(now_ms) if o.outcome in (*ERRORS, Outcome.FINISHED)]
-        latest = telling[-MIN_STREAMS:]
+        since_ms = now_ms - WINDOW_MS
+        recent = takewhile(lambda o: o.at_ms >= since_ms, reversed(self._outcomes))
+        latest = list(islice((o for o in recent if o.outcome in TELLING), MIN_STREAMS))
         errors = sum(o.outcome in ERRORS for o in latest)
         return errors >= MIN_ERRORS and errors >= MAX_ERROR_RATIO * len(latest)
 
