--- a/briarvale/peer.py
+++ b/briarvale/peer.py
@@ -94,7 +94,7 @@
     def __init__(self, stream: ByteStream) -> None:
         self._stream = stream
         self._reader = BufferedByteReceiveStream(stream)
-        self._send_lock = anyio.Lock()
+        self._send_lock = anyio.Lock(fast_acquire=True)
 
     async def send(self, message: Message) -> None:
         """Sends one frame."""
