Move no deadline where a stream's pauses have no bound

Reading each event of a stream that can't go on elsewhere set the deadline to never, twice.

features/platform (forwarding, pool_policy, owners): 43 scenarios passed.

--- a/briarvale/silence.py
+++ b/briarvale/silence.py
@@ -40,6 +40,8 @@
 
     async def read(self, run: EngineRun) -> bytes:
         """Reads the next bytes; empty at the end."""
+        if math.isinf(self.limit_ms):
+            return await run.read()
         self.silence.wait(self.limit_ms)
         data = await run.read()
         self.silence.end()
