--- a/briarvale/silence.py
+++ b/briarvale/silence.py
@@ -48,6 +48,8 @@
 
     async def read(self, run: EngineRun) -> bytes:
         """Reads the next bytes; empty at the end."""
+        if math.isinf(self._limit_ms):
+            return await run.read()
         began_at_s = anyio.current_time()
         self._silence.wait(self._limit_ms, self._waited_ms)
         data = await run.read()
