--- a/briarvale/node_cluster.py
+++ b/briarvale/node_cluster.py
@@ -82,7 +82,7 @@
         self._connections: list[PeerConnection] = []
         # Each request asks; worked out again when the membership changes, and with time.
         self._pool_owners: dict[str, str | None] = {}
-        self._candidates: list[str] | None = None
+        self._strong_candidates: list[str] | None = None
 
     def alive(self) -> list[str]:
         """Returns the nodes that take part, this one included unless it leaves."""
@@ -125,10 +125,9 @@
         return self._pool_owners[service]
 
     def _owner_candidates(self) -> list[str]:
-        if self._candidates is None:
-            settled = [vm.vm for vm in self._settled()]
-            self._candidates = self._strong(settled or self.alive())
-        return self._candidates
+        if self._strong_candidates is None:
+            self._strong_candidates = self._strong(self._candidates())
+        return self._strong_candidates
 
     def _strong(self, names: list[str]) -> list[str]:
         """Returns the nodes whose processor time is near to the best of these."""
@@ -200,7 +199,7 @@
     def _settle(self) -> None:
         self._servers.expire()
         self._pool_owners.clear()
-        self._candidates = None
+        self._strong_candidates = None
         if not self.membership.vms:
             return
         services = self._servers.services()
