Split the items of a job wherever an object is full, not between items

What callers saw: a proper job with an item of 900 kB was denied with 413 (object_too_large), for good. Cause: parts were whole items; one item over the size of an object fitted into none. Change: a part is a slice of the JSON of all items. Also: after its end, a job's log is read whatever was read before.

--- a/briarvale/work_jobs.py
+++ b/briarvale/work_jobs.py
@@ -35,6 +35,7 @@
     "WorkJob",
     "job_key",
     "job_log_prefix",
+    "join_parts",
     "part_key",
     "split_parts",
     "texts_key",
@@ -226,18 +227,15 @@
     return tuple(items)
 
 
-def split_parts(items: tuple[WorkItem, ...]) -> list[tuple[WorkItem, ...]]:
-    """Splits items into groups that each fit into one object."""
-    parts: list[list[WorkItem]] = [[]]
-    size_bytes = 0
-    for item in items:
-        item_bytes = len(json.dumps(item))
-        if parts[-1] and size_bytes + item_bytes > PART_BYTES:
-            parts.append([])
-            size_bytes = 0
-        parts[-1].append(item)
-        size_bytes += item_bytes
-    return [tuple(part) for part in parts]
+def split_parts(items: tuple[WorkItem, ...]) -> list[bytes]:
+    """Splits the JSON of items, which is ASCII, into parts that each fit into one object."""
+    value = json.dumps(items).encode()
+    return [value[start : start + PART_BYTES] for start in range(0, len(value), PART_BYTES)]
+
+
+def join_parts(parts: Iterable[bytes]) -> tuple[WorkItem, ...]:
+    """Reads items from the parts of their JSON."""
+    return decode_items(json.loads(b"".join(parts)))
 
 
 def job_key(job_id: str) -> str:
--- a/briarvale/work_service.py
+++ b/briarvale/work_service.py
@@ -1,6 +1,6 @@
 """Accepts jobs of opaque items, reads their results and ends them; any node may do each."""
 
-import json
+import math
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -30,9 +30,9 @@
     KnownJob,
     WorkItem,
     WorkJob,
-    decode_items,
     job_key,
     job_log_prefix,
+    join_parts,
     part_key,
     split_parts,
 )
@@ -202,6 +202,7 @@
         except (StoreThrottled, StoreUnavailable) as error:
             raise CancelUnknown(f"the end was not recorded: {error}") from error
         finally:
+            known.none_further_at_s = -math.inf
             await self._catch_up(known, is_needed=False)
         log.info("Ended a job.", job_id=job_id, listed=len(known.results))
 
@@ -245,11 +246,11 @@
         job = await self._load_head(job_id)
         if not job.is_digest:
             return job
-        items: tuple[WorkItem, ...] = ()
+        parts = []
         for index in range(job.part_count):
             part = await self._read_budget.call(self._store.get, part_key(job_id, index))
-            items += decode_items(json.loads(part.value))
-        return job._replace(items=items, is_digest=False)
+            parts.append(part.value)
+        return job._replace(items=join_parts(parts), is_digest=False)
 
     async def _load_head(self, job_id: str) -> WorkJob:
         stored = await self._read_budget.call(self._store.get, job_key(job_id))
@@ -279,8 +280,7 @@
         """Stores the items of a job; returns the head to store."""
         parts = split_parts(job.items)
         for index, part in enumerate(parts):
-            value = json.dumps(part).encode()
-            await self._create(part_key(job.job_id, index), value, answer_by_ms, is_head=False)
+            await self._create(part_key(job.job_id, index), part, answer_by_ms, is_head=False)
         return job.digest()._replace(part_count=len(parts))
 
     async def _create(self, key: str, value: bytes, answer_by_ms: int, *, is_head: bool) -> bool:
--- a/features/platform/batch.feature
+++ b/features/platform/batch.feature
@@ -77,6 +77,11 @@
     When 40 readers poll a node that the store turns away for 4 s while it runs a job
     Then the results are listed within 3 s of the store's return
 
+  # Guards against a proper job that is denied because one of its items fits into no object.
+  Scenario: An item larger than one object
+    When a caller submits a job with an item of 900 kB
+    Then it is accepted and the body comes back whole
+
   Scenario: A job larger than one object
     When a caller submits a job of 1.5 MB
     Then it is done and its bodies come back whole
--- a/features/steps/platform_batch.py
+++ b/features/steps/platform_batch.py
@@ -36,6 +36,7 @@
 SLOW_GAP_S, USUAL_GAP_S = 1.0, 0.01
 BIG_ITEM_BYTES = 100_000
 BIG_ITEMS = 15
+LARGE_BODY = b"prompt" * 150_000
 
 Play = Callable[[PlatformFleet, dict[str, Any]], Awaitable[None]]
 
@@ -636,6 +637,24 @@
     assert context.facts["listed after s"] <= 3, context.facts["listed after s"]
 
 
+@when("a caller submits a job with an item of 900 kB")
+def when_large_item(context: Context) -> None:
+    async def behave_as(fleet: PlatformFleet, facts: dict[str, Any]) -> None:
+        rows = json.loads(job_body(ITEMS))
+        rows["items"][1]["body"] = base64.b64encode(LARGE_BODY).decode()
+        facts["answer"] = await submit(fleet.nodes["vm-1"], json.dumps(rows).encode())
+        path = f"/briarvale/items/{JOB}?id={ITEMS[1]}"
+        facts["body"] = await Caller(fleet.nodes["vm-2"]).call("GET", path)
+
+    play(context, behave_as, engines=0)
+
+
+@then("it is accepted and the body comes back whole")
+def then_large_item(context: Context) -> None:
+    assert context.facts["answer"].status == 202, context.facts["answer"]
+    assert context.facts["body"].body == LARGE_BODY
+
+
 @when("a caller submits a job of 1.5 MB")
 def when_big(context: Context) -> None:
     async def behave_as(fleet: PlatformFleet, facts: dict[str, Any]) -> None:
