Bound what the product's own clients read of an answer

What callers saw: nothing yet; found while reading for bytes without end. A plain service, or an engine in the OpenAI form, that sent without end filled the memory of the gateway that asked it. Cause: httpx reads a body whole and a line to its end, however long, and its read time-out is one between bytes.

Evidence, features/frame/endless.feature before, all 3 scenarios: the answer of a plain service and an event of a completion: no end within 5 s, 192 MB taken (where the stand-in stops); an engine's load: ReadTimeout after 192 MB. Ruled out: heads, which httpx's own parser bounds.

Change: answers are streamed and read up to a named size, lines too (bounded_answers.py); beyond it the call fails with AnswerTooLong, a kind of ServerLost, as where an answer is lost. KV cache may be 4 GB, as its size is not known. The stand-in server without end is shared with the scenarios of the platform.

Not changed: the time that a completion may trickle is bounded by who reads it, not here.

--- a/briarvale/engine_client.py
+++ b/briarvale/engine_client.py
@@ -9,12 +9,16 @@
 
 import httpx
 
+from .bounded_answers import read_bounded, read_bounded_lines
 from .errors import InvalidRequest, ServerConnectFailed, ServerLost, ServerRefused, StaleOrder
 from .traces import inject_headers
 
 CONNECT_TIMEOUT_S = 1.0
 READ_TIMEOUT_S = 30.0
 CALL_TIMEOUT_S = 3.0
+MAX_ANSWER_BYTES = 16 * 1_048_576
+MAX_KV_BYTES = 4 * 1_073_741_824
+MAX_LINE_BYTES = 1_048_576
 SSE_PREFIX = "data: "
 SSE_END = "[DONE]"
 
@@ -152,12 +156,12 @@
 
     async def load(self) -> EngineLoad:
         """Reads the load."""
-        row = (await self._call("GET", "/load")).json()
+        row = json.loads(await self._call("GET", "/load"))
         return EngineLoad(**row | {"adapters": tuple(row["adapters"])})
 
     async def cache_events(self, after: int) -> CacheEvents:
         """Reads cache events."""
-        answer = (await self._call("GET", f"/events?after={after}")).json()
+        answer = json.loads(await self._call("GET", f"/events?after={after}"))
         events = tuple(CacheEvent(*row) for row in answer["events"])
         return CacheEvents(events, answer["last_sequence"])
 
@@ -167,19 +171,25 @@
 
     async def export_kv(self, request_id: str) -> bytes:
         """Exports KV cache."""
-        return (await self._call("GET", f"/kv/{request_id}")).content
+        return await self._call("GET", f"/kv/{request_id}", max_bytes=MAX_KV_BYTES)
 
     async def import_kv(self, request_id: str, data: bytes) -> None:
         """Imports KV cache."""
         await self._call("PUT", f"/kv/{request_id}", {"data": data.hex()})
 
     async def _call(
-        self, verb: str, path: str, body: dict[str, object] | None = None
-    ) -> httpx.Response:
+        self,
+        verb: str,
+        path: str,
+        body: dict[str, object] | None = None,
+        max_bytes: int = MAX_ANSWER_BYTES,
+    ) -> bytes:
+        """Makes a call; returns the body of its answer."""
         try:
-            response = await self._client.request(
+            async with self._client.stream(
                 verb, self._base_url + path, json=body, timeout=CALL_TIMEOUT_S
-            )
+            ) as response:
+                content = await read_bounded(response, max_bytes)
         except (httpx.ConnectError, httpx.ConnectTimeout) as error:
             raise ServerConnectFailed(f"{self._base_url}: {type(error).__name__}") from error
         except httpx.HTTPError as error:
@@ -188,19 +198,19 @@
             raise StaleOrder(f"{self._base_url}: stale fencing number")
         if response.status_code != 200:
             raise ServerRefused(f"{self._base_url}: status {response.status_code}")
-        return response
+        return content
 
 
 async def _check_stream(response: httpx.Response) -> None:
     if response.status_code == 400:
-        await response.aread()
-        raise InvalidRequest(response.text)
+        content = await read_bounded(response, MAX_LINE_BYTES)
+        raise InvalidRequest(content.decode(errors="replace"))
     if response.status_code != 200:
         raise ServerRefused(f"status {response.status_code}")
 
 
 async def _read_tokens(response: httpx.Response) -> AsyncIterator[Token]:
-    async for line in response.aiter_lines():
+    async for line in read_bounded_lines(response, MAX_LINE_BYTES):
         if not line.startswith(SSE_PREFIX):
             continue
         data = line.removeprefix(SSE_PREFIX)
--- a/briarvale/service_client.py
+++ b/briarvale/service_client.py
@@ -4,11 +4,13 @@
 
 import httpx
 
+from .bounded_answers import read_bounded
 from .errors import ServerConnectFailed, ServerLost
 from .traces import inject_headers
 
 CONNECT_TIMEOUT_S = 1.0
 READ_TIMEOUT_S = 30.0
+MAX_ANSWER_BYTES = 16 * 1_048_576
 
 __all__ = ["HttpPlainService", "PlainService", "ServiceCall", "ServiceAnswer"]
 
@@ -39,7 +41,12 @@
     """What Briarvale asks of a plain service."""
 
     async def call(self, call: ServiceCall) -> ServiceAnswer:
-        """Makes the call once. Raises `ServerConnectFailed` or `ServerLost`."""
+        """Makes the call once.
+
+        Raises:
+            ServerConnectFailed: If nothing was sent.
+            ServerLost: If the answer was lost; `AnswerTooLong` if it did not end.
+        """
 
 
 class HttpPlainService:
@@ -65,16 +72,17 @@
             headers["idempotency-key"] = call.idempotency_key
         client = self._client if call.is_repeatable else self._fresh_client
         try:
-            response = await client.request(
+            async with client.stream(
                 call.verb,
                 f"{self._base_url}/{call.path}",
                 content=call.body,
                 headers=inject_headers(headers),
                 timeout=httpx.Timeout(READ_TIMEOUT_S, connect=CONNECT_TIMEOUT_S),
-            )
+            ) as response:
+                content = await read_bounded(response, MAX_ANSWER_BYTES)
         except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout) as error:
             raise ServerConnectFailed(f"{self._base_url}: {type(error).__name__}") from error
         except httpx.HTTPError as error:
             raise ServerLost(f"{self._base_url}: {type(error).__name__}") from error
         content_type = response.headers.get("content-type", "application/octet-stream")
-        return ServiceAnswer(response.status_code, response.content, content_type)
+        return ServiceAnswer(response.status_code, content, content_type)
--- /dev/null
+++ b/features/frame/endless.feature
@@ -0,0 +1,12 @@
+Feature: The product's own clients read no answer without end
+
+  # Guards against: a plain service or an engine that sends without end and fills the caller's memory.
+  Scenario Outline: A client gives a server up that sends without end
+    When <what> comes without end
+    Then the call fails as an answer that is too long, after a bounded number of bytes
+
+    Examples:
+      | what                                |
+      | the answer of a plain service       |
+      | an event of an engine's completion  |
+      | an engine's load                    |
--- a/features/steps/platform_endless.py
+++ b/features/steps/platform_endless.py
@@ -9,12 +9,12 @@
 
 from briarvale.errors import AnswerTooLong
 from briarvale.http_wire import AnswerHead
-from briarvale.ingress import Ingress, IngressRequest, Responder
+from briarvale.ingress import Ingress, Responder
 from briarvale.live_servers import LiveServer
 from briarvale.peer import PeerAddress
 from briarvale.platform.engine_report import fetch_runs
 from features.steps.platform_batch import read_all, submit
-from features.support.endless_answers import Endless, EndlessAnswer
+from features.support.endless_answers import Endless, EndlessAnswer, EndlessServer
 from features.support.platform_engine import PlatformEngineStandin, SeenRequest, event, whole_text
 from features.support.platform_fleet import (
     MODEL,
@@ -176,22 +176,6 @@
     assert context.seen.took_s < limit_s, context.seen.took_s
 
 
-class EndlessReport:
-    """A server that answers the question for its load without end."""
-
-    def __init__(self, endless: EndlessAnswer) -> None:
-        self._endless = endless
-        self.limits = PlatformEngineStandin.limits
-
-    async def handle(self, request: IngressRequest, responder: Responder) -> None:
-        """Answers."""
-        await self._endless.send((), responder)
-
-    async def refuse(self, error: Any, responder: Responder) -> None:
-        """Answers what can't be read."""
-        await responder.answer(400, (), b"")
-
-
 @when("a server answers the question for its load with a body without end")
 def when_report(context: Context) -> None:
     seen = Seen(EndlessAnswer(Endless.ONE_EVENT))
@@ -200,7 +184,7 @@
     async def run() -> None:
         address = PeerAddress("127.0.0.1", free_port())
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(Ingress(EndlessReport(seen.endless)).serve, address)
+            tasks.start_soon(Ingress(EndlessServer(seen.endless)).serve, address)
             await anyio.sleep(0.1)
             try:
                 with anyio.fail_after(3):
--- a/features/support/endless_answers.py
+++ b/features/support/endless_answers.py
@@ -6,14 +6,16 @@
 
 import anyio
 
-from briarvale.ingress import Responder
+from briarvale.errors import BriarvaleError
+from briarvale.ingress import IngressRequest, Responder
+from briarvale.routes import IngressLimits
 
 BLOCK = b"x" * 65_536
 TRICKLE_GAP_S = 0.05
 # Nothing more is sent after this, so that a failing test does not fill the machine's memory.
 MAX_SENT_BYTES = 192_000_000
 
-__all__ = ["Endless", "EndlessAnswer"]
+__all__ = ["Endless", "EndlessAnswer", "EndlessServer"]
 
 
 class Endless(Enum):
@@ -91,6 +93,27 @@
                 return itertools.chain([head(500, rows)], itertools.repeat(chunk(BLOCK)))
 
 
+class EndlessServer:
+    """Answers every request with bytes without end.
+
+    Args:
+        endless: The answer.
+    """
+
+    limits = IngressLimits()
+
+    def __init__(self, endless: EndlessAnswer) -> None:
+        self._endless = endless
+
+    async def handle(self, request: IngressRequest, responder: Responder) -> None:
+        """Answers a request."""
+        await self._endless.send((), responder)
+
+    async def refuse(self, error: BriarvaleError, responder: Responder) -> None:
+        """Answers what can't be read."""
+        await responder.answer(400, (), b"")
+
+
 def head(status: int, rows: tuple[tuple[bytes, bytes], ...]) -> bytes:
     """Returns the head of an answer in chunks."""
     lines = [b"HTTP/1.1 %d Status" % status, b"transfer-encoding: chunked"]
