--- a/briarvale/pool_server.py
+++ b/briarvale/pool_server.py
@@ -44,7 +44,7 @@
 
     @property
     def is_ready(self) -> bool:
-        """Whether it takes new work, by its entry and by what holders were told by it."""
+        """Whether it takes new work, by its entry and by what holders know."""
         return self.is_listed and not self.is_draining
 
     @property
--- a/briarvale/slot_pool.py
+++ b/briarvale/slot_pool.py
@@ -189,13 +189,13 @@
                 return
 
     def _note_draining(self, server: PoolServer, release: SlotRelease) -> None:
-        """Takes what the holder was told by the server, if it was this start of it."""
+        """Takes what the holder knows of the server, if it is of this start."""
         is_same_start = release.server_started_at_ms == server.server.started_at_ms
         if not release.is_server_draining or not is_same_start or server.is_draining:
             return
         server.is_draining = True
         log.info(
-            "Grants nothing on a server that told a holder that it is draining.",
+            "Grants nothing on a server that a holder knows to be draining.",
             backend_server=server.server.id,
             started_at_ms=release.server_started_at_ms,
         )
