Probe servers only while this node owns a pool

Every node woke three times a second to probe the servers of its pools, and all but one or two of a large fleet own none. The wait for a first pool is the granters' own now, for both loops.

features/platform: 86 scenarios passed.

--- a/briarvale/node_cluster.py
+++ b/briarvale/node_cluster.py
@@ -210,6 +210,7 @@
 
     async def _probe_servers(self) -> None:
         while True:
+            await self.pools.wait_owned()
             await anyio.sleep(PROBE_INTERVAL_S)
             async with anyio.create_task_group() as tasks:
                 for service in self._servers.services():
--- a/briarvale/slot_granters.py
+++ b/briarvale/slot_granters.py
@@ -18,6 +18,7 @@
 from .clock import MS_PER_S, Clock
 from .errors import NotOwner
 from .holder import Holder
+from .notifier import Notifier
 
 TICK_INTERVAL_MS = 100
 MIN_WAIT_MS = 1
@@ -83,6 +84,12 @@
         self._queues: dict[str, Granter] = {}
         self._early_reports: dict[str, tuple[HeldGrant, Holder]] = {}
         self._changed = anyio.Event()
+        self._taken_up = Notifier()
+
+    async def wait_owned(self) -> None:
+        """Waits until this process owns something."""
+        while not self._queues:
+            await self._taken_up.wait()
 
     def _give_up(self, names: set[str]) -> None:
         for name in names:
@@ -91,7 +98,7 @@
 
     def _take_up(self, name: str, queue: Granter) -> None:
         self._queues[name] = queue
-        self._changed.set()
+        self._taken_up.notify()
         self._adopt_early(name)
         log.info("Owns {}.", name)
 
@@ -134,7 +141,7 @@
         """Ticks, and starts what waits for prefill as soon as it may, until cancelled."""
         tick_at_ms = self._clock.now_ms()
         while True:
-            await self._wait_owned()
+            await self.wait_owned()
             if self._clock.now_ms() >= tick_at_ms:
                 tick_at_ms = self._clock.now_ms() + TICK_INTERVAL_MS
                 self.tick()
@@ -142,11 +149,6 @@
             self._changed = anyio.Event()
             await self._wait_due(tick_at_ms)
 
-    async def _wait_owned(self) -> None:
-        while not self._queues:
-            self._changed = anyio.Event()
-            await self._changed.wait()
-
     def _pump_due(self) -> None:
         now_ms = self._clock.now_ms()
         for queue in self._queues.values():
