Use an open link to an owner without the lock of those that connect

Each request for a slot made and took a lock to find a connection that mostly stands already. The lock is for those that have to open one.

features/platform: 86 scenarios passed.

--- a/briarvale/slot_client.py
+++ b/briarvale/slot_client.py
@@ -245,9 +245,12 @@
 
     async def _link_to(self, address: PeerAddress) -> OwnerLink:
         self._start_keeping()
+        link = self._open_link(address)
+        if link is not None:
+            return link
         async with self._connecting.setdefault(address, anyio.Lock()):
-            link = self._links.get(address)
-            if link is not None and not link.is_closed:
+            link = self._open_link(address)
+            if link is not None:
                 return link
             with anyio.move_on_after(self._patience.connect_s):
                 return await self._connect(address)
@@ -255,6 +258,10 @@
             self._unreachable_until_ms[address] = now_ms + UNREACHABLE_MS
             raise OwnerUnreachable(f"{address.host} does not take a connection")
 
+    def _open_link(self, address: PeerAddress) -> OwnerLink | None:
+        link = self._links.get(address)
+        return link if link is not None and not link.is_closed else None
+
     async def _connect(self, address: PeerAddress) -> OwnerLink:
         now_ms = self._environment.clock.now_ms()
         if now_ms < self._unreachable_until_ms.get(address, 0):
