Keep entries of a job's log within what the store takes

What callers saw: items of a job that had run stayed open for ever, and ran again and again; a node that stopped gave jobs with much progress not back, and what they had done was lost.

Cause: an entry was filled up to 700 kB of JSON, but the store keeps that JSON as a text within another, where a quote takes four bytes in place of two. Beyond 1 MiB the store's client refuses the object, the job's run ends, and the next one does the same. A hand-over had no limit of its size at all.

Evidence: features/platform/batch.feature, "Results that grow when they are stored are listed" and "A node that stops hands over a job whose progress is too large for one entry": both ended before the change with a TimeoutError after 25 s; the log of the first says four times in 6 s `A job stopped: ExceptionGroup(..., [ObjectTooLarge('/briarvale/objects/workjobs')])`.

Ruled out: the servers (all items were done there) and the page that readers get (the results were not in the log). Texts of plain letters and digits never come so near to the limit.

Change: an entry holds 500 kB at most, which even twice its size fits. A hand-over first lists results as they fit, then gives the job back with the progress of as many items as fit; the others begin anew. Both tests failed before and pass after. Open: one item's text that alone is too large.

--- a/briarvale/shard_log.py
+++ b/briarvale/shard_log.py
@@ -45,6 +45,11 @@
     last_event_id: int
     text: str
 
+    @property
+    def size_bytes(self) -> int:
+        """Size in a log entry, at most."""
+        return len(json.dumps(self))
+
 
 class RunnerId(NamedTuple):
     """One life of a process that runs items."""
--- a/briarvale/work_runner.py
+++ b/briarvale/work_runner.py
@@ -13,7 +13,14 @@
 from .errors import BriarvaleError, NotReady, ShardSealed, StoreThrottled, StoreUnavailable
 from .node_cluster import NodeCluster
 from .peer import PeerIdentity
-from .shard_log import NO_RUNNER, ItemResult, RunnerId, ShardLog, fitting_results
+from .shard_log import (
+    NO_RUNNER,
+    ItemProgress,
+    ItemResult,
+    RunnerId,
+    ShardLog,
+    fitting_results,
+)
 from .work_items import ItemState, WorkItemRunner
 from .work_jobs import JobDirectory, KnownJob, WorkJob
 from .work_service import WorkService
@@ -21,7 +28,8 @@
 LOOK_INTERVAL_S = 0.5
 # Results that come close together share one entry of the log.
 GATHER_S = 0.15
-MAX_ENTRY_BYTES = 700_000
+# An entry may take twice its size in the store, where its JSON is a text.
+MAX_ENTRY_BYTES = 500_000
 RETRY_S = 1.0
 STORE_PAUSE_S = 0.2
 HAND_OVER_S = 2.0
@@ -243,10 +251,15 @@
 
     async def _give_back(self, running: _RunningJob, shard_log: ShardLog) -> bool:
         """Writes results, progress and that nobody runs the job; false if another entry stands."""
-        entry = [r for r in running.results if r.item_index not in shard_log.done]
+        unlisted = [r for r in running.results if r.item_index not in shard_log.done]
+        entry = fitting_results(unlisted, MAX_ENTRY_BYTES)
+        if len(entry) < len(unlisted):
+            await self._append(running, shard_log)
+            return False
         listed = shard_log.done | {result.item_index for result in entry}
         states = [state for index, state in running.states.items() if index not in listed]
-        progress = tuple(s.progress for s in states if s.progress is not None)
+        left_bytes = MAX_ENTRY_BYTES - sum(result.size_bytes for result in entry)
+        progress = _fitting_progress(states, left_bytes)
         if not await shard_log.append(entry, progress=progress, runner=NO_RUNNER):
             return False
         self._note_listed(running.known.job, entry)
@@ -308,3 +321,14 @@
                 code=result.error_code or "done",
                 due_in_ms=job.due_at_ms - self._clock.now_ms(),
             )
+
+
+def _fitting_progress(states: list[ItemState], max_bytes: int) -> tuple[ItemProgress, ...]:
+    """Returns how far items have come, of as many as fit; the others begin anew."""
+    chosen = []
+    left_bytes = max_bytes
+    for progress in (state.progress for state in states):
+        if progress is not None and progress.size_bytes <= left_bytes:
+            chosen.append(progress)
+            left_bytes -= progress.size_bytes
+    return tuple(chosen)
--- a/features/platform/batch.feature
+++ b/features/platform/batch.feature
@@ -61,6 +61,16 @@
     When a caller submits a job of 1.5 MB
     Then it is done and its bodies come back whole
 
+  # Guards against results that the store refuses for their size, for ever.
+  Scenario: Results that grow when they are stored are listed
+    When 8 items are done at once whose texts are quotes only, 1.8 MB as they are stored
+    Then all 8 are listed as done
+
+  # Guards against a hand-over that the store refuses for its size.
+  Scenario: A node that stops hands over a job whose progress is too large for one entry
+    When the node that runs 8 such items stops gracefully after 5 of 6 events
+    Then the job is given back and another node lists all 8
+
   Scenario: All nodes are killed at once, and one of them never comes back
     When every node is killed while a job runs, and all but its runner start again
     Then another node finishes it
--- a/features/steps/platform_batch.py
+++ b/features/steps/platform_batch.py
@@ -562,3 +562,49 @@
     for answer in context.facts["answers"]:
         assert answer.status == 400 and "items" in answer.json()["message"], answer
     assert context.facts["kept"] == []
+
+
+# Each quote takes two bytes in the JSON of an entry, and four in that of the stored object.
+QUOTES = '"' * 9_600
+QUOTE_ITEMS = [f"item-{number}" for number in range(8)]
+
+
+@when("8 items are done at once whose texts are quotes only, 1.8 MB as they are stored")
+def when_quotes(context: Context) -> None:
+    async def behave_as(fleet: PlatformFleet, facts: dict[str, Any]) -> None:
+        for engine in facts["engines"]:
+            engine.padding = QUOTES
+        await submit(fleet.nodes["vm-1"], job_body(QUOTE_ITEMS))
+        facts["results"] = await read_all(fleet.nodes["vm-1"], len(QUOTE_ITEMS))
+
+    play(context, behave_as, nodes=1)
+
+
+@then("all 8 are listed as done")
+def then_quotes(context: Context) -> None:
+    assert len(context.facts["results"]) == len(QUOTE_ITEMS)
+    assert all(row["state"] == "done" for row in context.facts["results"])
+
+
+@when("the node that runs 8 such items stops gracefully after 5 of 6 events")
+def when_quotes_stopped(context: Context) -> None:
+    async def behave_as(fleet: PlatformFleet, facts: dict[str, Any]) -> None:
+        for engine in facts["engines"]:
+            engine.padding = QUOTES
+            engine.event_gap_s = 0.5
+        await submit(fleet.nodes["vm-1"], job_body(QUOTE_ITEMS))
+        runner = await runner_of(fleet, facts)
+        await anyio.sleep(2.3)
+        runner.stopped.set()
+        facts["results"] = await read_all(other_than(fleet, runner), len(QUOTE_ITEMS))
+        entries = fleet.store.kinds["workjobs"].values()
+        texts = [json.loads(row["spec"]["text"]) for row in entries]
+        facts["handed over"] = sum(text.get("runner") == ["", ""] for text in texts)
+
+    play(context, behave_as, nodes=2)
+
+
+@then("the job is given back and another node lists all 8")
+def then_quotes_given_back(context: Context) -> None:
+    assert context.facts["handed over"] == 1, context.facts["handed over"]
+    then_quotes(context)
--- a/features/support/platform_engine.py
+++ b/features/support/platform_engine.py
@@ -55,6 +55,8 @@
         self.is_model = is_model
         self.event_count = event_count
         self.event_gap_s = EVENT_GAP_S
+        # Follows the data of each event.
+        self.padding = ""
         self.behaviours: deque[Behaviour] = deque()
         self.usual = Behaviour.SERVE
         self.seen: list[SeenRequest] = []
@@ -140,7 +142,7 @@
         await responder.start(AnswerHead(200, (*signed, (b"content-type", b"text/event-stream"))))
         after = int(seen.header(b"last-event-id") or 0)
         for number in range(after + 1, until + 1):
-            await responder.send(event(number))
+            await responder.send(event(number, self.padding))
             await anyio.sleep(self.event_gap_s)
         if until == self.event_count:
             await responder.finish()
@@ -148,9 +150,9 @@
             await responder.send(b"id: 99\nda")
 
 
-def event(number: int) -> bytes:
+def event(number: int, padding: str = "") -> bytes:
     """Returns the bytes of one event."""
-    return f"id: {number}\ndata: piece {number}\n\n".encode()
+    return f"id: {number}\ndata: piece {number}{padding}\n\n".encode()
 
 
 def whole_text(event_count: int) -> str:
