Let an unexpected error cost a run of its item, not the run of the whole job

What callers saw: nothing of a job was ever listed if the run of one of its items raised an unexpected error each time, as for an item with a header that can't be sent. Such a job is accepted today.

Cause: the runner of a job took any exception of an item as a reason to stop all items and to begin the job again a second later, with the same outcome.

Change: the item's own loop catches and logs the error, waits, and tries that item again until its retention ends. The other items aren't stopped.

--- a/briarvale/work_items.py
+++ b/briarvale/work_items.py
@@ -102,29 +102,37 @@
         another server if there is one, however many servers crashed under it. Its losses say
         nothing of online requests, whose content differs, so `CrashGuard` is not told of them.
         """
-        item = job.items[state.index]
-        request = self._decoder.item_request(job, item, base64.b64decode(item.body_base64))
         while not state.is_whole and not state.error_code:
             if self._clock.now_ms() >= job.give_up_at_ms:
                 state.error_code = GIVEN_UP
                 break
             try:
-                await self._run_once(job, request, state)
+                await self._run_once(job, self._request(job, state), state)
                 state.waits = 0
             except BriarvaleError as error:
                 state.waits += 1
                 log.info(
                     "A run of an item ended early.",
                     job_id=job.job_id,
-                    item_id=item.id,
+                    item_id=job.items[state.index].id,
                     code=error.code,
                     reason=str(error),
                     events=len(state.data),
                 )
                 await _back_off(state.waits)
+            except Exception as error:
+                # A fault here must cost this run of the item, not those of the job's others.
+                state.waits += 1
+                item_id = job.items[state.index].id
+                log.exception("A run failed: {!r}.", error, job_id=job.job_id, item_id=item_id)
+                await _back_off(state.waits)
         text = "" if state.error_code else "\n".join(state.data)
         return ItemResult(state.index, text, state.error_code)
 
+    def _request(self, job: WorkJob, state: ItemState) -> ForwardRequest:
+        item = job.items[state.index]
+        return self._decoder.item_request(job, item, base64.b64decode(item.body_base64))
+
     async def _run_once(self, job: WorkJob, request: ForwardRequest, state: ItemState) -> None:
         wanted = self._slot_request(job, request, state)
         state.excluded = []
--- a/briarvale/work_runner.py
+++ b/briarvale/work_runner.py
@@ -236,12 +236,7 @@
                 await anyio.sleep(STORE_PAUSE_S)
 
     async def _run_item(self, running: _RunningJob, state: ItemState) -> None:
-        try:
-            running.add(await self._items.run(running.known.job, state))
-        except Exception as error:
-            # The item stays open, and the job's next run takes it up again.
-            log.exception("An item failed: {!r}.", error, job_id=running.known.job.job_id)
-            running.scope.cancel()
+        running.add(await self._items.run(running.known.job, state))
 
     async def _list_results(self, running: _RunningJob, shard_log: ShardLog) -> None:
         """Appends results as they come, until all items are listed or the job has ended."""
--- a/features/platform/batch.feature
+++ b/features/platform/batch.feature
@@ -36,6 +36,11 @@
     When a server breaks an item off while another item fills the only other server for 15 s
     Then the item is done within 5 s
 
+  # Guards against one item whose run raises an unexpected error each time and so stops its whole job.
+  Scenario: An item that raises an unexpected error each time holds no other item up
+    When the request of one item of a job can't be made
+    Then the other items are done within 5 s, after one run each
+
   Scenario: An ended job stops and keeps what it listed
     When a caller ends a job that runs, at another node, twice
     Then its items stop at the backend servers and nothing more is listed
--- a/features/steps/platform_batch.py
+++ b/features/steps/platform_batch.py
@@ -9,6 +9,9 @@
 from behave import then, when
 from behave.runner import Context
 
+from briarvale.forward_request import ForwardRequest
+from briarvale.work_items import ItemDecoder
+from briarvale.work_jobs import WorkItem, WorkJob
 from features.support.platform_engine import Behaviour, whole_text
 from features.support.platform_fleet import (
     CRASH_S,
@@ -340,6 +343,54 @@
     assert facts["long runs"] == 1, facts
 
 
+class FaultyDecoder:
+    """Makes the requests of all items but one.
+
+    Args:
+        decoder: Makes the others.
+        faulty_id: The item whose request can't be made.
+    """
+
+    def __init__(self, decoder: ItemDecoder, faulty_id: str) -> None:
+        self._decoder = decoder
+        self._faulty_id = faulty_id
+
+    def item_request(self, job: WorkJob, item: WorkItem, body: bytes) -> ForwardRequest:
+        """Makes a request; raises `ValueError` for the faulty item."""
+        if item.id == self._faulty_id:
+            raise ValueError("this request can't be made")
+        return self._decoder.item_request(job, item, body)
+
+
+@when("the request of one item of a job can't be made")
+def when_faulty_item(context: Context) -> None:
+    async def behave_as(fleet: PlatformFleet, facts: dict[str, Any]) -> None:
+        node = fleet.nodes["vm-1"]
+        assert node.node is not None and node.node._runner is not None
+        items = node.node._runner._items
+        items._decoder = FaultyDecoder(items._decoder, ITEMS[1])
+        for engine in facts["engines"]:
+            engine.event_gap_s = 0.3
+        await submit(node, job_body(ITEMS))
+        facts["results"] = []
+        with anyio.move_on_after(CALM_S):
+            while len(facts["results"]) < len(ITEMS) - 1:
+                page = (await read(node, len(facts["results"]))).json()
+                facts["results"] += page["results"]
+
+    play(context, behave_as, nodes=1)
+
+
+@then("the other items are done within 5 s, after one run each")
+def then_others_done(context: Context) -> None:
+    facts = context.facts
+    others = [ITEMS[0], ITEMS[2]]
+    runs = {item_id: len(runs_of(facts, item_id)) for item_id in others}
+    assert sorted(row["id"] for row in facts["results"]) == others, (facts["results"], runs)
+    assert all(row["text"] == whole_text(6) for row in facts["results"]), facts["results"]
+    assert runs == dict.fromkeys(others, 1), runs
+
+
 @when("a caller ends a job that runs, at another node, twice")
 def when_ends(context: Context) -> None:
     async def behave_as(fleet: PlatformFleet, facts: dict[str, Any]) -> None:
