Refuse a job with an item that can never be sent

What callers saw: 202 for a job with an item whose id or path is no text, or whose path or headers can't stand in an HTTP request; nothing of that job was ever listed but by its retention.

Cause: items were decoded at acceptance and encoded only when they ran, where the encoder raised each time.

Change: the door makes each item's request and has it encoded before it accepts the job; what can't be encoded is answered 400 with the item's place.

--- a/briarvale/http_wire.py
+++ b/briarvale/http_wire.py
@@ -38,6 +38,7 @@
     "Headers",
     "OutgoingRequest",
     "WholeAnswer",
+    "check_request",
     "end_to_end_headers",
     "find_header",
     "watch_for_loss",
@@ -83,6 +84,14 @@
     return tuple(row for row in headers if row[0] not in unwanted)
 
 
+def check_request(request: OutgoingRequest) -> None:
+    """Raises `ValueError` if a request can't be written as HTTP/1.1."""
+    try:
+        _encode_request(h11.Connection(h11.CLIENT), request)
+    except h11.LocalProtocolError as error:
+        raise ValueError(str(error)) from error
+
+
 def watch_for_loss(stream: SocketStream) -> None:
     """Has the kernel end a connection whose other side has fallen silent."""
     raw = stream.extra(SocketAttribute.raw_socket)
--- a/briarvale/platform/batch_door.py
+++ b/briarvale/platform/batch_door.py
@@ -9,7 +9,7 @@
 from ..clock import Clock
 from ..errors import InvalidRequest, NotFound
 from ..forward_request import ForwardRequest
-from ..http_wire import Headers, find_header
+from ..http_wire import Headers, OutgoingRequest, check_request, find_header
 from ..ingress import IngressRequest, Responder
 from ..routes import BatchRoute, Route, ServiceWeight
 from ..shard_log import ItemResult
@@ -58,11 +58,13 @@
     def __init__(self, service: WorkService, clock: Clock) -> None:
         self._service = service
         self._clock = clock
+        self._requests = ItemRequests(clock)
 
     async def submit(self, route: Route, request: IngressRequest, responder: Responder) -> None:
         """Accepts a job."""
         now_ms = self._clock.now_ms()
         job = _decode_job(route, request, now_ms)
+        self._check_items(job)
         deadline_ms = _number(request.headers, DEADLINE_MS)
         await self._service.accept(job, now_ms + (deadline_ms or DEFAULT_SUBMIT_MS))
         await responder.answer(202, JSON_HEADERS, b"{}")
@@ -100,6 +102,15 @@
         await self._service.end(job_id)
         await responder.answer(200, JSON_HEADERS, b"{}")
 
+    def _check_items(self, job: WorkJob) -> None:
+        """Raises `InvalidRequest` if an item could never be sent to a server."""
+        for index, item in enumerate(job.items):
+            try:
+                request = self._requests.item_request(job, item, b"")
+                check_request(OutgoingRequest(request.method, request.target, request.headers))
+            except ValueError as error:
+                raise InvalidRequest(f"items[{index}]: {error}") from error
+
 
 def _check_id(job_id: str) -> None:
     if JOB_ID.fullmatch(job_id) is None:
@@ -133,6 +144,8 @@
 
 
 def _decode_item(row: Any) -> WorkItem:
+    if not isinstance(row["id"], str) or not isinstance(row["path"], str):
+        raise ValueError("id and path: expected texts")
     body = row.get("body", "")
     try:
         base64.b64decode(body, validate=True)
--- a/features/platform/batch.feature
+++ b/features/platform/batch.feature
@@ -101,3 +101,8 @@
   Scenario: A malformed job is refused with its field
     When jobs with faults of every kind are submitted
     Then each is answered 400 and names the field, and nothing is kept
+
+  # Guards against a job that is accepted though one of its items can never be sent to a server.
+  Scenario: A job with an item that can't be sent is refused with its field
+    When jobs with an id, path or header that can't be sent are submitted
+    Then each is answered 400 and names the field, and nothing is kept
--- a/features/steps/platform_batch.py
+++ b/features/steps/platform_batch.py
@@ -719,11 +719,34 @@
         json.dumps({"items": [{"id": "a", "path": "/lot/a"}] * 201}).encode(),
     ]
 
+    play(context, refused_jobs(bodies), nodes=1, engines=1)
+
+
+@when("jobs with an id, path or header that can't be sent are submitted")
+def when_unsendable(context: Context) -> None:
+    sound: dict[str, Any] = {"id": "item-a", "path": "/lot/a"}
+    faults: list[dict[str, Any]] = [
+        {"id": 7},
+        {"id": "a\nb"},
+        {"id": "\ud800"},
+        {"path": 7},
+        {"path": "/lot/a b"},
+        {"path": ""},
+        {"headers": {"X-Note": "a\r\nX-Other: b"}},
+        {"headers": {"X Note": "a"}},
+    ]
+    bodies = [json.dumps({"items": [sound | {"id": "item-b"}, sound | f]}).encode() for f in faults]
+    play(context, refused_jobs(bodies), nodes=1, engines=1)
+
+
+def refused_jobs(bodies: list[bytes]) -> Play:
+    """Returns a play that submits jobs, each of which should be refused."""
+
     async def behave_as(fleet: PlatformFleet, facts: dict[str, Any]) -> None:
         facts["answers"] = [await submit(fleet.nodes["vm-1"], body) for body in bodies]
         facts["kept"] = fleet.store.names("workjobs")
 
-    play(context, behave_as, nodes=1, engines=1)
+    return behave_as
 
 
 @then("each is answered 400 and names the field, and nothing is kept")
