End a run of an item whose server sends bytes but no new event

What callers saw: an item stayed at a server that sent bytes without end, none of which made an event, until its retention ended; it held a slot all that time.

Cause: any bytes counted as a sign of life, and a run of an item has no other limit than its retention.

Ruled out: a limit on the time of a whole run, since long items are allowed.

--- a/briarvale/work_items.py
+++ b/briarvale/work_items.py
@@ -178,7 +178,7 @@
                 error = await self._stream(job, request, state, server)
                 tasks.cancel_scope.cancel()
             if state.is_stalled:
-                error = ServerStalled(f"{server.id} sent nothing for {MAX_SILENCE_S} s")
+                error = ServerStalled(f"{server.id} sent no event for {MAX_SILENCE_S} s")
             if error is not None:
                 raise error
         if state.failures > failures_before:
@@ -219,8 +219,10 @@
             if not run.facts.is_signed:
                 raise ServerLost("a success without a signature")
             while data := await run.read():
-                state.heard_at_s = anyio.current_time()
-                state.data += [e.data for e in splitter.feed(data) if state.cursor.takes(e)]
+                taken = [e.data for e in splitter.feed(data) if state.cursor.takes(e)]
+                if taken:
+                    state.heard_at_s = anyio.current_time()
+                state.data += taken
             if splitter.has_rest:
                 raise ServerLost("the stream ended within an event")
             state.is_whole = True
@@ -244,7 +246,7 @@
 
 
 async def _cancel_when_silent(state: ItemState, scope: anyio.CancelScope) -> None:
-    """Ends a run whose server has sent nothing for too long, though its connection stands."""
+    """Ends a run whose server has sent no new event for too long, though its connection stands."""
     state.heard_at_s = anyio.current_time()
     state.is_stalled = False
     while (left_s := state.heard_at_s + MAX_SILENCE_S - anyio.current_time()) > 0:
--- a/features/platform/batch.feature
+++ b/features/platform/batch.feature
@@ -17,6 +17,11 @@
     When the backend server that runs an item falls silent
     Then the item is done by the other server
 
+  # Guards against an item that stays on a server for ever since bytes come that make no event.
+  Scenario: An item on a server that sends bytes without end goes on elsewhere
+    When the backend server that runs an item sends bytes that make no event
+    Then the item is done by the other server
+
   Scenario: An item that ran on two servers as they crashed is no suspect for good
     When two backend servers crash while they run the same item
     Then the item is done by the other server
--- a/features/steps/platform_batch.py
+++ b/features/steps/platform_batch.py
@@ -225,6 +225,11 @@
     play(context, troubled_item(Behaviour.HANG), nodes=1)
 
 
+@when("the backend server that runs an item sends bytes that make no event")
+def when_no_event(context: Context) -> None:
+    play(context, troubled_item(Behaviour.SEND_NO_EVENT), nodes=1)
+
+
 @when("two backend servers crash while they run the same item")
 def when_two_crash(context: Context) -> None:
     play(context, troubled_item(Behaviour.CRASH, Behaviour.CRASH), nodes=1, engines=3)
--- a/features/support/platform_engine.py
+++ b/features/support/platform_engine.py
@@ -29,6 +29,7 @@
     HANG = "hang"
     UNSIGNED = "unsigned"
     CRASH = "crash"
+    SEND_NO_EVENT = "send bytes without end that make no event"
 
 
 class SeenRequest(NamedTuple):
@@ -116,6 +117,11 @@
                     b"Briarvale-Server-Signature: other\r\nContent-Length: 5\r\n\r\nstray"
                 )
                 await self._serve(seen, signed, responder, self.event_count)
+            case Behaviour.SEND_NO_EVENT:
+                await responder.start(AnswerHead(200, signed))
+                while True:
+                    await responder.send(b"no event ")
+                    await anyio.sleep(self.event_gap_s)
             case Behaviour.BREAK_MIDWAY:
                 await self._serve(seen, signed, responder, self.event_count // 2)
                 raise CallerGone("breaks off")
