Read digits that are no number as none, rather than fail

What callers saw: 500 where a server's event id, or a header of the caller's own, held digits that int() refuses: a superscript two, or some thousand digits. A stream that had run was thus cut by the node. A run of an item with such an event id failed with an unexpected error.

Cause: str.isdigit() accepts more than int() reads.

Change: one function reads whole numbers; it takes ASCII digits, at most as many as 64 bits need, and returns none for anything else, as was meant.

--- a/briarvale/event_stream.py
+++ b/briarvale/event_stream.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from ._digits import whole_number
 from .errors import ServerLost
 
 __all__ = ["EventCursor", "EventSplitter", "StreamEvent"]
@@ -70,8 +71,8 @@
     for line in raw.decode("utf-8", errors="replace").replace("\r\n", "\n").split("\n"):
         name, _, value = line.partition(":")
         value = value.removeprefix(" ")
-        if name == "id" and value.strip().isdigit():
-            event_id = int(value)
+        if name == "id":
+            event_id = whole_number(value.strip())
         elif name == "data":
             lines.append(value)
     return StreamEvent(raw, event_id, "\n".join(lines))
--- a/briarvale/platform/batch_door.py
+++ b/briarvale/platform/batch_door.py
@@ -6,6 +6,7 @@
 import re
 from typing import Any
 
+from .._digits import whole_number
 from ..clock import Clock
 from ..errors import InvalidRequest, NotFound
 from ..forward_request import ForwardRequest
@@ -73,12 +74,12 @@
         self, job_id: str, fields: dict[str, str], request: IngressRequest, responder: Responder
     ) -> None:
         """Answers with the results from a position on."""
-        after = fields.get("after", "0")
-        if not after.isdigit():
+        after = whole_number(fields.get("after", "0"))
+        if after is None:
             raise InvalidRequest("after: expected a number")
         _check_id(job_id)
         wait_ms = _number(request.headers, WAIT_MS) or 0
-        page = await self._service.results(job_id, int(after), self._clock.now_ms() + wait_ms)
+        page = await self._service.results(job_id, after, self._clock.now_ms() + wait_ms)
         known = await self._service.find(job_id)
         body = {
             "total": page.item_count,
@@ -161,5 +162,4 @@
 
 
 def _number(headers: Headers, name: bytes) -> int | None:
-    text = (find_header(headers, name) or b"").decode("latin-1").strip()
-    return int(text) if text.isdigit() else None
+    return whole_number((find_header(headers, name) or b"").decode("latin-1").strip())
--- a/briarvale/platform/dialect.py
+++ b/briarvale/platform/dialect.py
@@ -1,5 +1,6 @@
 """Header names on the wire, for callers and backend servers."""
 
+from .._digits import whole_number
 from ..forward_request import AnswerFacts, ForwardRequest, PromptPart
 from ..http_wire import AnswerHead, Headers, end_to_end_headers, find_header
 from ..routes import Route
@@ -50,9 +51,9 @@
 ) -> ForwardRequest:
     """Decodes a caller's request; headers that can't be read count as not sent."""
     request_id = _text(headers, REQUEST_ID)
-    deadline_ms = _number(_text(headers, DEADLINE_MS))
+    deadline_ms = whole_number(_text(headers, DEADLINE_MS))
     usage = _text(headers, TOKENS).split(",")
-    resume_after = _number(_text(headers, LAST_EVENT_ID))
+    resume_after = whole_number(_text(headers, LAST_EVENT_ID))
     path = target.partition(b"?")[0]
     content = b"\0".join((find_header(headers, b"host") or b"", path, body)).decode("latin-1")
     service = route.service_for(request_id)
@@ -68,8 +69,8 @@
         received_at_ms=now_ms,
         fingerprint=fingerprint_of(service, content),
         prompt_parts=_prompt_parts(_text(headers, PROMPT_PARTS)),
-        prompt_tokens=_number(usage[0]) or 0,
-        output_tokens=(_number(usage[1]) or 0) if len(usage) > 1 else 0,
+        prompt_tokens=whole_number(usage[0]) or 0,
+        output_tokens=(whole_number(usage[1]) or 0) if len(usage) > 1 else 0,
         resume_after=resume_after,
     )
 
@@ -78,22 +79,18 @@
     return (find_header(headers, name) or b"").decode("latin-1").strip()
 
 
-def _number(text: str) -> int | None:
-    return int(text) if text.isdigit() else None
-
-
 def _prompt_parts(text: str) -> tuple[PromptPart, ...]:
     parts = []
     for row in text.split(","):
         part_id, _, tokens = row.strip().partition(":")
         if part_id:
-            parts.append(PromptPart(part_id, _number(tokens) or 0))
+            parts.append(PromptPart(part_id, whole_number(tokens) or 0))
     return tuple(parts)
 
 
 def _keep_alive_s(value: bytes | None) -> float | None:
     for field in (value or b"").decode("latin-1").split(","):
         name, _, number = field.strip().partition("=")
-        if name.lower() == "timeout" and number.isdigit():
-            return float(number)
+        if name.lower() == "timeout":
+            return whole_number(number)
     return None
--- a/features/platform/forwarding.feature
+++ b/features/platform/forwarding.feature
@@ -115,3 +115,8 @@
   Scenario: Watches hear nothing of a change, then they are cut
     When a configuration is written while watches are deaf, and the watches are cut
     Then the newer one is in force within 1 s, though watches stay deaf
+
+  # Guards against a node's own error where the digits of a server's or caller's field are no number.
+  Scenario: Digits that are no number count as none
+    When a stream's event id is a superscript two, and a request's time left has 5,000 digits
+    Then the stream is passed on as it came, and the request is served
--- a/features/steps/platform_forwarding.py
+++ b/features/steps/platform_forwarding.py
@@ -7,7 +7,7 @@
 from behave import then, when
 from behave.runner import Context
 
-from features.support.platform_engine import Behaviour, PlatformEngineStandin, event
+from features.support.platform_engine import ODD_EVENT, Behaviour, PlatformEngineStandin, event
 from features.support.platform_fleet import (
     GRACE_MS,
     MODEL,
@@ -510,3 +510,22 @@
 @then("the newer one is in force within 1 s, though watches stay deaf")
 def then_deaf(context: Context) -> None:
     assert context.seen.answers[0].status == 200, context.seen.answers[0]
+
+
+@when("a stream's event id is a superscript two, and a request's time left has 5,000 digits")
+def when_odd_digits(context: Context) -> None:
+    async def behave_as(fleet: PlatformFleet, caller: Caller, seen: Seen) -> None:
+        seen.engines[0].usual = Behaviour.ODD_EVENT_ID
+        headers = {"Briarvale-Deadline-Ms": "1" * 5_000}
+        for more in ({}, headers):
+            answer = await caller.call("POST", "/ask/a", BODY, headers=more)
+            assert answer is not None
+            seen.answers.append(answer)
+
+    play(context, behave_as, service=MODEL, server_count=1)
+
+
+@then("the stream is passed on as it came, and the request is served")
+def then_odd_digits(context: Context) -> None:
+    answers = context.seen.answers
+    assert [(answer.status, answer.body) for answer in answers] == [(200, ODD_EVENT)] * 2, answers
--- a/features/support/platform_engine.py
+++ b/features/support/platform_engine.py
@@ -13,6 +13,7 @@
 from briarvale.routes import IngressLimits
 
 EVENT_GAP_S = 0.01
+ODD_EVENT = "id: \N{SUPERSCRIPT TWO}\ndata: piece\n\n".encode()
 
 
 class Behaviour(Enum):
@@ -29,6 +30,7 @@
     HANG = "hang"
     UNSIGNED = "unsigned"
     CRASH = "crash"
+    ODD_EVENT_ID = "an event id whose digits are no number"
     SEND_NO_EVENT = "send bytes without end that make no event"
 
 
@@ -117,6 +119,10 @@
                     b"Briarvale-Server-Signature: other\r\nContent-Length: 5\r\n\r\nstray"
                 )
                 await self._serve(seen, signed, responder, self.event_count)
+            case Behaviour.ODD_EVENT_ID:
+                await responder.start(AnswerHead(200, signed))
+                await responder.send(ODD_EVENT)
+                await responder.finish()
             case Behaviour.SEND_NO_EVENT:
                 await responder.start(AnswerHead(200, signed))
                 while True:
