Read the items of large jobs beside the look after running jobs

What callers saw: items of a job that had been ended ran on for seconds at a node whose store was silent, though the node had heard of the end from another one. Jobs that fell to it meanwhile waited too.

Cause: one loop follows ends, starts jobs, and read the items of large jobs one after another. Each such read takes until its time-out, 1.5 s, while the store is silent, and all are tried again in each turn.

Change: the reads have a task of their own.

--- a/briarvale/work_runner.py
+++ b/briarvale/work_runner.py
@@ -88,10 +88,10 @@
     async def run(self) -> None:
         """Runs until cancelled."""
         async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._keep_heads_loaded)
             while True:
                 self._follow()
                 self._start(tasks)
-                await self._load_heads()
                 with anyio.move_on_after(LOOK_INTERVAL_S):
                     await self._directory.changed.wait()
 
@@ -135,8 +135,17 @@
         is_fresh = anyio.current_time() - known.runner_since_s < CLAIM_GRACE_S
         return self._cluster.is_settled and not is_fresh and self._cluster.is_lost(known.runner.vm)
 
+    async def _keep_heads_loaded(self) -> None:
+        while True:
+            await self._load_heads()
+            with anyio.move_on_after(LOOK_INTERVAL_S):
+                await self._directory.changed.wait()
+
     async def _load_heads(self) -> None:
-        """Reads the items of large jobs, of which the feed brought only the head."""
+        """Reads the items of large jobs, of which the feed brought only the head.
+
+        That can take as long as the store is slow; the jobs that run here don't wait for it.
+        """
         for job_id in self._directory.take_unloaded():
             try:
                 await self._service.find(job_id)
--- a/features/platform/batch.feature
+++ b/features/platform/batch.feature
@@ -50,6 +50,11 @@
     When a caller ends a job that runs, at another node, twice
     Then its items stop at the backend servers and nothing more is listed
 
+  # Guards against runs that go on after their job's end while their node waits for the store.
+  Scenario: An ended job stops at once at a node whose store is silent while large jobs arrive
+    When a job ends that a node runs whose store is silent, after 4 large jobs were submitted elsewhere
+    Then its items stop at the backend servers within 1 s
+
   Scenario: A job outlives its runner
     When the node that runs a job is killed
     Then another node finishes it
--- a/features/steps/platform_batch.py
+++ b/features/steps/platform_batch.py
@@ -416,6 +416,42 @@
     play(context, behave_as)
 
 
+def subscriber_of(fleet: PlatformFleet) -> FleetNode:
+    """Returns a node that hears of changes from another one."""
+    nodes = fleet.nodes.values()
+    return next(n for n in nodes if n.node and n.node.cluster.feed_publisher() is not None)
+
+
+@when(
+    "a job ends that a node runs whose store is silent, after 4 large jobs were submitted elsewhere"
+)
+def when_ends_in_silence(context: Context) -> None:
+    async def behave_as(fleet: PlatformFleet, facts: dict[str, Any]) -> None:
+        for engine in facts["engines"]:
+            engine.event_gap_s = 1.0
+        runner = subscriber_of(fleet)
+        other = other_than(fleet, runner)
+        await submit(runner, job_body(ITEMS))
+        await runner_of(fleet, facts)
+        fleet.gates[runner.name].is_silent = True
+        for number in range(4):
+            await submit(other, large_job(f"big-{number}"), f"job-big-{number}")
+        await anyio.sleep(0.3)
+        await Caller(other).call("DELETE", f"/briarvale/lots/{JOB}")
+        ended_s = anyio.current_time()
+        with anyio.fail_after(DONE_TIMEOUT_S):
+            while facts["engines"][0].running_ids & set(ITEMS):
+                await anyio.sleep(0.01)
+        facts["stopped after s"] = anyio.current_time() - ended_s
+
+    play(context, behave_as, engines=1, slots=16)
+
+
+@then("its items stop at the backend servers within 1 s")
+def then_stopped_soon(context: Context) -> None:
+    assert context.facts["stopped after s"] <= 1, context.facts["stopped after s"]
+
+
 @then("its items stop at the backend servers and nothing more is listed")
 def then_stopped(context: Context) -> None:
     facts = context.facts
@@ -424,9 +460,9 @@
     assert facts["page"]["results"] == []
 
 
-def large_job() -> bytes:
+def large_job(prefix: str = "item") -> bytes:
     """Returns the body of a job of 1.5 MB."""
-    rows = json.loads(job_body(ITEMS))
+    rows = json.loads(job_body([f"{prefix}-{name}" for name in "abc"]))
     for row in rows["items"]:
         row["body"] = base64.b64encode(bytes(400_000)).decode()
     return json.dumps(rows).encode()
--- a/features/support/platform_engine.py
+++ b/features/support/platform_engine.py
@@ -62,6 +62,7 @@
         self.usual = Behaviour.SERVE
         self.seen: list[SeenRequest] = []
         self.running = 0
+        self.running_ids: set[str] = set()
         self.finished = 0
         self.crashed = anyio.Event()
 
@@ -88,11 +89,13 @@
         self.seen.append(seen)
         behaviour = self.behaviours.popleft() if self.behaviours else self.usual
         self.running += 1
+        self.running_ids.add(seen.request_id)
         try:
             await self._answer(behaviour, seen, responder)
             self.finished += 1
         finally:
             self.running -= 1
+            self.running_ids.discard(seen.request_id)
 
     async def _answer(self, behaviour: Behaviour, seen: SeenRequest, responder: Responder) -> None:
         signed = ((b"briarvale-request-attempt-id", seen.request_id.encode()),)
