Take a connection that is reset as soon as it stands as failed, rather than end the node

Cause: nodes run on uvloop, which forgets the socket of a connection that is gone. A connection reset between its start and its set-up then raises AttributeError, which nothing catches; from a watch on the store it ends the node.

The new scenario 'A connection that is gone as soon as it stands counts as one that failed' printed ASSERT FAILED with the same error on the parent.

Change: such a connection raises ServerConnectFailed where it was opened, since no byte was sent, and counts as broken at the ingress, where the set-up is now within the handling of broken connections (not shown by a test). A kept connection without a socket isn't used again. The scenario failed before and passes now.

--- a/briarvale/http_wire.py
+++ b/briarvale/http_wire.py
@@ -93,8 +93,14 @@
 
 
 def watch_for_loss(stream: SocketStream) -> None:
-    """Has the kernel end a connection whose other side has fallen silent."""
-    raw = stream.extra(SocketAttribute.raw_socket)
+    """Has the kernel end a connection whose other side has fallen silent.
+
+    Raises:
+        ConnectionResetError: If the connection is gone already.
+    """
+    raw = _raw_socket(stream)
+    if raw is None:
+        raise ConnectionResetError("gone as soon as it stood")
     with suppress(OSError):
         raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         raw.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
@@ -130,7 +136,10 @@
             failed = ServerConnectFailed(f"{address.host}:{address.port}: {type(error).__name__}")
             failed.is_refused = isinstance(error.__cause__ or error, ConnectionRefusedError)
             raise failed from error
-        watch_for_loss(stream)
+        try:
+            watch_for_loss(stream)
+        except ConnectionError as error:
+            raise ServerConnectFailed(f"{address.host}:{address.port}: {error}") from error
         return cls(stream)
 
     @property
@@ -138,7 +147,8 @@
         """Whether the connection is idle, open, and no byte has come that nobody asked for."""
         if self._h11.our_state is not h11.IDLE or self._h11.trailing_data[0]:
             return False
-        descriptor = self._stream.extra(SocketAttribute.raw_socket).fileno()
+        raw = _raw_socket(self._stream)
+        descriptor = -1 if raw is None else raw.fileno()
         if descriptor < 0:
             return False
         poll = select.poll()
@@ -228,6 +238,14 @@
             raise ServerGarbled(f"bytes that are no answer: {error}") from error
 
 
+def _raw_socket(stream: SocketStream) -> socket.socket | None:
+    """Returns a connection's socket; none if it is gone, where the event loop has forgotten it."""
+    try:
+        return stream.extra(SocketAttribute.raw_socket)
+    except (AttributeError, OSError):
+        return None
+
+
 def _encode_request(connection: h11.Connection, request: OutgoingRequest) -> bytes:
     headers = list(request.headers)
     if request.body or request.method not in (b"GET", b"HEAD", b"DELETE"):
--- a/briarvale/ingress.py
+++ b/briarvale/ingress.py
@@ -159,10 +159,10 @@
             await listener.serve(self._serve_connection)
 
     async def _serve_connection(self, stream: SocketStream) -> None:
-        watch_for_loss(stream)
         connection = _CallerConnection(stream, self._handler, lambda: self.state)
         self._connections.add(connection)
         try:
+            watch_for_loss(stream)
             await connection.run()
         except (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError) as error:
             log.debug("A caller's connection broke: {}.", error)
--- a/features/platform/edges.feature
+++ b/features/platform/edges.feature
@@ -22,3 +22,8 @@
     Then the first ends with 2 and names the field
     And the other logs JSON lines, reads its settings again at SIGHUP and ends with 0 at SIGTERM
     And its metrics are served at the port of the deploy file
+
+  # Guards against a node that ends since a new connection is reset before it is set up.
+  Scenario: A connection that is gone as soon as it stands counts as one that failed
+    When a connection to a server is gone before the node has set it up
+    Then the node takes it that no byte was sent
--- a/features/steps/platform_edges.py
+++ b/features/steps/platform_edges.py
@@ -10,13 +10,17 @@
 import time
 from pathlib import Path
 from typing import Any
+from unittest import mock
 
 import anyio
 import httpx
+from anyio.abc import SocketStream
 from behave import then, when
 from behave.runner import Context
 from loguru import logger
 
+from briarvale.errors import ServerConnectFailed
+from briarvale.http_wire import ClientConnection
 from briarvale.json_logs import BURST_LINES, MAX_LINES_PER_S, configure_json_lines
 from briarvale.node_settings import NodeBounds, NodeSettings, StoreLimits
 from briarvale.peer import PeerAddress
@@ -231,3 +235,39 @@
 def then_metrics(context: Context) -> None:
     for name in ("briarvale_requests_total", "briarvale_slot_wait_seconds"):
         assert name in context.metrics, context.metrics[:500]
+
+
+@when("a connection to a server is gone before the node has set it up")
+def when_gone_at_once(context: Context) -> None:
+    connect = anyio.connect_tcp
+
+    async def connect_and_lose(host: str, port: int) -> SocketStream:
+        stream = await connect(host, port)
+        await anyio.aclose_forcefully(stream)
+        await anyio.sleep(0.05)
+        return stream
+
+    async def serve(stream: SocketStream) -> None:
+        await anyio.sleep_forever()
+
+    async def run() -> Exception | None:
+        address = PeerAddress("127.0.0.1", free_port())
+        listener = await anyio.create_tcp_listener(local_host=address.host, local_port=address.port)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(listener.serve, serve)
+            failure: Exception | None = None
+            with mock.patch("anyio.connect_tcp", connect_and_lose):
+                try:
+                    await ClientConnection.open(address, 1.0)
+                except Exception as error:
+                    failure = error
+            tasks.cancel_scope.cancel()
+        return failure
+
+    # Nodes run on uvloop, which forgets the socket of a connection that is gone.
+    context.failure = anyio.run(run, backend_options={"use_uvloop": True})
+
+
+@then("the node takes it that no byte was sent")
+def then_connect_failed(context: Context) -> None:
+    assert isinstance(context.failure, ServerConnectFailed), repr(context.failure)
