--- a/briarvale/work_runner.py
+++ b/briarvale/work_runner.py
@@ -101,6 +101,7 @@
     async def run(self) -> None:
         """Runs until cancelled."""
         async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._keep_heads_loaded)
             while True:
                 self._follow()
                 self._start(tasks)
@@ -263,12 +264,7 @@
                 await anyio.sleep(STORE_PAUSE_S)
 
     async def _run_item(self, running: _RunningJob, state: ItemState) -> None:
-        try:
-            running.add(await self._items.run(running.job, state))
-        except Exception as error:
-            # The item stays open, and the job's next run takes it up again.
-            log.exception("An item failed: {!r}.", error, job_id=running.known.job.job_id)
-            running.scope.cancel()
+        running.add(await self._items.run(running.job, state))
 
     async def _list_results(self, running: _RunningJob, shard_log: ShardLog) -> None:
         """Appends results as they come, until all items are listed or the job has ended."""
--- a/features/platform/batch.feature
+++ b/features/platform/batch.feature
@@ -17,6 +17,11 @@
     When the backend server that runs an item falls silent
     Then the item is done by the other server
 
+  # Guards against an item that stays on a server for ever since bytes come that make no event.
+  Scenario: An item on a server that sends bytes without end goes on elsewhere
+    When the backend server that runs an item sends bytes that make no event
+    Then the item is done by the other server
+
   Scenario: An item that ran on two servers as they crashed is no suspect for good
     When two backend servers crash while they run the same item
     Then the item is done by the other server
@@ -36,10 +41,20 @@
     When a server breaks an item off while another item fills the only other server for 15 s
     Then the item is done within 5 s
 
+  # Guards against one item whose run raises an unexpected error each time and so stops its whole job.
+  Scenario: An item that raises an unexpected error each time holds no other item up
+    When the request of one item of a job can't be made
+    Then the other items are done within 5 s, after one run each
+
   Scenario: An ended job stops and keeps what it listed
     When a caller ends a job that runs, at another node, twice
     Then its items stop at the backend servers and nothing more is listed
 
+  # Guards against runs that go on after their job's end while their node waits for the store.
+  Scenario: An ended job stops at once at a node whose store is silent while large jobs arrive
+    When a job ends that a node runs whose store is silent, after 4 large jobs were submitted elsewhere
+    Then its items stop at the backend servers within 1 s
+
   Scenario: A job outlives its runner
     When the node that runs a job is killed
     Then another node finishes it
@@ -116,3 +131,8 @@
   Scenario: A malformed job is refused with its field
     When jobs with faults of every kind are submitted
     Then each is answered 400 and names the field, and nothing is kept
+
+  # Guards against a job that is accepted though one of its items can never be sent to a server.
+  Scenario: A job with an item that can't be sent is refused with its field
+    When jobs with an id, path or header that can't be sent are submitted
+    Then each is answered 400 and names the field, and nothing is kept
--- a/features/support/platform_engine.py
+++ b/features/support/platform_engine.py
@@ -13,6 +13,7 @@
 from briarvale.routes import IngressLimits
 
 EVENT_GAP_S = 0.01
+ODD_EVENT = "id: \N{SUPERSCRIPT TWO}\ndata: piece\n\n".encode()
 
 
 class Behaviour(Enum):
@@ -29,6 +30,8 @@
     HANG = "hang"
     UNSIGNED = "unsigned"
     CRASH = "crash"
+    ODD_EVENT_ID = "an event id whose digits are no number"
+    SEND_NO_EVENT = "send bytes without end that make no event"
 
 
 class SeenRequest(NamedTuple):
@@ -62,6 +65,7 @@
         self.is_leaving = False
         self.seen: list[SeenRequest] = []
         self.running = 0
+        self.running_ids: set[str] = set()
         self.finished = 0
         self.crashed = anyio.Event()
 
@@ -89,11 +93,13 @@
         self.seen.append(seen)
         behaviour = self.behaviours.popleft() if self.behaviours else self.usual
         self.running += 1
+        self.running_ids.add(seen.request_id)
         try:
             await self._answer(behaviour, seen, responder)
             self.finished += 1
         finally:
             self.running -= 1
+            self.running_ids.discard(seen.request_id)
 
     @property
     def _leaving_rows(self) -> tuple[tuple[bytes, bytes], ...]:
@@ -127,6 +133,15 @@
                     b"Briarvale-Server-Signature: other\r\nContent-Length: 5\r\n\r\nstray"
                 )
                 await self._serve(seen, signed, responder, self.event_count)
+            case Behaviour.ODD_EVENT_ID:
+                await responder.start(AnswerHead(200, signed))
+                await responder.send(ODD_EVENT)
+                await responder.finish()
+            case Behaviour.SEND_NO_EVENT:
+                await responder.start(AnswerHead(200, signed))
+                while True:
+                    await responder.send(b"no event ")
+                    await anyio.sleep(self.event_gap_s)
             case Behaviour.BREAK_MIDWAY:
                 await self._serve(seen, signed, responder, self.event_count // 2)
                 raise CallerGone("breaks off")
