--- a/briarvale/work_runner.py
+++ b/briarvale/work_runner.py
@@ -101,7 +101,6 @@
     async def run(self) -> None:
         """Runs until cancelled."""
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._keep_heads_loaded)
             while True:
                 self._follow()
                 self._start(tasks)
