Let no more than three nodes claim a job in turn

A store that is slow for all nodes keeps the first of them from claiming, and each further node that tries reads the same log: with 24 nodes up to 24 times as many reads of a store in trouble. Three nodes are enough to pass by one that is cut off.

--- a/briarvale/work_runner.py
+++ b/briarvale/work_runner.py
@@ -36,6 +36,8 @@
 CLAIM_GRACE_S = 3.0
 # A node that may not reach the store, or not live, is waited for this long before the next claims.
 CLAIM_STEP_S = 3.0
+# More nodes at once would press a store that is slow for all of them.
+MAX_CLAIM_RANK = 2
 
 log = logs.part("batch")
 
@@ -149,7 +151,9 @@
         now_s = anyio.current_time()
         since_s = self._orphaned_at_s.setdefault(job_id, now_s)
         rank = self._cluster.rank(job_id)
-        return rank is not None and now_s - since_s >= rank * CLAIM_STEP_S
+        if rank is None or rank > MAX_CLAIM_RANK:
+            return False
+        return now_s - since_s >= rank * CLAIM_STEP_S
 
     def _is_orphaned(self, known: KnownJob) -> bool:
         """Whether the job was given back or its runner is surely lost.
