Take only stored entries into what nodes know of jobs, and no late word of the store

Catching up now reads entries as they are stored, and no longer the progress of items. - The store's 'there is no further result', 1.4 s late, was told though it was too old by then. A look now ends after 0.8 s with 503. - Two submissions with one id could mix their items. Parts are named by their content, and the head names them. - A feed whose history was gone forgot its revision and took an older list from a peer (servers could stop draining). Without scenarios: a node that watches beside its publisher looks for it again after a second rather than 20 s; a submission's calls end with its caller's patience; an item's text is bounded so that it fits an object with its escapes (240 kB rather than 400 kB, escaped twice).

--- a/briarvale/feed_source.py
+++ b/briarvale/feed_source.py
@@ -21,9 +21,9 @@
 CONNECT_TIMEOUT_S = 0.5
 # A publisher that was lost is left alone this long; the membership mostly names another by then.
 RETRY_S = 2.0
-# A watch whose answer is overdue is how a node finds that the store is silent to it. Its zone waits
-# no longer than this, and the store client's grace, before each node asks for itself.
-PUBLISHED_WATCH_MS = 1_000
+# A watch whose answer is overdue is how a node finds that the store is silent to it. It waits no
+# longer than this, and the store client's grace; one without a publisher then looks for it again.
+WATCH_MS = 1_000
 
 # Nodes that start know each other, and so who watches, after this time.
 MEET_S = 1.0
@@ -104,10 +104,10 @@
     async def _watch_store(self, kind: str, revision: int, wait_ms: int) -> ChangeList:
         if self._view() is None:
             self._publisher.begin(kind, revision)
-            if kind not in self._patient_kinds:
-                wait_ms = min(wait_ms, PUBLISHED_WATCH_MS)
         else:
             self._publisher.lose(kind)
+        if kind not in self._patient_kinds:
+            wait_ms = min(wait_ms, WATCH_MS)
         try:
             found = await self._store.watch_kind(kind, revision, wait_ms)
         except BriarvaleError:
--- a/briarvale/job_log_store.py
+++ b/briarvale/job_log_store.py
@@ -35,7 +35,7 @@
         return await self._store.create(key, entry.digest().encode())
 
     async def get(self, key: str) -> StoredObject:
-        """Reads an entry, with texts only where progress is among them."""
+        """Reads an entry: whole if it has progress, for runners, else as it is stored."""
         stored = await self._store.get(key)
         entry = LogEntry.decode(stored.value)
         if not entry.has_progress:
--- a/briarvale/object_feed.py
+++ b/briarvale/object_feed.py
@@ -152,7 +152,7 @@
                 delay_s = RETRY_START_S
             except HistoryGone:
                 log.info("Lists {} again: history is gone.", self._kind, kind=self._kind)
-                self._revision = -1
+                self._is_interrupted = True
             except WatchInterrupted as error:
                 log.info("Lists {} again: {}.", self._kind, error, kind=self._kind)
                 self._is_interrupted = True
--- a/briarvale/work_items.py
+++ b/briarvale/work_items.py
@@ -32,7 +32,7 @@
 # How long an item waits for another server than the one that its last run failed on.
 ELSEWHERE_WAIT_MS = 1_000
 # With its escapes, a text of this size still fits into one object of the store.
-MAX_TEXT_BYTES = 400_000
+MAX_TEXT_BYTES = 240_000
 MAX_FAILURE_BYTES = 1_048_576
 # Callers give a stream up after two seconds without an event; an item may wait a little longer.
 MAX_SILENCE_S = 3.0
--- a/briarvale/work_jobs.py
+++ b/briarvale/work_jobs.py
@@ -57,9 +57,10 @@
 
 
 class WorkJob(NamedTuple):
-    """An accepted job; the store keeps its digest, and its items in `part_count` further objects.
+    """An accepted job; the store keeps its digest, and its items in further objects.
 
     Attributes:
+        part_ids: Names of these objects, from their content: another submission's differ.
         runner: Who runs it first: the process that accepted it.
         is_digest: Whether all of the items but their ids is left out.
     """
@@ -73,7 +74,7 @@
     give_up_at_ms: int
     max_attempts: int
     items: tuple[WorkItem, ...]
-    part_count: int = 0
+    part_ids: tuple[str, ...] = ()
     runner: RunnerId = NO_RUNNER
     is_digest: bool = False
 
@@ -92,6 +93,7 @@
         row = json.loads(value)
         row["items"] = decode_items(row["items"])
         row["runner"] = RunnerId(*row["runner"])
+        row["part_ids"] = tuple(row["part_ids"])
         return cls(**row)
 
 
@@ -111,7 +113,7 @@
 
     Attributes:
         job: The digest of the job.
-        whole: The job with its items, from its acceptance here until its run begins.
+        whole: The job with its items, from its acceptance here until its run has ended.
         results: Results without their texts.
         sources: Where the text of each result is.
         none_further_at_s: Latest instant at which the store surely held no further entry.
@@ -136,7 +138,7 @@
         return self.is_ended or len(self.results) >= len(self.job.items)
 
     def take(self, entry: LogEntry) -> None:
-        """Takes an entry of the log; one that comes early waits for those before it."""
+        """Takes an entry as it is stored; one that comes early waits for those before it."""
         if entry.sequence < self.next_sequence:
             return
         self._early[entry.sequence] = entry
@@ -148,7 +150,7 @@
             self.changed.notify()
 
     def _take_next(self, entry: LogEntry) -> None:
-        source = TextSource(_texts_key(self.job.job_id, entry), len(self.results))
+        source = TextSource(_source_key(self.job.job_id, entry), len(self.results))
         self.sources += [source] * len(entry.results)
         self.results += entry.digest().results
         self.is_ended = self.is_ended or entry.is_seal
@@ -243,9 +245,9 @@
     return f"{JOBS_KIND}/{job_id}"
 
 
-def part_key(job_id: str, index: int) -> str:
+def part_key(job_id: str, part_id: str) -> str:
     """Returns the key of one part of a job's items."""
-    return f"{PARTS_KIND}/{job_id}.{index}"
+    return f"{PARTS_KIND}/{job_id}.{part_id}"
 
 
 def job_log_prefix(job_id: str) -> str:
@@ -258,7 +260,8 @@
     return f"{TEXTS_KIND}/{job_id}.{nonce}"
 
 
-def _texts_key(job_id: str, entry: LogEntry) -> str:
+def _source_key(job_id: str, entry: LogEntry) -> str:
+    """Returns where the texts of an entry are, from the entry as it is stored."""
     if entry.is_digest:
         return texts_key(job_id, entry.nonce)
     return f"{job_log_prefix(job_id)}{entry.sequence:06d}"
--- a/briarvale/work_service.py
+++ b/briarvale/work_service.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 import anyio
+import xxhash
 
 from . import logs
 from .clock import MS_PER_S, Clock
@@ -41,8 +42,9 @@
 # A page is answered with what was read by then, if it is anything.
 MAX_PAGE_S = 0.5
 RETRY_PAUSE_S = 0.1
-# Readers rely on what any node told over a second ago.
+# Readers rely on what any node told over a second ago, so what the store says is soon too old.
 MAX_LOOK_AGE_S = 0.5
+MAX_LOOK_S = 0.8
 # The time kept back from a caller's deadline, so that the answer still reaches it.
 ANSWER_RESERVE_MS = 300
 
@@ -208,10 +210,8 @@
 
     def open_log(self, job_id: str) -> ShardLog:
         """Returns the log of a job's results."""
-        return self._open_log(job_id, self._budget)
-
-    def _open_log(self, job_id: str, budget: StoreBudget) -> ShardLog:
-        return ShardLog(JobLogStore(self._store, job_id), budget, job_log_prefix(job_id))
+        log_store = JobLogStore(self._store, job_id)
+        return ShardLog(log_store, self._budget, job_log_prefix(job_id))
 
     async def find(self, job_id: str) -> KnownJob:
         """Returns a job, from the store if this node doesn't know it.
@@ -224,11 +224,12 @@
         if known is not None:
             return known
         try:
-            job = await self._load_head(job_id)
+            with anyio.fail_after(MAX_LOOK_S):
+                job = await self._load_head(job_id)
         except ObjectNotFound as error:
             raise NotFound(f"no job {job_id}") from error
-        except (StoreThrottled, StoreUnavailable) as error:
-            raise NotReady(f"the store can't tell: {error}") from error
+        except (StoreThrottled, StoreUnavailable, TimeoutError) as error:
+            raise NotReady(f"the store can't tell: {error!r}") from error
         known = self._directory.put(job)
         await self._catch_up(known, is_needed=True)
         return known
@@ -247,8 +248,8 @@
         if not job.is_digest:
             return job
         parts = []
-        for index in range(job.part_count):
-            part = await self._read_budget.call(self._store.get, part_key(job_id, index))
+        for part_id in job.part_ids:
+            part = await self._read_budget.call(self._store.get, part_key(job_id, part_id))
             parts.append(part.value)
         return job._replace(items=join_parts(parts), is_digest=False)
 
@@ -265,35 +266,40 @@
         asked_at_s = anyio.current_time()
         if asked_at_s - known.none_further_at_s < MAX_LOOK_AGE_S:
             return
-        shard_log = self._open_log(known.job.job_id, self._read_budget)
+        # As they are stored: what nodes know of a job holds no texts.
+        shard_log = ShardLog(self._store, self._read_budget, job_log_prefix(known.job.job_id))
         try:
-            while not known.is_complete:
-                known.take(await shard_log.read_entry(known.next_sequence))
+            with anyio.fail_after(MAX_LOOK_S):
+                while not known.is_complete:
+                    known.take(await shard_log.read_entry(known.next_sequence))
         except ObjectNotFound:
             known.none_further_at_s = asked_at_s
-        except (StoreThrottled, StoreUnavailable) as error:
-            log.info("Can't read on: {}.", error, job_id=known.job.job_id)
+        except (StoreThrottled, StoreUnavailable, TimeoutError) as error:
+            log.info("Can't read on: {!r}.", error, job_id=known.job.job_id)
             if is_needed:
                 raise NotReady("the store can't tell") from error
 
     async def _create_parts(self, job: WorkJob, answer_by_ms: int) -> WorkJob:
         """Stores the items of a job; returns the head to store."""
         parts = split_parts(job.items)
-        for index, part in enumerate(parts):
-            await self._create(part_key(job.job_id, index), part, answer_by_ms, is_head=False)
-        return job.digest()._replace(part_count=len(parts))
+        part_ids = tuple(xxhash.xxh3_128_hexdigest(part) for part in parts)
+        for part_id, part in zip(part_ids, parts, strict=True):
+            await self._create(part_key(job.job_id, part_id), part, answer_by_ms, is_head=False)
+        return job.digest()._replace(part_ids=part_ids)
 
     async def _create(self, key: str, value: bytes, answer_by_ms: int, *, is_head: bool) -> bool:
         """Creates an object; false if one stands already, which says the same."""
         may_stand = False
         while True:
+            left_s = max(0.0, (answer_by_ms - ANSWER_RESERVE_MS - self._clock.now_ms()) / MS_PER_S)
             try:
-                await self._store.create(key, value)
+                with anyio.fail_after(left_s):
+                    await self._store.create(key, value)
                 return True
             except ObjectExists:
                 return False
-            except StoreUnavailable as error:
-                may_stand, failure = True, str(error)
+            except (StoreUnavailable, TimeoutError) as error:
+                may_stand, failure = True, repr(error)
             except StoreThrottled as error:
                 failure = str(error)
             now_ms = self._clock.now_ms()
--- a/features/steps/platform_narrow.py
+++ b/features/steps/platform_narrow.py
@@ -135,7 +135,7 @@
 def large_head(number: int) -> dict[str, str]:
     """Returns the stored head of a job whose items are in a further object."""
     item = WorkItem(f"large-item-{number}", "", (), "")
-    job = WorkJob(f"large-{number}", "desk.example", "desk", 0, 0, 0, 0, 3, (item,), part_count=1)
+    job = WorkJob(f"large-{number}", "desk.example", "desk", 0, 0, 0, 0, 3, (item,), ("part",))
     return {"text": job.digest().encode().decode()}
 
 
--- /dev/null
+++ b/features/steps/platform_results.py
@@ -0,0 +1,164 @@
+"""Steps of what readers are told, and when."""
+
+import json
+from typing import Any
+
+import anyio
+from behave import then, when
+from behave.runner import Context
+
+from briarvale.clock import Clock
+from briarvale.errors import HistoryGone, StoreThrottled
+from briarvale.job_log_store import JobLogStore
+from briarvale.object_feed import ChangeList, FeedChange, FeedObject, ObjectFeed, ObjectList
+from briarvale.shard_log import NO_RUNNER, ItemProgress, ItemResult, LogEntry, RunnerId, ShardLog
+from briarvale.store_budget import StoreBudget
+from briarvale.work_jobs import JOBS_KIND, WorkItem, WorkJob, job_log_prefix
+from features.steps.platform_batch import ITEMS, JOB, play, read, submit
+from features.steps.platform_feeds import LINK_S, until_known
+from features.support.platform_fleet import Caller, FleetNode, PlatformFleet, job_body
+
+TEXT = "whole text"
+LATE_S = 1.4
+
+
+def texts_of(answer: Any) -> list[str]:
+    """Returns the texts on a page of results."""
+    return [row["text"] for row in answer.json()["results"]]
+
+
+@when("a stopping node hands a result and progress over, and a node that no watch reaches is read")
+def when_handed_over(context: Context) -> None:
+    async def behave_as(fleet: PlatformFleet, facts: dict[str, Any]) -> None:
+        await anyio.sleep(LINK_S)
+        nodes = list(fleet.nodes.values())
+        await submit(nodes[0], job_body(ITEMS))
+        await until_known(nodes)
+        fleet.store.faults.are_watches_deaf = True
+        assert nodes[0].node is not None
+        store = JobLogStore(nodes[0].node._store, JOB)
+        shard_log = ShardLog(store, StoreBudget(), job_log_prefix(JOB))
+        progress = (ItemProgress(1, 3, "so far"),)
+        await shard_log.append([ItemResult(0, TEXT)], progress=progress, runner=NO_RUNNER)
+        facts["texts"] = [texts_of(await read(nodes[1]))]
+        fleet.store.faults.are_watches_deaf = False
+        fleet.store.cut_watches()
+        await anyio.sleep(LINK_S)
+        facts["texts"].append(texts_of(await read(nodes[1])))
+
+    play(context, behave_as, engines=0)
+
+
+@then("the reader gets the whole text, and the same once the feed has brought the entry")
+def then_whole(context: Context) -> None:
+    assert context.facts["texts"] == [[TEXT], [TEXT]], context.facts["texts"]
+
+
+@when("the store's answers on a job's log are 1.4 s late, and a result is listed meanwhile")
+def when_late(context: Context) -> None:
+    async def behave_as(fleet: PlatformFleet, facts: dict[str, Any]) -> None:
+        await anyio.sleep(LINK_S)
+        nodes = list(fleet.nodes.values())
+        await submit(nodes[0], job_body(ITEMS))
+        await until_known(nodes)
+        for gate in fleet.gates.values():
+            gate.late_path, gate.late_s = f"/{JOB}.log.", LATE_S
+        fleet.store.faults.are_watches_deaf = True
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(list_soon, fleet)
+            path = f"/briarvale/lots/{JOB}?after=0"
+            facts["answer"] = await Caller(nodes[1]).call("GET", path)
+
+    play(context, behave_as, engines=0)
+
+
+async def list_soon(fleet: PlatformFleet) -> None:
+    """Lists a result a moment after a reader has come."""
+    await anyio.sleep(0.1)
+    entry = LogEntry(0, "by-hand", (ItemResult(0, TEXT),))
+    fleet.store.put(JOBS_KIND, f"{JOB}.log.000000", {"text": entry.encode().decode()})
+
+
+@then("the reader is not told that there is none")
+def then_not_none(context: Context) -> None:
+    answer = context.facts["answer"]
+    assert answer.status == 503 or texts_of(answer), answer
+
+
+@when("a submission leaves its items behind, and another with the same id is accepted")
+def when_other_items(context: Context) -> None:
+    async def behave_as(fleet: PlatformFleet, facts: dict[str, Any]) -> None:
+        nodes = list(fleet.nodes.values())
+        await leave_items(nodes[0])
+        facts["answer"] = await submit(nodes[0], job_body(ITEMS))
+        path = f"/briarvale/items/{JOB}?id={ITEMS[1]}"
+        facts["body"] = await Caller(nodes[1]).call("GET", path)
+
+    play(context, behave_as, engines=0)
+
+
+async def leave_items(node: FleetNode) -> None:
+    """Keeps other items under the job's id, without its head."""
+    assert node.node is not None and node.node._runner is not None
+    now_ms = Clock.from_system().now_ms()
+    items = (WorkItem("other", "/lot/other", (), ""),)
+    job = WorkJob(JOB, "h", "s", 0, now_ms, now_ms, now_ms, 3, items, runner=RunnerId("v", "b"))
+    await node.node._runner._service._create_parts(job, now_ms + 5_000)
+
+
+@then("the bodies are those of the accepted one")
+def then_own_bodies(context: Context) -> None:
+    assert context.facts["answer"].status == 202
+    assert context.facts["body"].body == f"prompt of {ITEMS[1]}".encode(), context.facts["body"]
+
+
+class ForgetfulStore:
+    """A store whose history is gone, and which then turns every list away."""
+
+    def __init__(self) -> None:
+        self.lists = 0
+
+    async def list_kind(self, kind: str) -> ObjectList:
+        """Lists one object, the first time."""
+        self.lists += 1
+        if self.lists > 1:
+            raise StoreThrottled("busy")
+        return ObjectList((FeedObject("i-0", {"state": "draining"}, 100),), 100)
+
+    async def watch_kind(self, kind: str, revision: int, wait_ms: int) -> ChangeList:
+        """Can't tell."""
+        raise HistoryGone(kind)
+
+
+class Kept:
+    """Keeps the list that it was told last."""
+
+    def __init__(self) -> None:
+        self.objects: tuple[FeedObject, ...] = ()
+
+    def take_list(self, objects: tuple[FeedObject, ...], *, after_outage: bool) -> None:
+        """Takes all objects."""
+        self.objects = objects
+
+    def take_change(self, change: FeedChange) -> None:
+        """Takes nothing."""
+
+
+@when("a feed at revision 100 loses its history, and a peer offers it a list of revision 50")
+def when_older(context: Context) -> None:
+    async def run() -> Kept:
+        kept = Kept()
+        feed = ObjectFeed(ForgetfulStore(), "servers", kept)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(feed.run)
+            await anyio.sleep(0.3)
+            feed.offer(ObjectList((FeedObject("i-0", {"state": "ready"}, 50),), 50), "vm-2")
+            tasks.cancel_scope.cancel()
+        return kept
+
+    context.kept = anyio.run(run)
+
+
+@then("the feed stays at what it knew")
+def then_stays(context: Context) -> None:
+    assert json.dumps([row.value for row in context.kept.objects]) == '[{"state": "draining"}]'
--- a/features/support/platform_store.py
+++ b/features/support/platform_store.py
@@ -204,6 +204,8 @@
         self.is_silent = False
         # Calls whose path holds this text are never answered; none if it is empty.
         self.silent_path = ""
+        # Answers to calls whose path holds this text come so much later than they were made.
+        self.late_path, self.late_s = "", 0.0
         self.watch_calls = 0
         # Calls for whole kinds, the bytes of their answers, and watches, by path.
         self.list_calls: Counter[str] = Counter()
@@ -253,6 +255,8 @@
         """Sends a whole answer once the gate passes it."""
         while self._gate.is_silent:
             await anyio.sleep(0.05)
+        if self._gate.late_path and self._gate.late_path in self._path:
+            await anyio.sleep(self._gate.late_s)
         self._gate.listed_bytes[self._path] += len(body)
         await self._responder.answer(status, headers, body)
 
