Bound only the wait for a silent server, never what has arrived

Cause: the scope that bounds silence stood around the whole run. Where a busy loop found the head and the end of its patience in one turn, the cancellation was under way already; it struck at the next wait, the write to the caller. And an answer whose write was cut counted as sent, since its bytes had been encoded, so the connection stayed open. Ruled out: the server (it had answered), the caller, the stop (it came after the break). Class: a cancel scope that reaches beyond what it bounds. Change: the scope is around each wait for the server alone; an answer counts as sent once it is written.

--- a/briarvale/forwarding.py
+++ b/briarvale/forwarding.py
@@ -34,7 +34,7 @@
 from .lone_choice import LoneChoice
 from .routes import IdempotentRoute, StreamRoute
 from .serving_parts import ServingParts
-from .silence import Pauses, Silence
+from .silence import Pauses, bounded_silence
 from .slot_client import HeldSlot
 from .traces import tracer
 from .wait_limit import WaitLimit
@@ -246,7 +246,7 @@
             with tracer.start_as_current_span("backend server") as span:
                 span.set_attribute("briarvale.backend_server", server.id)
                 span.set_attribute("briarvale.request_id", attempt.request.request_id)
-                outcome = await self._exchange(attempt, sink, progress)
+                outcome = await self._forward_answer(attempt, sink, progress)
             metrics.ATTEMPTS.inc({"service": attempt.request.service, "code": "finished"})
         except anyio.get_cancelled_exc_class():
             progress.may_have_run = True
@@ -264,19 +264,6 @@
                 if self._servers.is_draining(server):
                     slot.note_draining(server)
 
-    async def _exchange(self, attempt: _Attempt, sink: AnswerSink, progress: _Progress) -> Outcome:
-        """Forwards one run's answer; gives up a silent one in time for another run."""
-        silence = Silence()
-        silence.wait(self._patience_ms(attempt.request, sink, progress))
-        outcome: Outcome | None = None
-        with silence.scope:
-            outcome = await self._forward_answer(attempt, sink, progress, silence)
-        if outcome is None:
-            raise ServerStalled(
-                f"{attempt.server.id} sent no answer or event for {silence.limit_ms} ms"
-            )
-        return outcome
-
     def _patience_ms(self, request: ForwardRequest, sink: AnswerSink, progress: _Progress) -> float:
         """Returns how long a run may be silent; without limit where there can't be another."""
         if not _may_run_again(request, sink, progress):
@@ -286,13 +273,19 @@
         return overdue_ms if 2 * overdue_ms <= left_ms else math.inf
 
     async def _forward_answer(
-        self, attempt: _Attempt, sink: AnswerSink, progress: _Progress, silence: Silence
+        self, attempt: _Attempt, sink: AnswerSink, progress: _Progress
     ) -> Outcome:
-        """Forwards an answer; an error of the server's own only if it may not run again."""
+        """Forwards one run's answer; gives up a silent one in time for another run.
+
+        An error of the server's own is forwarded only if the request may not run again.
+        """
         request = attempt.request
+        patience_ms = self._patience_ms(request, sink, progress)
         sent_at_ms = self._clock.now_ms()
-        async with self._engines.run(request, attempt.server, progress.cursor.last_id) as run:
-            silence.end()
+        running = self._engines.run(request, attempt.server, progress.cursor.last_id)
+        async with AsyncExitStack() as stack:
+            with bounded_silence(patience_ms):
+                run = await stack.enter_async_context(running)
             self._answer_times.note(request.service, self._clock.now_ms() - sent_at_ms)
             is_success = 200 <= run.head.status < 300
             if is_success and not run.facts.is_signed:
@@ -302,8 +295,8 @@
                 raise ServerFailed(f"{attempt.server.id} answered {run.head.status}")
             match request.route.kind:
                 case StreamRoute() if is_success:
-                    pause_ms = _pause_limit_ms(request, progress)
-                    await _forward_events(run, sink, progress, Pauses(silence, pause_ms))
+                    pauses = Pauses(_pause_limit_ms(request, progress))
+                    await _forward_events(run, sink, progress, pauses)
                 case _:
                     await _forward_body(run, sink)
         return Outcome.FAILED if has_failed else Outcome.FINISHED
--- a/briarvale/ingress.py
+++ b/briarvale/ingress.py
@@ -61,6 +61,8 @@
         self._stream = stream
         self._may_close = may_close
         self.status = 0
+        # Whether the whole answer was written; one whose write was cut ends the connection.
+        self.is_finished = False
 
     @property
     def has_started(self) -> bool:
@@ -80,6 +82,7 @@
     async def finish(self) -> None:
         """Ends the answer as complete."""
         await self._write(self._h11.send(h11.EndOfMessage()))
+        self.is_finished = True
 
     async def answer(self, status: int, headers: Headers, body: bytes) -> None:
         """Sends a whole answer, in one write."""
@@ -88,6 +91,7 @@
         if body:
             data += self._h11.send(h11.Data(data=body)) or b""
         await self._write(data + (self._h11.send(h11.EndOfMessage()) or b""))
+        self.is_finished = True
 
     async def write_raw(self, data: bytes) -> None:
         """Sends bytes as they are; stand-ins break the protocol with it."""
@@ -270,7 +274,7 @@
                 log.exception("Failed to answer: {!r}.", error)
                 await self._answer_failure(BriarvaleError(repr(error)), responder)
             tasks.cancel_scope.cancel()
-        if self._h11.our_state is not h11.DONE:
+        if not responder.is_finished or self._h11.our_state is not h11.DONE:
             raise CallerGone("the answer was not finished")
 
     async def _answer_failure(self, error: BriarvaleError, responder: Responder) -> None:
--- a/briarvale/silence.py
+++ b/briarvale/silence.py
@@ -1,59 +1,60 @@
-"""Bounds how long a run at a backend server may be silent."""
+"""Bounds how long a run at a backend server may be silent.
+
+Only the wait for the server's bytes is bounded. What has arrived is forwarded, however late the
+event loop was to look at it, and the time that a caller takes does not count.
+"""
 
 import math
+from collections.abc import Iterator
+from contextlib import contextmanager
 
 import anyio
 
 from .clock import MS_PER_S
 from .engine_run import EngineRun
+from .errors import ServerStalled
 
-__all__ = ["Pauses", "Silence"]
-
-
-class Silence:
-    """Ends a run that has been silent for too long.
+__all__ = ["Pauses", "bounded_silence"]
 
-    Attributes:
-        limit_ms: How long it may be silent.
-    """
 
-    def __init__(self) -> None:
-        self.limit_ms = math.inf
-        self.scope = anyio.CancelScope()
+@contextmanager
+def bounded_silence(limit_ms: float, left_ms: float | None = None) -> Iterator[None]:
+    """Bounds one wait for a server.
 
-    def wait(self, limit_ms: float, waited_ms: float = 0.0) -> None:
-        """Allows so much silence, of which some has passed already."""
-        self.limit_ms = limit_ms
-        self.scope.deadline = anyio.current_time() + (limit_ms - waited_ms) / MS_PER_S
+    Args:
+        limit_ms: How long the server may be silent.
+        left_ms: What is left of it; all by default.
 
-    def end(self) -> None:
-        """Takes that something was heard."""
-        self.scope.deadline = math.inf
+    Raises:
+        ServerStalled: If nothing was heard in time.
+    """
+    wait_s = (limit_ms if left_ms is None else left_ms) / MS_PER_S
+    with anyio.move_on_after(wait_s) as scope:
+        yield
+    if scope.cancelled_caught:
+        raise ServerStalled(f"the server sent no answer or event for {limit_ms} ms")
 
 
 class Pauses:
     """Reads a stream whose pauses between events are bounded.
 
-    Bytes that complete no event do not end a pause. The time that a caller takes does not count.
+    Bytes that complete no event do not end a pause.
 
     Args:
-        silence: Ends the run.
         limit_ms: How long a pause may be.
     """
 
-    def __init__(self, silence: Silence, limit_ms: float) -> None:
-        self._silence = silence
+    def __init__(self, limit_ms: float) -> None:
         self._limit_ms = limit_ms
         self._waited_ms = 0.0
 
     async def read(self, run: EngineRun) -> bytes:
-        """Reads the next bytes; empty at the end."""
+        """Reads the next bytes; empty at the end. Raises `ServerStalled`."""
         if math.isinf(self._limit_ms):
             return await run.read()
         began_at_s = anyio.current_time()
-        self._silence.wait(self._limit_ms, self._waited_ms)
-        data = await run.read()
-        self._silence.end()
+        with bounded_silence(self._limit_ms, self._limit_ms - self._waited_ms):
+            data = await run.read()
         self._waited_ms += (anyio.current_time() - began_at_s) * MS_PER_S
         return data
 
--- /dev/null
+++ b/features/steps/platform_silence.py
@@ -0,0 +1,215 @@
+"""Steps of silent servers: one run with parts of its own, and one connection."""
+
+import asyncio
+import time
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from typing import Any, cast
+
+import anyio
+from behave import then, when
+from behave.runner import Context
+
+from briarvale._generated.messages import SlotRequest
+from briarvale.answer_times import MIN_TIMES
+from briarvale.clock import Clock
+from briarvale.errors import BriarvaleError, ServerStalled
+from briarvale.forward_request import AnswerFacts, ForwardRequest
+from briarvale.forwarding import Forwarder
+from briarvale.http_wire import AnswerHead, Headers
+from briarvale.ingress import Ingress, IngressRequest, Responder
+from briarvale.live_servers import LiveServer, LiveServers
+from briarvale.peer import PeerAddress
+from briarvale.routes import IdempotentRoute, IngressLimits, Route, ServiceWeight
+from briarvale.serving_parts import ServingParts
+from briarvale.slot_client import HeldGrant, HeldSlot
+from features.support.platform_fleet import free_port
+
+TARGET_MS = 100
+# Half of the target, since the usual answer takes no time here.
+PATIENCE_S = 0.05
+BODY = b"whole"
+FACTS = AnswerFacts("r", False, True, False, False, None)
+
+
+class BusyLoop:
+    """Runs whose answer's head arrives in the loop's turn in which their patience ends.
+
+    Args:
+        is_silent: Whether the head never arrives.
+    """
+
+    def __init__(self, *, is_silent: bool = False) -> None:
+        self.runs = 0
+        self._is_silent = is_silent
+        self._arrived = asyncio.Event()
+
+    @asynccontextmanager
+    async def run(self, *args: Any) -> AsyncIterator["BusyLoop"]:
+        """Waits for the head."""
+        self.runs += 1
+        if not self._is_silent:
+            asyncio.get_running_loop().call_later(PATIENCE_S / 2, self._block)
+        await self._arrived.wait()
+        yield self
+
+    def _block(self) -> None:
+        time.sleep(PATIENCE_S)
+        asyncio.get_running_loop().call_soon(self._arrived.set)
+
+    head = AnswerHead(200, ())
+    facts = FACTS
+
+    async def read(self) -> bytes:
+        """Reads the body, then its end."""
+        await anyio.sleep(0)
+        body, self.body = self.body, b""
+        return body
+
+    body = BODY
+
+
+class FreeSlots:
+    """Grants each request a slot."""
+
+    @asynccontextmanager
+    async def hold(self, request: SlotRequest) -> AsyncIterator[HeldSlot]:
+        """Holds a slot."""
+        yield HeldSlot(HeldGrant("g", "i-0", "", request.work_class, 1, 1))
+
+
+class NoCrashes:
+    """Knows no request that crashes servers."""
+
+    def check(self, fingerprint: str) -> None:
+        """Lets each pass."""
+
+    async def note_loss(self, *args: Any) -> None:
+        """Takes nothing."""
+
+
+class Sink:
+    """Takes an answer, in a write that takes a moment."""
+
+    def __init__(self) -> None:
+        self.has_started = False
+        self.body = b""
+
+    async def answer(self, status: int, headers: Headers, body: bytes) -> None:
+        """Takes a whole answer."""
+        self.has_started = True
+        await anyio.sleep(0.01)
+        self.body = body
+
+
+def lookup(clock: Clock) -> ForwardRequest:
+    """Returns a request that may run twice."""
+    services = (ServiceWeight("orders", 1.0),)
+    route = Route("look", "h", "/", IdempotentRoute(), services, 2, 5_000, TARGET_MS)
+    now_ms = clock.now_ms()
+    return ForwardRequest(
+        request_id="r",
+        method=b"GET",
+        target=b"/",
+        headers=(),
+        body=b"",
+        route=route,
+        service="orders",
+        deadline_at_ms=now_ms + 5_000,
+        received_at_ms=now_ms,
+        fingerprint="f",
+    )
+
+
+async def forward(engines: BusyLoop, sink: Sink) -> None:
+    """Forwards a lookup whose server usually answers at once."""
+    clock = Clock.from_system()
+    servers = LiveServers(clock.now_ms, 0)
+    servers.put(LiveServer("i-0", "orders", PeerAddress("127.0.0.1", 1), "z", 4))
+    parts = ServingParts(
+        clock, servers, cast(Any, FreeSlots()), cast(Any, engines), cast(Any, NoCrashes()), "z"
+    )
+    forwarder = Forwarder(parts)
+    for _ in range(MIN_TIMES):
+        forwarder._answer_times.note("orders", 0.0)
+    await forwarder.forward(lookup(clock), cast(Any, sink))
+
+
+@when("a busy node finds the head of a lookup's answer and the end of its patience at once")
+def when_at_once(context: Context) -> None:
+    context.engines, context.sink = BusyLoop(), Sink()
+    anyio.run(forward, context.engines, context.sink)
+
+
+@then("the caller gets the whole answer, and nothing runs again")
+def then_whole(context: Context) -> None:
+    assert context.sink.body == BODY, context.sink.body
+    assert context.engines.runs == 1, context.engines.runs
+
+
+@when("a server sends nothing for longer than the node is patient, and another run is allowed")
+def when_silent(context: Context) -> None:
+    context.engines = BusyLoop(is_silent=True)
+
+    async def run() -> None:
+        with anyio.move_on_after(1.0):
+            await forward(context.engines, Sink())
+
+    try:
+        anyio.run(run)
+    except ServerStalled as error:
+        context.error = error
+
+
+@then("the run is given up as stalled")
+def then_stalled(context: Context) -> None:
+    assert context.engines.runs > 1, context.engines.runs
+
+
+class CutWriter:
+    """Answers whole, and fails before the answer is written."""
+
+    limits = IngressLimits()
+
+    async def handle(self, request: IngressRequest, responder: Responder) -> None:
+        """Is cut in its write."""
+        with anyio.CancelScope() as scope:
+            scope.cancel()
+            await responder.answer(200, (), BODY)
+        raise BriarvaleError("cut")
+
+    async def refuse(self, error: BriarvaleError, responder: Responder) -> None:
+        """Answers with a failure."""
+        await responder.answer(500, (), b"")
+
+
+@when("the handler of a request fails while its whole answer is being written")
+def when_cut(context: Context) -> None:
+    async def run() -> bool:
+        address = PeerAddress("127.0.0.1", free_port())
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(Ingress(CutWriter()).serve, address)
+            await anyio.sleep(0.1)
+            async with await anyio.connect_tcp(address.host, address.port) as stream:
+                await stream.send(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+                has_ended = await ends_within(stream, 1.0)
+            tasks.cancel_scope.cancel()
+        return has_ended
+
+    context.has_ended = anyio.run(run)
+
+
+async def ends_within(stream: anyio.abc.SocketStream, limit_s: float) -> bool:
+    """Reads until the other side closes; false if it does not in time."""
+    with anyio.move_on_after(limit_s):
+        try:
+            while True:
+                await stream.receive()
+        except (anyio.EndOfStream, anyio.BrokenResourceError):
+            return True
+    return False
+
+
+@then("the connection ends within a second")
+def then_ends(context: Context) -> None:
+    assert context.has_ended
