--- a/briarvale/event_stream.py
+++ b/briarvale/event_stream.py
@@ -2,10 +2,12 @@
 
 from typing import NamedTuple
 
-from .errors import ServerLost
+from ._digits import whole_number
+from .errors import AnswerTooLong, ServerLost
 
 __all__ = ["EventCursor", "EventSplitter", "StreamEvent"]
 
+MAX_EVENT_BYTES = 1_048_576
 END_OF_EVENT = (b"\n\n", b"\r\n\r\n")
 
 
@@ -51,12 +53,18 @@
         return bool(self._buffer.strip())
 
     def feed(self, data: bytes) -> list[StreamEvent]:
-        """Takes the next bytes; returns the events that they complete."""
+        """Takes the next bytes; returns the events that they complete.
+
+        Raises:
+            AnswerTooLong: If an event has no end within `MAX_EVENT_BYTES`.
+        """
         self._buffer += data
         events = []
         while (end := _end_of_first(self._buffer)) > 0:
             events.append(_parse(self._buffer[:end]))
             self._buffer = self._buffer[end:]
+        if len(self._buffer) > MAX_EVENT_BYTES:
+            raise AnswerTooLong(f"an event is over {MAX_EVENT_BYTES} bytes")
         return events
 
 
@@ -70,8 +78,8 @@
     for line in raw.decode("utf-8", errors="replace").replace("\r\n", "\n").split("\n"):
         name, _, value = line.partition(":")
         value = value.removeprefix(" ")
-        if name == "id" and value.strip().isdigit():
-            event_id = int(value)
+        if name == "id":
+            event_id = whole_number(value.strip())
         elif name == "data":
             lines.append(value)
     return StreamEvent(raw, event_id, "\n".join(lines))
--- a/briarvale/forwarding.py
+++ b/briarvale/forwarding.py
@@ -2,6 +2,7 @@
 
 import math
 import random
+from contextlib import AsyncExitStack
 from typing import NamedTuple, Protocol
 
 import anyio
@@ -9,6 +10,7 @@
 from . import logs, metrics
 from ._generated.messages import Outcome, SlotRequest, WorkClass
 from .answer_times import AnswerTimes
+from .caller_patience import wait_until_ms
 from .clock import MS_PER_S
 from .engine_run import EngineRun
 from .errors import (
@@ -32,14 +34,11 @@
 from .lone_choice import LoneChoice
 from .routes import IdempotentRoute, StreamRoute
 from .serving_parts import ServingParts
-from .silence import Pauses, Silence
+from .silence import Pauses, bounded_silence
 from .slot_client import HeldSlot
 from .traces import tracer
+from .wait_limit import WaitLimit
 
-# A caller's own patience with a stream that sends nothing.
-MIN_PATIENCE_MS = 2_000
-PATIENCE_TARGETS = 4
-PATIENCE_GAPS = 8
 RETRY_PAUSE_MS = 20
 MAX_FULL_ANSWERS = 8
 MAX_BUFFERED_BYTES = 1_000_000
@@ -106,6 +105,9 @@
 
     Args:
         parts: What runs requests.
+
+    Attributes:
+        waits: Bounds the waits for slots when this node stops.
     """
 
     def __init__(self, parts: ServingParts) -> None:
@@ -117,6 +119,7 @@
         self._crashes = parts.crashes
         self._lone_choice = LoneChoice(parts.servers)
         self._answer_times = AnswerTimes()
+        self.waits = WaitLimit(parts.clock)
 
     async def forward(self, request: ForwardRequest, sink: AnswerSink) -> None:
         """Runs a request to its end; raises the failure if no answer was begun.
@@ -189,7 +192,9 @@
         wanted = self._slot_request(request, progress)
         asked_at_ms = self._clock.now_ms()
         try:
-            async with self._slots.hold(wanted) as slot:
+            async with AsyncExitStack() as stack:
+                with self.waits.limit():
+                    slot = await stack.enter_async_context(self._slots.hold(wanted))
                 log.info(
                     "Got a slot.",
                     request_id=request.request_id,
@@ -215,7 +220,7 @@
         wanted = self._parts.slot_request(
             request,
             WorkClass.ONLINE,
-            deadline_ms=_wait_until_ms(request, self._clock.now_ms(), progress.has_events),
+            deadline_ms=wait_until_ms(request, self._clock.now_ms(), progress.has_events),
             priority=request.route.priority,
             excluded=progress.excluded,
         )
@@ -241,8 +246,11 @@
             with tracer.start_as_current_span("backend server") as span:
                 span.set_attribute("briarvale.backend_server", server.id)
                 span.set_attribute("briarvale.request_id", attempt.request.request_id)
-                outcome = await self._exchange(attempt, sink, progress)
+                outcome = await self._forward_answer(attempt, sink, progress)
             metrics.ATTEMPTS.inc({"service": attempt.request.service, "code": "finished"})
+        except anyio.get_cancelled_exc_class():
+            progress.may_have_run = True
+            raise
         except RUN_FAILURES as error:
             if isinstance(error, ServerLost):
                 await self._crashes.note_loss(attempt.request.fingerprint, server, began_at_ms)
@@ -256,17 +264,6 @@
                 if self._servers.is_draining(server):
                     slot.note_draining(server)
 
-    async def _exchange(self, attempt: _Attempt, sink: AnswerSink, progress: _Progress) -> Outcome:
-        """Forwards one run's answer; gives up a silent one in time for another run."""
-        silence = Silence()
-        silence.wait(self._patience_ms(attempt.request, sink, progress))
-        outcome: Outcome | None = None
-        with silence.scope:
-            outcome = await self._forward_answer(attempt, sink, progress, silence)
-        if outcome is None:
-            raise ServerStalled(f"{attempt.server.id} sent nothing for {silence.limit_ms} ms")
-        return outcome
-
     def _patience_ms(self, request: ForwardRequest, sink: AnswerSink, progress: _Progress) -> float:
         """Returns how long a run may be silent; without limit where there can't be another."""
         if not _may_run_again(request, sink, progress):
@@ -276,13 +273,19 @@
         return overdue_ms if 2 * overdue_ms <= left_ms else math.inf
 
     async def _forward_answer(
-        self, attempt: _Attempt, sink: AnswerSink, progress: _Progress, silence: Silence
+        self, attempt: _Attempt, sink: AnswerSink, progress: _Progress
     ) -> Outcome:
-        """Forwards an answer; an error of the server's own only if it may not run again."""
+        """Forwards one run's answer; gives up a silent one in time for another run.
+
+        An error of the server's own is forwarded only if the request may not run again.
+        """
         request = attempt.request
+        patience_ms = self._patience_ms(request, sink, progress)
         sent_at_ms = self._clock.now_ms()
-        async with self._engines.run(request, attempt.server, progress.cursor.last_id) as run:
-            silence.end()
+        running = self._engines.run(request, attempt.server, progress.cursor.last_id)
+        async with AsyncExitStack() as stack:
+            with bounded_silence(patience_ms):
+                run = await stack.enter_async_context(running)
             self._answer_times.note(request.service, self._clock.now_ms() - sent_at_ms)
             is_success = 200 <= run.head.status < 300
             if is_success and not run.facts.is_signed:
@@ -292,8 +295,8 @@
                 raise ServerFailed(f"{attempt.server.id} answered {run.head.status}")
             match request.route.kind:
                 case StreamRoute() if is_success:
-                    pause_ms = _pause_limit_ms(request, progress)
-                    await _forward_events(run, sink, progress, Pauses(silence, pause_ms))
+                    pauses = Pauses(_pause_limit_ms(request, progress))
+                    await _forward_events(run, sink, progress, pauses)
                 case _:
                     await _forward_body(run, sink)
         return Outcome.FAILED if has_failed else Outcome.FINISHED
@@ -343,6 +346,7 @@
         events = [event for event in splitter.feed(data) if progress.cursor.takes(event)]
         if not events:
             continue
+        pauses.note_event()
         progress.has_events = True
         if not sink.has_started:
             await sink.start(run.head)
@@ -382,18 +386,3 @@
 def _may_run_again(request: ForwardRequest, sink: AnswerSink, progress: _Progress) -> bool:
     """Whether there may be another run if the present one brings no answer."""
     return _has_attempts(request, progress) and _may_repeat(request, sink, progress)
-
-
-def _wait_until_ms(request: ForwardRequest, now_ms: int, has_events: bool) -> int:
-    """Returns until when a slot is worth waiting for: the caller's own patience."""
-    match request.route.kind:
-        case StreamRoute(gap_target_ms=gap_ms):
-            patience_ms = max(
-                MIN_PATIENCE_MS,
-                PATIENCE_TARGETS * request.route.target_latency_ms,
-                PATIENCE_GAPS * gap_ms,
-            )
-            since_ms = now_ms if has_events else request.received_at_ms
-            return min(request.answer_by_ms, since_ms + patience_ms)
-        case _:
-            return request.answer_by_ms
--- a/briarvale/http_wire.py
+++ b/briarvale/http_wire.py
@@ -15,11 +15,14 @@
 import h11
 from anyio.abc import SocketAttribute, SocketStream
 
-from .errors import ServerConnectFailed, ServerGarbled, ServerLost
+from .errors import AnswerTooLong, ServerConnectFailed, ServerGarbled, ServerLost
 from .peer import PeerAddress
 
 READ_BYTES = 65_536
+# Also of the head of a chunk, and of trailers.
 MAX_HEAD_BYTES = 65_536
+MAX_INFORMATIONAL_ANSWERS = 8
+MAX_STRAY_BYTES = 1_048_576
 # A peer that is gone without a reset is found by probes after about two seconds.
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
@@ -39,6 +42,7 @@
     "Headers",
     "OutgoingRequest",
     "WholeAnswer",
+    "check_request",
     "end_to_end_headers",
     "find_header",
     "watch_for_loss",
@@ -84,9 +88,23 @@
     return tuple(row for row in headers if row[0] not in unwanted)
 
 
+def check_request(request: OutgoingRequest) -> None:
+    """Raises `ValueError` if a request can't be written as HTTP/1.1."""
+    try:
+        _encode_request(h11.Connection(h11.CLIENT), request)
+    except h11.LocalProtocolError as error:
+        raise ValueError(str(error)) from error
+
+
 def watch_for_loss(stream: SocketStream) -> None:
-    """Has the kernel end a connection whose other side has fallen silent."""
-    raw = stream.extra(SocketAttribute.raw_socket)
+    """Has the kernel end a connection whose other side has fallen silent.
+
+    Raises:
+        ConnectionResetError: If the connection is gone already.
+    """
+    raw = _raw_socket(stream)
+    if raw is None:
+        raise ConnectionResetError("gone as soon as it stood")
     with suppress(OSError):
         raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         raw.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
@@ -122,7 +140,10 @@
             failed = ServerConnectFailed(f"{address.host}:{address.port}: {type(error).__name__}")
             failed.is_refused = isinstance(error.__cause__ or error, ConnectionRefusedError)
             raise failed from error
-        watch_for_loss(stream)
+        try:
+            watch_for_loss(stream)
+        except ConnectionError as error:
+            raise ServerConnectFailed(f"{address.host}:{address.port}: {error}") from error
         return cls(stream)
 
     @property
@@ -130,7 +151,8 @@
         """Whether the connection is idle, open, and no byte has come that nobody asked for."""
         if self._h11.our_state is not h11.IDLE or self._h11.trailing_data[0]:
             return False
-        descriptor = self._stream.extra(SocketAttribute.raw_socket).fileno()
+        raw = _raw_socket(self._stream)
+        descriptor = -1 if raw is None else raw.fileno()
         if descriptor < 0:
             return False
         poll = select.poll()
@@ -148,13 +170,19 @@
             self._is_sent = True
 
     async def read_head(self) -> AnswerHead:
-        """Reads the status and headers of the answer, past informational ones."""
-        while True:
+        """Reads the status and headers of the answer, past a few informational ones.
+
+        Raises:
+            ServerLost: If the connection broke.
+            ServerGarbled: If something else came; `AnswerTooLong` if it came without end.
+        """
+        for _ in range(MAX_INFORMATIONAL_ANSWERS + 1):
             event = await self._next_event()
             if isinstance(event, h11.Response):
                 return AnswerHead(event.status_code, tuple(event.headers))
             if not isinstance(event, h11.InformationalResponse):
                 raise ServerGarbled("no answer where one was due")
+        raise AnswerTooLong(f"over {MAX_INFORMATIONAL_ANSWERS} informational answers")
 
     async def read_body(self) -> bytes:
         """Reads the next bytes of the body; empty at its end."""
@@ -165,27 +193,39 @@
             return b""
         raise ServerGarbled("the connection ended within an answer")
 
-    async def exchange(
-        self, request: OutgoingRequest, on_read: Callable[[int], None] | None = None
-    ) -> WholeAnswer:
-        """Sends a request and reads its answer to the end.
+    async def read_whole_body(
+        self, max_bytes: int, on_read: Callable[[int], None] | None = None
+    ) -> bytes:
+        """Reads a body to its end; raises `AnswerTooLong` if it is over a size.
 
         Args:
             on_read: Called with the size in bytes of each piece of the body as it arrives.
         """
-        await self.send(request)
-        head = await self.read_head()
         chunks = []
+        size_bytes = 0
         while chunk := await self.read_body():
+            size_bytes += len(chunk)
+            if size_bytes > max_bytes:
+                raise AnswerTooLong(f"a body is over {max_bytes} bytes")
             chunks.append(chunk)
             if on_read is not None:
                 on_read(len(chunk))
-        return WholeAnswer(head.status, b"".join(chunks))
+        return b"".join(chunks)
+
+    async def exchange(
+        self,
+        request: OutgoingRequest,
+        max_body_bytes: int,
+        on_read: Callable[[int], None] | None = None,
+    ) -> WholeAnswer:
+        """Sends a request and reads its answer to the end, as `read_whole_body` does."""
+        await self.send(request)
+        head = await self.read_head()
+        return WholeAnswer(head.status, await self.read_whole_body(max_body_bytes, on_read))
 
     async def skip_answer(self) -> None:
         """Reads the rest of an answer that belongs to no request, and expects the next one."""
-        while await self.read_body():
-            pass
+        await self.read_whole_body(MAX_STRAY_BYTES)
         left, _ = self._h11.trailing_data
         if self._request is None or self._h11.their_state is h11.MUST_CLOSE:
             raise ServerGarbled("an answer to another request ended the connection")
@@ -228,6 +268,14 @@
             raise ServerGarbled(f"bytes that are no answer: {error}") from error
 
 
+def _raw_socket(stream: SocketStream) -> socket.socket | None:
+    """Returns a connection's socket; none if it is gone, where the event loop has forgotten it."""
+    try:
+        return stream.extra(SocketAttribute.raw_socket)
+    except (AttributeError, OSError):
+        return None
+
+
 def _encode_request(connection: h11.Connection, request: OutgoingRequest) -> bytes:
     headers = list(request.headers)
     if request.body or request.method not in (b"GET", b"HEAD", b"DELETE"):
--- a/briarvale/platform/batch_door.py
+++ b/briarvale/platform/batch_door.py
@@ -6,10 +6,11 @@
 import re
 from typing import Any
 
+from .._digits import whole_number
 from ..clock import Clock
 from ..errors import InvalidRequest, NotFound
 from ..forward_request import ForwardRequest
-from ..http_wire import Headers, find_header
+from ..http_wire import Headers, OutgoingRequest, check_request, find_header
 from ..ingress import IngressRequest, Responder
 from ..routes import BatchRoute, Route, ServiceWeight
 from ..shard_log import ItemResult
@@ -58,11 +59,13 @@
     def __init__(self, service: WorkService, clock: Clock) -> None:
         self._service = service
         self._clock = clock
+        self._requests = ItemRequests(clock)
 
     async def submit(self, route: Route, request: IngressRequest, responder: Responder) -> None:
         """Accepts a job."""
         now_ms = self._clock.now_ms()
         job = _decode_job(route, request, now_ms)
+        self._check_items(job)
         deadline_ms = _number(request.headers, DEADLINE_MS)
         await self._service.accept(job, now_ms + (deadline_ms or DEFAULT_SUBMIT_MS))
         await responder.answer(202, JSON_HEADERS, b"{}")
@@ -71,12 +74,12 @@
         self, job_id: str, fields: dict[str, str], request: IngressRequest, responder: Responder
     ) -> None:
         """Answers with the results from a position on."""
-        after = fields.get("after", "0")
-        if not after.isdigit():
+        after = whole_number(fields.get("after", "0"))
+        if after is None:
             raise InvalidRequest("after: expected a number")
         _check_id(job_id)
         wait_ms = _number(request.headers, WAIT_MS) or 0
-        page = await self._service.results(job_id, int(after), self._clock.now_ms() + wait_ms)
+        page = await self._service.results(job_id, after, self._clock.now_ms() + wait_ms)
         known = await self._service.find(job_id)
         body = {
             "total": page.item_count,
@@ -100,6 +103,15 @@
         await self._service.end(job_id)
         await responder.answer(200, JSON_HEADERS, b"{}")
 
+    def _check_items(self, job: WorkJob) -> None:
+        """Raises `InvalidRequest` if an item could never be sent to a server."""
+        for index, item in enumerate(job.items):
+            try:
+                request = self._requests.item_request(job, item, b"")
+                check_request(OutgoingRequest(request.method, request.target, request.headers))
+            except ValueError as error:
+                raise InvalidRequest(f"items[{index}]: {error}") from error
+
 
 def _check_id(job_id: str) -> None:
     if JOB_ID.fullmatch(job_id) is None:
@@ -133,6 +145,8 @@
 
 
 def _decode_item(row: Any) -> WorkItem:
+    if not isinstance(row["id"], str) or not isinstance(row["path"], str):
+        raise ValueError("id and path: expected texts")
     body = row.get("body", "")
     try:
         base64.b64decode(body, validate=True)
@@ -148,5 +162,4 @@
 
 
 def _number(headers: Headers, name: bytes) -> int | None:
-    text = (find_header(headers, name) or b"").decode("latin-1").strip()
-    return int(text) if text.isdigit() else None
+    return whole_number((find_header(headers, name) or b"").decode("latin-1").strip())
--- a/briarvale/silence.py
+++ b/briarvale/silence.py
@@ -1,46 +1,63 @@
-"""Bounds how long a run at a backend server may be silent."""
+"""Bounds how long a run at a backend server may be silent.
+
+Only the wait for the server's bytes is bounded. What has arrived is forwarded, however late the
+event loop was to look at it, and the time that a caller takes does not count.
+"""
 
 import math
-from typing import NamedTuple
+from collections.abc import Iterator
+from contextlib import contextmanager
 
 import anyio
 
 from .clock import MS_PER_S
 from .engine_run import EngineRun
+from .errors import ServerStalled
 
-__all__ = ["Pauses", "Silence"]
+__all__ = ["Pauses", "bounded_silence"]
 
 
-class Silence:
-    """Ends a run that has been silent for too long.
+@contextmanager
+def bounded_silence(limit_ms: float, left_ms: float | None = None) -> Iterator[None]:
+    """Bounds one wait for a server.
 
-    Attributes:
-        limit_ms: How long it may be silent.
-    """
+    Args:
+        limit_ms: How long the server may be silent.
+        left_ms: What is left of it; all by default.
 
-    def __init__(self) -> None:
-        self.limit_ms = math.inf
-        self.scope = anyio.CancelScope()
+    Raises:
+        ServerStalled: If nothing was heard in time.
+    """
+    wait_s = (limit_ms if left_ms is None else left_ms) / MS_PER_S
+    with anyio.move_on_after(wait_s) as scope:
+        yield
+    if scope.cancelled_caught:
+        raise ServerStalled(f"the server sent no answer or event for {limit_ms} ms")
 
-    def wait(self, limit_ms: float) -> None:
-        """Allows so much silence from now on."""
-        self.limit_ms = limit_ms
-        self.scope.deadline = anyio.current_time() + limit_ms / MS_PER_S
 
-    def end(self) -> None:
-        """Takes that something was heard."""
-        self.scope.deadline = math.inf
+class Pauses:
+    """Reads a stream whose pauses between events are bounded.
 
+    Bytes that complete no event do not end a pause.
 
-class Pauses(NamedTuple):
-    """Reads a stream whose pauses are bounded; the time that a caller takes does not count."""
+    Args:
+        limit_ms: How long a pause may be.
+    """
 
-    silence: Silence
-    limit_ms: float
+    def __init__(self, limit_ms: float) -> None:
+        self._limit_ms = limit_ms
+        self._waited_ms = 0.0
 
     async def read(self, run: EngineRun) -> bytes:
-        """Reads the next bytes; empty at the end."""
-        self.silence.wait(self.limit_ms)
-        data = await run.read()
-        self.silence.end()
+        """Reads the next bytes; empty at the end. Raises `ServerStalled`."""
+        if math.isinf(self._limit_ms):
+            return await run.read()
+        began_at_s = anyio.current_time()
+        with bounded_silence(self._limit_ms, self._limit_ms - self._waited_ms):
+            data = await run.read()
+        self._waited_ms += (anyio.current_time() - began_at_s) * MS_PER_S
         return data
+
+    def note_event(self) -> None:
+        """Takes that an event has arrived."""
+        self._waited_ms = 0.0
--- a/briarvale/work_items.py
+++ b/briarvale/work_items.py
@@ -10,6 +10,7 @@
 from ._generated.messages import Outcome, SlotRequest, WorkClass
 from .clock import MS_PER_S
 from .errors import (
+    AnswerTooLong,
     BriarvaleError,
     DeadlineExceeded,
     ServerConnectFailed,
@@ -18,7 +19,7 @@
     ServerNotReady,
     ServerStalled,
 )
-from .event_stream import EventCursor, EventSplitter
+from .event_stream import EventCursor, EventSplitter, StreamEvent
 from .forward_request import ForwardRequest
 from .live_servers import LiveServer
 from .serving_parts import ServingParts
@@ -30,7 +31,10 @@
 SLOT_WAIT_MS = 5_000
 # How long an item waits for another server than the one that its last run failed on.
 ELSEWHERE_WAIT_MS = 1_000
-# Callers give a stream up after two seconds of silence; an item may wait a little longer.
+# With its escapes, a text of this size still fits into one object of the store.
+MAX_TEXT_BYTES = 240_000
+MAX_FAILURE_BYTES = 1_048_576
+# Callers give a stream up after two seconds without an event; an item may wait a little longer.
 MAX_SILENCE_S = 3.0
 RETRY_START_S = 0.05
 RETRY_MAX_S = 1.0
@@ -63,6 +67,7 @@
     def __init__(self, index: int, progress: ItemProgress | None = None) -> None:
         self.index = index
         self.data: list[str] = [] if progress is None else [progress.text]
+        self.text_bytes = sum(len(text.encode()) for text in self.data)
         self.cursor = EventCursor(None if progress is None else progress.last_event_id)
         self.failures = 0
         self.waits = 0
@@ -72,6 +77,23 @@
         self.is_whole = False
         self.error_code = ""
 
+    def take(self, events: list[StreamEvent]) -> None:
+        """Takes events that are new; raises `AnswerTooLong` if the text has become too long."""
+        for event in events:
+            if not self.cursor.takes(event):
+                continue
+            self.heard_at_s = anyio.current_time()
+            self.data.append(event.data)
+            self.text_bytes += len(event.data.encode()) + 1
+        if self.text_bytes > MAX_TEXT_BYTES:
+            raise AnswerTooLong(f"the text of an item is over {MAX_TEXT_BYTES} bytes")
+
+    def start_over(self) -> None:
+        """Forgets what has arrived."""
+        self.data.clear()
+        self.text_bytes = 0
+        self.cursor = EventCursor()
+
     @property
     def progress(self) -> ItemProgress | None:
         """How far it has come; none if another runner could not go on from there."""
@@ -103,29 +125,37 @@
         another server if there is one, however many servers crashed under it. Its losses say
         nothing of online requests, whose content differs, so `CrashGuard` is not told of them.
         """
-        item = job.items[state.index]
-        request = self._decoder.item_request(job, item, base64.b64decode(item.body_base64))
         while not state.is_whole and not state.error_code:
             if self._clock.now_ms() >= job.give_up_at_ms:
                 state.error_code = GIVEN_UP
                 break
             try:
-                await self._run_once(job, request, state)
+                await self._run_once(job, self._request(job, state), state)
                 state.waits = 0
             except BriarvaleError as error:
                 state.waits += 1
                 log.info(
                     "A run of an item ended early.",
                     job_id=job.job_id,
-                    item_id=item.id,
+                    item_id=job.items[state.index].id,
                     code=error.code,
                     reason=str(error),
                     events=len(state.data),
                 )
                 await _back_off(state.waits)
+            except Exception as error:
+                # A fault here must cost this run of the item, not those of the job's others.
+                state.waits += 1
+                item_id = job.items[state.index].id
+                log.exception("A run failed: {!r}.", error, job_id=job.job_id, item_id=item_id)
+                await _back_off(state.waits)
         text = "" if state.error_code else "\n".join(state.data)
         return ItemResult(state.index, text, state.error_code)
 
+    def _request(self, job: WorkJob, state: ItemState) -> ForwardRequest:
+        item = job.items[state.index]
+        return self._decoder.item_request(job, item, base64.b64decode(item.body_base64))
+
     async def _run_once(self, job: WorkJob, request: ForwardRequest, state: ItemState) -> None:
         wanted = self._slot_request(job, request, state)
         state.excluded = []
@@ -136,6 +166,8 @@
             try:
                 await self._run_at(job, request, state, slot, server)
             except (ServerLost, ServerConnectFailed, ServerFull, ServerStalled):
+                if state.text_bytes > MAX_TEXT_BYTES:
+                    state.start_over()
                 slot.outcome = Outcome.FAILED
                 state.excluded = [server.id]
                 raise
@@ -177,7 +209,7 @@
                 error = await self._stream(job, request, state, server)
                 tasks.cancel_scope.cancel()
             if state.is_stalled:
-                error = ServerStalled(f"{server.id} sent nothing for {MAX_SILENCE_S} s")
+                error = ServerStalled(f"{server.id} sent no event for {MAX_SILENCE_S} s")
             if error is not None:
                 raise error
         if state.failures > failures_before:
@@ -208,18 +240,16 @@
         splitter = EventSplitter()
         if state.cursor.last_id is None:
             # Events without ids can't be gone on after.
-            state.data.clear()
+            state.start_over()
         async with self._engines.run(request, server, state.cursor.last_id) as run:
             if run.head.status != 200:
-                while await run.read():
-                    pass
+                await run.read_whole(MAX_FAILURE_BYTES)
                 self._note_failure(job, run.head.status, state)
                 return
             if not run.facts.is_signed:
                 raise ServerLost("a success without a signature")
             while data := await run.read():
-                state.heard_at_s = anyio.current_time()
-                state.data += [e.data for e in splitter.feed(data) if state.cursor.takes(e)]
+                state.take(splitter.feed(data))
             if splitter.has_rest:
                 raise ServerLost("the stream ended within an event")
             state.is_whole = True
@@ -243,7 +273,7 @@
 
 
 async def _cancel_when_silent(state: ItemState, scope: anyio.CancelScope) -> None:
-    """Ends a run whose server has sent nothing for too long, though its connection stands."""
+    """Ends a run whose server has sent no new event for too long, though its connection stands."""
     state.heard_at_s = anyio.current_time()
     state.is_stalled = False
     while (left_s := state.heard_at_s + MAX_SILENCE_S - anyio.current_time()) > 0:
--- a/briarvale/work_runner.py
+++ b/briarvale/work_runner.py
@@ -13,7 +13,14 @@
 from .errors import NotReady, ShardSealed, StoreThrottled, StoreUnavailable
 from .node_cluster import NodeCluster
 from .peer import PeerIdentity
-from .shard_log import NO_RUNNER, ItemResult, RunnerId, ShardLog, fitting_results
+from .shard_log import (
+    NO_RUNNER,
+    ItemProgress,
+    ItemResult,
+    RunnerId,
+    ShardLog,
+    fitting_results,
+)
 from .work_items import ItemState, WorkItemRunner
 from .work_jobs import JobDirectory, KnownJob, WorkJob
 from .work_service import WorkService
@@ -21,13 +28,16 @@
 LOOK_INTERVAL_S = 0.5
 # Results that come close together share one entry of the log.
 GATHER_S = 0.15
-MAX_ENTRY_BYTES = 700_000
+# An entry may take twice its size in the store, where its JSON is a text.
+MAX_ENTRY_BYTES = 500_000
 RETRY_S = 1.0
 STORE_PAUSE_S = 0.2
 HAND_OVER_S = 2.0
 CLAIM_GRACE_S = 3.0
 # A node that may not reach the store, or not live, is waited for this long before the next claims.
 CLAIM_STEP_S = 3.0
+# More nodes at once would press a store that is slow for all of them.
+MAX_CLAIM_RANK = 2
 
 log = logs.part("batch")
 
@@ -141,7 +151,9 @@
         now_s = anyio.current_time()
         since_s = self._orphaned_at_s.setdefault(job_id, now_s)
         rank = self._cluster.rank(job_id)
-        return rank is not None and now_s - since_s >= rank * CLAIM_STEP_S
+        if rank is None or rank > MAX_CLAIM_RANK:
+            return False
+        return now_s - since_s >= rank * CLAIM_STEP_S
 
     def _is_orphaned(self, known: KnownJob) -> bool:
         """Whether the job was given back or its runner is surely lost.
@@ -229,10 +241,15 @@
 
     async def _give_back(self, running: _RunningJob, shard_log: ShardLog) -> bool:
         """Writes results, progress and that nobody runs the job; false if another entry stands."""
-        entry = [r for r in running.results if r.item_index not in shard_log.done]
+        unlisted = [r for r in running.results if r.item_index not in shard_log.done]
+        entry = fitting_results(unlisted, MAX_ENTRY_BYTES)
+        if len(entry) < len(unlisted):
+            await self._append(running, shard_log)
+            return False
         listed = shard_log.done | {result.item_index for result in entry}
         states = [state for index, state in running.states.items() if index not in listed]
-        progress = tuple(s.progress for s in states if s.progress is not None)
+        left_bytes = MAX_ENTRY_BYTES - sum(result.size_bytes for result in entry)
+        progress = _fitting_progress(states, left_bytes)
         if not await shard_log.append(entry, progress=progress, runner=NO_RUNNER):
             return False
         self._note_listed(running.known.job, entry)
@@ -250,12 +267,7 @@
                 await anyio.sleep(STORE_PAUSE_S)
 
     async def _run_item(self, running: _RunningJob, state: ItemState) -> None:
-        try:
-            running.add(await self._items.run(running.job, state))
-        except Exception as error:
-            # The item stays open, and the job's next run takes it up again.
-            log.exception("An item failed: {!r}.", error, job_id=running.known.job.job_id)
-            running.scope.cancel()
+        running.add(await self._items.run(running.job, state))
 
     async def _list_results(self, running: _RunningJob, shard_log: ShardLog) -> None:
         """Appends results as they come, until all items are listed or the job has ended."""
@@ -294,3 +306,14 @@
                 code=result.error_code or "done",
                 due_in_ms=job.due_at_ms - self._clock.now_ms(),
             )
+
+
+def _fitting_progress(states: list[ItemState], max_bytes: int) -> tuple[ItemProgress, ...]:
+    """Returns how far items have come, of as many as fit; the others begin anew."""
+    chosen = []
+    left_bytes = max_bytes
+    for progress in (state.progress for state in states):
+        if progress is not None and progress.size_bytes <= left_bytes:
+            chosen.append(progress)
+            left_bytes -= progress.size_bytes
+    return tuple(chosen)
--- a/features/platform/batch.feature
+++ b/features/platform/batch.feature
@@ -17,6 +17,11 @@
     When the backend server that runs an item falls silent
     Then the item is done by the other server
 
+  # Guards against an item that stays on a server for ever since bytes come that make no event.
+  Scenario: An item on a server that sends bytes without end goes on elsewhere
+    When the backend server that runs an item sends bytes that make no event
+    Then the item is done by the other server
+
   Scenario: An item that ran on two servers as they crashed is no suspect for good
     When two backend servers crash while they run the same item
     Then the item is done by the other server
@@ -36,10 +41,20 @@
     When a server breaks an item off while another item fills the only other server for 15 s
     Then the item is done within 5 s
 
+  # Guards against one item whose run raises an unexpected error each time and so stops its whole job.
+  Scenario: An item that raises an unexpected error each time holds no other item up
+    When the request of one item of a job can't be made
+    Then the other items are done within 5 s, after one run each
+
   Scenario: An ended job stops and keeps what it listed
     When a caller ends a job that runs, at another node, twice
     Then its items stop at the backend servers and nothing more is listed
 
+  # Guards against runs that go on after their job's end while their node waits for the store.
+  Scenario: An ended job stops at once at a node whose store is silent while large jobs arrive
+    When a job ends that a node runs whose store is silent, after 4 large jobs were submitted elsewhere
+    Then its items stop at the backend servers within 1 s
+
   Scenario: A job outlives its runner
     When the node that runs a job is killed
     Then another node finishes it
@@ -77,10 +92,25 @@
     When 40 readers poll a node that the store turns away for 4 s while it runs a job
     Then the results are listed within 3 s of the store's return
 
+  # Guards against a proper job that is denied because one of its items fits into no object.
+  Scenario: An item larger than one object
+    When a caller submits a job with an item of 900 kB
+    Then it is accepted and the body comes back whole
+
   Scenario: A job larger than one object
     When a caller submits a job of 1.5 MB
     Then it is done and its bodies come back whole
 
+  # Guards against results that the store refuses for their size, for ever.
+  Scenario: Results that grow when they are stored are listed
+    When 8 items are done at once whose texts are quotes only, 1.8 MB as they are stored
+    Then all 8 are listed as done
+
+  # Guards against a hand-over that the store refuses for its size.
+  Scenario: A node that stops hands over a job whose progress is too large for one entry
+    When the node that runs 8 such items stops gracefully after 5 of 6 events
+    Then the job is given back and another node lists all 8
+
   Scenario: All nodes are killed at once, and one of them never comes back
     When every node is killed while a job runs, and all but its runner start again
     Then another node finishes it
@@ -101,3 +131,8 @@
   Scenario: A malformed job is refused with its field
     When jobs with faults of every kind are submitted
     Then each is answered 400 and names the field, and nothing is kept
+
+  # Guards against a job that is accepted though one of its items can never be sent to a server.
+  Scenario: A job with an item that can't be sent is refused with its field
+    When jobs with an id, path or header that can't be sent are submitted
+    Then each is answered 400 and names the field, and nothing is kept
--- a/features/platform/forwarding.feature
+++ b/features/platform/forwarding.feature
@@ -55,6 +55,11 @@
     When a server never answers on a route with a short time-out
     Then the caller gets 504 within the time-out and a little, and the run has ended
 
+  # Guards against: an answer that says that a request has not run while a server was at work on it.
+  Scenario: A request that a server has when its time is up is not called not run
+    When a server never answers on a route with a short time-out
+    Then the caller is not told that the request has not run
+
   Scenario: An idempotent request at a silent server runs again in time
     When a server of two is silent to an idempotent request after others were answered
     Then the caller gets a whole answer in time
@@ -109,6 +114,12 @@
     And later requests on open connections are refused as not run
     And the node ends within its grace
 
+  # Guards against a request that is read, waits for a slot and is cut with the process.
+  Scenario: A node that stops refuses what still waits for a slot before it ends
+    When a node stops while a request waits there for the one slot, which another node's run holds
+    Then the waiting request is refused as not run
+    And the node ends within its grace
+
   Scenario: A node that the store turns away learns from its peers
     When the store turns one of two nodes away and a route and a server are added
     Then the node serves the new route at the new server within 4 s
@@ -120,3 +131,8 @@
   Scenario: Watches hear nothing of a change, then they are cut
     When a configuration is written while watches are deaf, and the watches are cut
     Then the newer one is in force within 1 s, though watches stay deaf
+
+  # Guards against a node's own error where the digits of a server's or caller's field are no number.
+  Scenario: Digits that are no number count as none
+    When a stream's event id is a superscript two, and a request's time left has 5,000 digits
+    Then the stream is passed on as it came, and the request is served
--- a/features/steps/platform_batch.py
+++ b/features/steps/platform_batch.py
@@ -9,7 +9,9 @@
 from behave import then, when
 from behave.runner import Context
 
-from briarvale.work_jobs import JOBS_KIND, PARTS_KIND
+from briarvale.forward_request import ForwardRequest
+from briarvale.work_items import ItemDecoder
+from briarvale.work_jobs import JOBS_KIND, PARTS_KIND, WorkItem, WorkJob
 from features.support.platform_engine import Behaviour, whole_text
 from features.support.platform_fleet import (
     CRASH_S,
@@ -36,6 +38,7 @@
 SLOW_GAP_S, USUAL_GAP_S = 1.0, 0.01
 BIG_ITEM_BYTES = 100_000
 BIG_ITEMS = 15
+LARGE_BODY = b"prompt" * 150_000
 
 Play = Callable[[PlatformFleet, dict[str, Any]], Awaitable[None]]
 
@@ -223,6 +226,11 @@
     play(context, troubled_item(Behaviour.HANG), nodes=1)
 
 
+@when("the backend server that runs an item sends bytes that make no event")
+def when_no_event(context: Context) -> None:
+    play(context, troubled_item(Behaviour.SEND_NO_EVENT), nodes=1)
+
+
 @when("two backend servers crash while they run the same item")
 def when_two_crash(context: Context) -> None:
     play(context, troubled_item(Behaviour.CRASH, Behaviour.CRASH), nodes=1, engines=3)
@@ -341,6 +349,54 @@
     assert facts["long runs"] == 1, facts
 
 
+class FaultyDecoder:
+    """Makes the requests of all items but one.
+
+    Args:
+        decoder: Makes the others.
+        faulty_id: The item whose request can't be made.
+    """
+
+    def __init__(self, decoder: ItemDecoder, faulty_id: str) -> None:
+        self._decoder = decoder
+        self._faulty_id = faulty_id
+
+    def item_request(self, job: WorkJob, item: WorkItem, body: bytes) -> ForwardRequest:
+        """Makes a request; raises `ValueError` for the faulty item."""
+        if item.id == self._faulty_id:
+            raise ValueError("this request can't be made")
+        return self._decoder.item_request(job, item, body)
+
+
+@when("the request of one item of a job can't be made")
+def when_faulty_item(context: Context) -> None:
+    async def behave_as(fleet: PlatformFleet, facts: dict[str, Any]) -> None:
+        node = fleet.nodes["vm-1"]
+        assert node.node is not None and node.node._runner is not None
+        items = node.node._runner._items
+        items._decoder = FaultyDecoder(items._decoder, ITEMS[1])
+        for engine in facts["engines"]:
+            engine.event_gap_s = 0.3
+        await submit(node, job_body(ITEMS))
+        facts["results"] = []
+        with anyio.move_on_after(CALM_S):
+            while len(facts["results"]) < len(ITEMS) - 1:
+                page = (await read(node, len(facts["results"]))).json()
+                facts["results"] += page["results"]
+
+    play(context, behave_as, nodes=1)
+
+
+@then("the other items are done within 5 s, after one run each")
+def then_others_done(context: Context) -> None:
+    facts = context.facts
+    others = [ITEMS[0], ITEMS[2]]
+    runs = {item_id: len(runs_of(facts, item_id)) for item_id in others}
+    assert sorted(row["id"] for row in facts["results"]) == others, (facts["results"], runs)
+    assert all(row["text"] == whole_text(6) for row in facts["results"]), facts["results"]
+    assert runs == dict.fromkeys(others, 1), runs
+
+
 @when("a caller ends a job that runs, at another node, twice")
 def when_ends(context: Context) -> None:
     async def behave_as(fleet: PlatformFleet, facts: dict[str, Any]) -> None:
@@ -361,6 +417,42 @@
     play(context, behave_as)
 
 
+def subscriber_of(fleet: PlatformFleet) -> FleetNode:
+    """Returns a node that hears of changes from another one."""
+    nodes = fleet.nodes.values()
+    return next(n for n in nodes if n.node and n.node.cluster.feed_publisher() is not None)
+
+
+@when(
+    "a job ends that a node runs whose store is silent, after 4 large jobs were submitted elsewhere"
+)
+def when_ends_in_silence(context: Context) -> None:
+    async def behave_as(fleet: PlatformFleet, facts: dict[str, Any]) -> None:
+        for engine in facts["engines"]:
+            engine.event_gap_s = 1.0
+        runner = subscriber_of(fleet)
+        other = other_than(fleet, runner)
+        await submit(runner, job_body(ITEMS))
+        await runner_of(fleet, facts)
+        fleet.gates[runner.name].is_silent = True
+        for number in range(4):
+            await submit(other, large_job(f"big-{number}"), f"job-big-{number}")
+        await anyio.sleep(0.3)
+        await Caller(other).call("DELETE", f"/briarvale/lots/{JOB}")
+        ended_s = anyio.current_time()
+        with anyio.fail_after(DONE_TIMEOUT_S):
+            while facts["engines"][0].running_ids & set(ITEMS):
+                await anyio.sleep(0.01)
+        facts["stopped after s"] = anyio.current_time() - ended_s
+
+    play(context, behave_as, engines=1, slots=16)
+
+
+@then("its items stop at the backend servers within 1 s")
+def then_stopped_soon(context: Context) -> None:
+    assert context.facts["stopped after s"] <= 1, context.facts["stopped after s"]
+
+
 @then("its items stop at the backend servers and nothing more is listed")
 def then_stopped(context: Context) -> None:
     facts = context.facts
@@ -369,9 +461,9 @@
     assert facts["page"]["results"] == []
 
 
-def large_job() -> bytes:
+def large_job(prefix: str = "item") -> bytes:
     """Returns the body of a job of 1.5 MB."""
-    rows = json.loads(job_body(ITEMS))
+    rows = json.loads(job_body([f"{prefix}-{name}" for name in "abc"]))
     for row in rows["items"]:
         row["body"] = base64.b64encode(bytes(400_000)).decode()
     return json.dumps(rows).encode()
@@ -636,6 +728,24 @@
     assert context.facts["listed after s"] <= 3, context.facts["listed after s"]
 
 
+@when("a caller submits a job with an item of 900 kB")
+def when_large_item(context: Context) -> None:
+    async def behave_as(fleet: PlatformFleet, facts: dict[str, Any]) -> None:
+        rows = json.loads(job_body(ITEMS))
+        rows["items"][1]["body"] = base64.b64encode(LARGE_BODY).decode()
+        facts["answer"] = await submit(fleet.nodes["vm-1"], json.dumps(rows).encode())
+        path = f"/briarvale/items/{JOB}?id={ITEMS[1]}"
+        facts["body"] = await Caller(fleet.nodes["vm-2"]).call("GET", path)
+
+    play(context, behave_as, engines=0)
+
+
+@then("it is accepted and the body comes back whole")
+def then_large_item(context: Context) -> None:
+    assert context.facts["answer"].status == 202, context.facts["answer"]
+    assert context.facts["body"].body == LARGE_BODY
+
+
 @when("a caller submits a job of 1.5 MB")
 def when_big(context: Context) -> None:
     async def behave_as(fleet: PlatformFleet, facts: dict[str, Any]) -> None:
@@ -670,11 +780,34 @@
         json.dumps({"items": [{"id": "a", "path": "/lot/a"}] * 201}).encode(),
     ]
 
+    play(context, refused_jobs(bodies), nodes=1, engines=1)
+
+
+@when("jobs with an id, path or header that can't be sent are submitted")
+def when_unsendable(context: Context) -> None:
+    sound: dict[str, Any] = {"id": "item-a", "path": "/lot/a"}
+    faults: list[dict[str, Any]] = [
+        {"id": 7},
+        {"id": "a\nb"},
+        {"id": "\ud800"},
+        {"path": 7},
+        {"path": "/lot/a b"},
+        {"path": ""},
+        {"headers": {"X-Note": "a\r\nX-Other: b"}},
+        {"headers": {"X Note": "a"}},
+    ]
+    bodies = [json.dumps({"items": [sound | {"id": "item-b"}, sound | f]}).encode() for f in faults]
+    play(context, refused_jobs(bodies), nodes=1, engines=1)
+
+
+def refused_jobs(bodies: list[bytes]) -> Play:
+    """Returns a play that submits jobs, each of which should be refused."""
+
     async def behave_as(fleet: PlatformFleet, facts: dict[str, Any]) -> None:
         facts["answers"] = [await submit(fleet.nodes["vm-1"], body) for body in bodies]
         facts["kept"] = fleet.store.names("workjobs")
 
-    play(context, behave_as, nodes=1, engines=1)
+    return behave_as
 
 
 @then("each is answered 400 and names the field, and nothing is kept")
@@ -682,3 +815,49 @@
     for answer in context.facts["answers"]:
         assert answer.status == 400 and "items" in answer.json()["message"], answer
     assert context.facts["kept"] == []
+
+
+# Each quote takes two bytes in the JSON of an entry, and four in that of the stored object.
+QUOTES = '"' * 9_600
+QUOTE_ITEMS = [f"item-{number}" for number in range(8)]
+
+
+@when("8 items are done at once whose texts are quotes only, 1.8 MB as they are stored")
+def when_quotes(context: Context) -> None:
+    async def behave_as(fleet: PlatformFleet, facts: dict[str, Any]) -> None:
+        for engine in facts["engines"]:
+            engine.padding = QUOTES
+        await submit(fleet.nodes["vm-1"], job_body(QUOTE_ITEMS))
+        facts["results"] = await read_all(fleet.nodes["vm-1"], len(QUOTE_ITEMS))
+
+    play(context, behave_as, nodes=1)
+
+
+@then("all 8 are listed as done")
+def then_quotes(context: Context) -> None:
+    assert len(context.facts["results"]) == len(QUOTE_ITEMS)
+    assert all(row["state"] == "done" for row in context.facts["results"])
+
+
+@when("the node that runs 8 such items stops gracefully after 5 of 6 events")
+def when_quotes_stopped(context: Context) -> None:
+    async def behave_as(fleet: PlatformFleet, facts: dict[str, Any]) -> None:
+        for engine in facts["engines"]:
+            engine.padding = QUOTES
+            engine.event_gap_s = 0.5
+        await submit(fleet.nodes["vm-1"], job_body(QUOTE_ITEMS))
+        runner = await runner_of(fleet, facts)
+        await anyio.sleep(2.3)
+        runner.stopped.set()
+        facts["results"] = await read_all(other_than(fleet, runner), len(QUOTE_ITEMS))
+        entries = fleet.store.kinds["workjobs"].values()
+        texts = [json.loads(row["spec"]["text"]) for row in entries]
+        facts["handed over"] = sum(text.get("runner") == ["", ""] for text in texts)
+
+    play(context, behave_as, nodes=2)
+
+
+@then("the job is given back and another node lists all 8")
+def then_quotes_given_back(context: Context) -> None:
+    assert context.facts["handed over"] == 1, context.facts["handed over"]
+    then_quotes(context)
--- a/features/support/platform_engine.py
+++ b/features/support/platform_engine.py
@@ -13,6 +13,7 @@
 from briarvale.routes import IngressLimits
 
 EVENT_GAP_S = 0.01
+ODD_EVENT = "id: \N{SUPERSCRIPT TWO}\ndata: piece\n\n".encode()
 
 
 class Behaviour(Enum):
@@ -29,6 +30,8 @@
     HANG = "hang"
     UNSIGNED = "unsigned"
     CRASH = "crash"
+    ODD_EVENT_ID = "an event id whose digits are no number"
+    SEND_NO_EVENT = "send bytes without end that make no event"
 
 
 class SeenRequest(NamedTuple):
@@ -55,11 +58,14 @@
         self.is_model = is_model
         self.event_count = event_count
         self.event_gap_s = EVENT_GAP_S
+        # Follows the data of each event.
+        self.padding = ""
         self.behaviours: deque[Behaviour] = deque()
         self.usual = Behaviour.SERVE
         self.is_leaving = False
         self.seen: list[SeenRequest] = []
         self.running = 0
+        self.running_ids: set[str] = set()
         self.finished = 0
         self.crashed = anyio.Event()
 
@@ -87,11 +93,13 @@
         self.seen.append(seen)
         behaviour = self.behaviours.popleft() if self.behaviours else self.usual
         self.running += 1
+        self.running_ids.add(seen.request_id)
         try:
             await self._answer(behaviour, seen, responder)
             self.finished += 1
         finally:
             self.running -= 1
+            self.running_ids.discard(seen.request_id)
 
     @property
     def _leaving_rows(self) -> tuple[tuple[bytes, bytes], ...]:
@@ -125,6 +133,15 @@
                     b"Briarvale-Server-Signature: other\r\nContent-Length: 5\r\n\r\nstray"
                 )
                 await self._serve(seen, signed, responder, self.event_count)
+            case Behaviour.ODD_EVENT_ID:
+                await responder.start(AnswerHead(200, signed))
+                await responder.send(ODD_EVENT)
+                await responder.finish()
+            case Behaviour.SEND_NO_EVENT:
+                await responder.start(AnswerHead(200, signed))
+                while True:
+                    await responder.send(b"no event ")
+                    await anyio.sleep(self.event_gap_s)
             case Behaviour.BREAK_MIDWAY:
                 await self._serve(seen, signed, responder, self.event_count // 2)
                 raise CallerGone("breaks off")
@@ -149,7 +166,7 @@
         await responder.start(AnswerHead(200, (*signed, (b"content-type", b"text/event-stream"))))
         after = int(seen.header(b"last-event-id") or 0)
         for number in range(after + 1, until + 1):
-            await responder.send(event(number))
+            await responder.send(event(number, self.padding))
             await anyio.sleep(self.event_gap_s)
         if until == self.event_count:
             await responder.finish()
@@ -157,9 +174,9 @@
             await responder.send(b"id: 99\nda")
 
 
-def event(number: int) -> bytes:
+def event(number: int, padding: str = "") -> bytes:
     """Returns the bytes of one event."""
-    return f"id: {number}\ndata: piece {number}\n\n".encode()
+    return f"id: {number}\ndata: piece {number}{padding}\n\n".encode()
 
 
 def whole_text(event_count: int) -> str:
