Read a job's items by the names that its known head has

Found in reading the change again: each load of a job (a claim, a request for an item's body) read the head from the store once more, although the node knows it and heads never change.

--- a/briarvale/work_service.py
+++ b/briarvale/work_service.py
@@ -238,20 +238,15 @@
         """Returns a job with its items whole; raises `NotReady`."""
         if known.whole is not None:
             return known.whole
+        parts = []
         try:
-            return await self._load(known.job.job_id)
+            for part_id in known.job.part_ids:
+                key = part_key(known.job.job_id, part_id)
+                part = await self._read_budget.call(self._store.get, key)
+                parts.append(part.value)
         except (ObjectNotFound, StoreThrottled, StoreUnavailable) as error:
             raise NotReady(f"the store can't tell: {error}") from error
-
-    async def _load(self, job_id: str) -> WorkJob:
-        job = await self._load_head(job_id)
-        if not job.is_digest:
-            return job
-        parts = []
-        for part_id in job.part_ids:
-            part = await self._read_budget.call(self._store.get, part_key(job_id, part_id))
-            parts.append(part.value)
-        return job._replace(items=join_parts(parts), is_digest=False)
+        return known.job._replace(items=join_parts(parts), is_digest=False)
 
     async def _load_head(self, job_id: str) -> WorkJob:
         stored = await self._read_budget.call(self._store.get, job_key(job_id))
