Limit the waiting tokens of a route over all nodes

Change: a job's tokens are reserved in one object a route, by a conditional write, before the job is accepted. A node counts what it knows less what it has read as done, so a node that hears late counts too much, never too little. A job beyond the limit gets 429 at once, with the time in which the results of the last ten seconds would free enough; one that was accepted elsewhere is accepted again. Heads hold the route and the token counts of the items. The limit comes with the route; a route without one makes no call more.

Ruled out: counting from the replica of the jobs alone.

--- a/briarvale/errors.py
+++ b/briarvale/errors.py
@@ -132,6 +132,12 @@
     code, http_status, not_run = "too_many_jobs", 429, True
 
 
+class WaitingTokensExceeded(BriarvaleError):
+    """As many tokens wait on the route as its limit allows; nothing was accepted."""
+
+    code, http_status, not_run = "too_many_waiting_tokens", 429, True
+
+
 class GatewayUnreachable(BriarvaleError):
     """The command line can't reach the gateway."""
 
--- a/briarvale/metrics.py
+++ b/briarvale/metrics.py
@@ -48,6 +48,10 @@
 BATCH_BUFFER_BYTES = Gauge(
     "briarvale_batch_buffer_bytes", "Batch results that wait for the Object API."
 )
+WAITING_TOKENS = Gauge(
+    "briarvale_waiting_tokens", "Tokens of accepted items without a result, by limited route."
+)
+WAITING_TOKENS_LIMIT = Gauge("briarvale_waiting_tokens_limit", "Limit on them, by route.")
 JOBS_LATE = Gauge("briarvale_jobs_late", "Jobs that are predicted to miss their due date.")
 CONFIG_REVISION = Gauge("briarvale_config_revision", "Configuration revision in force.")
 CONFIG_REFUSED = Counter("briarvale_config_refused_total", "Revisions that this VM can't use.")
@@ -85,6 +89,8 @@
     "STORE_CALLS",
     "STREAMS_PAUSED",
     "VMS",
+    "WAITING_TOKENS",
+    "WAITING_TOKENS_LIMIT",
     "render_metrics",
 ]
 
--- a/briarvale/opaque_job_service.py
+++ b/briarvale/opaque_job_service.py
@@ -20,6 +20,7 @@
     ShardSealed,
     StoreThrottled,
     StoreUnavailable,
+    WaitingTokensExceeded,
 )
 from .object_store import ObjectStore
 from .opaque_job_log_store import OpaqueJobLogStore
@@ -37,6 +38,7 @@
 from .peer import PeerIdentity
 from .shard_log import ItemResult, LogEntry, RunnerId, ShardLog, fitting_results
 from .store_budget import StoreBudget
+from .waiting_tokens import TokenLimiter
 
 MAX_PAGE_BYTES = 900_000
 # After this time a page is returned with the results read so far, if there are any.
@@ -91,16 +93,25 @@
         self._clock = clock
         self._is_feed_current = is_feed_current
         self._own_id = RunnerId(identity.vm, identity.boot_id)
+        self._token_limiter = TokenLimiter(store, directory, clock, is_feed_current)
 
-    async def accept(self, job: OpaqueJob, answer_by_ms: int) -> None:
+    async def accept(self, job: OpaqueJob, answer_by_ms: int, max_waiting_tokens: int = 0) -> None:
         """Accepts a job, returning once it is stored; idempotent for a job that already exists.
 
+        Args:
+            job: The job with its items.
+            answer_by_ms: When the caller stops waiting for the answer.
+            max_waiting_tokens: The limit of the job's route; 0 is no limit.
+
         Raises:
             AcceptanceRefused: If the job certainly wasn't and won't be accepted.
             AcceptanceUnknown: If the job may have been accepted or may still be.
+            WaitingTokensExceeded: If the job wasn't accepted, as its tokens would pass the limit.
         """
         if self._directory.get(job.job_id) is not None:
             return
+        if max_waiting_tokens and not await self._reserve(job, max_waiting_tokens, answer_by_ms):
+            return
         job = job._replace(runner=self._own_id)
         stored = await self._create_parts(job, answer_by_ms)
         key = job_key(job.job_id)
@@ -116,6 +127,29 @@
             due_in_ms=job.due_at_ms - self._clock.now_ms(),
         )
 
+    async def _reserve(self, job: OpaqueJob, max_waiting_tokens: int, answer_by_ms: int) -> bool:
+        """Reserves a job's tokens; false if it doesn't fit but was accepted before.
+
+        Raises:
+            AcceptanceUnknown: If it doesn't fit and the store doesn't tell whether it was accepted.
+        """
+        stop_at_ms = answer_by_ms - ANSWER_RESERVE_MS
+        try:
+            await self._token_limiter.reserve(job, max_waiting_tokens, stop_at_ms)
+            return True
+        except WaitingTokensExceeded:
+            try:
+                with anyio.fail_after(READ_TIMEOUT_S):
+                    self._directory.add(await self._load_head(job.job_id))
+            except ObjectNotFound:
+                pass
+            except (StoreThrottled, StoreUnavailable, TimeoutError) as error:
+                raise AcceptanceUnknown(f"the job may have been accepted: {error!r}") from error
+            else:
+                log.info("The job exists already.", job_id=job.job_id)
+                return False
+            raise
+
     async def results(self, job_id: str, after: int, wait_until_ms: int) -> ResultsPage:
         """Returns results from position `after`, waiting for the first until `wait_until_ms`.
 
--- a/briarvale/opaque_jobs.py
+++ b/briarvale/opaque_jobs.py
@@ -27,6 +27,8 @@
 PARTS_KIND = "workitems"
 TEXTS_KIND = "worktexts"
 MAX_PART_BYTES = 800_000
+# A job's log is read within this time of its head.
+FIRST_READ_S = 0.5
 
 log = logs.component_logger("jobs")
 
@@ -73,6 +75,8 @@
             same job id and other items don't share a key.
         runner: The first runner: the process that accepted the job.
         is_digest: Whether the items are reduced to their ids.
+        route: Host and path prefix of the route on which the job was submitted.
+        token_counts: For each item, the tokens of its prompt and its longest output.
     """
 
     job_id: str
@@ -87,6 +91,13 @@
     part_ids: tuple[str, ...] = ()
     runner: RunnerId = NO_RUNNER
     is_digest: bool = False
+    route: str = ""
+    token_counts: tuple[int, ...] = ()
+
+    @property
+    def token_count(self) -> int:
+        """Tokens of all items."""
+        return sum(self.token_counts)
 
     def digest(self) -> "OpaqueJob":
         """Returns the job with its items reduced to their ids."""
@@ -104,6 +115,7 @@
         row["items"] = decode_items(row["items"])
         row["runner"] = RunnerId(*row["runner"])
         row["part_ids"] = tuple(row["part_ids"])
+        row["token_counts"] = tuple(row.get("token_counts", ()))
         return cls(**row)
 
 
@@ -119,6 +131,13 @@
     first_position: int
 
 
+class FreedTokens(NamedTuple):
+    """Tokens of items whose results this node read at one time."""
+
+    at_s: float
+    token_count: int
+
+
 class JobReplica:
     """This node's copy of a job: its head, and the log entries read and applied so far.
 
@@ -130,6 +149,7 @@
         is_ended: Whether the log is sealed: a caller ended the job.
         runner_since_s: When this node read that the current runner runs the job.
         log_end_read_at_s: When a read that found no further log entry was last started.
+        waiting_tokens: Tokens of the items without a result; 0 once the job has ended.
     """
 
     def __init__(self, job: OpaqueJob) -> None:
@@ -142,7 +162,10 @@
         self.runner = job.runner
         self.runner_since_s = anyio.current_time()
         self.log_end_read_at_s = -math.inf
+        self.waiting_tokens = job.token_count
         self.changed = Notifier()
+        self._known_since_s = anyio.current_time()
+        self._freed: list[FreedTokens] = []
         self._out_of_order: dict[int, LogEntry] = {}
 
     @property
@@ -167,12 +190,30 @@
         self.text_sources += [source] * len(entry.results)
         self.results += entry.digest().results
         self.is_ended = self.is_ended or entry.is_seal
+        self._free_tokens(entry)
         if entry.runner is not None:
             self.runner = entry.runner
             self.runner_since_s = anyio.current_time()
             self.full_job = None
         self.next_sequence = entry.sequence + 1
 
+    def _free_tokens(self, entry: LogEntry) -> None:
+        """Subtracts the tokens of the items that an entry ends."""
+        counts = self.job.token_counts
+        freed = sum(counts[result.item_index] for result in entry.results) if counts else 0
+        if self.is_ended:
+            freed = self.waiting_tokens
+        self.waiting_tokens -= freed
+        self._freed.append(FreedTokens(anyio.current_time(), freed))
+
+    def freed_tokens(self, since_s: float) -> int:
+        """Returns the tokens of items that ended since a time.
+
+        Leaves out what this node read with the job: it may have ended long before.
+        """
+        since_s = max(since_s, self._known_since_s + FIRST_READ_S)
+        return sum(freed.token_count for freed in self._freed if freed.at_s >= since_s)
+
 
 class JobDirectory:
     """Replicas of all jobs that this node has read, kept current by the feed of their objects."""
--- a/briarvale/platform/batch_job_handler.py
+++ b/briarvale/platform/batch_job_handler.py
@@ -67,7 +67,8 @@
         job = _decode_job(route, request, now_ms)
         self._check_items(job)
         deadline_ms = _header_int(request.headers, DEADLINE_MS)
-        await self._service.accept(job, now_ms + (deadline_ms or DEFAULT_SUBMIT_TIMEOUT_MS))
+        answer_by_ms = now_ms + (deadline_ms or DEFAULT_SUBMIT_TIMEOUT_MS)
+        await self._service.accept(job, answer_by_ms, _max_waiting_tokens(route))
         await responder.answer(202, JSON_HEADERS, b"{}")
 
     async def results(
@@ -128,6 +129,7 @@
     try:
         specs = json.loads(request.body)["items"]
         items = tuple(_decode_item(spec) for spec in specs)
+        token_counts = tuple(_decode_token_count(spec) for spec in specs)
     except (AttributeError, KeyError, TypeError, ValueError) as error:
         raise InvalidRequest(f"items: {error!r}") from error
     if not 0 < len(items) <= MAX_ITEMS:
@@ -142,9 +144,23 @@
         give_up_at_ms=now_ms + route.kind.retention_ms,
         max_attempts=route.max_attempts,
         items=items,
+        route=route.key,
+        token_counts=token_counts,
     )
 
 
+def _max_waiting_tokens(route: Route) -> int:
+    return route.kind.max_waiting_tokens if isinstance(route.kind, BatchRoute) else 0
+
+
+def _decode_token_count(spec: Any) -> int:
+    """Returns the tokens of an item's prompt and longest output; 0 if it doesn't tell."""
+    token_count = spec.get("tokens", 0)
+    if isinstance(token_count, bool) or not isinstance(token_count, int) or token_count < 0:
+        raise ValueError("tokens: expected a non-negative integer")
+    return token_count
+
+
 def _decode_item(spec: Any) -> OpaqueItem:
     if not isinstance(spec["id"], str) or not isinstance(spec["path"], str):
         raise ValueError("id and path: expected strings")
--- a/briarvale/platform/store_objects.py
+++ b/briarvale/platform/store_objects.py
@@ -131,7 +131,9 @@
         case "batch":
             retention_s = float(spec.get("retention_s") or DEFAULT_RETENTION_S)
             target_ms = int(spec.get("completion_target_ms") or DEFAULT_COMPLETION_TARGET_MS)
-            return BatchRoute(target_ms, round(retention_s * 1_000))
+            # On a batch route, `max_count` counts the tokens that may wait.
+            max_waiting_tokens = int(spec.get("max_count") or 0)
+            return BatchRoute(target_ms, round(retention_s * 1_000), max_waiting_tokens)
         case _:
             return NonIdempotentRoute()
 
--- a/briarvale/routes.py
+++ b/briarvale/routes.py
@@ -49,10 +49,12 @@
     Attributes:
         completion_target_ms: Time after the submission when all results are due.
         retention_ms: Time after the submission when an unfinished item may be abandoned.
+        max_waiting_tokens: Tokens of accepted items that may wait, over all nodes; 0 is no limit.
     """
 
     completion_target_ms: int
     retention_ms: int
+    max_waiting_tokens: int = 0
 
 
 RouteKind = IdempotentRoute | NonIdempotentRoute | StreamRoute | BatchRoute
@@ -85,6 +87,11 @@
     target_latency_ms: int = 1_000
     priority: int = 0
 
+    @property
+    def key(self) -> str:
+        """Host and path prefix, by which requests match the route."""
+        return f"{self.host}{self.path_prefix}"
+
     def service_for(self, request_id: str) -> str:
         """Chooses a service by weight; a request id always gets the same service."""
         total_weight = sum(weighted.weight for weighted in self.services)
--- /dev/null
+++ b/features/steps/platform_waiting_tokens.py
@@ -0,0 +1,237 @@
+"""Steps for the limit on a route's waiting tokens: real nodes on loopback, and virtual time."""
+
+from typing import Any
+
+import anyio
+from behave import then, when
+from behave.runner import Context
+
+from briarvale.errors import WaitingTokensExceeded
+from features.steps.platform_batch import (
+    ITEMS,
+    other_than,
+    read_all,
+    run_on_fleet,
+    runs_of,
+    submit_job,
+)
+from features.support.platform_fleet import Answer, Caller, FleetNode, PlatformFleet, job_body
+from features.support.token_schedules import (
+    ITEMS_PER_JOB,
+    LIMIT,
+    TokenNode,
+    TokenWorld,
+    run_token_schedule,
+)
+from features.support.virtual import run_virtual
+
+# `job_body` gives each item 150 tokens.
+TOKENS_PER_ITEM = 150
+JOB_TOKENS = TOKENS_PER_ITEM * len(ITEMS)
+# Items of this gap between events run for longer than the test.
+LONG_GAP_S = 10.0
+APPLY_TIMEOUT_S = 10.0
+
+
+async def set_limit(fleet: PlatformFleet, max_tokens: int) -> None:
+    """Sets the limit of the route for jobs, and waits until each node has it."""
+    fleet.version += 1
+    config = fleet.config()
+    for route in config["routes"]:
+        if route["kind"] == "batch":
+            route["max_count"] = max_tokens
+    fleet.store.put("config", "main", config)
+    nodes = [node.node for node in fleet.nodes.values() if node.node]
+    with anyio.fail_after(APPLY_TIMEOUT_S):
+        while any(n.routes.table is None or n.routes.table.version != fleet.version for n in nodes):
+            await anyio.sleep(0.02)
+
+
+def slow_down(facts: dict[str, Any]) -> None:
+    """Makes items run for longer than the test."""
+    for engine in facts["engines"]:
+        engine.event_gap_s = LONG_GAP_S
+
+
+async def accepted_within_s(node: FleetNode, job_id: str, items: list[str]) -> float:
+    """Submits a job until it is accepted; returns how long that took."""
+    started_s = anyio.current_time()
+    while (await submit_job(node, job_body(items), job_id)).status != 202:
+        await anyio.sleep(0.05)
+    return anyio.current_time() - started_s
+
+
+@when(
+    "{jobs:d} jobs of {tokens:d} tokens are submitted to 4 nodes at once"
+    " on a route that allows {limit:d}"
+)
+def when_many(context: Context, jobs: int, tokens: int, limit: int) -> None:
+    assert tokens == JOB_TOKENS
+
+    async def action(fleet: PlatformFleet, facts: dict[str, Any]) -> None:
+        slow_down(facts)
+        await set_limit(fleet, limit)
+        nodes = list(fleet.nodes.values())
+        answers: dict[str, Answer] = {}
+
+        async def send(number: int) -> None:
+            items = [f"item-{number}-{n}" for n in range(len(ITEMS))]
+            node = nodes[number % len(nodes)]
+            answers[f"job-{number}"] = await submit_job(node, job_body(items), f"job-{number}")
+
+        async with anyio.create_task_group() as tasks:
+            for number in range(jobs):
+                tasks.start_soon(send, number)
+        await anyio.sleep(1.0)
+        facts["answers"] = answers
+        facts["stored"] = [name for name in fleet.store.names("workjobs") if "." not in name]
+        facts["parts"] = {name.partition(".")[0] for name in fleet.store.names("workitems")}
+
+    run_on_fleet(context, action, nodes=4)
+
+
+@then("{count:d} are accepted, and the others get 429, with when to come back, and never run")
+def then_some(context: Context, count: int) -> None:
+    answers: dict[str, Answer] = context.facts["answers"]
+    accepted = sorted(job_id for job_id, answer in answers.items() if answer.status == 202)
+    refused = [answer for answer in answers.values() if answer.status == 429]
+    assert len(accepted) == count and len(refused) == len(answers) - count, answers
+    assert context.facts["stored"] == accepted
+    assert context.facts["parts"] == set(accepted)
+    for answer in refused:
+        assert answer.json()["code"] == "too_many_waiting_tokens" and answer.json()["not_run"]
+        assert float(answer.headers["retry-after"]) > 0
+    ran = {seen.request_id.split("-")[1] for e in context.facts["engines"] for seen in e.seen}
+    assert ran <= {job_id.split("-")[1] for job_id in accepted}
+
+
+@when("a job fills a route, and is sent again at once to each other node")
+def when_sent_again(context: Context) -> None:
+    async def action(fleet: PlatformFleet, facts: dict[str, Any]) -> None:
+        await set_limit(fleet, JOB_TOKENS)
+        first, *others = fleet.nodes.values()
+        facts["statuses"] = [(await submit_job(first, job_body(ITEMS))).status]
+        for node in others:
+            facts["statuses"].append((await submit_job(node, job_body(ITEMS))).status)
+        await read_all(first)
+
+    run_on_fleet(context, action, nodes=3)
+
+
+@then("each of them accepts it, and each of its items runs once")
+def then_accepted_again(context: Context) -> None:
+    assert context.facts["statuses"] == [202, 202, 202], context.facts["statuses"]
+    assert [len(runs_of(context.facts, item)) for item in ITEMS] == [1, 1, 1]
+
+
+@when("a job fills a route and then {event}")
+def when_filled(context: Context, event: str) -> None:
+    async def action(fleet: PlatformFleet, facts: dict[str, Any]) -> None:
+        await set_limit(fleet, JOB_TOKENS)
+        node = next(iter(fleet.nodes.values()))
+        other = other_than(fleet, node)
+        if event == "is ended":
+            slow_down(facts)
+        assert (await submit_job(node, job_body(ITEMS))).status == 202
+        facts["status"] = (await submit_job(other, job_body(["x-1"]), "job-2")).status
+        if event == "is ended":
+            answer = await Caller(node).call("DELETE", "/briarvale/lots/job-1")
+            assert answer is not None and answer.status == 200
+        else:
+            await read_all(node)
+        with anyio.fail_after(APPLY_TIMEOUT_S):
+            facts["took_s"] = await accepted_within_s(other, "job-3", ["y-1", "y-2", "y-3"])
+
+    run_on_fleet(context, action)
+
+
+@then("a job as large is accepted at another node within {limit_s:g} s")
+def then_free_soon(context: Context, limit_s: float) -> None:
+    assert context.facts["status"] == 429, context.facts["status"]
+    assert context.facts["took_s"] <= limit_s, context.facts["took_s"]
+
+
+@when("a route's limit is lowered below what waits and then removed")
+def when_lowered(context: Context) -> None:
+    async def action(fleet: PlatformFleet, facts: dict[str, Any]) -> None:
+        slow_down(facts)
+        node = next(iter(fleet.nodes.values()))
+        assert (await submit_job(node, job_body(ITEMS))).status == 202
+        statuses = []
+        for limit in (10 * JOB_TOKENS, JOB_TOKENS // 2, 0):
+            await set_limit(fleet, limit)
+            answer = await submit_job(node, job_body([f"z-{limit}"]), f"job-{limit}")
+            statuses.append(answer.status)
+        facts["statuses"] = statuses
+
+    run_on_fleet(context, action)
+
+
+@then("a small job is refused until the limit is removed")
+def then_lowered(context: Context) -> None:
+    assert context.facts["statuses"] == [202, 429, 202], context.facts["statuses"]
+
+
+@when("a node is killed between the reservation of a job's tokens and its acceptance")
+def when_killed(context: Context) -> None:
+    async def run() -> float:
+        world = TokenWorld(seed=1, node_count=2)
+        killed, other = world.nodes
+        async with anyio.create_task_group() as tasks:
+            world.start(tasks)
+            with anyio.CancelScope() as scope:
+                killed.service._create_parts = _cancelling(scope)  # type: ignore[method-assign]
+                await world.accept(killed, "job-1", LIMIT // ITEMS_PER_JOB)
+            assert scope.cancelled_caught and not world.stored_job_ids()
+            took_s = await _accept_largest(world, other)
+            tasks.cancel_scope.cancel()
+        return took_s
+
+    context.took_s = run_virtual(run)
+
+
+def _cancelling(scope: anyio.CancelScope) -> Any:
+    """Returns a stand-in of a step of an acceptance, at which the acceptance ends."""
+
+    async def cancel(*args: object) -> None:
+        scope.cancel()
+        await anyio.sleep(1)
+
+    return cancel
+
+
+async def _accept_largest(world: TokenWorld, node: TokenNode) -> float:
+    """Submits a job as large as the limit until it is accepted; returns how long that took."""
+    started_s = anyio.current_time()
+    with anyio.move_on_after(120):
+        while True:
+            try:
+                await world.accept(node, "job-2", LIMIT // ITEMS_PER_JOB)
+                break
+            except WaitingTokensExceeded:
+                await anyio.sleep(0.5)
+    return anyio.current_time() - started_s
+
+
+@then("a job as large is accepted within {limit_s:g} s")
+def then_free_again(context: Context, limit_s: float) -> None:
+    assert context.took_s <= limit_s, context.took_s
+
+
+@when("{seeds:d} seeded schedules of jobs on a limited route are run in virtual time")
+def when_schedules(context: Context, seeds: int) -> None:
+    context.token_reports = [run_token_schedule(seed) for seed in range(1, seeds + 1)]
+
+
+@then("no more tokens than the limit ever wait, and refused jobs are never stored")
+def then_within_limit(context: Context) -> None:
+    reports = context.token_reports
+    assert all(report.accepted and report.refused for report in reports)
+    bad = [r for r in reports if r.most_waiting > LIMIT or r.false_refusals]
+    assert not bad, bad[:3]
+
+
+@then("a job as large as the limit is accepted once all others have ended")
+def then_free_at_the_end(context: Context) -> None:
+    bad = [report for report in context.token_reports if not report.fits_at_the_end]
+    assert not bad, bad[:3]
