Break off a partly sent stream when a later run of it fails

Cause: the first run crashed midway; the second, the last that the route allows, was answered with 500. An error status goes to the caller where no further run is allowed, also when the answer had begun: the body of the failure was sent as part of the stream, and the stream was ended as complete.

Evidence: the trace names the 500 as the end of the last run; the scenario, before the change: body of three events, then 'failed', is_whole=True (500 and 422 alike).

Ruled out: the crash itself; a break without a later run is cut off already.

Change: once an answer has begun, an answer without success counts as a failed run: another run follows where the route allows it, else the answer is broken off. The two branches for failed and lost runs were the same and are one.

--- a/briarvale/forwarding.py
+++ b/briarvale/forwarding.py
@@ -157,11 +157,7 @@
                 return
             except NOT_RUN_ERRORS as error:
                 await self._wait_to_retry(request, sink, progress, error)
-            except ServerFailed as error:
-                progress.may_have_run = True
-                progress.failed_runs += 1
-                self._log_failed_attempt(request, progress, error)
-            except (ServerLost, ServerStalled) as error:
+            except (ServerFailed, ServerLost, ServerStalled) as error:
                 progress.may_have_run = True
                 progress.failed_runs += 1
                 self._log_failed_attempt(request, progress, error)
@@ -289,7 +285,8 @@
     ) -> Outcome:
         """Forwards the answer of one run; times out early enough for another run.
 
-        A server's error status is forwarded only if the request may not run again.
+        A server's error status is forwarded only if the request may not run again, and never after
+        the start of an answer, which it would complete wrongly.
         """
         request = attempt.request
         timeout_ms = self._answer_timeout_ms(request, sink, progress)
@@ -303,7 +300,8 @@
             if is_success and not run.metadata.is_signed:
                 raise ServerLost("the server's successful answer has no signature")
             has_failed = run.head.status in SERVER_ERROR_STATUSES
-            if has_failed and _may_run_again(request, sink, progress):
+            may_retry = has_failed and _may_run_again(request, sink, progress)
+            if may_retry or (sink.has_started and not is_success):
                 raise ServerFailed(f"{attempt.server.id} answered {run.head.status}")
             match request.route.kind:
                 case StreamRoute() if is_success:
--- a/features/platform/forwarding.feature
+++ b/features/platform/forwarding.feature
@@ -96,6 +96,16 @@
     When a stream that may not be resumed breaks midway
     Then the caller gets the first events and no end
 
+  # Guards against the body of a failed run, appended to a partly sent answer that then looks complete.
+  Scenario Outline: A resumable stream whose last allowed run fails is cut off, and never looks complete
+    When a resumable stream breaks midway and each later run is answered with <status>
+    Then the caller gets the first events and no end after 3 runs
+
+    Examples:
+      | status |
+      | 500    |
+      | 422    |
+
   Scenario: Malformed server entries do not affect valid ones
     When malformed server entries of every kind are written
     Then the caller gets a complete answer
--- a/features/steps/platform_forwarding.py
+++ b/features/steps/platform_forwarding.py
@@ -226,6 +226,13 @@
     run_on_node(context, one_call("POST", "/go-on/a", Behaviour.BREAK_MIDWAY), service=MODEL)
 
 
+@when("a resumable stream breaks midway and each later run is answered with {status:d}")
+def when_resumed_fails(context: Context, status: int) -> None:
+    usual = {500: Behaviour.FAIL, 422: Behaviour.UNPROCESSABLE}[status]
+    scenario = one_call("POST", "/go-on/a", Behaviour.BREAK_MIDWAY, usual=usual)
+    run_on_node(context, scenario, service=MODEL)
+
+
 @when("a stream that may not be resumed breaks midway")
 def when_not_resumable(context: Context) -> None:
     run_on_node(context, one_call("POST", "/ask/a", Behaviour.BREAK_MIDWAY), service=MODEL)
@@ -367,10 +374,20 @@
 
 @then("the caller gets the first events and no end")
 def then_broken(context: Context) -> None:
-    answer = context.observed.answers[0]
-    assert not answer.is_whole
-    assert answer.body == b"".join(event(n) for n in range(1, EVENT_COUNT // 2 + 1))
-    assert context.observed.reached_count == 1
+    assert_broken_off(context.observed, runs=1)
+
+
+@then("the caller gets the first events and no end after {runs:d} runs")
+def then_broken_after(context: Context, runs: int) -> None:
+    assert_broken_off(context.observed, runs)
+
+
+def assert_broken_off(observed: Observations, runs: int) -> None:
+    """Checks that the answer holds the first half of the events and isn't complete."""
+    answer = observed.answers[0]
+    assert not answer.is_whole, answer
+    assert answer.body == b"".join(event(n) for n in range(1, EVENT_COUNT // 2 + 1)), answer
+    assert observed.reached_count == runs, observed.reached_count
 
 
 @when("malformed server entries of every kind are written")
