Take the newest of several peers' lists when a node has none

Looked for: a server that had left, in use again after a restart. A node that starts while the store turns it away asked one random peer and took its list, whatever its revision: it had none of its own to compare with. A peer that had missed the change itself (frozen, cut off, turned away) brought the server back until a later answer was newer, up to seconds.

Change: a node without a list asks five peers at once and takes the newest list of each kind. A node with lists asks one, as before; older lists are ignored.

--- a/briarvale/feed_relay.py
+++ b/briarvale/feed_relay.py
@@ -5,7 +5,7 @@
 
 import json
 import random
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 
 import anyio
 
@@ -17,6 +17,8 @@
 
 ASK_INTERVAL_S = 0.5
 ASK_TIMEOUT_S = 1.0
+# A node that has no list yet asks this many peers, as one of them may have missed changes itself.
+FIRST_ASK_PEERS = 5
 
 log = logs.component_logger("relay")
 
@@ -53,25 +55,44 @@
         return ConfigBundle(documents=tuple(documents))
 
     async def run(self) -> None:
-        """Asks a random peer at intervals while a feed is stale, until cancelled."""
+        """Asks random peers at intervals while a feed is stale, until cancelled."""
         while True:
             await anyio.sleep(ASK_INTERVAL_S * random.uniform(0.8, 1.2))
             peers = self._peers()
             if peers and any(feed.is_stale for feed in self._feeds.values()):
-                await self._ask(random.choice(peers))
+                await self._ask(random.sample(peers, min(len(peers), self._peers_to_ask())))
+
+    def _peers_to_ask(self) -> int:
+        """Returns how many peers to ask: several for a first list, which nothing newer guards."""
+        has_lists = all(feed.has_list for feed in self._feeds.values())
+        return 1 if has_lists else FIRST_ASK_PEERS
+
+    async def _ask(self, addresses: Sequence[PeerAddress]) -> None:
+        """Fetches the lists of several peers; offers the newest of each kind to a stale feed."""
+        newest: dict[str, tuple[ObjectList, str]] = {}
+
+        async def fetch(address: PeerAddress) -> None:
+            for kind, listed in (await self._fetch(address)).items():
+                if kind not in newest or listed.revision > newest[kind][0].revision:
+                    newest[kind] = (listed, address.host)
+
+        async with anyio.create_task_group() as tasks:
+            for address in addresses:
+                tasks.start_soon(fetch, address)
+        for kind, (listed, host) in newest.items():
+            feed = self._feeds.get(kind)
+            if feed is not None and feed.is_stale:
+                feed.offer(listed, host)
 
-    async def _ask(self, address: PeerAddress) -> None:
-        """Fetches a peer's lists and offers them to the feeds that are stale."""
+    async def _fetch(self, address: PeerAddress) -> dict[str, ObjectList]:
+        """Fetches a peer's lists by kind; empty if the peer does not answer."""
         try:
             with anyio.fail_after(ASK_TIMEOUT_S):
                 bundle = await ask_peer(self._transport, address, ConfigFetch(), ConfigBundle)
         except (OwnerUnreachable, PeerClosed, PeerProtocolError, TimeoutError) as error:
             log.info("Could not fetch the lists of objects from {}: {!r}.", address.host, error)
-            return
-        for document in bundle.documents:
-            feed = self._feeds.get(document.name)
-            if feed is not None and feed.is_stale:
-                feed.offer(_decode(document), address.host)
+            return {}
+        return {document.name: _decode(document) for document in bundle.documents}
 
 
 def _decode(document: ConfigDocument) -> ObjectList:
--- a/briarvale/object_feed.py
+++ b/briarvale/object_feed.py
@@ -125,6 +125,11 @@
         is_answered = self._failing_since_s is None and not self._is_interrupted
         return is_answered and self._revision >= 0
 
+    @property
+    def has_list(self) -> bool:
+        """Whether the feed has had any list of the kind, from the store or from a peer."""
+        return self._revision >= 0
+
     @property
     def is_stale(self) -> bool:
         """Whether the store has not answered for longer than `OUTAGE_S`."""
--- a/features/platform/feeds.feature
+++ b/features/platform/feeds.feature
@@ -86,3 +86,8 @@
       | refused by the store       |
       | unanswered by the store    |
       | silent to its subscribers  |
+
+  # Guards against a server that had left, in use again at a node that started while the store was away.
+  Scenario: A node that starts while the store is away takes the newest list of its peers
+    When a node without any list asks peers of which all but one missed that a server left
+    Then it never uses the server that left
