Check the limit on waiting tokens in the soak

Three jobs at once go to a route that allows the tokens of two. Each time one is accepted, the tokens of accepted items that no server has finished are counted and must be within the limit, whatever faults are on.

--- a/features/support/platform_engine.py
+++ b/features/support/platform_engine.py
@@ -68,6 +68,8 @@
         self.running = 0
         self.running_ids: set[str] = set()
         self.finished = 0
+        # Ids of streams that were sent to their end.
+        self.finished_ids: set[str] = set()
         self.crashed = anyio.Event()
 
     async def refuse(self, error: BriarvaleError, responder: Responder) -> None:
@@ -172,6 +174,7 @@
             await anyio.sleep(self.event_gap_s)
         if until == self.event_count:
             await responder.finish()
+            self.finished_ids.add(seen.request_id)
         else:
             await responder.send(b"id: 99\nda")
 
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -18,7 +18,7 @@
 from features.support.platform_fleet import Caller
 from soak.callers import KINDS, Callers, CallKind, send_request
 from soak.fleet import NodeProcess, SoakFleet
-from soak.promises import BrokenPromise, check_calls, check_exits, check_jobs
+from soak.promises import BrokenPromise, check_calls, check_exits, check_jobs, check_limit
 from soak.schedule import FaultRecord, draw_schedule, inject_faults
 
 REGRESSIONS = Path(__file__).parent / "regressions.toml"
@@ -70,6 +70,7 @@
                 caller_tasks.cancel_scope.cancel()
             broken += check_calls(callers.calls, fleet, faults)
             broken += check_jobs(callers.jobs) + check_exits(fleet)
+            broken += check_limit(callers.waiting_tokens)
             peak_mb = fleet.peak_kb // 1024
         finally:
             fleet.end()
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -16,6 +16,10 @@
 # Requests that a caller sends to one node before it picks another.
 CALLS_PER_NODE = 8
 ITEMS_PER_JOB = 4
+TOKENS_PER_ITEM = 150
+# Jobs of each round by path; those on the limited route are submitted at the same time.
+JOB_PATHS = ("/lot/", "/few/", "/few/", "/few/")
+LIMITED_PATH = "/few/"
 CONNECTION_ERRORS = (OSError, anyio.BrokenResourceError, anyio.ClosedResourceError)
 
 __all__ = ["Callers", "KINDS", "send_request"]
@@ -51,6 +55,8 @@
         self._last_id = 0
         self.calls: list[CallRecord] = []
         self.jobs: list[SubmittedJob] = []
+        # Tokens that waited on the limited route, each time a job was accepted there.
+        self.waiting_tokens: list[int] = []
         self.is_stopping = False
 
     async def call(self) -> None:
@@ -71,22 +77,32 @@
         """Submits jobs until `is_stopping` is set, and polls each until it is done."""
         async with anyio.create_task_group() as tasks:
             while not self.is_stopping:
-                number = len(self.jobs)
-                items = [f"item-{number}-{index}" for index in range(ITEMS_PER_JOB)]
-                job = SubmittedJob(f"job-{number}", items)
-                self.jobs.append(job)
-                tasks.start_soon(self._run_job, job)
+                for path in JOB_PATHS:
+                    number = len(self.jobs)
+                    items = [f"item-{number}-{index}" for index in range(ITEMS_PER_JOB)]
+                    job = SubmittedJob(f"job-{number}", items, path)
+                    self.jobs.append(job)
+                    tasks.start_soon(self._run_job, job)
                 await anyio.sleep(JOB_PAUSE_S)
 
     async def _run_job(self, job: SubmittedJob) -> None:
         while not job.is_accepted:
-            answer = await self._call_any_node("POST", "/lot/", job_body(job.items), job.job_id)
+            answer = await self._call_any_node("POST", job.path, job_body(job.items), job.job_id)
             job.is_accepted = answer is not None and answer.status == 202
+            if job.is_accepted and job.path == LIMITED_PATH:
+                self.waiting_tokens.append(self._count_waiting())
             await anyio.sleep(POLL_PAUSE_S)
         while not job.is_done:
             await self.read_results(job, len(job.results))
             await anyio.sleep(POLL_PAUSE_S)
 
+    def _count_waiting(self) -> int:
+        """Returns the tokens of accepted items on the limited route that no server has finished."""
+        finished = {item for server in self._fleet.servers.values() for item in server.finished_ids}
+        accepted = [job for job in self.jobs if job.is_accepted and job.path == LIMITED_PATH]
+        waiting = [item for job in accepted for item in job.items if item not in finished]
+        return TOKENS_PER_ITEM * len(waiting)
+
     async def read_results(self, job: SubmittedJob, after: int) -> None:
         """Reads a job's results after a position, from any ready node."""
         answer = await self._call_any_node("GET", f"/briarvale/lots/{job.job_id}?after={after}")
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -38,6 +38,8 @@
 MODEL_SERVERS, PLAIN_SERVERS = 3, 2
 SERVER_SLOTS = 6
 EVENT_COUNT = 8
+# On the limited route: as many tokens as two of the callers' jobs have.
+MAX_WAITING_TOKENS = 1_200
 RETENTION_S = 600
 
 __all__ = ["EVENT_COUNT", "NodeProcess", "SoakFleet"]
@@ -182,6 +184,7 @@
             route("ask", "streaming", MODEL, gap_aim_ms=300),
             route("go-on", "streaming", MODEL, resumable=True, gap_aim_ms=300),
             route("lot", "batch", MODEL, **batch_options),
+            route("few", "batch", MODEL, max_count=MAX_WAITING_TOKENS, **batch_options),
             route(f"v{self.config_version}", "safe", PLAIN),
         ]
         config = {"version": self.config_version, "routes": routes, "services": [], "limits": {}}
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -5,7 +5,7 @@
 from typing import NamedTuple
 
 from features.support.platform_engine import PlatformEngineStandin, expected_text
-from soak.fleet import EVENT_COUNT, SoakFleet
+from soak.fleet import EVENT_COUNT, MAX_WAITING_TOKENS, SoakFleet
 from soak.records import CallRecord, SubmittedJob
 from soak.schedule import PLANNED_FAULTS, FaultRecord
 
@@ -15,7 +15,7 @@
 # nodes must rediscover each other.
 FAULT_SETTLE_S = 4.0
 
-__all__ = ["BrokenPromise", "check_calls", "check_exits", "check_jobs"]
+__all__ = ["BrokenPromise", "check_calls", "check_exits", "check_jobs", "check_limit"]
 
 
 class BrokenPromise(NamedTuple):
@@ -69,6 +69,13 @@
     return broken
 
 
+def check_limit(waiting_tokens: Iterable[int]) -> list[BrokenPromise]:
+    """Checks the tokens that waited on the limited route, each time a job was accepted there."""
+    promise = "no more tokens wait than the limit of their route"
+    beyond = [tokens for tokens in waiting_tokens if tokens > MAX_WAITING_TOKENS]
+    return [BrokenPromise(promise, f"{tokens} tokens") for tokens in beyond]
+
+
 def check_exits(fleet: SoakFleet) -> list[BrokenPromise]:
     """Checks that no process ended without having been sent a signal to end."""
     return [
--- a/soak/records.py
+++ b/soak/records.py
@@ -29,9 +29,10 @@
 class SubmittedJob:
     """A job of the callers, and its results that they have read so far."""
 
-    def __init__(self, job_id: str, items: list[str]) -> None:
+    def __init__(self, job_id: str, items: list[str], path: str) -> None:
         self.job_id = job_id
         self.items = items
+        self.path = path
         self.is_accepted = False
         self.results: list[dict[str, str]] = []
         # Positions whose result differed between two reads.
