Keep track of abandoned reservations by route

Found in the last reading of the limit on waiting tokens: each acceptance on one limited route forgot since when reservations of jobs on the others were unknown, so with two limited routes those of jobs that were never accepted could stay counted for good.

--- a/briarvale/waiting_tokens.py
+++ b/briarvale/waiting_tokens.py
@@ -95,8 +95,8 @@
         self._is_feed_current = is_feed_current
         # One write at a time, so that the jobs of one node don't contend with each other.
         self._locks: defaultdict[str, anyio.Lock] = defaultdict(anyio.Lock)
-        # When this node first read a reservation whose job it doesn't know, by job id.
-        self._unknown_since_s: dict[str, float] = {}
+        # When this node first read a reservation whose job it doesn't know, by route and job id.
+        self._unknown_since_s: dict[str, dict[str, float]] = {}
 
     async def reserve(self, job: OpaqueJob, max_tokens: int, stop_at_ms: int) -> None:
         """Reserves a job's tokens; idempotent for a job that has a reservation.
@@ -137,7 +137,7 @@
         stored = await self._read(key)
         if stored.has(job.job_id):
             return True
-        abandoned = await self._abandoned(stored)
+        abandoned = await self._abandoned(job.route, stored)
         rows = tuple(
             row
             for row in stored.rows
@@ -165,18 +165,14 @@
         replica = self._directory.get(job_id)
         return replica is not None and replica.is_complete
 
-    async def _abandoned(self, stored: Reservations) -> set[str]:
+    async def _abandoned(self, route: str, stored: Reservations) -> set[str]:
         """Returns the ids of jobs that were never accepted, long after their reservation."""
         now_s = anyio.current_time()
+        seen_since_s = self._unknown_since_s.get(route, {})
         unknown = [row.job_id for row in stored.rows if self._directory.get(row.job_id) is None]
-        self._unknown_since_s = {
-            job_id: self._unknown_since_s.get(job_id, now_s) for job_id in unknown
-        }
-        overdue = [
-            job_id
-            for job_id, since_s in self._unknown_since_s.items()
-            if now_s - since_s >= ABANDONED_AFTER_S
-        ]
+        since_s = {job_id: seen_since_s.get(job_id, now_s) for job_id in unknown}
+        self._unknown_since_s[route] = since_s
+        overdue = [job_id for job_id in unknown if now_s - since_s[job_id] >= ABANDONED_AFTER_S]
         abandoned = set()
         for job_id in overdue[:MAX_ABANDONED_READS]:
             try:
--- a/features/steps/platform_waiting_tokens.py
+++ b/features/steps/platform_waiting_tokens.py
@@ -183,6 +183,7 @@
                 killed.service._create_parts = _cancelling(scope)  # type: ignore[method-assign]
                 await world.accept(killed, "job-1", LIMIT // ITEMS_PER_JOB)
             assert scope.cancelled_caught and not world.stored_job_ids()
+            tasks.start_soon(_submit_small_jobs, world, other)
             took_s = await _accept_largest(world, other)
             tasks.cancel_scope.cancel()
         return took_s
@@ -190,6 +191,13 @@
     context.took_s = run_virtual(run)
 
 
+async def _submit_small_jobs(world: TokenWorld, node: TokenNode) -> None:
+    """Submits a job a second on another limited route, for as long as they fit."""
+    for number in range(LIMIT // ITEMS_PER_JOB):
+        await world.accept(node, f"other-{number}", 1, "desk.example/other/")
+        await anyio.sleep(1)
+
+
 def _cancelling(scope: anyio.CancelScope) -> Any:
     """Returns a stand-in of a step of an acceptance, at which the acceptance ends."""
 
--- a/features/support/token_schedules.py
+++ b/features/support/token_schedules.py
@@ -104,10 +104,12 @@
         for node in self.nodes:
             tasks.start_soon(node.follow)
 
-    async def accept(self, node: TokenNode, job_id: str, tokens_per_item: int) -> None:
+    async def accept(
+        self, node: TokenNode, job_id: str, tokens_per_item: int, route: str = ROUTE
+    ) -> None:
         """Submits a job of `ITEMS_PER_JOB` items at a node."""
         answer_by_ms = self.clock.now_ms() + SUBMIT_TIMEOUT_MS
-        job = _job(job_id, tokens_per_item, self.clock.now_ms())
+        job = _job(job_id, tokens_per_item, self.clock.now_ms())._replace(route=route)
         await node.service.accept(job, answer_by_ms, LIMIT)
 
     async def finish(self, node: TokenNode, job_id: str, item_index: int) -> None:
