--- a/briarvale/feed_relay.py
+++ b/briarvale/feed_relay.py
@@ -68,18 +68,18 @@
         return 1 if has_lists else FIRST_ASK_PEERS
 
     async def _ask(self, addresses: Sequence[PeerAddress]) -> None:
-        """Fetches the lists of several peers; offers the newest of each kind to a stale feed."""
-        newest: dict[str, tuple[ObjectList, str]] = {}
+        """Fetches the lists of several peers and offers them to the feeds that are stale."""
+        found: list[tuple[str, ObjectList, str]] = []
 
         async def fetch(address: PeerAddress) -> None:
             for kind, listed in (await self._fetch(address)).items():
-                if kind not in newest or listed.revision > newest[kind][0].revision:
-                    newest[kind] = (listed, address.host)
+                found.append((kind, listed, address.host))
 
         async with anyio.create_task_group() as tasks:
             for address in addresses:
                 tasks.start_soon(fetch, address)
-        for kind, (listed, host) in newest.items():
+        # The newest first: feeds ignore lists that are older than what they have.
+        for kind, listed, host in sorted(found, key=lambda row: row[1].revision, reverse=True):
             feed = self._feeds.get(kind)
             if feed is not None and feed.is_stale:
                 feed.offer(listed, host)
--- a/briarvale/item_durations.py
+++ b/briarvale/item_durations.py
@@ -1,9 +1,8 @@
 """How long batch items take, by which an owner tells which of them can still be in time."""
 
 from ._generated.messages import SlotRequest
+from .smoothed_mean import SmoothedMean
 
-# Weight of the latest item in the mean.
-NEWEST_WEIGHT = 0.1
 # Online peaks interrupt an item, so that it ends later than its remaining work would take.
 INTERRUPTION_FACTOR = 1.6
 
@@ -14,13 +13,11 @@
     """Mean work of an item: the time for which its runs hold slots, all together."""
 
     def __init__(self) -> None:
-        self._mean_ms = 0.0
+        self._work = SmoothedMean()
 
     def observe(self, worked_ms: float) -> None:
         """Records the work of a finished item."""
-        if self._mean_ms == 0:
-            self._mean_ms = worked_ms
-        self._mean_ms += NEWEST_WEIGHT * (worked_ms - self._mean_ms)
+        self._work.observe(worked_ms)
 
     def latest_start_ms(self, request: SlotRequest) -> int:
         """Returns when an item must go on at the latest to end by its due date.
@@ -28,5 +25,5 @@
         Args:
             request: The item's request; its `start_by_ms` is the due date.
         """
-        remaining_ms = max(0.0, self._mean_ms - request.worked_ms)
+        remaining_ms = max(0.0, self._work.mean_ms - request.worked_ms)
         return max(0, round(request.start_by_ms - INTERRUPTION_FACTOR * remaining_ms))
--- a/briarvale/object_feed.py
+++ b/briarvale/object_feed.py
@@ -123,7 +123,7 @@
     def is_current(self) -> bool:
         """Whether the objects are current: the last call succeeded and no watch was lost since."""
         is_answered = self._failing_since_s is None and not self._is_interrupted
-        return is_answered and self._revision >= 0
+        return is_answered and self.has_list
 
     @property
     def has_list(self) -> bool:
@@ -182,7 +182,7 @@
                 delay_s = min(RETRY_MAX_S, 2 * delay_s)
 
     async def _list_or_watch(self) -> None:
-        is_listed = self._revision >= 0 and not self._is_interrupted
+        is_listed = self.has_list and not self._is_interrupted
         if not is_listed or self._failing_since_s is not None:
             await self._list()
             self._is_interrupted = False
--- a/briarvale/opaque_job_service.py
+++ b/briarvale/opaque_job_service.py
@@ -138,17 +138,20 @@
             await self._token_limiter.reserve(job, max_waiting_tokens, stop_at_ms)
             return True
         except WaitingTokensExceeded:
-            try:
-                with anyio.fail_after(READ_TIMEOUT_S):
-                    self._directory.add(await self._load_head(job.job_id))
-            except ObjectNotFound:
-                pass
-            except (StoreThrottled, StoreUnavailable, TimeoutError) as error:
-                raise AcceptanceUnknown(f"the job may have been accepted: {error!r}") from error
-            else:
-                log.info("The job exists already.", job_id=job.job_id)
-                return False
-            raise
+            if not await self._was_accepted(job.job_id):
+                raise
+        log.info("The job exists already.", job_id=job.job_id)
+        return False
+
+    async def _was_accepted(self, job_id: str) -> bool:
+        """Whether a job's head is stored; raises `AcceptanceUnknown` if the store doesn't tell."""
+        try:
+            await self._read_head(job_id)
+        except NotFound:
+            return False
+        except NotReady as error:
+            raise AcceptanceUnknown(f"the job may have been accepted: {error}") from error
+        return True
 
     async def results(self, job_id: str, after: int, wait_until_ms: int) -> ResultsPage:
         """Returns results from position `after`, waiting for the first until `wait_until_ms`.
@@ -264,14 +267,7 @@
         replica = self._directory.get(job_id)
         if replica is not None:
             return replica
-        try:
-            with anyio.fail_after(READ_TIMEOUT_S):
-                job = await self._load_head(job_id)
-        except ObjectNotFound as error:
-            raise NotFound(f"no job {job_id}") from error
-        except (StoreThrottled, StoreUnavailable, TimeoutError) as error:
-            raise NotReady(f"can't read the job: {error!r}") from error
-        replica = self._directory.add(job)
+        replica = await self._read_head(job_id)
         await self._read_new_entries(replica, is_needed=True)
         return replica
 
@@ -289,9 +285,16 @@
             raise NotReady(f"can't read the job's items: {error}") from error
         return replica.job._replace(items=join_parts(parts), is_digest=False)
 
-    async def _load_head(self, job_id: str) -> OpaqueJob:
-        stored = await self._read_budget.call(self._store.get, job_key(job_id))
-        return OpaqueJob.decode(stored.value)
+    async def _read_head(self, job_id: str) -> JobReplica:
+        """Reads a job's head from the store into the directory; raises as `find` does."""
+        try:
+            with anyio.fail_after(READ_TIMEOUT_S):
+                stored = await self._read_budget.call(self._store.get, job_key(job_id))
+        except ObjectNotFound as error:
+            raise NotFound(f"no job {job_id}") from error
+        except (StoreThrottled, StoreUnavailable, TimeoutError) as error:
+            raise NotReady(f"can't read the job: {error!r}") from error
+        return self._directory.add(OpaqueJob.decode(stored.value))
 
     async def _read_new_entries(self, replica: JobReplica, *, is_needed: bool) -> None:
         """Reads log entries that the feed has not delivered yet, unless a recent read found none.
--- a/briarvale/slot_pool.py
+++ b/briarvale/slot_pool.py
@@ -313,20 +313,20 @@
         online = self._held_by(WorkClass.ONLINE)
         reserved = self._online_peak.peak(now_ms) - online
         foreign = sum(server.foreign_runs for server in self._servers.values())
-        while self._waiting[WorkClass.BATCH] and self.limit - self.held - foreign > reserved:
-            if not self._grant_queue(WorkClass.BATCH, now_ms, at_most=1):
-                return
+        unreserved = self.limit - self.held - foreign - reserved
+        if unreserved > 0:
+            self._grant_queue(WorkClass.BATCH, now_ms, at_most=unreserved)
 
     def _held_by(self, work_class: WorkClass) -> int:
         return sum(server.grants.slots_of(work_class) for server in self._servers.values())
 
-    def _grant_queue(self, work_class: WorkClass, now_ms: int, at_most: int = MAX_QUEUED) -> int:
-        """Grants slots in the order of the queue; returns how many."""
+    def _grant_queue(self, work_class: WorkClass, now_ms: int, at_most: int = MAX_QUEUED) -> None:
+        """Grants up to `at_most` slots in the order of the queue."""
         queue = self._waiting[work_class]
         if not queue or not any(
             server.free_slots_for(work_class) > 0 for server in self._servers.values()
         ):
-            return 0
+            return
         is_online = work_class is WorkClass.ONLINE
         granted = 0
         for waiter in queue.online_order(now_ms) if is_online else queue.batch_order(now_ms):
@@ -337,7 +337,6 @@
                 granted += 1
             elif granted >= at_most or not waiter.request.excluded:
                 break
-        return granted
 
     def _choose(self, request: SlotRequest, now_ms: int) -> PoolServer | None:
         """Returns the server of least `PoolServer.cost` with a free slot and no ejection, or none.
--- a/briarvale/wait_estimate.py
+++ b/briarvale/wait_estimate.py
@@ -1,6 +1,6 @@
 """Estimate of the wait for a slot, from the time that slots are held."""
 
-SMOOTHING_FACTOR = 0.1
+from .smoothed_mean import SmoothedMean
 
 __all__ = ["WaitEstimate"]
 
@@ -9,16 +9,15 @@
     """Estimates waits from the smoothed hold time of online slots."""
 
     def __init__(self) -> None:
-        self._hold_ms = 0.0
+        self._hold_time = SmoothedMean()
 
     def observe(self, hold_ms: float) -> None:
         """Records the time from a grant to its release."""
-        previous_ms = self._hold_ms or hold_ms
-        self._hold_ms = previous_ms + SMOOTHING_FACTOR * (hold_ms - previous_ms)
+        self._hold_time.observe(hold_ms)
 
     def wait_ms(self, position: int, slots: float) -> float:
         """Returns the expected wait at a queue position, counted from 1, with this many slots.
 
         It is 0 until the first slot is released.
         """
-        return position * self._hold_ms / max(1.0, slots)
+        return position * self._hold_time.mean_ms / max(1.0, slots)
--- a/briarvale/waiting_tokens.py
+++ b/briarvale/waiting_tokens.py
@@ -42,7 +42,7 @@
 
 log = logs.component_logger("jobs")
 
-__all__ = ["RESERVATIONS_KIND", "Reservation", "Reservations", "TokenLimiter", "reservations_key"]
+__all__ = ["TokenLimiter"]
 
 
 class Reservation(NamedTuple):
--- a/features/platform/waiting_tokens.feature
+++ b/features/platform/waiting_tokens.feature
@@ -20,7 +20,7 @@
       | is done     |
       | is ended    |
 
-  Scenario: A lowered limit refuses jobs until enough is done, and none is lowered to zero
+  Scenario: A limit lowered below what waits refuses new jobs, and a removed limit refuses none
     When a route's limit is lowered below what waits and then removed
     Then a small job is refused until the limit is removed
 
--- a/features/steps/platform_waiting_tokens.py
+++ b/features/steps/platform_waiting_tokens.py
@@ -6,7 +6,6 @@
 from behave import then, when
 from behave.runner import Context
 
-from briarvale.errors import WaitingTokensExceeded
 from features.steps.platform_batch import (
     ITEMS,
     other_than,
@@ -15,7 +14,14 @@
     runs_of,
     submit_job,
 )
-from features.support.platform_fleet import Answer, Caller, FleetNode, PlatformFleet, job_body
+from features.support.platform_fleet import (
+    TOKENS_PER_ITEM,
+    Answer,
+    Caller,
+    FleetNode,
+    PlatformFleet,
+    job_body,
+)
 from features.support.token_schedules import (
     ITEMS_PER_JOB,
     LIMIT,
@@ -25,8 +31,6 @@
 )
 from features.support.virtual import run_virtual
 
-# `job_body` gives each item 150 tokens.
-TOKENS_PER_ITEM = 150
 JOB_TOKENS = TOKENS_PER_ITEM * len(ITEMS)
 # Items of this gap between events run for longer than the test.
 LONG_GAP_S = 10.0
@@ -184,7 +188,7 @@
                 await world.accept(killed, "job-1", LIMIT // ITEMS_PER_JOB)
             assert scope.cancelled_caught and not world.stored_job_ids()
             tasks.start_soon(_submit_small_jobs, world, other)
-            took_s = await _accept_largest(world, other)
+            took_s = await world.accept_largest(other, "job-2")
             tasks.cancel_scope.cancel()
         return took_s
 
@@ -208,19 +212,6 @@
     return cancel
 
 
-async def _accept_largest(world: TokenWorld, node: TokenNode) -> float:
-    """Submits a job as large as the limit until it is accepted; returns how long that took."""
-    started_s = anyio.current_time()
-    with anyio.move_on_after(120):
-        while True:
-            try:
-                await world.accept(node, "job-2", LIMIT // ITEMS_PER_JOB)
-                break
-            except WaitingTokensExceeded:
-                await anyio.sleep(0.5)
-    return anyio.current_time() - started_s
-
-
 @then("a job as large is accepted within {limit_s:g} s")
 def then_free_again(context: Context, limit_s: float) -> None:
     assert context.took_s <= limit_s, context.took_s
--- a/features/steps/pool_policy.py
+++ b/features/steps/pool_policy.py
@@ -67,11 +67,10 @@
 
 
 @when(
-    "online load steps between {low:d} and {high:d} requests a second"
-    " over {items:d} batch items a second"
+    "online load steps between {low:d} and {high:d} requests a second over 5 batch items a second"
 )
-def when_steps(context: Context, low: int, high: int, items: int) -> None:
-    shape = LoadShape(low_per_s=low, high_per_s=high, items_per_s=items)
+def when_steps(context: Context, low: int, high: int) -> None:
+    shape = LoadShape(low_per_s=low, high_per_s=high)
     context.result = PoolLoad(shape, SlotPool).run()
 
 
--- a/features/support/platform_fleet.py
+++ b/features/support/platform_fleet.py
@@ -22,6 +22,8 @@
 
 HOST = "desk.example"
 MODEL, PLAIN = "desk", "orders"
+# Tokens of each item of `job_body`.
+TOKENS_PER_ITEM = 150
 START_TIMEOUT_S = 15.0
 CALL_TIMEOUT_S = 15.0
 GRACE_MS = 5_000
@@ -305,7 +307,7 @@
             "path": f"/lot/{item_id}",
             "headers": {"Briarvale-Model": "m", "Briarvale-Token-Usage": "100,50"},
             "body": base64.b64encode(f"prompt of {item_id}".encode()).decode(),
-            "tokens": 150,
+            "tokens": TOKENS_PER_ITEM,
         }
         for item_id in item_ids
     ]
--- a/features/support/token_schedules.py
+++ b/features/support/token_schedules.py
@@ -1,6 +1,7 @@
 """Seeded schedules of jobs at several nodes that share a route's limit on waiting tokens."""
 
 import json
+import math
 import random
 from typing import NamedTuple
 
@@ -31,6 +32,7 @@
 SUBMIT_TIMEOUT_MS = 4_000
 FAULT_SPAN_S = 20.0
 FEED_POLL_S = 0.05
+MAX_WAIT_S = 120.0
 
 __all__ = ["TokenReport", "TokenWorld", "run_token_schedule"]
 
@@ -112,6 +114,21 @@
         job = _job(job_id, tokens_per_item, self.clock.now_ms())._replace(route=route)
         await node.service.accept(job, answer_by_ms, LIMIT)
 
+    async def accept_largest(self, node: TokenNode, job_id: str) -> float:
+        """Submits a job as large as the limit until it is accepted; returns how long that took.
+
+        Infinite if that took over `MAX_WAIT_S`.
+        """
+        started_s = anyio.current_time()
+        with anyio.move_on_after(MAX_WAIT_S):
+            while True:
+                try:
+                    await self.accept(node, job_id, LIMIT // ITEMS_PER_JOB)
+                    return anyio.current_time() - started_s
+                except WaitingTokensExceeded:
+                    await anyio.sleep(0.5)
+        return math.inf
+
     async def finish(self, node: TokenNode, job_id: str, item_index: int) -> None:
         """Lists an item as done."""
         shard_log = node.service.open_log(job_id)
@@ -168,21 +185,11 @@
             self._set_delays(FEED_POLL_S)
             for job_id in self.world.stored_job_ids():
                 await self.world.nodes[0].service.end(job_id)
-            await self._submit_largest()
+            took_s = await self.world.accept_largest(self.world.nodes[0], "largest")
+            self.fits_at_the_end = took_s < math.inf
             tasks.cancel_scope.cancel()
         return self._report()
 
-    async def _submit_largest(self) -> None:
-        """Submits a job as large as the limit until it is accepted, for two minutes at most."""
-        node = self.world.nodes[0]
-        with anyio.move_on_after(120):
-            while not self.fits_at_the_end:
-                try:
-                    await self.world.accept(node, "largest", LIMIT // ITEMS_PER_JOB)
-                    self.fits_at_the_end = True
-                except WaitingTokensExceeded:
-                    await anyio.sleep(1)
-
     async def _send(self, job_id: str) -> None:
         await anyio.sleep(self.random.uniform(0, FAULT_SPAN_S))
         tokens_per_item = self.random.choice((10, 25, 60))
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -6,7 +6,7 @@
 import anyio
 
 from features.support.platform_engine import expected_text
-from features.support.platform_fleet import Answer, Caller, job_body
+from features.support.platform_fleet import TOKENS_PER_ITEM, Answer, Caller, job_body
 from soak.fleet import EVENT_COUNT, NodeProcess, SoakFleet
 from soak.records import CallRecord, SubmittedJob
 
@@ -16,7 +16,6 @@
 # Requests that a caller sends to one node before it picks another.
 CALLS_PER_NODE = 8
 ITEMS_PER_JOB = 4
-TOKENS_PER_ITEM = 150
 # Jobs of each round by path; those on the limited route are submitted at the same time.
 JOB_PATHS = ("/lot/", "/few/", "/few/", "/few/")
 LIMITED_PATH = "/few/"
