--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -22,6 +22,7 @@
 START_TIMEOUT_S = 40.0
 # A process that ends is started again after this time.
 RESTART_S = 0.5
+END_TIMEOUT_S = 5.0
 CONTACT_S = 3.0
 CONFIG_APPLY_S = 2.0
 HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
@@ -162,12 +163,18 @@
                     *command, cwd=ROOT, env=variables, stdout=output, stderr=output
                 )
             self._deployment.record.write(f"{self.name} starts")
+            if self._deployment.is_ending:
+                self.kill()
             code = await self.process.wait()
+            if self._deployment.is_ending:
+                return
             end = End(self.name, code, time.time())
             self._deployment.ends.append(end)
             self._deployment.record.write(f"{self.name} ENDED BY ITSELF with code {code}")
             self._deployment.record.write(f"  its last line: {self._last_line()}")
             await asyncio.sleep(RESTART_S)
+            if self._deployment.is_ending:
+                return
 
     def _last_line(self) -> str:
         lines = self._settings.with_suffix(".log").read_text(errors="replace").splitlines()
@@ -195,6 +202,7 @@
         self.internal_port = free_port(span=16)
         self.store_address = f"{LOOPBACK}:{free_port()}"
         self.version = 0
+        self.is_ending = False
         self._processes: list[Process] = []
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -248,12 +256,13 @@
                 found.setdefault(run.request_id, []).append(run)
         return found
 
-    def end(self) -> None:
-        """Ends all processes that were started."""
-        for task in self._tasks:
-            task.cancel()
+    async def end(self) -> None:
+        """Ends all processes that were started, and waits for their end."""
+        self.is_ending = True
         for process in self._processes:
             process.kill()
+        if self._tasks:
+            await asyncio.wait(self._tasks, timeout=END_TIMEOUT_S)
 
 
 def route(prefix: str, kind: str, service: str, **more: Any) -> dict[str, Any]:
@@ -312,6 +321,6 @@
                 print(f"the case can't run: {error!r}", file=sys.stderr)
                 sys.exit(2)
             finally:
-                deployment.end()
+                await deployment.end()
 
     sys.exit(1 if asyncio.run(run()) else 0)
