--- a/review/2/case.py
+++ b/review/2/case.py
@@ -13,6 +13,7 @@
     HAS_TROUBLE,
     MODEL,
     PLAIN,
+    CannotRun,
     Deployment,
     config_of,
     route,
@@ -50,8 +51,7 @@
         deployment, nodes[0], "POST", f"{JOBS}{first}", job_body(first, ITEMS, 40), first
     )
     if answer.status != 202:
-        record.write("the first job was not accepted")
-        return False
+        raise CannotRun("the first job was not accepted")
     while len(before := await listed(deployment, nodes[1], first)) < ITEMS:
         await asyncio.sleep(0.5)
     record.write(f"job {first}: {len(before)} results were read")
@@ -60,8 +60,7 @@
     )
     accepted_s = time.time()
     if answer.status != 202:
-        record.write("the second job was not accepted")
-        return False
+        raise CannotRun("the second job was not accepted")
     if HAS_TROUBLE:
         await deployment.write_config(config_of([orders]))
     changed_s = time.time()
