--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -316,7 +316,8 @@
             try:
                 async with asyncio.timeout(110):
                     return bool(await main(deployment))
-            except (CannotRun, TimeoutError, OSError) as error:
+            except Exception as error:
+                # Any failure of the case itself: only a verdict may exit with 1.
                 deployment.record.write(f"the case can't run: {error!r}")
                 print(f"the case can't run: {error!r}", file=sys.stderr)
                 sys.exit(2)
