Decode backend servers' entries into typed values with ranges

Cause: `server_from` accepted any text and number. The rendezvous hash was the first to encode the service; its UnicodeEncodeError ended the task that follows the servers, and with it the node. The same path let pass zones that a peer message can't hold, hosts that the resolver rejects, ports in digits of other scripts, 10^12 slots and names with a line break.

--- a/briarvale/errors.py
+++ b/briarvale/errors.py
@@ -138,6 +138,12 @@
     code, http_status, not_run = "too_many_waiting_tokens", 429, True
 
 
+class DocumentInvalid(BriarvaleError):
+    """A document of another program isn't what its published format shows."""
+
+    code, http_status = "document_invalid", 502
+
+
 class GatewayUnreachable(BriarvaleError):
     """The command line can't reach the gateway."""
 
--- a/briarvale/platform/store_objects.py
+++ b/briarvale/platform/store_objects.py
@@ -1,10 +1,12 @@
 """Decodes the objects that operators and backend servers write to the store."""
 
 from collections.abc import Mapping
-from typing import Any
+from typing import Annotated, Any, Literal
+
+import msgspec
 
 from .. import logs
-from ..errors import SettingsInvalid
+from ..errors import DocumentInvalid, SettingsInvalid
 from ..live_servers import LiveServer
 from ..peer import PeerAddress
 from ..routes import (
@@ -18,22 +20,29 @@
     ServiceWeight,
     StreamRoute,
 )
+from ..strict_json import convert_value
 
 CONFIG_KIND = "config"
 CONFIG_NAME = "main"
 SERVERS_KIND = "servers"
 RETIREMENTS_KIND = "retirements"
+# Kinds that operators and backend servers write; all others hold Briarvale's own values.
+FOREIGN_KINDS = frozenset((CONFIG_KIND, SERVERS_KIND, RETIREMENTS_KIND))
 
-DEFAULT_RETENTION_S = 60
+DEFAULT_RETENTION_S = 60.0
 DEFAULT_COMPLETION_TARGET_MS = 60_000
 # Peer messages hold timestamps as unsigned 64-bit integers.
-MAX_TIMESTAMP_MS = 2**64 - 1
+MAX_TIMESTAMP_MS = 2**63 - 1
+MAX_PORT = 65_535
+MAX_SLOTS = 65_535
+MAX_REASON_LENGTH = 200
 
 log = logs.component_logger("config")
 
 __all__ = [
     "CONFIG_KIND",
     "CONFIG_NAME",
+    "FOREIGN_KINDS",
     "RETIREMENTS_KIND",
     "SERVERS_KIND",
     "route_table_from",
@@ -41,6 +50,27 @@
 ]
 
 
+# Ids of servers are sent in a header.
+ServerId = Annotated[str, msgspec.Meta(max_length=255, pattern=r"^[!-~]+\Z")]
+Label = Annotated[str, msgspec.Meta(max_length=255, pattern=r"^[^\x00-\x1f\x7f\ud800-\udfff]*\Z")]
+NonEmptyLabel = Annotated[Label, msgspec.Meta(min_length=1)]
+_HOST_LABEL = "[0-9A-Za-z_-]{1,63}"
+Address = Annotated[
+    str, msgspec.Meta(max_length=261, pattern=rf"^{_HOST_LABEL}(\.{_HOST_LABEL})*:[0-9]{{1,5}}\Z")
+]
+
+
+class _ServerEntry(msgspec.Struct):
+    """The entry of a backend server; `born` is the Unix time of its start in milliseconds."""
+
+    service: NonEmptyLabel
+    address: Address
+    state: Literal["ready", "draining"]
+    slots: Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
+    zone: Label = ""
+    born: Annotated[int, msgspec.Meta(ge=0, le=MAX_TIMESTAMP_MS)] = 0
+
+
 def route_table_from(spec: object) -> RouteTable:
     """Decodes the object `config/main`; raises `SettingsInvalid` with the field that is wrong."""
     if not isinstance(spec, Mapping) or not isinstance(spec.get("version"), int):
@@ -58,40 +88,30 @@
     """
     try:
         return _decode_server(name, spec)
-    except (AttributeError, KeyError, TypeError, ValueError) as error:
+    except DocumentInvalid as error:
         log.warning(
             "Ignored the invalid entry {} of a backend server.",
             name,
             backend_server=name,
-            reason=f"{error!r}"[:200],
+            reason=str(error)[:MAX_REASON_LENGTH],
         )
         return None
 
 
-def _decode_server(name: str, spec: Any) -> LiveServer:
-    host, _, port = spec["address"].rpartition(":")
-    service, state, slots = spec["service"], spec["state"], spec["slots"]
-    zone, started_at_ms = spec.get("zone", ""), spec.get("born", 0)
-    if state not in ("ready", "draining"):
-        raise ValueError(f"state: neither ready nor draining: {state!r}")
-    if not isinstance(service, str):
-        raise ValueError(f"service: not a string: {service!r}")
-    if isinstance(slots, bool) or not isinstance(slots, int) or slots < 1:
-        raise ValueError(f"slots: not a positive integer: {slots!r}")
-    if isinstance(started_at_ms, bool) or not isinstance(started_at_ms, int):
-        raise ValueError(f"born: not an integer: {started_at_ms!r}")
-    if not 0 <= started_at_ms <= MAX_TIMESTAMP_MS:
-        raise ValueError(f"born: out of range: {started_at_ms}")
-    if not host or not isinstance(zone, str):
-        raise ValueError("address: not HOST:PORT, or zone: not a string")
+def _decode_server(name: str, spec: object) -> LiveServer:
+    server_id = convert_value(name, ServerId)
+    entry = convert_value(spec, _ServerEntry)
+    host, _, port = entry.address.rpartition(":")
+    if not 0 < int(port) <= MAX_PORT:
+        raise DocumentInvalid(f"address: the port is out of range: {port}")
     return LiveServer(
-        id=name,
-        service=service,
+        id=server_id,
+        service=entry.service,
         address=PeerAddress(host, int(port)),
-        availability_zone=zone,
-        slots=slots,
-        is_draining=state == "draining",
-        started_at_ms=started_at_ms,
+        availability_zone=entry.zone,
+        slots=entry.slots,
+        is_draining=entry.state == "draining",
+        started_at_ms=entry.born,
     )
 
 
