Serve the calls of a job for as long as the job is kept, with or without its route

Cause: the paths of jobs counted as such only while the configuration in force had a batch route on that host. Else they were looked up as ordinary routes.

Change: a call is about a job if the host has a batch route, if this node keeps the job for that host, or if no route matches; then the store decides between 404 and 503. A repeated submission of a kept job gets 202 again.

--- a/briarvale/opaque_job_service.py
+++ b/briarvale/opaque_job_service.py
@@ -252,6 +252,11 @@
             await self._read_new_entries(replica, is_needed=False)
         log.info("Ended a job.", job_id=job_id, listed=len(replica.results))
 
+    def known_job(self, job_id: str) -> OpaqueJob | None:
+        """Returns the digest of a job in this node's directory; none if it isn't there."""
+        replica = self._directory.get(job_id)
+        return replica.job if replica is not None else None
+
     def open_log(self, job_id: str) -> ShardLog:
         """Returns the log of a job's results, to be replayed before entries are appended."""
         log_store = OpaqueJobLogStore(self._store, job_id)
--- a/briarvale/platform/batch_job_handler.py
+++ b/briarvale/platform/batch_job_handler.py
@@ -69,8 +69,35 @@
         deadline_ms = _header_int(request.headers, DEADLINE_MS)
         answer_by_ms = now_ms + (deadline_ms or DEFAULT_SUBMIT_TIMEOUT_MS)
         await self._service.accept(job, answer_by_ms, _max_waiting_tokens(route))
+        await self.confirm(responder)
+
+    async def confirm(self, responder: Responder) -> None:
+        """Responds that a job is accepted."""
         await responder.answer(202, JSON_HEADERS, b"{}")
 
+    def is_kept(self, job_id: str, host: str) -> bool:
+        """Whether this node knows a job that was submitted to the host."""
+        job = self._service.known_job(job_id)
+        return job is not None and job.host.lower() == host.lower()
+
+    def is_repeated(self, job_id: str, host: str, path: str) -> bool:
+        """Whether this node knows the job, and as one submitted on a route of the path."""
+        job = self._service.known_job(job_id)
+        return job is not None and f"{host}{path}".lower().startswith(job.route.lower())
+
+    async def check_host(self, job_id: str, host: str, *, has_batch: bool) -> None:
+        """Raises `NotFound` if the host neither accepts jobs nor is the one of this job.
+
+        Raises:
+            NotReady: If the store doesn't tell whether the job exists.
+        """
+        if has_batch or self.is_kept(job_id, host):
+            return
+        _check_job_id(job_id)
+        await self._service.find(job_id)
+        if not self.is_kept(job_id, host):
+            raise NotFound(f"no job {job_id!r} of this host")
+
     async def results(
         self, job_id: str, query: dict[str, str], request: IngressRequest, responder: Responder
     ) -> None:
--- a/briarvale/platform/request_handler.py
+++ b/briarvale/platform/request_handler.py
@@ -17,7 +17,7 @@
 from ..forwarding import Forwarder
 from ..http_wire import find_header
 from ..ingress import IngressRequest, Responder
-from ..routes import BatchRoute, IngressLimits, RouteTable
+from ..routes import BatchRoute, IngressLimits, Route, RouteTable
 from .batch_job_handler import BatchJobHandler
 from .headers import REQUEST_ID, decode_request
 
@@ -72,14 +72,24 @@
             (JOBS_PATH, self._handle_job),
             (ITEMS_PATH, self._batch.item_body),
         ):
-            if path.startswith(prefix) and table.has_batch(host):
+            job_id = unquote(path[len(prefix) :])
+            if path.startswith(prefix) and self._is_job_call(table, host, path, job_id):
                 query_params = {name: values[0] for name, values in parse_qs(query).items()}
-                job_id = unquote(path[len(prefix) :])
                 with self._log_job_call(job_id, request, responder):
+                    await self._batch.check_host(job_id, host, has_batch=table.has_batch(host))
                     await handler(job_id, query_params, request, responder)
                 return
         await self._forward(table, host, path, request, responder)
 
+    def _is_job_call(self, table: RouteTable, host: str, path: str, job_id: str) -> bool:
+        """Whether a call on the path of jobs is about a job, rather than for a route.
+
+        A job outlives its route: an accepted job can be read and ended until it is deleted.
+        """
+        if table.has_batch(host) or self._batch.is_kept(job_id, host):
+            return True
+        return table.match(host, path) is None
+
     async def refuse(self, error: BriarvaleError, responder: Responder) -> None:
         """Responds with an error; see `NOT_RUN_STATUSES` for what its status guarantees."""
         status = _status_of(error)
@@ -99,13 +109,9 @@
         responder: Responder,
     ) -> None:
         now_ms = self._clock.now_ms()
-        route = table.find(host, path)
-        if isinstance(route.kind, BatchRoute):
-            if request.method != b"POST":
-                raise RouteNotFound(f"{path}: the route accepts only POST")
-            request_id = find_header(request.headers, REQUEST_ID) or b""
-            with self._log_job_call(request_id.decode("latin-1"), request, responder):
-                await self._batch.submit(route, request, responder)
+        route = table.match(host, path)
+        if route is None or isinstance(route.kind, BatchRoute):
+            await self._submit(route, host, path, request, responder)
             return
         forwarded = decode_request(
             request.method, request.target, request.headers, request.body, route, now_ms
@@ -133,6 +139,30 @@
                 left_ms=forwarded.answer_by_ms - ended_ms,
             )
 
+    async def _submit(
+        self,
+        route: Route | None,
+        host: str,
+        path: str,
+        request: IngressRequest,
+        responder: Responder,
+    ) -> None:
+        """Accepts a job; one that is kept is accepted again also once its route has been removed.
+
+        Raises:
+            RouteNotFound: If no route in force accepts the request and it repeats no kept job.
+        """
+        if request.method != b"POST":
+            raise RouteNotFound(f"{path}: no route accepts {request.method.decode('latin-1')}")
+        job_id = (find_header(request.headers, REQUEST_ID) or b"").decode("latin-1")
+        if route is None and not self._batch.is_repeated(job_id, host, path):
+            raise RouteNotFound(f"no route for {host}{path}")
+        with self._log_job_call(job_id, request, responder):
+            if route is None:
+                await self._batch.confirm(responder)
+            else:
+                await self._batch.submit(route, request, responder)
+
     @contextmanager
     def _log_job_call(
         self, job_id: str, request: IngressRequest, responder: Responder
--- a/briarvale/routes.py
+++ b/briarvale/routes.py
@@ -8,8 +8,6 @@
 
 import xxhash
 
-from .errors import RouteNotFound
-
 __all__ = [
     "BatchRoute",
     "IdempotentRoute",
@@ -135,12 +133,12 @@
     def __len__(self) -> int:
         return sum(len(host_routes) for host_routes in self._by_host.values())
 
-    def find(self, host: str, path: str) -> Route:
-        """Returns the route with the longest prefix of the path; raises `RouteNotFound`."""
+    def match(self, host: str, path: str) -> Route | None:
+        """Returns the route with the longest prefix of the path; none if no prefix fits."""
         for route in self._by_host.get(host.lower(), ()):
             if path.startswith(route.path_prefix):
                 return route
-        raise RouteNotFound(f"no route for {host}{path}")
+        return None
 
     def has_batch(self, host: str) -> bool:
         """Whether the host has a route for batch jobs."""
--- a/features/platform/results.feature
+++ b/features/platform/results.feature
@@ -19,3 +19,10 @@
   Scenario: A peer sends an older list after the history is gone
     When a feed at revision 100 loses its history, and a peer offers it a list of revision 50
     Then the feed keeps its newer state
+
+  # Guards against accepted jobs that are denied, and can't be ended, once their route is removed.
+  Scenario: A version removes the route of jobs that were accepted
+    When one job is done, another one runs, and a version without their route is in force
+    Then each node returns the results of both, and the body of an item that has not run
+    And each node accepts a repeat of the jobs, and neither a new one nor an unknown one
+    And the second job can be ended, and no item of it runs from then on
--- a/features/steps/platform_results.py
+++ b/features/steps/platform_results.py
@@ -14,12 +14,24 @@
 from briarvale.opaque_jobs import JOBS_KIND, OpaqueItem, OpaqueJob, job_log_prefix
 from briarvale.shard_log import NO_RUNNER, ItemProgress, ItemResult, LogEntry, RunnerId, ShardLog
 from briarvale.store_budget import StoreBudget
-from features.steps.platform_batch import ITEMS, JOB, read_page, run_on_fleet, submit_job
+from features.steps.platform_batch import (
+    ITEMS,
+    JOB,
+    SLOW_GAP_S,
+    read_all,
+    read_page,
+    run_on_fleet,
+    submit_job,
+)
 from features.steps.platform_feeds import LINK_S, until_known
 from features.support.platform_fleet import Caller, FleetNode, PlatformFleet, job_body
 
 TEXT = "whole text"
 LATE_S = 1.4
+# Longer than a version or the end of a job takes to apply.
+APPLY_S = 1.0
+LATER_JOB = "job-2"
+LATER_ITEMS = [f"later-{n}" for n in range(12)]
 
 
 def texts_of(answer: Any) -> list[str]:
@@ -162,3 +174,62 @@
 @then("the feed keeps its newer state")
 def then_unchanged(context: Context) -> None:
     assert json.dumps([row.value for row in context.last_list.objects]) == '[{"state": "draining"}]'
+
+
+@when("one job is done, another one runs, and a version without their route is in force")
+def when_route_removed(context: Context) -> None:
+    async def action(fleet: PlatformFleet, facts: dict[str, Any]) -> None:
+        nodes = list(fleet.nodes.values())
+        await submit_job(nodes[0], job_body(ITEMS))
+        await read_all(nodes[0])
+        facts["engines"][0].event_gap_s = SLOW_GAP_S
+        await submit_job(nodes[1], job_body(LATER_ITEMS), LATER_JOB)
+        config = fleet.config(version=fleet.version + 1)
+        config["routes"] = [route for route in config["routes"] if route["kind"] != "batch"]
+        fleet.store.put("config", "main", config)
+        await anyio.sleep(APPLY_S)
+        facts["statuses"] = [await statuses_at(node) for node in nodes]
+        ended = await Caller(nodes[0]).call("DELETE", f"/briarvale/lots/{LATER_JOB}")
+        await anyio.sleep(APPLY_S)
+        runs = len(facts["engines"][0].seen)
+        await anyio.sleep(APPLY_S)
+        facts["ended"] = ended.status if ended else 0, len(facts["engines"][0].seen) - runs
+
+    run_on_fleet(context, action, nodes=3, engines=1, slots=1)
+
+
+async def statuses_at(node: FleetNode) -> dict[str, int]:
+    """Returns the statuses of the calls about jobs at a node."""
+    item = f"/briarvale/items/{LATER_JOB}?id={LATER_ITEMS[-1]}"
+    calls = {
+        "results": ("GET", f"/briarvale/lots/{JOB}?after=0", b"", "r1"),
+        "later results": ("GET", f"/briarvale/lots/{LATER_JOB}?after=0", b"", "r2"),
+        "body": ("GET", item, b"", "r3"),
+        "repeat": ("POST", "/lot/", job_body(ITEMS), JOB),
+        "new": ("POST", "/lot/", job_body(ITEMS), "job-new"),
+        "unknown": ("GET", "/briarvale/lots/job-unknown?after=0", b"", "r4"),
+    }
+    statuses = {}
+    for name, (method, path, body, request_id) in calls.items():
+        answer = await Caller(node).call(method, path, body, request_id=request_id)
+        statuses[name] = answer.status if answer else 0
+    return statuses
+
+
+@then("each node returns the results of both, and the body of an item that has not run")
+def then_jobs_read(context: Context) -> None:
+    for statuses in context.facts["statuses"]:
+        read = statuses["results"], statuses["later results"], statuses["body"]
+        assert read == (200, 200, 200), context.facts["statuses"]
+
+
+@then("each node accepts a repeat of the jobs, and neither a new one nor an unknown one")
+def then_jobs_repeated(context: Context) -> None:
+    for statuses in context.facts["statuses"]:
+        called = statuses["repeat"], statuses["new"], statuses["unknown"]
+        assert called == (202, 404, 404), context.facts["statuses"]
+
+
+@then("the second job can be ended, and no item of it runs from then on")
+def then_job_ended(context: Context) -> None:
+    assert context.facts["ended"] == (200, 0), context.facts["ended"]
