Add a generator of odd inputs: each neighbour of real nodes, one at a time and several together

python -m soak.odd draws from a seed what a neighbour says: other writers' entries, operators' configuration and requests to empty machines, the store's answers, servers' load reports, callers' requests, batch jobs, ports that are taken at the start and descriptors that are used up. It checks that no process ends, that lookups are served all the while, and that streams, the newest version and jobs are there again after each step; the sound items of accepted jobs must end.

--- a/features/support/platform_engine.py
+++ b/features/support/platform_engine.py
@@ -67,6 +67,8 @@
         # A part of prompts that crashes the server; empty if none does.
         self.deadly_part = ""
         self.is_draining = False
+        # The load report, in place of the true one; the true one if it is empty.
+        self.report = b""
         self.seen: list[SeenRequest] = []
         self.running = 0
         self.running_ids: set[str] = set()
@@ -91,7 +93,7 @@
         )
         if request.target == b"/briarvale/report":
             report = {"num_running": self.running, "num_waiting": 0}
-            await responder.answer(200, (), json.dumps(report).encode())
+            await responder.answer(200, (), self.report or json.dumps(report).encode())
             return
         if seen.header(b"briarvale-expect-instance") != self.id:
             headers = ((b"briarvale-instance-id", self.id.encode()), *self._draining_headers)
--- a/features/support/platform_store.py
+++ b/features/support/platform_store.py
@@ -72,7 +72,9 @@
 
     def put(self, kind: str, name: str, spec: Any) -> None:
         """Writes an object as an operator or a backend server would."""
-        stored = self.kinds.setdefault(kind, {}).get(name, {"metadata": {"name": name}})
+        stored = self.kinds.setdefault(kind, {}).get(name)
+        if not isinstance(stored, dict):
+            stored = {"metadata": {"name": name}}
         self._write(kind, {**stored, "spec": spec})
 
     def put_encoded(self, kind: str, name: str, encoded: bytes) -> None:
@@ -84,6 +86,12 @@
         self.history.append(StoreEvent(self.revision, kind, placeholder, False))  # type: ignore[arg-type]
         self._changed.notify()
 
+    def remove_encoded(self, kind: str, name: str) -> None:
+        """Removes an object that `put_encoded` wrote."""
+        self.kinds[kind].pop(name)
+        stored = {"metadata": {"name": name, "revision": self.revision}, "spec": None}
+        self._record_event(kind, stored, is_deleted=True)
+
     def remove(self, kind: str, name: str) -> None:
         """Removes an object, as if its entry had expired."""
         stored = self.kinds[kind].pop(name)
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -11,7 +11,7 @@
 import anyio
 from anyio.abc import TaskGroup
 
-from briarvale.ingress import Ingress
+from briarvale.ingress import Ingress, IngressHandler
 from briarvale.node_settings import NodeSettings, NodeTimeLimits, StoreSettings
 from briarvale.peer import PeerAddress
 from briarvale.settings import Settings
@@ -73,7 +73,10 @@
         self.endpoint = FleetNode(self.name, settings)
         self.store_proxy = store_proxy
         self.is_ready = False
+        self.metrics_port = free_port()
         self.is_end_requested = False
+        # Whether it was ended or hindered on purpose, so that it may fail to serve.
+        self.is_excused = False
         self.peak_kb = 0
         self.restart_after_s = 0.3
         self._path = path
@@ -85,6 +88,7 @@
             "BRIARVALE_BOOT": str(self._path),
             # By default the store's address, which differs here, as each node has its own proxy.
             "BRIARVALE_SHARED_SECRET": "soak",
+            "BRIARVALE_METRICS_PORT": str(self.metrics_port),
             "PYTHONPATH": str(ROOT),
         }
         with open(self.log_path, "ab") as output:
@@ -103,6 +107,15 @@
         if self.process.poll() is None:
             self.process.send_signal(number)
 
+    def restart(self) -> None:
+        """Kills the process; `supervise` starts the next one."""
+        self.is_excused = True
+        self.send_signal(signal.SIGKILL)
+
+    def open_files(self) -> int:
+        """Returns the number of the process's open descriptors."""
+        return len(list(Path(f"/proc/{self.process.pid}/fd").iterdir()))
+
     def _record_peak_memory(self) -> None:
         """Records the largest resident set of all processes that this node has had."""
         try:
@@ -159,6 +172,8 @@
         self._folder = folder
         self._tasks = tasks
         self.store = PlatformStoreStandin()
+        # Answers the nodes' calls of the store.
+        self.store_handler: IngressHandler = self.store
         self.nodes: list[NodeProcess] = []
         self.servers: dict[str, PlatformEngineStandin] = {}
         self.server_proxies: dict[str, FaultyProxy] = {}
@@ -171,7 +186,7 @@
         """Starts all parts, and waits until the nodes are ready and cooperate."""
         self.put_config()
         store = PeerAddress(LOOPBACK, free_port())
-        self._tasks.start_soon(Ingress(self.store).serve, store)
+        self._tasks.start_soon(Ingress(self.store_handler).serve, store)
         for index in range(MODEL_SERVERS + PLAIN_SERVERS):
             await self._add_server(f"i-{index}", MODEL if index < MODEL_SERVERS else PLAIN)
         peer_port = free_port()
