Decode the operators' versions, and jobs, into typed values; refuse what no server holds

What callers saw: a version with 1e999 attempts or a route that is no object ended every node; one with a header limit of 1 byte, a negative body limit or unknown-typed hosts came into force and starved them. Malformed jobs were answered with 500. A prompt longer than any server's memory waited for a server until its deadline.

Cause: numbers and texts were converted field by field with int() and float(), behind which an OverflowError or AttributeError ended the feed's task, and no field had a range. Jobs were checked by hand in the same way.

Prompts beyond the stated capacity get 413 at once. The store's 413 is no answer either: the client itself checks the size before it calls.

--- a/briarvale/errors.py
+++ b/briarvale/errors.py
@@ -78,6 +78,12 @@
     code, http_status, not_run = "body_too_large", 413, True
 
 
+class PromptTooLong(BriarvaleError):
+    """The prompt has more tokens than any backend server of the service holds."""
+
+    code, http_status, not_run = "prompt_too_long", 413, True
+
+
 class Overloaded(BriarvaleError):
     """The request would wait past its deadline, or its queue is full."""
 
@@ -340,6 +346,12 @@
     code, http_status = "peer_protocol", 400
 
 
+class MessageInvalid(BriarvaleError):
+    """A message to a peer can't be encoded; it was not sent."""
+
+    code, http_status, not_run = "message_invalid", 500, True
+
+
 class PeerClosed(BriarvaleError):
     """The connection to a peer ended."""
 
--- a/briarvale/platform/batch_job_handler.py
+++ b/briarvale/platform/batch_job_handler.py
@@ -1,31 +1,51 @@
 """Decodes callers' requests about batch jobs and encodes the responses."""
 
 import base64
-import binascii
 import json
 import re
-from typing import Any
+from typing import Annotated
+
+import msgspec
 
 from .._digits import parse_unsigned_int
 from ..clock import Clock
-from ..errors import InvalidRequest, NotFound
+from ..errors import DocumentInvalid, InvalidRequest, NotFound
 from ..forward_request import ForwardRequest
 from ..http_wire import Headers, OutgoingRequest, check_request, find_header
 from ..ingress import IngressRequest, Responder
 from ..opaque_job_service import OpaqueJobService
 from ..opaque_jobs import OpaqueItem, OpaqueJob
-from ..routes import BatchRoute, Route, ServiceWeight
+from ..routes import BatchRoute, Route, RouteTable, ServiceWeight
 from ..shard_log import ItemResult
+from ..strict_json import decode_json
 from .headers import DEADLINE_MS, REQUEST_ID, WAIT_MS, decode_request
 
 MAX_ITEMS = 200
 DEFAULT_SUBMIT_TIMEOUT_MS = 4_000
 JOB_ID = re.compile(r"[A-Za-z0-9_-]{1,128}")
+MAX_ITEM_TOKENS = 2**53
 JSON_HEADERS: Headers = ((b"content-type", b"application/json"),)
 
 __all__ = ["BatchJobHandler", "ItemRequests"]
 
 
+class _ItemSpec(msgspec.Struct):
+    """An item as callers send it; `tokens` is the sum of its prompt and its longest output."""
+
+    id: Annotated[str, msgspec.Meta(min_length=1)]
+    path: str
+    headers: dict[str, str] | None = None
+    body: str = ""
+    tokens: Annotated[int, msgspec.Meta(ge=0, le=MAX_ITEM_TOKENS)] | None = None
+
+
+class _Submission(msgspec.Struct):
+    items: Annotated[list[_ItemSpec], msgspec.Meta(min_length=1, max_length=MAX_ITEMS)]
+
+
+_SUBMISSION = msgspec.json.Decoder(_Submission)
+
+
 class ItemRequests:
     """Builds the requests that run batch items on backend servers.
 
@@ -61,11 +81,13 @@
         self._clock = clock
         self._requests = ItemRequests(clock)
 
-    async def submit(self, route: Route, request: IngressRequest, responder: Responder) -> None:
+    async def submit(
+        self, table: RouteTable, route: Route, request: IngressRequest, responder: Responder
+    ) -> None:
         """Stores a submitted job and responds with 202."""
         now_ms = self._clock.now_ms()
         job = _decode_job(route, request, now_ms)
-        self._check_items(job)
+        self._check_items(table, job)
         deadline_ms = _header_int(request.headers, DEADLINE_MS)
         answer_by_ms = now_ms + (deadline_ms or DEFAULT_SUBMIT_TIMEOUT_MS)
         await self._service.accept(job, answer_by_ms, _max_waiting_tokens(route))
@@ -131,12 +153,18 @@
         await self._service.end(job_id)
         await responder.answer(200, JSON_HEADERS, b"{}")
 
-    def _check_items(self, job: OpaqueJob) -> None:
-        """Raises `InvalidRequest` if the HTTP request of an item would be malformed."""
+    def _check_items(self, table: RouteTable, job: OpaqueJob) -> None:
+        """Checks that each item can run.
+
+        Raises:
+            InvalidRequest: If the HTTP request of an item would be malformed.
+            PromptTooLong: If no server can hold the prompt of an item.
+        """
         for index, item in enumerate(job.items):
             try:
                 request = self._requests.item_request(job, item, b"")
                 check_request(OutgoingRequest(request.method, request.target, request.headers))
+                table.check_fits(job.service, request.prompt_tokens)
             except ValueError as error:
                 raise InvalidRequest(f"items[{index}]: {error}") from error
 
@@ -154,13 +182,10 @@
     if not isinstance(route.kind, BatchRoute):
         raise InvalidRequest("the route does not accept batch jobs")
     try:
-        specs = json.loads(request.body)["items"]
-        items = tuple(_decode_item(spec) for spec in specs)
-        token_counts = tuple(_decode_token_count(spec) for spec in specs)
-    except (AttributeError, KeyError, TypeError, ValueError) as error:
-        raise InvalidRequest(f"items: {error!r}") from error
-    if not 0 < len(items) <= MAX_ITEMS:
-        raise InvalidRequest(f"number of items: expected 1 to {MAX_ITEMS}")
+        specs = decode_json(_SUBMISSION, request.body).items
+    except DocumentInvalid as error:
+        raise InvalidRequest(f"items: {error}") from error
+    items = tuple(_decode_item(spec, index) for index, spec in enumerate(specs))
     return OpaqueJob(
         job_id=job_id,
         host=route.host,
@@ -172,7 +197,7 @@
         max_attempts=route.max_attempts,
         items=items,
         route=route.key,
-        token_counts=token_counts,
+        token_counts=tuple(spec.tokens or 0 for spec in specs),
     )
 
 
@@ -180,24 +205,13 @@
     return route.kind.max_waiting_tokens if isinstance(route.kind, BatchRoute) else 0
 
 
-def _decode_token_count(spec: Any) -> int:
-    """Returns the tokens of an item's prompt and longest output; 0 if it doesn't tell."""
-    token_count = spec.get("tokens", 0)
-    if isinstance(token_count, bool) or not isinstance(token_count, int) or token_count < 0:
-        raise ValueError("tokens: expected a non-negative integer")
-    return token_count
-
-
-def _decode_item(spec: Any) -> OpaqueItem:
-    if not isinstance(spec["id"], str) or not isinstance(spec["path"], str):
-        raise ValueError("id and path: expected strings")
-    body = spec.get("body", "")
+def _decode_item(spec: _ItemSpec, index: int) -> OpaqueItem:
     try:
-        base64.b64decode(body, validate=True)
-    except binascii.Error as error:
-        raise ValueError(f"body: {error}") from error
-    headers = tuple((str(name), str(text)) for name, text in (spec.get("headers") or {}).items())
-    return OpaqueItem(spec["id"], spec["path"], headers, body)
+        base64.b64decode(spec.body, validate=True)
+    except ValueError as error:
+        raise InvalidRequest(f"items[{index}].body: {error}") from error
+    headers = tuple((spec.headers or {}).items())
+    return OpaqueItem(spec.id, spec.path, headers, spec.body)
 
 
 def _encode_result(job: OpaqueJob, result: ItemResult) -> dict[str, str]:
--- a/briarvale/platform/feeds.py
+++ b/briarvale/platform/feeds.py
@@ -5,7 +5,8 @@
 from ..errors import SettingsInvalid
 from ..live_servers import LiveServers
 from ..object_feed import FeedChange, FeedObject
-from .store_objects import CONFIG_NAME, route_table_from, server_from
+from .config_document import route_table_from
+from .store_objects import CONFIG_NAME, server_from
 
 log = logs.component_logger("config")
 
--- a/briarvale/platform/request_handler.py
+++ b/briarvale/platform/request_handler.py
@@ -111,13 +111,14 @@
         now_ms = self._clock.now_ms()
         route = table.match(host, path)
         if route is None or isinstance(route.kind, BatchRoute):
-            await self._submit(route, host, path, request, responder)
+            await self._submit(table, route, host, path, request, responder)
             return
         forwarded = decode_request(
             request.method, request.target, request.headers, request.body, route, now_ms
         )
         if not forwarded.request_id:
             raise InvalidRequest("the header Briarvale-Request-Attempt-Id is missing")
+        table.check_fits(forwarded.service, forwarded.prompt_tokens)
         code = "answered"
         try:
             await self._forwarder.forward(forwarded, responder)
@@ -141,6 +142,7 @@
 
     async def _submit(
         self,
+        table: RouteTable,
         route: Route | None,
         host: str,
         path: str,
@@ -161,7 +163,7 @@
             if route is None:
                 await self._batch.confirm(responder)
             else:
-                await self._batch.submit(route, request, responder)
+                await self._batch.submit(table, route, request, responder)
 
     @contextmanager
     def _log_job_call(
--- a/briarvale/platform/store.py
+++ b/briarvale/platform/store.py
@@ -80,7 +80,7 @@
         kind, _, name = key.partition("/")
         body = {"metadata": {"name": name}, "spec": _encode_value(value)}
         try:
-            answer = await self._call("POST", f"{OBJECTS_PATH}/{kind}", body, may_refuse=(409, 413))
+            answer = await self._call("POST", f"{OBJECTS_PATH}/{kind}", body, may_refuse=(409,))
         except ObjectExists:
             await self._check_exists(key)
             raise
@@ -101,7 +101,7 @@
         _, _, name = key.partition("/")
         body = {"metadata": {"name": name, "revision": version}, "spec": _encode_value(value)}
         try:
-            answer = await self._call("PUT", _path(key), body, may_refuse=(404, 409, 413))
+            answer = await self._call("PUT", _path(key), body, may_refuse=(404, 409))
         except ObjectExists as error:
             raise VersionConflict(key) from error
         return _decoded(decode_revision, answer.body)
@@ -179,7 +179,8 @@
             timeout_s: Time limit, which grows with the bytes sent and received.
 
         Raises:
-            ObjectNotFound, ObjectExists, HistoryGone, ObjectTooLarge: By a status in `may_refuse`.
+            ObjectNotFound, ObjectExists, HistoryGone: By a status in `may_refuse`.
+            ObjectTooLarge: If what would be sent is over the limit; then no call was made.
             StoreThrottled: If the store did nothing.
             StoreUnavailable: If the answer was lost or has another status.
         """
@@ -246,8 +247,6 @@
             raise ObjectExists(path)
         case 410:
             raise HistoryGone(path)
-        case 413:
-            raise ObjectTooLarge(path)
 
 
 def _decoded(
--- a/briarvale/routes.py
+++ b/briarvale/routes.py
@@ -3,11 +3,14 @@
 The gateway program has no routes; its `routing.py` chooses a backend server of a service.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
+from types import MappingProxyType
 from typing import NamedTuple
 
 import xxhash
 
+from .errors import PromptTooLong
+
 __all__ = [
     "BatchRoute",
     "IdempotentRoute",
@@ -117,13 +120,19 @@
         version: Version of the configuration.
         routes: All routes.
         limits: Size limits and timeouts for callers.
+        capacity_tokens: For each service whose servers state it, how many tokens one server holds.
     """
 
     def __init__(
-        self, version: int, routes: Iterable[Route], limits: IngressLimits = IngressLimits()
+        self,
+        version: int,
+        routes: Iterable[Route],
+        limits: IngressLimits = IngressLimits(),
+        capacity_tokens: Mapping[str, int] = MappingProxyType({}),
     ) -> None:
         self.version = version
         self.limits = limits
+        self._capacity_tokens = capacity_tokens
         self._by_host: dict[str, list[Route]] = {}
         for route in routes:
             self._by_host.setdefault(route.host.lower(), []).append(route)
@@ -140,6 +149,12 @@
                 return route
         return None
 
+    def check_fits(self, service: str, prompt_tokens: int) -> None:
+        """Raises `PromptTooLong` for a prompt that no server of the service can hold."""
+        capacity = self._capacity_tokens.get(service)
+        if capacity is not None and prompt_tokens > capacity:
+            raise PromptTooLong(f"{prompt_tokens} tokens; servers of {service} hold {capacity}")
+
     def has_batch(self, host: str) -> bool:
         """Whether the host has a route for batch jobs."""
         return any(isinstance(r.kind, BatchRoute) for r in self._by_host.get(host.lower(), ()))
--- a/features/platform/odd_neighbours.feature
+++ b/features/platform/odd_neighbours.feature
@@ -58,3 +58,54 @@
       | 410 {}                                            |
       | 413 {}                                            |
       | 302 {}                                            |
+
+  # Guards against: a version that ends every node, or that keeps every request from being served.
+  Scenario Outline: A version that makes no sense leaves the last good one in force
+    When an operator writes a version whose <field> is <value>
+    Then requests are served at each node, also at one that starts later
+    And the next good version is in force at each node
+
+    Examples:
+      | field                     | value                  |
+      | version                   | 1000000000000000000000 |
+      | version                   | true                   |
+      | routes                    | null                   |
+      | routes                    | {"look": {}}           |
+      | routes.1                  | 7                      |
+      | routes.1.host             | 5                      |
+      | routes.1.host             | "\udc80"               |
+      | routes.1.path_prefix      | "pay"                  |
+      | routes.1.max_attempts     | 1e999                  |
+      | routes.1.priority         | 70000                  |
+      | routes.1.timeout_ms       | -1                     |
+      | routes.1.timeout_ms       | 100000000000000000000  |
+      | routes.1.backends         | [{"service": "a"}]     |
+      | routes.5.retention_s      | 1e300                  |
+      | limits                    | []                     |
+      | limits.max_header_bytes   | 1                      |
+      | limits.max_body_bytes     | -1                     |
+      | limits.header_timeout_ms  | 1                      |
+      | limits.idle_timeout_ms    | 1e308                  |
+
+  # Guards against: malformed jobs that were answered as an error of the node.
+  Scenario Outline: A malformed job is refused as the caller's error
+    When a job is submitted whose <field> is <value>
+    Then it is refused with 400, and no node has ended
+
+    Examples:
+      | field    | value                    |
+      | id       | 7                        |
+      | id       | "\udc80"                 |
+      | path     | ""                       |
+      | headers  | {"a": 1}                 |
+      | headers  | []                       |
+      | body     | "gIH/w"                  |
+      | body     | 7                        |
+      | tokens   | 1e999                    |
+      | tokens   | 100000000000000000000000 |
+      | tokens   | "9"                      |
+
+  # Guards against: requests that wait until their deadline for a server that can hold them.
+  Scenario: A prompt has more tokens than any server holds
+    When servers hold 1,000 tokens, and a request and an item of a job state a prompt of 1,001
+    Then both are refused at once with 413, and those with 1,000 are accepted
--- a/features/steps/platform_odd_neighbours.py
+++ b/features/steps/platform_odd_neighbours.py
@@ -7,8 +7,8 @@
 from behave import then, when
 from behave.runner import Context
 
-from features.steps.platform_batch import run_on_fleet
-from features.support.platform_fleet import PLAIN, Caller, FleetNode, PlatformFleet
+from features.steps.platform_batch import ITEMS, read_page, run_on_fleet, submit_job
+from features.support.platform_fleet import MODEL, PLAIN, Caller, FleetNode, PlatformFleet, job_body
 
 # Longer than nodes take to get and apply a change of the store.
 APPLY_S = 0.6
@@ -130,3 +130,157 @@
 @then("the nodes that ran before never lacked the sound server")
 def then_never_lacked(context: Context) -> None:
     assert context.facts["lacked"] == 0, context.facts
+
+
+def put_at(document: Any, path: str, value: Any) -> None:
+    """Puts a value at a path of names and indexes, separated by dots."""
+    *above, last = path.split(".")
+    for step in above:
+        document = document[int(step) if isinstance(document, list) else step]
+    document[int(last) if isinstance(document, list) else last] = value
+
+
+@when("an operator writes a version whose {field} is {value}")
+def when_odd_version(context: Context, field: str, value: str) -> None:
+    async def action(fleet: PlatformFleet, facts: dict[str, Any]) -> None:
+        await fleet.add_engine(SOUND_NAME, PLAIN)
+        config = fleet.config(version=fleet.version + 1)
+        put_at(config, field, f"<{field}>")
+        spec = json.dumps(config).replace(json.dumps(f"<{field}>"), value).encode()
+        head = b'{"metadata": {"name": "main", "revision": %d}, "spec": ' % (
+            fleet.store.revision + 1
+        )
+        fleet.store.put_encoded("config", "main", head + spec + b"}")
+        await anyio.sleep(APPLY_S)
+        facts["served"] = [await is_served(node) for node in fleet.nodes.values()]
+        fleet.version += 2
+        fleet.store.put("config", "main", fleet.config())
+        facts["served"].append(await is_served(await restart(fleet, "vm-1")))
+        await anyio.sleep(APPLY_S)
+        tables = [node.node.routes.table for node in fleet.nodes.values() if node.node]
+        facts["versions"] = [table.version - fleet.version for table in tables if table]
+
+    run_on_fleet(context, action, nodes=2, engines=0)
+
+
+@then("requests are served at each node, also at one that starts later")
+def then_served_later(context: Context) -> None:
+    assert all(context.facts["served"]), context.facts
+
+
+@then("the next good version is in force at each node")
+def then_next_version(context: Context) -> None:
+    assert context.facts["versions"] == [0, 0], context.facts
+
+
+@when("all servers report {report} to owners that have just started")
+def when_odd_report(context: Context, report: str) -> None:
+    content = b"[" * 100_000 if report == "100,000 nested lists" else report.encode()
+
+    async def action(fleet: PlatformFleet, facts: dict[str, Any]) -> None:
+        engine = await fleet.add_engine(SOUND_NAME, PLAIN)
+        engine.report = content
+        for name in list(fleet.nodes):
+            await restart(fleet, name)
+        await anyio.sleep(2 * APPLY_S)
+        facts["served"] = [await is_served(node) for node in fleet.nodes.values()]
+
+    run_on_fleet(context, action, nodes=2, engines=0)
+
+
+@when("a caller asks for the head of an unknown path and of a path whose service has no server")
+def when_head_refused(context: Context) -> None:
+    async def action(fleet: PlatformFleet, facts: dict[str, Any]) -> None:
+        caller = Caller(fleet.nodes["vm-1"])
+        answers = [await caller.call("HEAD", path) for path in ("/none/a", "/look/a", "/none/a")]
+        facts["heads"] = [(answer.status, answer.body) for answer in answers if answer]
+        facts["stays open"] = caller.stream is not None
+
+    run_on_fleet(context, action, nodes=1, engines=0)
+
+
+@then("it gets 404 and 503 without a body, on one connection that stays open")
+def then_head_refused(context: Context) -> None:
+    assert context.facts["heads"] == [(404, b""), (503, b""), (404, b"")], context.facts
+    assert context.facts["stays open"]
+
+
+@when("a request whose header {header} is {value} comes to each node")
+def when_odd_number(context: Context, header: str, value: str) -> None:
+    async def action(fleet: PlatformFleet, facts: dict[str, Any]) -> None:
+        facts["served"] = []
+        for node in fleet.nodes.values():
+            answer = await Caller(node).call("POST", "/ask/a", b"q", headers={header: value})
+            facts["served"].append(answer is not None and answer.status == 200 and answer.is_whole)
+
+    run_on_fleet(context, action, nodes=2, engines=1)
+
+
+@then("it is answered with success at each node")
+def then_number_served(context: Context) -> None:
+    assert context.facts["served"] == [True, True], context.facts
+
+
+def odd_job(field: str, value: str) -> bytes:
+    """Returns a job of three items, of which the first has a field with a value in JSON."""
+    job = json.loads(job_body(ITEMS))
+    job["items"][0][field] = f"<{field}>"
+    return json.dumps(job).replace(json.dumps(f"<{field}>"), value).encode()
+
+
+@when("a job is submitted whose first item states 4294967295 tokens of output")
+def when_large_item(context: Context) -> None:
+    body = odd_job("headers", '{"Briarvale-Token-Usage": "350,4294967295"}')
+
+    async def action(fleet: PlatformFleet, facts: dict[str, Any]) -> None:
+        facts["status"] = (await submit_job(fleet.nodes["vm-1"], body)).status
+        facts["listed"] = set()
+        with anyio.move_on_after(15):
+            while not set(ITEMS[1:]) <= facts["listed"]:
+                results = (await read_page(fleet.nodes["vm-2"])).json()["results"]
+                facts["listed"] = {row["id"] for row in results}
+
+    run_on_fleet(context, action, nodes=2, engines=1)
+
+
+@then("the job is accepted, and its other items end within 15 s")
+def then_others_end(context: Context) -> None:
+    assert context.facts["status"] == 202, context.facts
+    assert set(ITEMS[1:]) <= context.facts["listed"], context.facts
+
+
+@when("a job is submitted whose {field} is {value}")
+def when_malformed_job(context: Context, field: str, value: str) -> None:
+    async def action(fleet: PlatformFleet, facts: dict[str, Any]) -> None:
+        facts["status"] = (await submit_job(fleet.nodes["vm-1"], odd_job(field, value))).status
+
+    run_on_fleet(context, action, nodes=1, engines=0)
+
+
+@then("it is refused with 400, and no node has ended")
+def then_refused(context: Context) -> None:
+    assert context.facts["status"] == 400, context.facts
+    assert context.facts["ended nodes"] == [], context.facts
+
+
+@when("servers hold 1,000 tokens, and a request and an item of a job state a prompt of 1,001")
+def when_too_long(context: Context) -> None:
+    async def action(fleet: PlatformFleet, facts: dict[str, Any]) -> None:
+        services = [{"name": MODEL, "engine": {"kv_capacity_tokens": 1_000}}, {"name": PLAIN}]
+        fleet.store.put("config", "main", fleet.config(version=9, services=services))
+        await anyio.sleep(APPLY_S)
+        facts["statuses"] = []
+        for tokens in (1_001, 1_000):
+            usage = {"Briarvale-Token-Usage": f"{tokens},9"}
+            caller = Caller(fleet.nodes["vm-1"])
+            answer = await caller.call("POST", "/ask/a", b"q", headers=usage)
+            body = odd_job("headers", json.dumps(usage))
+            submitted = await submit_job(fleet.nodes["vm-1"], body, f"job-{tokens}")
+            facts["statuses"].append((answer.status if answer else 0, submitted.status))
+
+    run_on_fleet(context, action, nodes=1, engines=1)
+
+
+@then("both are refused at once with 413, and those with 1,000 are accepted")
+def then_too_long(context: Context) -> None:
+    assert context.facts["statuses"] == [(413, 413), (200, 202)], context.facts
