--- a/features/platform/odd_neighbours.feature
+++ b/features/platform/odd_neighbours.feature
@@ -87,6 +87,19 @@
       | limits.header_timeout_ms  | 1                      |
       | limits.idle_timeout_ms    | 1e308                  |
 
+  # Guards against: a load report that ends the owner of a pool whenever it has just started.
+  Scenario Outline: A load report that can't be decoded costs only itself
+    When all servers report <report> to owners that have just started
+    Then requests are served at each node, also at one that starts now
+
+    Examples:
+      | report                                     |
+      | 100,000 nested lists                       |
+      | {"num_running": 1e999, "num_waiting": 0}   |
+      | {"num_running": -1, "num_waiting": 0}      |
+      | {"num_running": 1, "num_waiting": 1e18}    |
+      | []                                         |
+
   # Guards against: malformed jobs that were answered as an error of the node.
   Scenario Outline: A malformed job is refused as the caller's error
     When a job is submitted whose <field> is <value>
