Bound the numbers in callers' headers to what messages between nodes hold

Cause: tokens and deadlines were taken as they came, up to 20 digits, and encoded into 32 and 64 bits in the task of a link, which expects no such error.

Change: greater numbers count as the greatest that makes a difference: 2^31 - 1 tokens, a deadline in a year. What is forwarded to servers stays as it was sent.

--- a/briarvale/platform/headers.py
+++ b/briarvale/platform/headers.py
@@ -18,6 +18,10 @@
 DRAINING = b"server-leaving"
 LAST_EVENT_ID = b"last-event-id"
 WAIT_MS = b"briarvale-wait-ms"
+# Greater numbers are taken for these, as none makes a difference. Peer messages hold the sum of two
+# numbers of tokens in 32 bits.
+MAX_TOKENS = 2**31 - 1
+MAX_DEADLINE_MS = 366 * 86_400 * 1_000
 # Headers that a node sets itself; the caller's values of these are not forwarded.
 REPLACED_HEADERS = frozenset((DEADLINE_MS, EXPECTED_SERVER, LAST_EVENT_ID))
 
@@ -56,8 +60,8 @@
 ) -> ForwardRequest:
     """Decodes a caller's request; a malformed platform header is treated as absent."""
     request_id = _header_text(headers, REQUEST_ID)
-    deadline_ms = parse_unsigned_int(_header_text(headers, DEADLINE_MS))
-    usage = _header_text(headers, TOKEN_USAGE).split(",")
+    deadline_ms = _header_int(headers, DEADLINE_MS, MAX_DEADLINE_MS)
+    usage = [_token_count(count) for count in _header_text(headers, TOKEN_USAGE).split(",")]
     resume_after = parse_unsigned_int(_header_text(headers, LAST_EVENT_ID))
     path = target.partition(b"?")[0]
     content = b"\0".join((find_header(headers, b"host") or b"", path, body)).decode("latin-1")
@@ -70,12 +74,12 @@
         body=body,
         route=route,
         service=service,
-        deadline_at_ms=now_ms + (deadline_ms if deadline_ms is not None else route.timeout_ms),
+        deadline_at_ms=now_ms + (route.timeout_ms if deadline_ms is None else deadline_ms),
         received_at_ms=now_ms,
         fingerprint=fingerprint_of(service, content),
         prompt_parts=_prompt_parts(_header_text(headers, PROMPT_PARTS)),
-        prompt_tokens=parse_unsigned_int(usage[0]) or 0,
-        output_tokens=(parse_unsigned_int(usage[1]) or 0) if len(usage) > 1 else 0,
+        prompt_tokens=usage[0],
+        output_tokens=usage[1] if len(usage) > 1 else 0,
         resume_after=resume_after,
     )
 
@@ -84,12 +88,23 @@
     return (find_header(headers, name) or b"").decode("latin-1").strip()
 
 
+def _header_int(headers: Headers, name: bytes, at_most: int) -> int | None:
+    """Returns a header's number, or `at_most` for a greater one; none if it holds no number."""
+    value = parse_unsigned_int(_header_text(headers, name))
+    return None if value is None else min(value, at_most)
+
+
+def _token_count(text: str) -> int:
+    """Returns a number of tokens; 0 if the text holds none."""
+    return min(parse_unsigned_int(text.strip()) or 0, MAX_TOKENS)
+
+
 def _prompt_parts(text: str) -> tuple[PromptPart, ...]:
     parts = []
     for part in text.split(","):
         part_id, _, tokens = part.strip().partition(":")
         if part_id:
-            parts.append(PromptPart(part_id, parse_unsigned_int(tokens) or 0))
+            parts.append(PromptPart(part_id, _token_count(tokens)))
     return tuple(parts)
 
 
--- a/features/platform/odd_neighbours.feature
+++ b/features/platform/odd_neighbours.feature
@@ -100,6 +100,23 @@
       | {"num_running": 1, "num_waiting": 1e18}    |
       | []                                         |
 
+  # Guards against: a number that no message between nodes can hold and that ends two nodes.
+  Scenario Outline: A caller states a number that no message can hold
+    When a request whose header <header> is <value> comes to each node
+    Then it is answered with success at each node
+
+    Examples:
+      | header                  | value                                     |
+      | Briarvale-Token-Usage   | 350,4294967295                            |
+      | Briarvale-Token-Usage   | 18446744073709551616,18446744073709551616 |
+      | Briarvale-Deadline-Ms   | 99999999999999999999                      |
+      | Briarvale-Prompt-Prefix | a1:99999999999999999999,b2:5              |
+
+  # Guards against: an item that ends each node that runs its job, so that no item of the job ends.
+  Scenario: One item of a job states more tokens than any message can hold
+    When a job is submitted whose first item states 4294967295 tokens of output
+    Then the job is accepted, and its other items end within 15 s
+
   # Guards against: malformed jobs that were answered as an error of the node.
   Scenario Outline: A malformed job is refused as the caller's error
     When a job is submitted whose <field> is <value>
