Refuse HEAD requests without a body; an error of one connection ends only that one

Cause: a refusal has a JSON body whatever the method is; h11 raises LocalProtocolError for the body of an answer to HEAD. The error left the task of the connection and cancelled the task group of the node.

Change: the responder knows the request's method and sends no body where HTTP allows none. Connections of callers and peers are accepted by tcp_server.py: an unexpected error of a handler is logged and counted, and ends its connection; a taken address and missing descriptors are waited for.

--- a/briarvale/ingress.py
+++ b/briarvale/ingress.py
@@ -26,10 +26,11 @@
 from .http_wire import READ_BYTES, AnswerHead, Headers, enable_keepalive, end_to_end_headers
 from .peer import PeerAddress
 from .routes import IngressLimits
+from .tcp_server import TcpServer
 
-BACKLOG = 1_024
 # Limit of bytes read ahead of the next request while the current one is answered.
 MAX_PIPELINED_BYTES = 1_048_576
+BODILESS_STATUSES = frozenset((204, 304))
 # How long a caller has to read the last answer and close before the connection is closed.
 LINGER_S = 0.5
 
@@ -62,6 +63,8 @@
         self._h11 = connection
         self._stream = stream
         self._should_close = should_close
+        # Method of the request; empty while none was read.
+        self.method = b""
         self.status = 0
         # Whether the answer was written to its end; if not, the connection is closed.
         self.is_finished = False
@@ -87,10 +90,10 @@
         self.is_finished = True
 
     async def answer(self, status: int, headers: Headers, body: bytes) -> None:
-        """Sends a complete answer in one write."""
+        """Sends a complete answer in one write, without its body where HTTP allows none."""
         content_length = (b"content-length", str(len(body)).encode())
         data = self._encode_head(status, (*end_to_end_headers(headers), content_length))
-        if body:
+        if body and self.method != b"HEAD" and status not in BODILESS_STATUSES:
             data += self._h11.send(h11.Data(data=body)) or b""
         await self._write(data + (self._h11.send(h11.EndOfMessage()) or b""))
         self.is_finished = True
@@ -149,8 +152,14 @@
     def __init__(self, handler: IngressHandler) -> None:
         self._handler = handler
         self._connections: set[_CallerConnection] = set()
+        self._server = TcpServer("connections of callers")
         self.state = IngressState.SERVING
 
+    @property
+    def is_listening(self) -> bool:
+        """Whether callers can connect."""
+        return self._server.is_listening
+
     @property
     def active_count(self) -> int:
         """Number of requests that are being read or answered."""
@@ -158,11 +167,7 @@
 
     async def serve(self, address: PeerAddress) -> None:
         """Accepts connections until cancelled."""
-        listener = await anyio.create_tcp_listener(
-            local_host=address.host, local_port=address.port, backlog=BACKLOG, reuse_port=False
-        )
-        async with listener:
-            await listener.serve(self._serve_connection)
+        await self._server.serve(address, self._serve_connection)
 
     async def _serve_connection(self, stream: SocketStream) -> None:
         connection = _CallerConnection(stream, self._handler, lambda: self.state)
@@ -199,7 +204,7 @@
         while True:
             responder = Responder(self._h11, self._stream, self._is_closing)
             try:
-                request = await self._read_request()
+                request = await self._read_request(responder)
                 if request is None:
                     return
                 await self._handle(request, responder)
@@ -218,12 +223,13 @@
     def _is_closing(self) -> bool:
         return self._state() is not IngressState.SERVING
 
-    async def _read_request(self) -> IngressRequest | None:
+    async def _read_request(self, responder: Responder) -> IngressRequest | None:
         """Reads a complete request; none if the caller closes or a timeout passes."""
         limits = self._handler.limits
         head = await self._read_head(limits)
         if head is None:
             return None
+        responder.method = head.method
         chunks: list[bytes] = []
         size_bytes = 0
         while True:
--- a/briarvale/metrics.py
+++ b/briarvale/metrics.py
@@ -41,6 +41,9 @@
 )
 VMS = Gauge("briarvale_vms", "VMs of the VM list by health.")
 STORE_CALLS = Counter("briarvale_store_calls_total", "Object API calls by verb and result.")
+PART_FAILURES = Counter(
+    "briarvale_part_failures_total", "Unexpected errors that ended a part's work, by part."
+)
 STORE_OBJECTS_IGNORED = Counter(
     "briarvale_store_objects_ignored_total", "Objects of the store that can't be decoded."
 )
@@ -75,6 +78,7 @@
     "LEASES_HELD",
     "ORDERS",
     "OWNER_LINKS_LOST",
+    "PART_FAILURES",
     "PEER_BAD_FRAMES",
     "QUARANTINED",
     "QUARANTINE_REFUSALS",
--- a/briarvale/peer.py
+++ b/briarvale/peer.py
@@ -23,7 +23,9 @@
     decode_message,
     encode_message,
 )
-from .errors import OwnerUnreachable, PeerClosed, PeerProtocolError
+from .errors import MessageInvalid, OwnerUnreachable, PeerClosed, PeerProtocolError
+from .peer_address import PeerAddress
+from .tcp_server import TcpServer
 
 LENGTH_BYTES = 4
 MAX_FRAME_BYTES = 4 * 1024 * 1024
@@ -47,13 +49,6 @@
 ]
 
 
-class PeerAddress(NamedTuple):
-    """Address where a process listens for peers."""
-
-    host: str
-    port: int
-
-
 class PeerIdentity(NamedTuple):
     """Identifies a process by its VM, its program (`role`) and this run of the program."""
 
@@ -97,8 +92,8 @@
         self._send_lock = anyio.Lock(fast_acquire=True)
 
     async def send(self, message: Message) -> None:
-        """Sends one frame."""
-        data = encode_message(message)
+        """Sends one frame; raises `MessageInvalid` if a field doesn't fit into the message."""
+        data = _encode_frame(message)
         frame = len(data).to_bytes(LENGTH_BYTES, "big") + data
         try:
             async with self._send_lock:
@@ -140,6 +135,12 @@
     def __init__(self, identity: PeerIdentity, shared_secret: str) -> None:
         self._identity = identity
         self._secret = shared_secret.encode()
+        self._server = TcpServer("connections of peers")
+
+    @property
+    def is_listening(self) -> bool:
+        """Whether peers can connect."""
+        return self._server.is_listening
 
     async def connect(self, address: PeerAddress) -> MessageStream:
         """Connects within `CONNECT_TIMEOUT_S` and answers the challenge."""
@@ -159,16 +160,11 @@
 
     async def serve(self, address: PeerAddress, handler: PeerHandler) -> None:
         """Listens on the address."""
-        listener = await anyio.create_tcp_listener(
-            local_host=address.host, local_port=address.port, reuse_port=False
-        )
 
         async def handle(raw: SocketStream) -> None:
             await self._serve_connection(FramedStream(raw), handler)
 
-        # Cancelling `serve` alone leaves the port in use until the listener is collected.
-        async with listener:
-            await listener.serve(handle)
+        await self._server.serve(address, handle)
 
     async def _serve_connection(self, stream: FramedStream, handler: PeerHandler) -> None:
         try:
@@ -231,6 +227,13 @@
         await stream.aclose()
 
 
+def _encode_frame(message: Message) -> bytes:
+    try:
+        return encode_message(message)
+    except (capnp.KjException, OverflowError, TypeError, ValueError) as error:
+        raise MessageInvalid(f"{type(message).__name__}: {error}") from error
+
+
 def _decode_frame(data: bytes) -> Message:
     try:
         return decode_message(data)
--- a/features/platform/odd_neighbours.feature
+++ b/features/platform/odd_neighbours.feature
@@ -100,6 +100,11 @@
       | {"num_running": 1, "num_waiting": 1e18}    |
       | []                                         |
 
+  # Guards against: a refusal that ends the node, as an answer to HEAD must have no body.
+  Scenario: A request for a head is refused
+    When a caller asks for the head of an unknown path and of a path whose service has no server
+    Then it gets 404 and 503 without a body, on one connection that stays open
+
   # Guards against: a number that no message between nodes can hold and that ends two nodes.
   Scenario Outline: A caller states a number that no message can hold
     When a request whose header <header> is <value> comes to each node
