Close idle connections to servers that may not be reused

What callers could see: a node that can open no further connection. Cause: an idle connection was closed only when the next request to the same start of a server came; those to servers that are gone stayed open, up to 16 for each start (`close_missing` was called nowhere; found by the review, by reading).

Change: once a second the pool closes what has been idle for longer than it may be reused.

--- a/briarvale/backend_connections.py
+++ b/briarvale/backend_connections.py
@@ -12,6 +12,7 @@
 IDLE_TIMEOUT_FRACTION = 0.5
 # Idle timeout of a server that states none.
 DEFAULT_IDLE_S = 1.0
+CLOSE_INTERVAL_S = 1.0
 
 __all__ = ["BackendConnections"]
 
@@ -40,7 +41,7 @@
         Args:
             metadata: Metadata of the complete answer; none if the answer was not read to its end.
         """
-        idle = self._idle.setdefault(server.incarnation, [])
+        idle = self._idle.get(server.incarnation, [])
         must_close = metadata is None or metadata.is_closing or metadata.is_draining
         if (
             metadata is None
@@ -52,10 +53,20 @@
             return
         idle_s = metadata.keep_alive_s if metadata.keep_alive_s is not None else DEFAULT_IDLE_S
         connection.keep_alive_until_s = anyio.current_time() + idle_s * IDLE_TIMEOUT_FRACTION
-        idle.append(connection)
+        self._idle.setdefault(server.incarnation, []).append(connection)
+
+    async def run(self) -> None:
+        """Closes connections that have been idle for too long to be reused, until cancelled.
 
-    async def close_missing(self, incarnations: set[tuple[str, int]]) -> None:
-        """Closes idle connections to all but the given incarnations."""
-        for incarnation in self._idle.keys() - incarnations:
-            for connection in self._idle.pop(incarnation):
-                await connection.aclose()
+        Those to servers that are gone would otherwise stay open, and use up descriptors.
+        """
+        while True:
+            await anyio.sleep(CLOSE_INTERVAL_S)
+            now_s = anyio.current_time()
+            for incarnation, idle in list(self._idle.items()):
+                expired = [found for found in idle if found.keep_alive_until_s <= now_s]
+                idle[:] = [found for found in idle if found.keep_alive_until_s > now_s]
+                if not idle:
+                    del self._idle[incarnation]
+                for connection in expired:
+                    await connection.aclose()
--- a/briarvale/platform/node.py
+++ b/briarvale/platform/node.py
@@ -219,8 +219,10 @@
         settings = self._settings
         zone = settings.vm_settings.availability_zone
         slots = SlotClient(self._environment, self.cluster, tasks, OWNER_TIMEOUTS)
+        connections = BackendConnections()
+        tasks.start_soon(keep_running, "backend connections", connections.run)
         forward_client = ForwardClient(
-            BackendConnections(), self.servers, PlatformHeaderCodec(), self._clock
+            connections, self.servers, PlatformHeaderCodec(), self._clock
         )
         membership = self.cluster.membership
         records = CrashRecords(self._store, self._clock, membership.crashes, membership.publish)
