Back off while the store has no history, and confirm drains until their requests are gone

What could be seen: a node that lists a kind without a pause, as each of its watches is answered with 410; a drain that is never confirmed, as one odd 404 of the store counted as "the request is gone".

Change: lists after a lost history wait longer and longer until a watch succeeds. A drain is tried again until the feed says that its request is gone.

Evidence: features/platform/containment.feature, "The store has lost its history at each watch": failed with the old object_feed.py, passes now.

--- a/briarvale/object_feed.py
+++ b/briarvale/object_feed.py
@@ -164,8 +164,8 @@
         delay_s = RETRY_START_S
         while True:
             try:
-                await self._list_or_watch()
-                delay_s = RETRY_START_S
+                if await self._list_or_watch():
+                    delay_s = RETRY_START_S
             except HistoryGone:
                 log.info(
                     "Lists {} again: the store no longer has the history.",
@@ -173,7 +173,8 @@
                     kind=self._kind,
                 )
                 self._is_interrupted = True
-                await anyio.sleep(random.uniform(0, RELIST_JITTER_S))
+                await anyio.sleep(random.uniform(0, delay_s))
+                delay_s = min(RETRY_MAX_S, 2 * delay_s)
             except WatchInterrupted as error:
                 log.info("Lists {} again: {}.", self._kind, error, kind=self._kind)
                 self._is_interrupted = True
@@ -192,12 +193,13 @@
         await anyio.sleep(delay_s * random.uniform(0.5, 1.5))
         return min(RETRY_MAX_S, 2 * delay_s)
 
-    async def _list_or_watch(self) -> None:
+    async def _list_or_watch(self) -> bool:
+        """Lists the objects if that is due, or else watches once; returns whether it watched."""
         is_listed = self.has_list and not self._is_interrupted
         if not is_listed or self._failing_since_s is not None:
             await self._list()
             self._is_interrupted = False
-            return
+            return False
         found = await self._store.watch_kind(self._kind, self._revision, self._watch_ms)
         self._record_success()
         for change in found.changes:
@@ -205,6 +207,7 @@
         self._revision = max(self._revision, found.revision)
         if found.changes:
             await anyio.sleep(self._pause_s)
+        return True
 
     async def _list(self) -> None:
         listed = await self._store.list_kind(self._kind)
--- a/briarvale/vm_drains.py
+++ b/briarvale/vm_drains.py
@@ -5,7 +5,7 @@
 import anyio
 
 from . import logs
-from .errors import BriarvaleError, ObjectNotFound
+from .errors import BriarvaleError
 from .notifier import Notifier
 from .object_feed import FeedChange, FeedObject
 
@@ -57,11 +57,12 @@
                 await self._changed.wait()
 
     async def _confirm(self, name: str) -> bool:
-        """Confirms a drain; returns whether it is confirmed or its request is gone."""
+        """Confirms a drain; returns whether it is confirmed.
+
+        A request that is gone is tried again until the feed says so.
+        """
         try:
             await self._confirm_drain(name)
-        except ObjectNotFound:
-            return True
         except BriarvaleError as error:
             log.info(
                 "Could not confirm the drain of VM {}; will retry: {}.",
--- a/features/platform/containment.feature
+++ b/features/platform/containment.feature
@@ -40,3 +40,13 @@
   Scenario: The handler of a connection fails
     When the handler of one of two connections fails
     Then the other connection and new ones are served
+
+  # Guards against: descriptors used up by idle connections to servers that are gone.
+  Scenario: Idle connections that may not be reused are closed
+    When a server that closes nothing has answered on 3 connections, which may be reused for 0.2 s
+    Then the node has closed all of them within 2 s
+
+  # Guards against: a node that lists without end as the store has no history at any watch.
+  Scenario: The store has lost its history at each watch
+    When a store answers each watch of a feed with 410 for 3 s
+    Then the feed has listed the kind at least twice, and at most 20 times
--- a/features/steps/platform_containment.py
+++ b/features/steps/platform_containment.py
@@ -16,6 +16,11 @@
 
 from briarvale import containment
 from briarvale._generated.messages import Message, SlotHeartbeat
+from briarvale.backend_connections import BackendConnections
+from briarvale.errors import HistoryGone
+from briarvale.forward_request import AnswerMetadata
+from briarvale.http_wire import OutgoingRequest
+from briarvale.live_servers import LiveServer
 from briarvale.object_feed import ChangeList, FeedChange, FeedObject, ObjectFeed, ObjectList
 from briarvale.peer import PeerAddress, PeerIdentity, TcpTransport
 from briarvale.peer_connection import PeerConnection
@@ -302,3 +307,67 @@
 @then("the other connection and new ones are served")
 def then_others_served(context: Context) -> None:
     assert context.answers == [b"question"] * 2, context.answers
+
+
+@when("a server that closes nothing has answered on 3 connections, which may be reused for 0.2 s")
+def when_idle(context: Context) -> None:
+    closed: list[bytes] = []
+
+    async def answer(stream: SocketStream) -> None:
+        await stream.receive()
+        await stream.send(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+        try:
+            closed.append(await stream.receive())
+        except (anyio.EndOfStream, anyio.BrokenResourceError):
+            closed.append(b"")
+
+    async def run() -> None:
+        address, tcp_server = PeerAddress(HOST, free_port()), TcpServer("test")
+        server = LiveServer("i-0", "orders", address, "caerdydd", 4)
+        metadata = AnswerMetadata("", False, True, False, False, 0.4)
+        connections = BackendConnections()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(tcp_server.serve, address, answer)
+            tasks.start_soon(connections.run)
+            while not tcp_server.is_listening:
+                await anyio.sleep(0.01)
+            opened = [await connections.acquire(server) for _ in range(3)]
+            for connection in opened:
+                await connection.exchange(OutgoingRequest(b"GET", b"/", ((b"Host", b"a"),)), 100)
+                await connections.release(server, connection, metadata)
+            await anyio.sleep(2)
+            tasks.cancel_scope.cancel()
+
+    anyio.run(run)
+    context.closed = closed
+
+
+@then("the node has closed all of them within 2 s")
+def then_closed(context: Context) -> None:
+    assert context.closed == [b""] * 3, context.closed
+
+
+class ForgetfulStore(ScriptedStore):
+    """A `FeedStore` that has lost the history at each watch."""
+
+    async def watch_kind(self, kind: str, revision: int, wait_ms: int) -> ChangeList:
+        """Fails."""
+        raise HistoryGone(kind)
+
+
+@when("a store answers each watch of a feed with 410 for 3 s")
+def when_no_history(context: Context) -> None:
+    store, handler = ForgetfulStore(), FailingHandler()
+
+    async def run() -> None:
+        handler.feed = ObjectFeed(store, "kind", handler)
+        with anyio.move_on_after(3):
+            await handler.feed.run()
+
+    anyio.run(run)
+    context.lists = store.lists
+
+
+@then("the feed has listed the kind at least twice, and at most 20 times")
+def then_few_lists(context: Context) -> None:
+    assert 2 <= context.lists <= 20, context.lists
