Play seeds of both soaks by one loop, and write the steps of odd entries once

What stood twice: the loop over seeds that keeps the logs of a broken one (soak and generator), and the steps that write an entry and look what nodes serve. No check has changed.

--- a/features/steps/platform_odd_neighbours.py
+++ b/features/steps/platform_odd_neighbours.py
@@ -1,6 +1,7 @@
 """Steps for odd data of neighbours: real nodes and stand-ins that misbehave, on loopback."""
 
 import json
+from collections.abc import Callable
 from typing import Any
 
 import anyio
@@ -9,6 +10,7 @@
 
 from features.steps.platform_batch import ITEMS, read_page, run_on_fleet, submit_job
 from features.support.platform_fleet import MODEL, PLAIN, Caller, FleetNode, PlatformFleet, job_body
+from features.support.platform_store import PlatformStoreStandin
 
 # Longer than nodes take to get and apply a change of the store.
 APPLY_S = 0.6
@@ -46,9 +48,15 @@
     name = decoded if part == "name" else ODD_NAME
     spec = entry() if part == "name" else entry(**{part: decoded})
 
+    play_entry(context, lambda store: store.put("servers", name, spec))
+
+
+def play_entry(context: Context, put: Callable[[PlatformStoreStandin], None]) -> None:
+    """Writes an entry beside that of a sound server, and records what nodes serve and use."""
+
     async def action(fleet: PlatformFleet, facts: dict[str, Any]) -> None:
         await fleet.add_engine(SOUND_NAME, PLAIN)
-        fleet.store.put("servers", name, spec)
+        put(fleet.store)
         await anyio.sleep(APPLY_S)
         served = [await is_served(node) for node in fleet.nodes.values()]
         served.append(await is_served(await restart(fleet, "vm-1")))
@@ -85,18 +93,7 @@
 @when("{what} stands in the list of servers beside the entry of a sound server")
 def when_undecodable(context: Context, what: str) -> None:
     encoded = UNDECODABLE[what].replace(b"%s", METADATA)
-
-    async def action(fleet: PlatformFleet, facts: dict[str, Any]) -> None:
-        await fleet.add_engine(SOUND_NAME, PLAIN)
-        fleet.store.put_encoded("servers", "i-odd", encoded)
-        await anyio.sleep(APPLY_S)
-        served = [await is_served(node) for node in fleet.nodes.values()]
-        served.append(await is_served(await restart(fleet, "vm-1")))
-        facts["served"] = served
-        nodes = [node.node for node in fleet.nodes.values()]
-        facts["ids"] = [sorted(server.id for server in node.servers) for node in nodes if node]
-
-    run_on_fleet(context, action, nodes=2, engines=0)
+    play_entry(context, lambda store: store.put_encoded("servers", ODD_NAME, encoded))
 
 
 @when(
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -3,9 +3,7 @@
 The exit code is 1 if a promise was broken; the settings files and logs of such a seed are kept.
 """
 
-import shutil
 import sys
-import tempfile
 import tomllib
 from collections import Counter
 from pathlib import Path
@@ -27,6 +25,7 @@
     check_limit,
 )
 from soak.schedule import FaultRecord, draw_schedule, inject_faults
+from soak.seeds import play_seeds
 
 REGRESSIONS = Path(__file__).parent / "regressions.toml"
 CALLER_COUNT = 10
@@ -157,16 +156,15 @@
     logger.remove()
     chosen = list(range(first_seed, first_seed + seeds))
     total: Counter[str] = Counter()
-    for seed in (regression_seeds() if regressions else []) + chosen:
-        folder = Path(tempfile.mkdtemp(prefix=f"briarvale-soak-{seed}-"))
+
+    def play(seed: int, folder: Path) -> bool:
         result = anyio.run(run_seed, seed, length_s, folder)
         report(result)
         total.update(seeds=1, requests=result.requests, jobs=result.jobs)
         total.update(faults=result.faults.total(), broken=len(result.broken))
-        if result.broken:
-            print(f"  settings and logs: {folder}", flush=True)
-        else:
-            shutil.rmtree(folder)
+        return bool(result.broken)
+
+    play_seeds("soak", (regression_seeds() if regressions else []) + chosen, play)
     print(", ".join(f"{count} {name}" for name, count in total.items()))
     sys.exit(1 if total["broken"] else 0)
 
--- a/soak/odd.py
+++ b/soak/odd.py
@@ -5,9 +5,7 @@
 """
 
 import random
-import shutil
 import sys
-import tempfile
 from collections import Counter
 from collections.abc import AsyncIterator, Iterator
 from contextlib import AsyncExitStack
@@ -22,6 +20,7 @@
 from soak.fleet import NodeProcess, SoakFleet
 from soak.odd_neighbours import NEIGHBOURS, OddInput, OddStore
 from soak.promises import BrokenPromise
+from soak.seeds import play_seeds
 
 NODES = 3
 LOOKUP_PAUSE_S = 0.2
@@ -223,6 +222,16 @@
     return soak
 
 
+def report(seed: int, soak: OddSoak, contained: Counter[str]) -> None:
+    """Prints one line for a seed, for each broken promise and for each contained error."""
+    counts = ", ".join(f"{name} {count}" for name, count in sorted(soak.counts.items()))
+    print(f"seed {seed}: {len(soak.broken)} broken; {counts}", flush=True)
+    for (promise, detail), times in Counter(soak.broken).items():
+        print(f"  BROKEN {times} times: {promise}: {detail}", flush=True)
+    for text, times in contained.items():
+        print(f"  contained {times} times: {text}", flush=True)
+
+
 @app.command()
 def main(
     seeds: int = 50, first_seed: int = 1, steps: int = 12, only: str = ",".join(NEIGHBOURS)
@@ -230,22 +239,16 @@
     """Runs seeds one after another; `only` names the neighbours, separated by commas."""
     logger.remove()
     total: Counter[str] = Counter()
-    for seed in range(first_seed, first_seed + seeds):
-        folder = Path(tempfile.mkdtemp(prefix=f"briarvale-odd-{seed}-"))
+
+    def play(seed: int, folder: Path) -> bool:
         soak = anyio.run(run_seed, seed, steps, only.split(","), folder)
-        counts = ", ".join(f"{name} {count}" for name, count in sorted(soak.counts.items()))
-        print(f"seed {seed}: {len(soak.broken)} broken; {counts}", flush=True)
-        for (promise, detail), times in Counter(soak.broken).items():
-            print(f"  BROKEN {times} times: {promise}: {detail}", flush=True)
-        for text, times in contained_errors(folder).items():
-            print(f"  contained {times} times: {text}", flush=True)
-            total.update(contained=times)
-        total.update(seeds=1, broken=len(soak.broken))
+        contained = contained_errors(folder)
+        report(seed, soak, contained)
+        total.update(seeds=1, broken=len(soak.broken), contained=contained.total())
         total.update(soak.counts)
-        if soak.broken:
-            print(f"  settings and logs: {folder}", flush=True)
-        else:
-            shutil.rmtree(folder)
+        return bool(soak.broken)
+
+    play_seeds("odd", range(first_seed, first_seed + seeds), play)
     print(", ".join(f"{count} {name}" for name, count in total.items()))
     sys.exit(1 if total["broken"] else 0)
 
