Split the slot client and the slot pool by concept

Held slots and what a refusal means are modules of their own; the choice of a server is a function beside PoolServer, and a grant is made from its request by Grant.

--- a/briarvale/grants.py
+++ b/briarvale/grants.py
@@ -1,10 +1,11 @@
 """Granted slots of one backend server, each leased to its holder."""
 
+import secrets
 from collections import Counter
 from collections.abc import Iterable
 from typing import NamedTuple
 
-from ._generated.messages import HeldGrant, WorkClass
+from ._generated.messages import HeldGrant, SlotRequest, WorkClass
 from .holder import Holder
 
 __all__ = ["Grant", "GrantTable"]
@@ -32,6 +33,38 @@
     is_overdue: bool = False
     worked_ms: int = 0
 
+    @classmethod
+    def from_request(
+        cls,
+        request: SlotRequest,
+        holder: Holder,
+        *,
+        pool: str,
+        backend_server: str,
+        granted_at_ms: int,
+        expires_at_ms: int,
+    ) -> "Grant":
+        """Returns the grant of one slot for a request."""
+        held = HeldGrant(
+            grant_id=secrets.token_hex(8),
+            backend_server=backend_server,
+            member=request.member,
+            work_class=request.work_class,
+            slot_count=1,
+            cost_tokens=request.cost_tokens,
+            fingerprint=request.fingerprint,
+            pool=pool,
+        )
+        return cls(
+            held=held,
+            holder=holder,
+            request_id=request.request_id,
+            granted_at_ms=granted_at_ms,
+            expires_at_ms=expires_at_ms,
+            start_by_ms=request.start_by_ms,
+            worked_ms=request.worked_ms,
+        )
+
     @property
     def is_late(self) -> bool:
         """Whether its run started too late to be in time; false if it isn't known."""
--- a/briarvale/pool_server.py
+++ b/briarvale/pool_server.py
@@ -20,7 +20,7 @@
 SLOW_FACTOR = 1.5
 MAX_SLOWNESS = 5.0
 
-__all__ = ["PoolServer", "ServerRuns"]
+__all__ = ["PoolServer", "ServerRuns", "choose_server"]
 
 
 class ServerRuns(NamedTuple):
@@ -104,3 +104,18 @@
         mean_ms = self.monitor.mean_ms(now_ms)
         ratio = mean_ms / usual_ms if mean_ms is not None and usual_ms > 0 else 1.0
         self.slowness = min(MAX_SLOWNESS, ratio) if ratio > SLOW_FACTOR else 1.0
+
+
+def choose_server(
+    servers: Iterable[PoolServer], request: SlotRequest, now_ms: int
+) -> PoolServer | None:
+    """Returns the server of least `PoolServer.cost` with a free slot and no ejection, or none.
+
+    Excluded servers are used only if no other is ready, unhealthy ones if no other is free.
+    """
+    ready = [server for server in servers if server.is_ready]
+    preferred = [server for server in ready if server.live_server.id not in request.excluded]
+    candidates = [s for s in preferred or ready if not s.monitor.is_ejected(now_ms)]
+    free = [server for server in candidates if server.free_slots_for(request.work_class) > 0]
+    healthy = [server for server in free if server.is_healthy(now_ms)]
+    return min(healthy or free, key=lambda server: server.cost(request), default=None)
--- a/briarvale/slot_client.py
+++ b/briarvale/slot_client.py
@@ -32,10 +32,11 @@
     Quarantined,
     ServerNotReady,
 )
-from .live_servers import LiveServer
+from .held_slot import HeldSlot
 from .owner_link import HEARTBEAT_INTERVAL_MS, MAX_SILENCE_MS, OwnerLink, PendingRequest
 from .peer import CONNECT_TIMEOUT_S, PeerAddress
 from .peer_environment import PeerEnvironment
+from .slot_refusals import error_of_refusal
 from .traces import current_traceparent
 
 MAINTENANCE_INTERVAL_S = 0.25
@@ -61,30 +62,6 @@
         """Waits until an owner may have changed."""
 
 
-class HeldSlot:
-    """A granted slot.
-
-    Attributes:
-        revoked: Set when the owner revokes the grant.
-        server_started_at_ms: Start time of the server's process if it is draining; else 0.
-        is_server_draining: Whether that process is draining; the owner then grants no more slots.
-    """
-
-    def __init__(self, grant: HeldGrant) -> None:
-        self.grant = grant
-        self.revoked = anyio.Event()
-        self.outcome = Outcome.CANCELLED
-        self.tokens = 0
-        self.time_between_tokens_ms = 0
-        self.server_started_at_ms = 0
-        self.is_server_draining = False
-
-    def record_draining(self, server: LiveServer) -> None:
-        """Records that this process of the backend server is draining; the release reports it."""
-        self.server_started_at_ms = server.started_at_ms
-        self.is_server_draining = True
-
-
 class ServerLoad(NamedTuple):
     """Load of a backend server, as its owner's answer to a slot request reports it."""
 
@@ -378,27 +355,11 @@
         pending.answered.set()
 
     def _apply_refusal(self, pending: PendingRequest, refusal: SlotRefusal) -> None:
-        if refusal.code == NotOwner.code:
-            pending.fail(NotOwner(pending.request.backend_server))
-            return
         server = pending.request.backend_server
-        if refusal.code == OwnerUnreachable.code:
-            pending.fail(
-                OwnerUnreachable("the owner has not yet received all reports of held slots")
-            )
-            return
-        if refusal.code == ServerNotReady.code:
-            pending.fail(ServerNotReady(f"{server} accepts no new work"))
-            return
-        if refusal.code == NoServer.code:
-            pending.fail(NoServer(f"no server of {server} accepts new work"))
-            return
-        if refusal.code == Quarantined.code:
-            pending.fail(Quarantined("this request crashed several backend servers"))
-            return
-        self._publish_load(ServerLoad(server, refusal.held, refusal.queued, refusal.limit))
-        message = f"the owner refused a slot: {refusal.code}"
-        pending.fail(Overloaded(message, retry_at_ms=refusal.retry_at_ms))
+        error = error_of_refusal(refusal, server)
+        if isinstance(error, Overloaded):
+            self._publish_load(ServerLoad(server, refusal.held, refusal.queued, refusal.limit))
+        pending.fail(error)
 
     def _publish_load(self, load: ServerLoad) -> None:
         for handler in self._load_handlers:
--- a/briarvale/slot_pool.py
+++ b/briarvale/slot_pool.py
@@ -6,7 +6,6 @@
 """
 
 import math
-import secrets
 from collections.abc import Iterable
 
 from . import logs, metrics
@@ -29,7 +28,7 @@
 from .pool_health import PoolHealth
 from .pool_queue import MAX_QUEUED, PoolQueue, PoolWaiter
 from .pool_revocation import revoke_batch
-from .pool_server import PoolServer, ServerRuns
+from .pool_server import PoolServer, ServerRuns, choose_server
 from .wait_estimate import WaitEstimate
 
 GRANT_LEASE_MS = 4_000
@@ -330,7 +329,9 @@
         is_online = work_class is WorkClass.ONLINE
         granted = 0
         for waiter in queue.online_order(now_ms) if is_online else queue.batch_order(now_ms):
-            server = self._choose(waiter.request, now_ms) if granted < at_most else None
+            server = None
+            if granted < at_most:
+                server = choose_server(self._servers.values(), waiter.request, now_ms)
             if server is not None:
                 queue.remove(waiter)
                 self._grant(waiter, server, now_ms)
@@ -338,57 +339,25 @@
             elif granted >= at_most or not waiter.request.excluded:
                 break
 
-    def _choose(self, request: SlotRequest, now_ms: int) -> PoolServer | None:
-        """Returns the server of least `PoolServer.cost` with a free slot and no ejection, or none.
-
-        Excluded servers are used only if no other is ready, unhealthy ones if no other is free.
-        """
-        ready = [server for server in self._servers.values() if server.is_ready]
-        preferred = [s for s in ready if s.live_server.id not in request.excluded]
-        work_class = request.work_class
-        candidates = [s for s in preferred or ready if not s.monitor.is_ejected(now_ms)]
-        free = [server for server in candidates if server.free_slots_for(work_class) > 0]
-        healthy = [server for server in free if server.is_healthy(now_ms)]
-        return min(healthy or free, key=lambda server: server.cost(request), default=None)
-
     def _grant(self, waiter: PoolWaiter, server: PoolServer, now_ms: int) -> None:
         request = waiter.request
-        held = HeldGrant(
-            grant_id=secrets.token_hex(8),
-            backend_server=server.live_server.id,
-            member=request.member,
-            work_class=request.work_class,
-            slot_count=1,
-            cost_tokens=request.cost_tokens,
-            fingerprint=request.fingerprint,
-            pool=self.name,
-        )
         expires_at_ms = now_ms + GRANT_LEASE_MS
-        server.grants.add(
-            Grant(
-                held=held,
-                holder=waiter.holder,
-                request_id=request.request_id,
-                granted_at_ms=now_ms,
-                expires_at_ms=expires_at_ms,
-                start_by_ms=request.start_by_ms,
-                worked_ms=request.worked_ms,
-            )
+        grant = Grant.from_request(
+            request,
+            waiter.holder,
+            pool=self.name,
+            backend_server=server.live_server.id,
+            granted_at_ms=now_ms,
+            expires_at_ms=expires_at_ms,
         )
+        server.grants.add(grant)
         server.record_prefixes(request.prefix_ids)
         labels = {"work_class": request.work_class.value}
         metrics.SLOT_WAIT_S.observe(labels, (now_ms - waiter.queued_at_ms) / MS_PER_S)
+        counts = (self.held, self.queued, self.limit)
+        server_id, grant_id = server.live_server.id, grant.held.grant_id
         waiter.holder.notify(
-            SlotGrant(
-                request.request_id,
-                held.grant_id,
-                server.live_server.id,
-                1,
-                expires_at_ms,
-                self.held,
-                self.queued,
-                self.limit,
-            )
+            SlotGrant(request.request_id, grant_id, server_id, 1, expires_at_ms, *counts)
         )
 
     def _revoke_for_online(self) -> None:
