--- a/briarvale/containment.py
+++ b/briarvale/containment.py
@@ -18,6 +18,7 @@
 RESTART_MAX_S = 5.0
 # After this time without an error, the next restart is again as soon as the first.
 SOUND_AFTER_S = 10.0
+MAX_ERROR_LENGTH = 300
 
 log = logs.component_logger("containment")
 
@@ -68,4 +69,5 @@
 def record_failure(part: str, error: Exception) -> None:
     """Logs and counts an unexpected error of a part."""
     metrics.PART_FAILURES.inc({"part": part})
-    log.opt(exception=error).error("Unexpected error in {}: {!r}.", part, error, failed_part=part)
+    text = repr(error)[:MAX_ERROR_LENGTH]
+    log.opt(exception=error).error("Unexpected error in {}: {}.", part, text, failed_part=part)
--- a/briarvale/feed_source.py
+++ b/briarvale/feed_source.py
@@ -12,7 +12,7 @@
 from . import logs
 from .clock import MS_PER_S
 from .containment import run_contained
-from .errors import BriarvaleError, OwnerUnreachable
+from .errors import OwnerUnreachable
 from .feed_publisher import FeedPublisher
 from .object_feed import ChangeList, FeedStore, ObjectList
 from .peer import PeerAddress, PeerTransport
@@ -111,10 +111,11 @@
             wait_ms = min(wait_ms, WATCH_MS)
         try:
             found = await self._store.watch_kind(kind, revision, wait_ms)
-        except BriarvaleError:
+            self._publisher.publish(kind, found)
+        except Exception:
+            # Whatever failed, this node may miss changes, so that it must not publish the kind.
             self._publisher.stop_kind(kind)
             raise
-        self._publisher.publish(kind, found)
         return found
 
     async def run(self) -> None:
--- a/briarvale/ingress.py
+++ b/briarvale/ingress.py
@@ -226,10 +226,9 @@
     async def _read_request(self, responder: Responder) -> IngressRequest | None:
         """Reads a complete request; none if the caller closes or a timeout passes."""
         limits = self._handler.limits
-        head = await self._read_head(limits)
+        head = await self._read_head(limits, responder)
         if head is None:
             return None
-        responder.method = head.method
         chunks: list[bytes] = []
         size_bytes = 0
         while True:
@@ -244,7 +243,7 @@
             chunks.append(bytes(event.data))
         return IngressRequest(head.method, head.target, tuple(head.headers), b"".join(chunks))
 
-    async def _read_head(self, limits: IngressLimits) -> h11.Request | None:
+    async def _read_head(self, limits: IngressLimits, responder: Responder) -> h11.Request | None:
         """Reads the head of a request; none if the caller closes or a timeout passes."""
         has_buffered_bytes = bool(self._h11.trailing_data[0])
         if not has_buffered_bytes:
@@ -257,6 +256,7 @@
         with anyio.move_on_after(limits.header_timeout_ms / MS_PER_S):
             event = await self._next_event()
             if isinstance(event, h11.Request):
+                responder.method = event.method
                 self._check_head(event, limits)
                 return event
         return None
--- a/features/platform/containment.feature
+++ b/features/platform/containment.feature
@@ -50,3 +50,8 @@
   Scenario: The store has lost its history at each watch
     When a store answers each watch of a feed with 410 for 3 s
     Then the feed has listed the kind at least twice, and at most 20 times
+
+  # Guards against: a node that publishes changes to others although it can't read them itself.
+  Scenario: The watch of a publisher fails for a reason that nobody foresaw
+    When the watch of a node that publishes a kind fails with an unexpected error
+    Then the node tells a new subscriber that it does not publish the kind
--- a/features/platform/odd_neighbours.feature
+++ b/features/platform/odd_neighbours.feature
@@ -104,6 +104,7 @@
   Scenario: A request for a head is refused
     When a caller asks for the head of an unknown path and of a path whose service has no server
     Then it gets 404 and 503 without a body, on one connection that stays open
+    And a head with headers beyond the limit is refused with 431, also without a body
 
   # Guards against: a number that no message between nodes can hold and that ends two nodes.
   Scenario Outline: A caller states a number that no message can hold
--- a/features/steps/platform_containment.py
+++ b/features/steps/platform_containment.py
@@ -15,9 +15,11 @@
 from loguru import logger
 
 from briarvale import containment
-from briarvale._generated.messages import Message, SlotHeartbeat
+from briarvale._generated.messages import FeedLost, FeedSubscribe, Message, SlotHeartbeat
 from briarvale.backend_connections import BackendConnections
 from briarvale.errors import HistoryGone
+from briarvale.feed_publisher import FeedPublisher
+from briarvale.feed_source import FeedSource
 from briarvale.forward_request import AnswerMetadata
 from briarvale.http_wire import OutgoingRequest
 from briarvale.live_servers import LiveServer
@@ -371,3 +373,30 @@
 @then("the feed has listed the kind at least twice, and at most 20 times")
 def then_few_lists(context: Context) -> None:
     assert 2 <= context.lists <= 20, context.lists
+
+
+class BrokenStore(ScriptedStore):
+    """A `FeedStore` whose watch fails."""
+
+    async def watch_kind(self, kind: str, revision: int, wait_ms: int) -> ChangeList:
+        """Fails."""
+        raise ZeroDivisionError("a watch")
+
+
+@when("the watch of a node that publishes a kind fails with an unexpected error")
+def when_watch_fails(context: Context) -> None:
+    async def run() -> None:
+        transport = TcpTransport(PeerIdentity("vm-1", "node", "a"), "secret")
+        publisher, subscriber = FeedPublisher(), mock.Mock()
+        source = FeedSource(BrokenStore(), publisher, transport, lambda: None)
+        with containment.contain("test"):
+            await source.watch_kind("kind", 1, 100)
+        publisher.subscribe(subscriber, FeedSubscribe("kind", 1, 5))
+        context.told = [call.args[0] for call in subscriber.notify.call_args_list]
+
+    anyio.run(run)
+
+
+@then("the node tells a new subscriber that it does not publish the kind")
+def then_not_published(context: Context) -> None:
+    assert context.told == [FeedLost("kind", 5)], context.told
--- a/features/steps/platform_odd_neighbours.py
+++ b/features/steps/platform_odd_neighbours.py
@@ -192,6 +192,8 @@
         answers = [await caller.call("HEAD", path) for path in ("/none/a", "/look/a", "/none/a")]
         facts["heads"] = [(answer.status, answer.body) for answer in answers if answer]
         facts["stays open"] = caller.stream is not None
+        large = await caller.call("HEAD", "/look/a", headers={"x-large": "x" * 66_000})
+        facts["large"] = (large.status, large.body, large.is_whole) if large else None
 
     run_on_fleet(context, action, nodes=1, engines=0)
 
@@ -202,6 +204,11 @@
     assert context.facts["stays open"]
 
 
+@then("a head with headers beyond the limit is refused with 431, also without a body")
+def then_large_head_refused(context: Context) -> None:
+    assert context.facts["large"] == (431, b"", True), context.facts["large"]
+
+
 @when("a request whose header {header} is {value} comes to each node")
 def when_odd_number(context: Context, header: str, value: str) -> None:
     async def action(fleet: PlatformFleet, facts: dict[str, Any]) -> None:
