Let a peer be one of the odd neighbours: one that knows the secret and sends what no node would

Messages of eleven types with fields that no node sends, on one connection, while lookups go on. Test code only.

--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -30,6 +30,7 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 LOOPBACK = "127.0.0.1"
+SHARED_SECRET = "soak"
 FIRST_HOST = 11
 ZONES = ("caerdydd", "abertawe")
 GRACE_MS = 5_000
@@ -46,7 +47,7 @@
 MAX_WAITING_TOKENS = 1_200
 RETENTION_S = 600
 
-__all__ = ["DEADLY_PART", "EVENT_COUNT", "NodeProcess", "SoakFleet"]
+__all__ = ["DEADLY_PART", "EVENT_COUNT", "SHARED_SECRET", "NodeProcess", "SoakFleet"]
 
 
 class Exit(NamedTuple):
@@ -87,7 +88,7 @@
         variables = {
             "BRIARVALE_BOOT": str(self._path),
             # By default the store's address, which differs here, as each node has its own proxy.
-            "BRIARVALE_SHARED_SECRET": "soak",
+            "BRIARVALE_SHARED_SECRET": SHARED_SECRET,
             "BRIARVALE_METRICS_PORT": str(self.metrics_port),
             "PYTHONPATH": str(ROOT),
         }
--- a/soak/odd_neighbours.py
+++ b/soak/odd_neighbours.py
@@ -5,17 +5,31 @@
 import resource
 import socket
 from collections.abc import AsyncIterator, Callable
-from contextlib import AbstractAsyncContextManager, ExitStack, asynccontextmanager
+from contextlib import AbstractAsyncContextManager, ExitStack, asynccontextmanager, suppress
+from enum import Enum
 from typing import Any, NamedTuple
 
 import anyio
 
-from briarvale.errors import BriarvaleError
+from briarvale._generated.messages import (
+    ConfigFetch,
+    FeedList,
+    FeedSubscribe,
+    HolderReport,
+    SlotGrant,
+    SlotHeartbeat,
+    SlotRelease,
+    SlotRequest,
+    SlotWithdraw,
+    StateFetch,
+    ViewSubscribe,
+)
+from briarvale.errors import BriarvaleError, MessageInvalid
 from briarvale.ingress import IngressRequest, Responder
-from briarvale.peer import PeerAddress
+from briarvale.peer import PeerAddress, PeerIdentity, TcpTransport
 from features.support.platform_fleet import HOST, PLAIN, job_body
 from features.support.platform_store import PlatformStoreStandin
-from soak.fleet import NodeProcess, SoakFleet
+from soak.fleet import SHARED_SECRET, NodeProcess, SoakFleet
 from soak.odd_values import OddDocument, mutate, odd_text, odd_value
 
 ANSWER_TIMEOUT_S = 3.0
@@ -23,6 +37,11 @@
 IDLE_CONNECTIONS = 60
 # Descriptors that a node may still open once its limit is lowered.
 SPARE_DESCRIPTORS = 6
+PEER_MESSAGES = 20
+PEER_MESSAGE_TYPES: tuple[Any, ...] = (
+    *(SlotRequest, SlotRelease, SlotWithdraw, SlotGrant, SlotHeartbeat, HolderReport),
+    *(ConfigFetch, StateFetch, FeedSubscribe, FeedList, ViewSubscribe),
+)
 METHODS = (b"GET", b"HEAD", b"POST", b"PUT", b"DELETE", b"OPTIONS", b"CONNECT", b"TRACE", b"FOO")
 TARGETS = (
     *(b"/look/a", b"/pay/a", b"/ask/a", b"/go-on/a", b"/lot/", b"/lot/x", b"/none/", b"/", b"*"),
@@ -248,6 +267,47 @@
     )
 
 
+@asynccontextmanager
+async def odd_peer(fleet: SoakFleet, draw: random.Random) -> AsyncIterator[OddInput]:
+    """A process that knows the peers' secret and sends what no node would."""
+    vm = draw.choice(fleet.nodes).endpoint.settings.vm_settings
+    transport = TcpTransport(PeerIdentity("vm-odd", "node", "boot"), SHARED_SECRET)
+    said: list[str] = []
+    try:
+        stream = await transport.connect(PeerAddress(vm.host, vm.peer_port))
+    except BriarvaleError as error:
+        # The node has just been ended by another input.
+        yield OddInput(f"not connected: {error}")
+        return
+    with suppress(BriarvaleError, OSError):
+        for _ in range(PEER_MESSAGES):
+            message = draw.choice(PEER_MESSAGE_TYPES)()
+            changes = {name: _odd_field(value, draw) for name, value in message._asdict().items()}
+            message = message._replace(**changes)
+            said.append(type(message).__name__)
+            with suppress(MessageInvalid):
+                await stream.send(message)
+    try:
+        yield OddInput(f"{', '.join(said)} at {vm.vm}")
+    finally:
+        await stream.aclose()
+
+
+def _odd_field(value: Any, draw: random.Random) -> Any:
+    """Returns an odd value of the same type, or the value itself."""
+    match value:
+        case Enum():
+            return draw.choice(list(type(value)))
+        case bool():
+            return draw.random() < 0.5
+        case int():
+            return draw.choice((0, 1, 2**16 - 1, 2**31, 2**32 - 1, 2**63, 2**64 - 1))
+        case str():
+            return draw.choice(("", "desk", "orders", "\x00", "x" * 5_000, "workjobs", "servers"))
+        case _:
+            return value
+
+
 @asynccontextmanager
 async def taken_port(fleet: SoakFleet, draw: random.Random) -> AsyncIterator[OddInput]:
     """A port of a node that another process holds as the node starts."""
@@ -329,6 +389,7 @@
     "report": odd_report,
     "request": odd_request,
     "job": odd_job,
+    "peer": odd_peer,
     "port": taken_port,
     "descriptors": few_descriptors,
 }
