Decode a page with a large odd object in milliseconds, not seconds

Cause: a page that can't be decoded as a whole was cut into its objects bracket by bracket in Python, once a level.

Change: such a page is parsed by the standard library, which takes lone surrogates and wrong UTF-8, and each object of it is then decoded strictly.

Evidence: features/platform/odd_neighbours.feature, "A page with an entry as large as the store takes is decoded soon": failed before, passes now; the 28 scenarios of entries and lists pass.

--- a/briarvale/platform/store_answers.py
+++ b/briarvale/platform/store_answers.py
@@ -14,7 +14,15 @@
 from ..errors import DocumentInvalid
 from ..object_feed import ChangeList, FeedChange, FeedObject
 from ..object_store import StoredObject
-from ..strict_json import convert_value, decode_json, split_array, split_object
+from ..strict_json import (
+    LooseJson,
+    convert_value,
+    decode_json,
+    encode_part,
+    loosen,
+    split_array,
+    split_object,
+)
 
 MAX_REVISION = 2**63 - 1
 MAX_NAME_LENGTH = 512
@@ -137,27 +145,28 @@
 
 
 def _decode_page_by_object(document: bytes, *, holds_bytes: bool) -> ObjectPage:
-    members = split_object(document)
+    members = split_object(loosen(document))
     encoded = split_array(_member(members, "items"))
     found = [_decode_object(row, holds_bytes=holds_bytes) for row in encoded]
-    revision = decode_json(_LIST_REVISION, _member(members, "as_of"))
-    has_more = decode_json(_FLAG, members.get("has_more", b"false"))
+    revision = decode_json(_LIST_REVISION, encode_part(_member(members, "as_of")))
+    has_more = decode_json(_FLAG, encode_part(members.get("has_more", b"false")))
     objects = tuple(row for row in found if row is not None)
     return _object_page(objects, revision, has_more=has_more)
 
 
 def _decode_changes_by_object(document: bytes, *, holds_bytes: bool) -> ChangeList:
-    members = split_object(document)
+    members = split_object(loosen(document))
     changes = []
     for event in map(split_object, split_array(_member(members, "events"))):
         found = _decode_object(_member(event, "object"), holds_bytes=holds_bytes)
-        is_deleted = decode_json(_FLAG, event.get("deleted", b"false"))
+        is_deleted = decode_json(_FLAG, encode_part(event.get("deleted", b"false")))
         if found is not None:
             changes.append(FeedChange(found, is_deleted))
-    return ChangeList(tuple(changes), decode_json(_LIST_REVISION, _member(members, "as_of")))
+    revision = decode_json(_LIST_REVISION, encode_part(_member(members, "as_of")))
+    return ChangeList(tuple(changes), revision)
 
 
-def _decode_object(encoded: bytes, *, holds_bytes: bool) -> FeedObject | None:
+def _decode_object(part: LooseJson, *, holds_bytes: bool) -> FeedObject | None:
     """Decodes one object; none if its name can't be used.
 
     An object whose value can't be decoded has the value none, which no component accepts.
@@ -165,19 +174,19 @@
     Raises:
         DocumentInvalid: If what the store itself writes of an object is missing.
     """
-    members = split_object(encoded)
-    encoded_metadata = _member(members, "metadata")
-    stored_fields = split_object(encoded_metadata)
-    revision = decode_json(_REVISION, _member(stored_fields, "revision"))
-    if not _member(stored_fields, "name").startswith(b'"'):
+    members = split_object(part)
+    stored_fields = split_object(_member(members, "metadata"))
+    revision = decode_json(_REVISION, encode_part(_member(stored_fields, "revision")))
+    encoded_name = encode_part(_member(stored_fields, "name"))
+    if not encoded_name.startswith(b'"'):
         raise DocumentInvalid("the name of an object is not a text")
     try:
-        name = decode_json(_NAME, stored_fields["name"])
+        name = decode_json(_NAME, encoded_name)
     except DocumentInvalid as error:
         _record_ignored("", revision, error)
         return None
     try:
-        value = decode_json(_ANY, members.get("spec", b"null"))
+        value = decode_json(_ANY, encode_part(members.get("spec", b"null")))
     except DocumentInvalid as error:
         _record_ignored(name, revision, error)
         return FeedObject(name, None, revision)
@@ -218,7 +227,7 @@
     return ObjectPage(objects, revision, objects[-1].name)
 
 
-def _member(members: dict[str, bytes], name: str) -> bytes:
+def _member(members: dict[str, LooseJson], name: str) -> LooseJson:
     if name not in members:
         raise DocumentInvalid(f"{name} is missing")
     return members[name]
--- a/briarvale/strict_json.py
+++ b/briarvale/strict_json.py
@@ -1,24 +1,35 @@
 """Strict decoding of JSON that other programs write: typed, in range, and with valid texts.
 
-A decoder reads a whole document and fails as a whole. `split_array` and `split_object` cut a
-document into its parts without decoding them, so that one malformed part does not cost the others.
+A decoder reads a whole document and fails as a whole. `loosen`, `split_array` and `split_object`
+cut a document into its parts, so that one malformed part does not cost the others.
 """
 
+import json
 import re
 from collections.abc import Callable, Iterator
-from typing import TypeVar
+from typing import Any, NamedTuple, TypeVar
 
 import msgspec
 
 from .errors import DocumentInvalid
 
-__all__ = ["convert_value", "decode_json", "split_array", "split_object"]
+__all__ = [
+    "LooseJson",
+    "convert_value",
+    "decode_json",
+    "encode_part",
+    "loosen",
+    "split_array",
+    "split_object",
+]
 
 T = TypeVar("T")
 
-# A whole string, or one character that opens, closes or separates parts.
-_TOKEN = re.compile(rb'"[^"\\]*(?:\\.[^"\\]*)*"|[\[\]{},:]', re.DOTALL)
-_OPENING, _CLOSING = b"[{", b"]}"
+_STRING = re.compile(rb'"[^"\\]*(?:\\.[^"\\]*)*"', re.DOTALL)
+# A whole string, a run of brackets in the same direction, or a comma. Runs keep a document of
+# many nested brackets from taking long.
+_TOKEN = re.compile(_STRING.pattern + rb"|[\[{]+|[\]}]+|,", re.DOTALL)
+MAX_INTEGER_LENGTH = 40
 _TEXT_DECODER = msgspec.json.Decoder(str)
 
 
@@ -35,20 +46,62 @@
     return _checked(lambda: msgspec.convert(value, target))
 
 
-def split_array(document: bytes) -> list[bytes]:
-    """Returns the elements of an array, each still encoded; raises `DocumentInvalid`."""
-    return list(_split(document, b"[", b"]"))
+class _Parsed(NamedTuple):
+    """A part as the standard library decodes it, also where texts or numbers are not strict."""
 
+    value: Any
 
-def split_object(document: bytes) -> dict[str, bytes]:
-    """Returns the members of an object, each value still encoded; raises `DocumentInvalid`.
 
-    A member whose name isn't valid text is left out.
+# A part of a document: parsed loosely, or still encoded where it is nested too deeply for that.
+LooseJson = _Parsed | bytes
+
+
+def loosen(document: bytes) -> LooseJson:
+    """Returns a document to be cut into its parts; raises `DocumentInvalid` if it is no JSON."""
+    text = document.decode(errors="surrogateescape")
+    try:
+        return _Parsed(json.loads(text, parse_int=_parse_int))
+    except RecursionError:
+        return document
+    except ValueError as error:
+        raise DocumentInvalid(f"no JSON: {error}") from error
+
+
+def encode_part(part: LooseJson) -> bytes:
+    """Returns a part as JSON, which a decoder still rejects where it is not strict."""
+    return json.dumps(part.value).encode() if isinstance(part, _Parsed) else part
+
+
+def split_array(part: LooseJson) -> list[LooseJson]:
+    """Returns the elements of an array; raises `DocumentInvalid`."""
+    match part:
+        case _Parsed(list(elements)):
+            return [_Parsed(element) for element in elements]
+        case bytes(encoded):
+            return list(_split(encoded, b"[", b"]"))
+        case _:
+            raise DocumentInvalid("expected an array")
+
+
+def split_object(part: LooseJson) -> dict[str, LooseJson]:
+    """Returns the members of an object; raises `DocumentInvalid`.
+
+    Of an encoded object, a member whose name isn't valid text is left out.
     """
-    members: dict[str, bytes] = {}
+    match part:
+        case _Parsed(dict(members)):
+            return {name: _Parsed(member) for name, member in members.items()}
+        case bytes(encoded):
+            return _split_encoded_object(encoded)
+        case _:
+            raise DocumentInvalid("expected an object")
+
+
+def _split_encoded_object(document: bytes) -> dict[str, LooseJson]:
+    members: dict[str, LooseJson] = {}
     for member in _split(document, b"{", b"}"):
-        name = _TOKEN.match(member)
-        if name is None or not name.group().startswith(b'"'):
+        name = _STRING.match(member)
+        if name is None:
             raise DocumentInvalid("a member of an object has no name")
         separator, value = member[name.end() :].lstrip()[:1], member[name.end() :].lstrip()[1:]
         if separator != b":":
@@ -67,16 +120,16 @@
         raise DocumentInvalid(f"expected a value within {opening.decode()}{closing.decode()}")
     depth, start = 0, 1
     for token in _TOKEN.finditer(document):
-        character = token.group()
-        if character in _OPENING:
-            depth += 1
-        elif character in _CLOSING:
-            depth -= 1
-            if depth <= 0 and token.end() != len(document):
-                raise DocumentInvalid("brackets don't match")
-        elif character == b"," and depth == 1:
-            yield document[start : token.start()].strip()
-            start = token.end()
+        match token.group()[:1]:
+            case b"[" | b"{":
+                depth += len(token.group())
+            case b"]" | b"}":
+                depth -= len(token.group())
+                if depth < 0 or (depth == 0 and token.end() != len(document)):
+                    raise DocumentInvalid("brackets don't match")
+            case b"," if depth == 1:
+                yield document[start : token.start()].strip()
+                start = token.end()
     if depth != 0:
         raise DocumentInvalid("brackets don't match")
     last = document[start:-1].strip()
@@ -84,6 +137,11 @@
         yield last
 
 
+def _parse_int(digits: str) -> int | None:
+    """Returns an integer; none if it has far too many digits for any field."""
+    return int(digits) if len(digits) <= MAX_INTEGER_LENGTH else None
+
+
 def _checked(decode: Callable[[], T]) -> T:
     try:
         return decode()
--- a/features/platform/odd_neighbours.feature
+++ b/features/platform/odd_neighbours.feature
@@ -145,3 +145,8 @@
   Scenario: A prompt has more tokens than any server holds
     When servers hold 1,000 tokens, and a request and an item of a job state a prompt of 1,001
     Then both are refused at once with 413, and those with 1,000 are accepted
+
+  # Guards against: a node that serves nobody for seconds while it cuts up one large odd entry.
+  Scenario: A page with an entry as large as the store takes is decoded soon
+    When a page holds a sound entry and one of 500,000 nested lists
+    Then the sound one is decoded, within the second between two readiness checks
--- a/features/steps/platform_odd_neighbours.py
+++ b/features/steps/platform_odd_neighbours.py
@@ -1,6 +1,7 @@
 """Steps for odd data of neighbours: real nodes and stand-ins that misbehave, on loopback."""
 
 import json
+import time
 from collections.abc import Callable
 from typing import Any
 
@@ -8,6 +9,7 @@
 from behave import then, when
 from behave.runner import Context
 
+from briarvale.platform.store_answers import decode_page
 from features.steps.platform_batch import ITEMS, read_page, run_on_fleet, submit_job
 from features.support.platform_fleet import MODEL, PLAIN, Caller, FleetNode, PlatformFleet, job_body
 from features.support.platform_store import PlatformStoreStandin
@@ -288,3 +290,19 @@
 @then("both are refused at once with 413, and those with 1,000 are accepted")
 def then_too_long(context: Context) -> None:
     assert context.facts["statuses"] == [(413, 413), (200, 202)], context.facts
+
+
+@when("a page holds a sound entry and one of 500,000 nested lists")
+def when_large_entry(context: Context) -> None:
+    sound = json.dumps({"metadata": {"name": SOUND_NAME, "revision": 3}, "spec": entry()}).encode()
+    odd = b'{"metadata": %s, "spec": %s}' % (METADATA, b"[" * 500_000 + b"]" * 500_000)
+    started_at_s = time.perf_counter()
+    page = decode_page(b'{"items": [%s, %s], "as_of": 9}' % (sound, odd), holds_bytes=False)
+    context.took_s = time.perf_counter() - started_at_s
+    context.values = {found.name: found.value for found in page.objects}
+
+
+@then("the sound one is decoded, within the second between two readiness checks")
+def then_decoded_soon(context: Context) -> None:
+    assert context.values == {SOUND_NAME: entry(), ODD_NAME: None}, context.values
+    assert context.took_s < 1, context.took_s
