Let inputs of the generator overlap that end the same node

A node that is down is now left alone, and a port that the node took first counts as not taken. Test code only.

--- a/soak/odd_neighbours.py
+++ b/soak/odd_neighbours.py
@@ -329,11 +329,20 @@
     with ExitStack() as held:
         holder = held.enter_context(socket.socket(type=kind))
         holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        holder.bind((address.host, address.port))
-        if kind is socket.SOCK_STREAM:
+        is_held = _try_bind(holder, address)
+        if is_held and kind is socket.SOCK_STREAM:
             holder.listen()
-        detail = f"{address.host}:{address.port} ({kind.name}) is taken as {node.name} starts"
-        yield OddInput(detail)
+        verb = "is taken" if is_held else "was not free"
+        yield OddInput(f"{address.host}:{address.port} ({kind.name}) {verb} as {node.name} starts")
+
+
+def _try_bind(holder: socket.socket, address: PeerAddress) -> bool:
+    """Binds a socket; false if the node, which another input restarted, was sooner."""
+    try:
+        holder.bind((address.host, address.port))
+    except OSError:
+        return False
+    return True
 
 
 @asynccontextmanager
@@ -342,6 +351,10 @@
     node = draw.choice(fleet.nodes)
     address = node.endpoint.settings.caller_address
     assert address is not None
+    if node.process.poll() is not None:
+        # Another input has just ended it.
+        yield OddInput(f"no descriptors taken: {node.name} is down")
+        return
     before = resource.prlimit(node.process.pid, resource.RLIMIT_NOFILE)
     limit = node.open_files() + SPARE_DESCRIPTORS
     node.is_excused = True
