Decode a job's id only on the paths of jobs, and name the loosely parsed items

Found by reading the change once more; behaviour stays as it is. - Each request decoded two ids from its path before the path was looked at: work on the hot path that only calls of jobs need. - strict_json cut and stripped the rest of a member twice to get its separator. - A variable still said "encoded" of items that are parsed by now.

--- a/briarvale/platform/request_handler.py
+++ b/briarvale/platform/request_handler.py
@@ -72,8 +72,10 @@
             (JOBS_PATH, self._handle_job),
             (ITEMS_PATH, self._batch.item_body),
         ):
+            if not path.startswith(prefix):
+                continue
             job_id = unquote(path[len(prefix) :])
-            if path.startswith(prefix) and self._is_job_call(table, host, path, job_id):
+            if self._is_job_call(table, host, path, job_id):
                 query_params = {name: values[0] for name, values in parse_qs(query).items()}
                 with self._log_job_call(job_id, request, responder):
                     await self._batch.check_host(job_id, host, has_batch=table.has_batch(host))
--- a/briarvale/platform/store_answers.py
+++ b/briarvale/platform/store_answers.py
@@ -146,8 +146,8 @@
 
 def _decode_page_by_object(document: bytes, *, holds_bytes: bool) -> ObjectPage:
     members = split_object(loosen(document))
-    encoded = split_array(_member(members, "items"))
-    found = [_decode_object(row, holds_bytes=holds_bytes) for row in encoded]
+    items = split_array(_member(members, "items"))
+    found = [_decode_object(item, holds_bytes=holds_bytes) for item in items]
     revision = decode_json(_LIST_REVISION, encode_part(_member(members, "as_of")))
     has_more = decode_json(_FLAG, encode_part(members.get("has_more", b"false")))
     objects = tuple(row for row in found if row is not None)
--- a/briarvale/strict_json.py
+++ b/briarvale/strict_json.py
@@ -103,8 +103,8 @@
         name = _STRING.match(member)
         if name is None:
             raise DocumentInvalid("a member of an object has no name")
-        separator, value = member[name.end() :].lstrip()[:1], member[name.end() :].lstrip()[1:]
-        if separator != b":":
+        before, separator, value = member[name.end() :].partition(b":")
+        if before.strip() or not separator:
             raise DocumentInvalid("a member of an object has no value")
         try:
             members[decode_json(_TEXT_DECODER, name.group())] = value.strip()
