Name the failing tests again at the end of a run

The names of failing checks and scenarios, and the lines that say why, now stand above the last line. Shown with a scenario without a step, and with a command that doesn't exist.

--- a/tools/check.py
+++ b/tools/check.py
@@ -27,6 +27,11 @@
 )
 KNOWN_RED_LINE = re.compile(r"^known red: (.*)$", re.MULTILINE)
 FAILING_SCENARIO = re.compile(r"^\s+features/\S+:\d+\s+(.*)$", re.MULTILINE)
+# Why a step failed: behave's own line, or the last line of a traceback.
+FAILURE_REASON = re.compile(
+    r"^\s*((?:ASSERT FAILED|[\w.]+(?:Error|Exception|Failed)):.*)$", re.MULTILINE
+)
+MAX_LINE_CHARS = 300
 
 
 class Check(NamedTuple):
@@ -37,12 +42,13 @@
 
 
 class Verdict(NamedTuple):
-    """The result of a check: counts, names of known failures, and the text to print."""
+    """The result of a check: counts, the text to print, and the names of its failures."""
 
     passed: int
     failed: int
     known_red: tuple[str, ...]
     output: str
+    failing: tuple[str, ...] = ()
 
 
 BEHAVE = (PYTHON, "-m", "behave", "--format", "progress", "--no-color")
@@ -102,22 +108,30 @@
         return Verdict(1, 0, known_failing, "\n".join(result.stdout.strip().splitlines()[-1:]))
     if check.name in known_names:
         return Verdict(0, 0, (check.name,), output)
-    return Verdict(0, 1, (), output)
+    return Verdict(0, 1, (), output, (f"{check.name}: {last_line(output)}",))
+
+
+def last_line(output: str) -> str:
+    """Returns the last line of a check's output, cut to `MAX_LINE_CHARS`."""
+    return "".join(output.strip().splitlines()[-1:])[:MAX_LINE_CHARS]
 
 
 def count_scenarios(exit_code: int, output: str, known_names: list[str]) -> Verdict:
     """Counts scenarios; known failures don't count as failed."""
     counts = SCENARIO_COUNTS.search(output)
     if counts is None:
-        return Verdict(0, 1, (), output)
+        return Verdict(0, 1, (), output, (f"no counts: {last_line(output)}",))
     passed, failed, errors, skipped = (int(count or 0) for count in counts.groups())
     failing = [name.strip() for name in FAILING_SCENARIO.findall(output)]
     known_failing = tuple(name for name in failing if name in known_names)
     unexpected_count = max(failed + errors - len(known_failing), 0) + skipped
     if exit_code != 0 and not failing:
         unexpected_count = max(unexpected_count, 1)
-    printed = output if unexpected_count else f"{passed} scenarios passed"
-    return Verdict(passed, unexpected_count, known_failing, printed)
+    if not unexpected_count:
+        return Verdict(passed, 0, known_failing, f"{passed} scenarios passed")
+    names = [name for name in failing if name not in known_names]
+    reasons = [line[:MAX_LINE_CHARS] for line in FAILURE_REASON.findall(output)]
+    return Verdict(passed, unexpected_count, known_failing, output, (*names, *reasons))
 
 
 def main() -> None:
@@ -125,6 +139,7 @@
     known_names = known_red()
     passed = failed = 0
     still_red: list[str] = []
+    failing: list[str] = []
     with ThreadPoolExecutor(MAX_CONCURRENT_CHECKS) as pool:
         verdicts = pool.map(lambda check: run_check(check, known_names), CHECKS)
         for check, verdict in zip(CHECKS, verdicts, strict=True):
@@ -133,11 +148,14 @@
             passed += verdict.passed
             failed += verdict.failed
             still_red += verdict.known_red
+            failing += verdict.failing
     for name in still_red:
         print(f"known red: {name}")
     for name in sorted(set(known_names) - set(still_red)):
         status = "not run here" if NOT_IN_CI in name else "but passed"
         print(f"known red, {status}: {name}")
+    for name in failing:
+        print(f"failed: {name}")
     print(f"{passed} passed, {failed} failed")
     sys.exit(1 if failed else 0)
 
