Keep a VM whose entry can't be decoded in a list

Cause: the directory of VMs emptied itself before it decoded a list, and decoded without types; the VM list over HTTP decoded its rows outside of what it catches, so that one odd row failed the task (which is contained) instead of being no answer.

Change: rows of both lists have types and ranges; a listed VM whose entry can't be decoded keeps the one that it had. The types of texts and host names stand in strict_json, for all who decode.

--- a/briarvale/http_vm_list.py
+++ b/briarvale/http_vm_list.py
@@ -1,8 +1,13 @@
 """The VM list over HTTP."""
 
+from typing import Any
+
 import anyio
 import httpx
+import msgspec
 
+from .errors import DocumentInvalid
+from .strict_json import decode_json
 from .vm_list import VmEntry, VmListUnavailable, entry_from_row
 
 LIST_TIMEOUT_S = 3.0
@@ -10,6 +15,15 @@
 __all__ = ["HttpVmList"]
 
 
+class _ListDocument(msgspec.Struct):
+    """The list's JSON."""
+
+    vms: list[Any]
+
+
+_LIST_DECODER = msgspec.json.Decoder(_ListDocument)
+
+
 class HttpVmList:
     """A `VmList` fetched over HTTP.
 
@@ -27,11 +41,11 @@
         await anyio.sleep_forever()
 
     async def fetch(self) -> tuple[VmEntry, ...]:
-        """Fetches the list."""
+        """Fetches the list; a list that can't be decoded as a whole is no list."""
         try:
             response = await self._client.get(self._url, timeout=LIST_TIMEOUT_S)
             response.raise_for_status()
-            rows = response.json()["vms"]
-        except (httpx.HTTPError, ValueError, KeyError) as error:
-            raise VmListUnavailable(f"can't fetch the VM list: {type(error).__name__}") from error
-        return tuple(entry_from_row(row) for row in rows)
+            rows = decode_json(_LIST_DECODER, response.content).vms
+            return tuple(entry_from_row(row) for row in rows)
+        except (httpx.HTTPError, DocumentInvalid) as error:
+            raise VmListUnavailable(f"can't fetch the VM list: {error!r}") from error
--- a/briarvale/object_feed.py
+++ b/briarvale/object_feed.py
@@ -40,6 +40,11 @@
     value: object
     revision: int
 
+    @property
+    def own_value(self) -> bytes:
+        """The value of an object of Briarvale's own kinds; empty if it could not be decoded."""
+        return self.value if isinstance(self.value, bytes) else b""
+
 
 class FeedChange(NamedTuple):
     """One change of a kind."""
--- a/briarvale/opaque_jobs.py
+++ b/briarvale/opaque_jobs.py
@@ -265,12 +265,11 @@
     def _apply_object(self, feed_object: FeedObject) -> None:
         """Applies a head (named by the job's id) or a log entry (id, `.log.` and a number)."""
         job_id, _, suffix = feed_object.name.partition(".")
-        value = feed_object.value if isinstance(feed_object.value, bytes) else b""
         try:
             if not suffix:
-                self.add(OpaqueJob.decode(value))
+                self.add(OpaqueJob.decode(feed_object.own_value))
             elif suffix.startswith("log."):
-                self.apply_entry(job_id, LogEntry.decode(value))
+                self.apply_entry(job_id, LogEntry.decode(feed_object.own_value))
         except (KeyError, TypeError, ValueError) as error:
             log.warning(
                 "Can't decode the object {}: {!r}.",
--- a/briarvale/platform/config_document.py
+++ b/briarvale/platform/config_document.py
@@ -18,8 +18,7 @@
     ServiceWeight,
     StreamRoute,
 )
-from ..strict_json import convert_value
-from .store_objects import Label, NonEmptyLabel
+from ..strict_json import Label, NonEmptyLabel, convert_value
 
 DEFAULT_TIMEOUT_MS = 30_000
 DEFAULT_TARGET_LATENCY_MS = 1_000
--- a/briarvale/platform/store_objects.py
+++ b/briarvale/platform/store_objects.py
@@ -8,7 +8,7 @@
 from ..errors import DocumentInvalid
 from ..live_servers import LiveServer
 from ..peer import PeerAddress
-from ..strict_json import convert_value
+from ..strict_json import HOST_NAME_PATTERN, Label, NonEmptyLabel, convert_value
 
 CONFIG_KIND = "config"
 CONFIG_NAME = "main"
@@ -29,8 +29,6 @@
     "CONFIG_KIND",
     "CONFIG_NAME",
     "FOREIGN_KINDS",
-    "Label",
-    "NonEmptyLabel",
     "RETIREMENTS_KIND",
     "SERVERS_KIND",
     "server_from",
@@ -39,11 +37,8 @@
 
 # Ids of servers are sent in a header.
 ServerId = Annotated[str, msgspec.Meta(max_length=255, pattern=r"^[!-~]+\Z")]
-Label = Annotated[str, msgspec.Meta(max_length=255, pattern=r"^[^\x00-\x1f\x7f\ud800-\udfff]*\Z")]
-NonEmptyLabel = Annotated[Label, msgspec.Meta(min_length=1)]
-_HOST_LABEL = "[0-9A-Za-z_-]{1,63}"
 Address = Annotated[
-    str, msgspec.Meta(max_length=261, pattern=rf"^{_HOST_LABEL}(\.{_HOST_LABEL})*:[0-9]{{1,5}}\Z")
+    str, msgspec.Meta(max_length=261, pattern=rf"^{HOST_NAME_PATTERN}:[0-9]{{1,5}}\Z")
 ]
 
 
--- a/briarvale/strict_json.py
+++ b/briarvale/strict_json.py
@@ -7,14 +7,18 @@
 import json
 import re
 from collections.abc import Callable, Iterator
-from typing import Any, NamedTuple, TypeVar
+from typing import Annotated, Any, NamedTuple, TypeVar
 
 import msgspec
 
 from .errors import DocumentInvalid
 
 __all__ = [
+    "HOST_NAME_PATTERN",
+    "HostName",
+    "Label",
     "LooseJson",
+    "NonEmptyLabel",
     "convert_value",
     "decode_json",
     "encode_part",
@@ -25,6 +29,14 @@
 
 T = TypeVar("T")
 
+# Texts that can be logged, encoded and sent in messages.
+Label = Annotated[str, msgspec.Meta(max_length=255, pattern=r"^[^\x00-\x1f\x7f\ud800-\udfff]*\Z")]
+NonEmptyLabel = Annotated[Label, msgspec.Meta(min_length=1)]
+# The resolver fails at empty or long parts of a name.
+_HOST_LABEL = "[0-9A-Za-z_-]{1,63}"
+HOST_NAME_PATTERN = rf"{_HOST_LABEL}(?:\.{_HOST_LABEL})*"
+HostName = Annotated[str, msgspec.Meta(max_length=255, pattern=rf"^{HOST_NAME_PATTERN}\Z")]
+
 _STRING = re.compile(rb'"[^"\\]*(?:\\.[^"\\]*)*"', re.DOTALL)
 # A whole string, a run of brackets in the same direction, or a comma. Runs keep a document of
 # many nested brackets from taking long.
--- a/briarvale/vm_directory.py
+++ b/briarvale/vm_directory.py
@@ -2,15 +2,25 @@
 
 import json
 from collections.abc import Callable
+from typing import Any
 
 import anyio
+import msgspec
 
 from . import logs
-from .errors import ObjectExists, ObjectNotFound, StoreThrottled, StoreUnavailable, VersionConflict
+from .errors import (
+    DocumentInvalid,
+    ObjectExists,
+    ObjectNotFound,
+    StoreThrottled,
+    StoreUnavailable,
+    VersionConflict,
+)
 from .node_settings import NodeSettings
 from .notifier import Notifier
 from .object_feed import FeedChange, FeedObject
 from .object_store import ObjectStore
+from .strict_json import decode_json
 from .vm_list import VmEntry, VmListUnavailable, VmStatus, entry_from_row
 
 VMS_KIND = "vms"
@@ -20,6 +30,8 @@
 # A VM that was dead for less than this keeps its entry, since it may only be partitioned.
 REMOVE_AFTER_S = 20.0
 
+_ROW_DECODER = msgspec.json.Decoder(Any)
+
 log = logs.component_logger("membership")
 
 __all__ = ["VMS_KIND", "VmDirectory"]
@@ -71,8 +83,9 @@
         return entry.processor_cores if entry is not None else 0.0
 
     def apply_list(self, objects: tuple[FeedObject, ...], *, after_outage: bool) -> None:
-        """Replaces all entries."""
-        self._entries.clear()
+        """Replaces all entries; a VM whose entry can't be decoded keeps the one that it had."""
+        listed = {row.name for row in objects}
+        self._entries = {vm: entry for vm, entry in self._entries.items() if vm in listed}
         for row in objects:
             self._cache_entry(row)
         self._listed.set()
@@ -142,7 +155,6 @@
 
     def _cache_entry(self, row: FeedObject) -> None:
         try:
-            value = row.value if isinstance(row.value, bytes) else b""
-            self._entries[row.name] = entry_from_row(json.loads(value))
-        except (KeyError, TypeError, ValueError) as error:
-            log.warning("Could not decode the entry of {}: {!r}.", row.name, error)
+            self._entries[row.name] = entry_from_row(decode_json(_ROW_DECODER, row.own_value))
+        except DocumentInvalid as error:
+            log.warning("Could not decode the entry of {}: {}.", row.name, error)
--- a/briarvale/vm_list.py
+++ b/briarvale/vm_list.py
@@ -1,10 +1,14 @@
 """The platform's list of live and leaving VMs, which lags behind their real state."""
 
-from collections.abc import Mapping
 from enum import StrEnum
-from typing import Any, NamedTuple, Protocol
+from typing import Annotated, NamedTuple, Protocol
+
+import msgspec
 
 from .errors import BriarvaleError
+from .strict_json import HostName, Label, NonEmptyLabel, convert_value
+
+MAX_PROCESSOR_CORES = 100_000
 
 __all__ = ["VmEntry", "VmList", "VmListUnavailable", "VmStatus", "entry_from_row"]
 
@@ -47,13 +51,17 @@
         """Waits for a change of the list; forever if changes are found only by polling."""
 
 
-def entry_from_row(row: Mapping[str, Any]) -> VmEntry:
-    """Parses one row of the list's JSON."""
-    return VmEntry(
-        vm=row["vm"],
-        host=row["host"],
-        region=row["region"],
-        availability_zone=row["availability_zone"],
-        status=VmStatus(row["status"]),
-        processor_cores=float(row.get("processor_cores", 0.0)),
-    )
+class _Row(msgspec.Struct):
+    """A row of the list's JSON."""
+
+    vm: NonEmptyLabel
+    host: HostName
+    region: Label
+    availability_zone: Label
+    status: VmStatus
+    processor_cores: Annotated[float, msgspec.Meta(ge=0, le=MAX_PROCESSOR_CORES)] = 0.0
+
+
+def entry_from_row(row: object) -> VmEntry:
+    """Converts one row of the list's JSON; raises `DocumentInvalid`."""
+    return VmEntry(*msgspec.structs.astuple(convert_value(row, _Row)))
--- a/features/platform/odd_neighbours.feature
+++ b/features/platform/odd_neighbours.feature
@@ -150,3 +150,31 @@
   Scenario: A page with an entry as large as the store takes is decoded soon
     When a page holds a sound entry and one of 500,000 nested lists
     Then the sound one is decoded, within the second between two readiness checks
+
+  # Guards against: a VM that counts as gone for a moment, as its entry could not be decoded in a list.
+  Scenario Outline: A list in which the entry of a VM can't be decoded
+    When a node that knows a VM gets a list in which the entry of this VM is <entry>
+    Then it knows the VM by the entry that it had before, until a list lacks the VM
+
+    Examples:
+      | entry                                       |
+      | no text                                     |
+      | ""                                          |
+      | {}                                          |
+      | [1]                                         |
+      | {"host": 7}                                 |
+      | {"host": "a..b"}                            |
+      | {"status": "unheard of"}                    |
+      | {"processor_cores": 1e300}                  |
+
+  # Guards against: an odd answer of the VM list that fails a task instead of being no answer.
+  Scenario Outline: A VM list that can't be decoded
+    When the platform's VM list is answered with <document>
+    Then the list is unavailable
+
+    Examples:
+      | document                                    |
+      | []                                          |
+      | {"vms": {}}                                 |
+      | {"vms": [7]}                                |
+      | {"vms": [{"vm": "a"}]}                      |
--- a/features/steps/platform_odd_neighbours.py
+++ b/features/steps/platform_odd_neighbours.py
@@ -4,12 +4,18 @@
 import time
 from collections.abc import Callable
 from typing import Any
+from unittest import mock
 
 import anyio
+import httpx
 from behave import then, when
 from behave.runner import Context
 
+from briarvale.http_vm_list import HttpVmList
+from briarvale.object_feed import FeedObject
 from briarvale.platform.store_answers import decode_page
+from briarvale.vm_directory import VmDirectory
+from briarvale.vm_list import VmEntry, VmListUnavailable, entry_from_row
 from features.steps.platform_batch import ITEMS, read_page, run_on_fleet, submit_job
 from features.support.platform_fleet import MODEL, PLAIN, Caller, FleetNode, PlatformFleet, job_body
 from features.support.platform_store import PlatformStoreStandin
@@ -306,3 +312,68 @@
 def then_decoded_soon(context: Context) -> None:
     assert context.values == {SOUND_NAME: entry(), ODD_NAME: None}, context.values
     assert context.took_s < 1, context.took_s
+
+
+VM_ROW = {
+    "vm": "vm-2",
+    "host": "127.0.0.2",
+    "region": "region-1",
+    "availability_zone": "zone-1",
+    "status": "live",
+}
+
+
+@when("a node that knows a VM gets a list in which the entry of this VM is {entry}")
+def when_odd_vm_entry(context: Context, entry: str) -> None:
+    lists = ((vm_object(json.dumps(VM_ROW).encode()),), (vm_object(odd_vm_entry(entry)),), ())
+    directory = VmDirectory(mock.Mock(), mock.Mock())
+
+    async def run() -> list[list[VmEntry]]:
+        known = []
+        for rows in lists:
+            directory.apply_list(rows, after_outage=False)
+            known.append([vm for vm in await directory.fetch() if vm.vm == VM_ROW["vm"]])
+        return known
+
+    context.known = anyio.run(run)
+
+
+def odd_vm_entry(entry: str) -> bytes | None:
+    """Returns the value of a VM's entry, of which the given fields are odd."""
+    if entry == "no text":
+        return None
+    fields = json.loads(entry)
+    return json.dumps(VM_ROW | fields if isinstance(fields, dict) and fields else fields).encode()
+
+
+def vm_object(value: bytes | None) -> FeedObject:
+    """Returns the entry of `VM_ROW`'s VM in a list of the store."""
+    return FeedObject(VM_ROW["vm"], value, 1)
+
+
+@then("it knows the VM by the entry that it had before, until a list lacks the VM")
+def then_knows_vm(context: Context) -> None:
+    before, odd, gone = context.known
+    assert odd == before == [entry_from_row(VM_ROW)], odd
+    assert not gone, gone
+
+
+@when("the platform's VM list is answered with {document}")
+def when_odd_vm_list(context: Context, document: str) -> None:
+    def answer(request: httpx.Request) -> httpx.Response:
+        return httpx.Response(200, text=document)
+
+    async def fetch() -> None:
+        async with httpx.AsyncClient(transport=httpx.MockTransport(answer)) as client:
+            await HttpVmList("http://127.0.0.1/vms", client).fetch()
+
+    context.error = None
+    try:
+        anyio.run(fetch)
+    except Exception as error:
+        context.error = error
+
+
+@then("the list is unavailable")
+def then_unavailable(context: Context) -> None:
+    assert isinstance(context.error, VmListUnavailable), repr(context.error)
