Split the steps of jobs by what they show

The calls that other steps use too (submitting, reading, waiting for the runner) are now in features/support/platform_jobs.py; items that fail, and jobs that end or lose their runner, have files of their own.

--- a/features/steps/platform_claims.py
+++ b/features/steps/platform_claims.py
@@ -7,8 +7,8 @@
 from behave.runner import Context
 
 from briarvale.rendezvous import first_by_rendezvous
-from features.steps.platform_batch import JOB, read_all, run_on_fleet, runner_of, submit_job
 from features.support.platform_fleet import PlatformFleet, job_body
+from features.support.platform_jobs import JOB, read_all, run_on_fleet, runner_of, submit_job
 from features.support.runner_fleet import RunnerFleet
 from features.support.virtual import run_virtual
 
--- a/features/steps/platform_draining.py
+++ b/features/steps/platform_draining.py
@@ -13,7 +13,6 @@
 from briarvale.peer import PeerAddress
 from briarvale.run_monitor import AVOID_START_MS
 from briarvale.slot_pool import BATCH_GRACE_MS, REPORT_GRACE_MS, SlotPool
-from features.steps.platform_batch import read_all, submit_job
 from features.steps.pool_policy import ManualClock, slot_request
 from features.support.holders import RecordingHolder
 from features.support.platform_engine import Behaviour
@@ -27,6 +26,7 @@
     job_body,
     platform_fleet,
 )
+from features.support.platform_jobs import read_all, submit_job
 
 DRAINING, STAYING = "i-leaving", "i-staying"
 HEADER = "server-leaving"
--- a/features/steps/platform_endless.py
+++ b/features/steps/platform_endless.py
@@ -13,7 +13,6 @@
 from briarvale.live_servers import LiveServer
 from briarvale.peer import PeerAddress
 from briarvale.platform.engine_report import fetch_runs
-from features.steps.platform_batch import read_all, submit_job
 from features.support.endless_answers import Endless, EndlessAnswer, EndlessServer
 from features.support.platform_engine import (
     PlatformEngineStandin,
@@ -31,6 +30,7 @@
     job_body,
     platform_fleet,
 )
+from features.support.platform_jobs import read_all, submit_job
 
 BODY = b"look"
 EVENT_COUNT = 6
--- a/features/steps/platform_feeds.py
+++ b/features/steps/platform_feeds.py
@@ -20,7 +20,9 @@
 from briarvale.publisher_link import PublisherLink
 from briarvale.shard_log import ItemResult, LogEntry
 from briarvale.vm_list import VmEntry, VmStatus
-from features.steps.platform_batch import (
+from features.support.platform_engine import expected_text
+from features.support.platform_fleet import Caller, FleetNode, PlatformFleet, free_port, job_body
+from features.support.platform_jobs import (
     ITEMS,
     JOB,
     read_all,
@@ -29,8 +31,6 @@
     runner_of,
     submit_job,
 )
-from features.support.platform_engine import expected_text
-from features.support.platform_fleet import Caller, FleetNode, PlatformFleet, free_port, job_body
 
 CHANGES = 5
 VM_ENTRIES = 40
--- a/features/steps/platform_memory.py
+++ b/features/steps/platform_memory.py
@@ -18,10 +18,10 @@
 from briarvale.node_settings import NodeSettings
 from briarvale.opaque_jobs import JOBS_KIND
 from briarvale.peer import PeerAddress
-from features.steps.platform_batch import run_on_fleet
 from features.steps.platform_edges import start_process
 from features.steps.platform_feeds import LINK_S, STARTED_S
 from features.support.platform_fleet import Caller, FleetNode, PlatformFleet, free_port
+from features.support.platform_jobs import run_on_fleet
 from features.support.platform_settings_file import settings_file_text
 
 ITEMS_A_JOB = 10
--- a/features/steps/platform_narrow.py
+++ b/features/steps/platform_narrow.py
@@ -15,9 +15,9 @@
 from briarvale.opaque_jobs import JOBS_KIND, PARTS_KIND, OpaqueItem, OpaqueJob
 from briarvale.peer import PeerAddress
 from briarvale.platform.store import PlatformStore
-from features.steps.platform_batch import ITEMS, read_all, run_on_fleet, submit_job
 from features.support.narrow_link import NarrowLink
 from features.support.platform_fleet import PlatformFleet, free_port, job_body
+from features.support.platform_jobs import ITEMS, read_all, run_on_fleet, submit_job
 from features.support.platform_store import PlatformStoreStandin
 
 RATE_BITS_PER_S = 15_000_000
--- a/features/steps/platform_odd_neighbours.py
+++ b/features/steps/platform_odd_neighbours.py
@@ -16,8 +16,8 @@
 from briarvale.platform.store_answers import decode_page
 from briarvale.vm_directory import VmDirectory
 from briarvale.vm_list import VmEntry, VmListUnavailable, entry_from_row
-from features.steps.platform_batch import ITEMS, read_page, run_on_fleet, submit_job
 from features.support.platform_fleet import MODEL, PLAIN, Caller, FleetNode, PlatformFleet, job_body
+from features.support.platform_jobs import ITEMS, read_page, run_on_fleet, submit_job
 from features.support.platform_store import PlatformStoreStandin
 
 # Longer than nodes take to get and apply a change of the store.
--- a/features/steps/platform_owners.py
+++ b/features/steps/platform_owners.py
@@ -7,8 +7,8 @@
 from behave.runner import Context
 
 from briarvale.platform.node import Node
-from features.steps.platform_batch import run_on_fleet
 from features.support.platform_fleet import MODEL, PlatformFleet
+from features.support.platform_jobs import run_on_fleet
 
 LARGE_NODES = ("vm-8", "vm-9")
 # A node owns nothing until 3 s after it has joined.
--- a/features/steps/platform_results.py
+++ b/features/steps/platform_results.py
@@ -14,7 +14,9 @@
 from briarvale.opaque_jobs import JOBS_KIND, OpaqueItem, OpaqueJob, job_log_prefix
 from briarvale.shard_log import NO_RUNNER, ItemProgress, ItemResult, LogEntry, RunnerId, ShardLog
 from briarvale.store_budget import StoreBudget
-from features.steps.platform_batch import (
+from features.steps.platform_feeds import LINK_S, until_known
+from features.support.platform_fleet import Caller, FleetNode, PlatformFleet, job_body
+from features.support.platform_jobs import (
     ITEMS,
     JOB,
     SLOW_GAP_S,
@@ -23,8 +25,6 @@
     run_on_fleet,
     submit_job,
 )
-from features.steps.platform_feeds import LINK_S, until_known
-from features.support.platform_fleet import Caller, FleetNode, PlatformFleet, job_body
 
 TEXT = "whole text"
 LATE_S = 1.4
--- a/features/steps/platform_waiting_tokens.py
+++ b/features/steps/platform_waiting_tokens.py
@@ -6,14 +6,6 @@
 from behave import then, when
 from behave.runner import Context
 
-from features.steps.platform_batch import (
-    ITEMS,
-    other_than,
-    read_all,
-    run_on_fleet,
-    runs_of,
-    submit_job,
-)
 from features.support.platform_fleet import (
     TOKENS_PER_ITEM,
     Answer,
@@ -22,6 +14,14 @@
     PlatformFleet,
     job_body,
 )
+from features.support.platform_jobs import (
+    ITEMS,
+    other_than,
+    read_all,
+    run_on_fleet,
+    runs_of,
+    submit_job,
+)
 from features.support.token_schedules import (
     ITEMS_PER_JOB,
     LIMIT,
