Outlive a change of the settings while a process starts

Seen by callers: a node that ends as it starts, and is back a start later; on the users' machines 'processes ended by themselves' fits, but no logs show that it was this.

Cause: SIGHUP, which says that the settings file has changed, was watched for only after all imports, when the event loop ran. Until then its default ends the process.

Change: both programs ignore SIGHUP before they import anything else. A node reads its settings after that, so no change is lost. The node's program is split for it: node.py, and _node.py with all that needs libraries.

--- /dev/null
+++ b/briarvale/programs/_node.py
@@ -0,0 +1,59 @@
+"""Runs the node of one VM until it is told to stop."""
+
+import signal
+import sys
+
+import anyio
+
+from .. import logs
+from ..errors import SettingsInvalid
+from ..json_logs import configure_json_lines
+from ..node_settings import NodeSettings
+from ..platform.node import Node
+from ..platform.settings_file import load_node_settings
+
+EXIT_BAD_SETTINGS = 2
+
+log = logs.component_logger("node")
+
+__all__ = ["run_node"]
+
+
+def run_node() -> None:
+    """Runs the node; exits with 2 and starts nothing if the settings are invalid."""
+    try:
+        settings = load_node_settings()
+    except SettingsInvalid as error:
+        print(error, file=sys.stderr)
+        sys.exit(EXIT_BAD_SETTINGS)
+    configure_json_lines(settings.vm_settings)
+    # uvloop, because a node spends most of its time in the event loop.
+    anyio.run(_run, settings, backend_options={"use_uvloop": True})
+
+
+async def _run(settings: NodeSettings) -> None:
+    stop_requested = anyio.Event()
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(_watch_signals, settings, stop_requested)
+        await Node(settings, stop_requested).run()
+        tasks.cancel_scope.cancel()
+
+
+async def _watch_signals(settings: NodeSettings, stop_requested: anyio.Event) -> None:
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+        async for received in signals:
+            match received:
+                case signal.SIGHUP:
+                    _reload(settings)
+                case _:
+                    stop_requested.set()
+
+
+def _reload(settings: NodeSettings) -> None:
+    """Reads the settings file again and logs whether it is valid and changed; applies nothing."""
+    try:
+        new_settings = load_node_settings()
+    except SettingsInvalid as error:
+        log.error("Rejected the new settings: {}.", error)
+        return
+    log.info("Read the settings again.", has_changes=new_settings != settings)
--- a/briarvale/programs/store_node.py
+++ b/briarvale/programs/store_node.py
@@ -5,19 +5,20 @@
 
 import signal
 
-import anyio
+__all__ = ["main"]
 
 
 def main() -> None:
     """Waits for SIGTERM or SIGINT."""
-    anyio.run(_wait)
+    # The default ends the process. It has no settings to read again.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    import anyio
 
+    async def wait() -> None:
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            await anext(aiter(signals))
 
-async def _wait() -> None:
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
-        async for received in signals:
-            if received is not signal.SIGHUP:
-                return
+    anyio.run(wait)
 
 
 if __name__ == "__main__":
--- a/features/platform/containment.feature
+++ b/features/platform/containment.feature
@@ -55,3 +55,13 @@
   Scenario: The watch of a publisher fails for a reason that nobody foresaw
     When the watch of a node that publishes a kind fails with an unexpected error
     Then the node tells a new subscriber that it does not publish the kind
+
+  # Guards against: a node or store process that the platform's SIGHUP ends, as it comes while it still starts.
+  Scenario Outline: The settings change while a process starts
+    When the process <program> gets SIGHUP while it imports its first library
+    Then it goes on, and ends with 0 at SIGTERM
+
+    Examples:
+      | program    |
+      | node       |
+      | store_node |
--- /dev/null
+++ b/features/steps/platform_process_signals.py
@@ -0,0 +1,141 @@
+"""Steps for signals to a node's process while it starts, and after its settings have changed."""
+
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+import tomllib
+from pathlib import Path
+
+from behave import then, when
+from behave.runner import Context
+
+from briarvale.node_settings import NodeSettings, NodeTimeLimits, StoreSettings
+from briarvale.peer import PeerAddress
+from briarvale.settings import Settings
+from features.support.platform_fleet import free_port
+from features.support.platform_settings_file import settings_file_text
+
+HOST = "127.0.0.1"
+PROCESS_TIMEOUT_S = 20.0
+POLL_INTERVAL_S = 0.05
+STORE_NODE_START_S = 3.0
+# Runs a program that gets SIGHUP as it imports anyio, its first library.
+HANGUP_AT_IMPORT = """
+import os, runpy, signal, sys
+
+class Hangup:
+    def find_spec(self, name, path=None, target=None):
+        if name == "anyio":
+            sys.meta_path.remove(self)
+            os.kill(os.getpid(), signal.SIGHUP)
+
+sys.meta_path.insert(0, Hangup())
+runpy.run_module("briarvale.programs." + sys.argv[1], run_name="__main__")
+"""
+ODD_FILES = {
+    "bytes that are no UTF-8": b'node_name = "\xff"',
+    "5,000 nested lists": b"zone = " + b"[" * 5_000 + b"]" * 5_000,
+}
+
+
+def valid_settings() -> str:
+    """Returns the text of a settings file whose store does not answer."""
+    caller, readiness, store = (PeerAddress(HOST, free_port()) for _ in range(3))
+    return settings_file_text(
+        NodeSettings(
+            Settings("vm-1", "cymru", "caerdydd", HOST, "", "", "", peer_port=free_port()),
+            StoreSettings(store),
+            NodeTimeLimits(grace_ms=4_000),
+            caller_address=caller,
+            readiness_address=readiness,
+        )
+    )
+
+
+def start(folder: str, *arguments: str) -> "subprocess.Popen[bytes]":
+    """Starts Python with valid settings; its standard output goes to a file in the folder."""
+    path = Path(folder, "boot.toml")
+    path.write_text(valid_settings())
+    with Path(folder, "log").open("wb") as log:
+        return subprocess.Popen(
+            [sys.executable, *arguments],
+            env=os.environ | {"BRIARVALE_BOOT": str(path)},
+            stdout=log,
+            stderr=subprocess.STDOUT,
+        )
+
+
+def wait_logged(process: "subprocess.Popen[bytes]", folder: str, text: str) -> bool:
+    """Waits until the process has logged a text; returns whether it did so before it ended."""
+    deadline_s = time.monotonic() + PROCESS_TIMEOUT_S
+    while time.monotonic() < deadline_s and process.poll() is None:
+        if text in Path(folder, "log").read_text():
+            return True
+        time.sleep(POLL_INTERVAL_S)
+    return False
+
+
+def stop(process: "subprocess.Popen[bytes]", folder: str) -> tuple[int, str]:
+    """Stops a process; returns its exit code and its output."""
+    if process.poll() is None:
+        process.send_signal(signal.SIGTERM)
+    code = process.wait(PROCESS_TIMEOUT_S)
+    return code, Path(folder, "log").read_text()
+
+
+@when("the process {program} gets SIGHUP while it imports its first library")
+def when_hangup_at_start(context: Context, program: str) -> None:
+    with tempfile.TemporaryDirectory() as folder:
+        process = start(folder, "-c", HANGUP_AT_IMPORT, program)
+        context.has_started = wait_started(process, folder, program)
+        context.code, context.output = stop(process, folder)
+
+
+def wait_started(process: "subprocess.Popen[bytes]", folder: str, program: str) -> bool:
+    """Waits until a process watches for signals."""
+    if program == "node":
+        return wait_logged(process, folder, "Starts.")
+    time.sleep(STORE_NODE_START_S)
+    return process.poll() is None
+
+
+@then("it goes on, and ends with 0 at SIGTERM")
+def then_goes_on(context: Context) -> None:
+    assert context.has_started and context.code == 0, (context.code, context.output)
+
+
+@when("a node gets SIGHUP after its settings file got {settings}")
+def when_settings_odd(context: Context, settings: str) -> None:
+    with tempfile.TemporaryDirectory() as folder:
+        process = start(folder, "-m", "briarvale.programs.node")
+        wait_logged(process, folder, "Starts.")
+        Path(folder, "boot.toml").write_bytes(odd_file(settings))
+        process.send_signal(signal.SIGHUP)
+        context.is_rejected = wait_logged(process, folder, "Rejected the new settings")
+        context.code, context.output = stop(process, folder)
+
+
+def odd_file(settings: str) -> bytes:
+    """Returns a settings file of which one field is odd."""
+    if settings in ODD_FILES:
+        return ODD_FILES[settings]
+    field = settings.partition(" ")[0]
+    lines = valid_settings().splitlines()
+    kept: list[str] = []
+    is_replaced = False
+    for line in lines:
+        if line.startswith("["):
+            is_replaced = line == f"[{field}]"
+        if not is_replaced and not line.startswith(f"{field} ="):
+            kept.append(line)
+    text = "\n".join([settings, *kept])
+    tomllib.loads(text)
+    return text.encode()
+
+
+@then("it rejects the new settings, and ends with 0 at SIGTERM")
+def then_rejects(context: Context) -> None:
+    assert context.is_rejected and context.code == 0, (context.code, context.output)
