Reject odd settings at SIGHUP instead of ending

Seen by callers: a serving node that ends, and each of a fleet at the same moment, as the settings file it is told to read again is TOML but holds another type than expected.

Cause: the file was decoded by hand; conversions raise errors that aren't SettingsInvalid, and the task that reads the file at SIGHUP shares the node's task group.

Change: the file is converted into typed values with ranges; errors of reading it, text that is no UTF-8 and deep nesting too, are SettingsInvalid. What nobody foresaw there is contained.

--- a/briarvale/platform/settings_file.py
+++ b/briarvale/platform/settings_file.py
@@ -2,23 +2,73 @@
 
 import os
 import tomllib
-from collections.abc import Mapping
 from pathlib import Path
-from typing import Any
+from typing import Annotated
+
+import msgspec
 
 from ..clock import MS_PER_S
-from ..errors import SettingsInvalid
+from ..errors import DocumentInvalid, SettingsInvalid
 from ..node_settings import NodeSettings, NodeTimeLimits, StoreSettings
 from ..peer import PeerAddress
 from ..settings import Settings
+from ..strict_json import HostName, Label, NonEmptyLabel, convert_value
 
 SETTINGS_PATH_VARIABLE = "BRIARVALE_BOOT"
 # The deploy file sets this to the port of its `metrics` entry, which the settings file lacks.
 METRICS_PORT_VARIABLE = "BRIARVALE_METRICS_PORT"
 SHARED_SECRET_VARIABLE = "BRIARVALE_SHARED_SECRET"
 
+MAX_PORT = 65_535
+MAX_PORT_DIGITS = 5
+MAX_GRACE_S = 86_400
+MAX_CORES = 100_000
+MAX_VALUE_BYTES = 2**31 - 1
+
 __all__ = ["load_node_settings", "node_settings_from"]
 
+Port = Annotated[int, msgspec.Meta(ge=1, le=MAX_PORT)]
+Cores = Annotated[float, msgspec.Meta(ge=0, le=MAX_CORES)]
+
+
+class _Platform(msgspec.Struct):
+    """The platform's store."""
+
+    address: Label
+    value_bytes: Annotated[int, msgspec.Meta(ge=1, le=MAX_VALUE_BYTES)] = 1_048_576
+
+
+class _Listen(msgspec.Struct):
+    """Addresses to listen at; an empty one is absent."""
+
+    front: Label = ""
+    ready: Label = ""
+
+
+class _Bounds(msgspec.Struct):
+    grace_s: Annotated[float, msgspec.Meta(ge=0, le=MAX_GRACE_S)] = 8.0
+
+
+class _Limits(msgspec.Struct):
+    """Processor capacity: a share of one core, which is `cpu_cores` times as fast as usual."""
+
+    cpu_share: Cores = 0.0
+    cpu_cores: Cores = 1.0
+
+
+class _SettingsFile(msgspec.Struct):
+    """The fields that a node uses; others may come."""
+
+    node_name: NonEmptyLabel
+    region: Label
+    zone: Label
+    ip: HostName
+    internal_ports: tuple[Port, Port]
+    platform: _Platform
+    listen: _Listen = msgspec.field(default_factory=_Listen)
+    bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+
 
 def load_node_settings() -> NodeSettings:
     """Reads the file whose path is in the environment variable `BRIARVALE_BOOT`.
@@ -29,75 +79,63 @@
     path = Path(os.environ.get(SETTINGS_PATH_VARIABLE, "/etc/briarvale/boot.toml"))
     try:
         fields = tomllib.loads(path.read_text())
-    except (OSError, tomllib.TOMLDecodeError) as error:
+    except (OSError, ValueError, RecursionError) as error:
         raise SettingsInvalid(f"{path}: {error}") from error
     return node_settings_from(fields)
 
 
-def node_settings_from(fields: Mapping[str, Any]) -> NodeSettings:
+def node_settings_from(fields: object) -> NodeSettings:
     """Decodes the fields of the settings file; raises `SettingsInvalid`."""
-    platform = _required_table(fields, "platform")
-    listen = fields.get("listen", {})
-    bounds = fields.get("bounds", {})
-    limits = fields.get("limits", {})
-    ports = fields.get("internal_ports", [])
-    if len(ports) != 2:
+    try:
+        found = convert_value(fields, _SettingsFile)
+    except DocumentInvalid as error:
+        raise SettingsInvalid(str(error)) from error
+    first_port, last_port = found.internal_ports
+    if last_port <= first_port:
         raise SettingsInvalid("internal_ports: expected a first and a last port")
-    store = _parse_address(_required_text(platform, "address"), "platform.address")
+    store = _parse_address(found.platform.address, "platform.address")
     vm_settings = Settings(
-        vm=_required_text(fields, "node_name"),
-        region=_required_text(fields, "region"),
-        availability_zone=_required_text(fields, "zone"),
-        host=_required_text(fields, "ip"),
+        vm=found.node_name,
+        region=found.region,
+        availability_zone=found.zone,
+        host=found.ip,
         # Without a secret, the store's address keeps out peers of other fleets.
         shared_secret=os.environ.get(SHARED_SECRET_VARIABLE) or f"{store.host}:{store.port}",
         object_api_url="",
         vm_list_url="",
-        peer_port=ports[0],
-        heartbeat_port=ports[0] + 1,
+        peer_port=first_port,
+        heartbeat_port=first_port + 1,
         log_format="json",
     )
     return NodeSettings(
         vm_settings=vm_settings,
-        store=StoreSettings(store, int(platform.get("value_bytes", 1_048_576))),
-        time_limits=NodeTimeLimits(
-            grace_ms=round(bounds.get("grace_s", 8) * MS_PER_S),
-        ),
-        # `cpu_share` is a fraction of one core that is `cpu_cores` times as fast as a usual one.
-        processor_cores=float(limits.get("cpu_share", 0.0)) * float(limits.get("cpu_cores", 1)),
-        caller_address=_optional_address(listen, "front"),
-        readiness_address=_optional_address(listen, "ready"),
-        metrics_address=_metrics_address(_required_text(fields, "ip")),
+        store=StoreSettings(store, found.platform.value_bytes),
+        time_limits=NodeTimeLimits(grace_ms=round(found.bounds.grace_s * MS_PER_S)),
+        processor_cores=found.limits.cpu_share * found.limits.cpu_cores,
+        caller_address=_optional_address(found.listen.front, "listen.front"),
+        readiness_address=_optional_address(found.listen.ready, "listen.ready"),
+        metrics_address=_metrics_address(found.ip),
     )
 
 
-def _required_table(fields: Mapping[str, Any], name: str) -> Mapping[str, Any]:
-    table = fields.get(name)
-    if not isinstance(table, Mapping):
-        raise SettingsInvalid(f"{name}: expected a table")
-    return table
-
-
-def _required_text(fields: Mapping[str, Any], name: str) -> str:
-    text = fields.get(name)
-    if not isinstance(text, str):
-        raise SettingsInvalid(f"{name}: expected a string")
-    return text
-
-
 def _parse_address(text: str, name: str) -> PeerAddress:
     host, _, port = text.rpartition(":")
-    if not host or not port.isdigit():
+    if not host:
         raise SettingsInvalid(f"{name}: expected IP:PORT")
-    return PeerAddress(host, int(port))
+    return PeerAddress(host, _parse_port(port, name))
+
+
+def _parse_port(text: str, name: str) -> int:
+    port = int(text) if text.isascii() and text.isdigit() and len(text) <= MAX_PORT_DIGITS else 0
+    if not 0 < port <= MAX_PORT:
+        raise SettingsInvalid(f"{name}: expected a port number")
+    return port
 
 
-def _optional_address(listen: Mapping[str, Any], name: str) -> PeerAddress | None:
-    return _parse_address(listen[name], f"listen.{name}") if listen.get(name) else None
+def _optional_address(text: str, name: str) -> PeerAddress | None:
+    return _parse_address(text, name) if text else None
 
 
 def _metrics_address(host: str) -> PeerAddress | None:
     port = os.environ.get(METRICS_PORT_VARIABLE, "")
-    if port and not port.isdigit():
-        raise SettingsInvalid(f"{METRICS_PORT_VARIABLE}: expected a port number")
-    return PeerAddress(host, int(port)) if port else None
+    return PeerAddress(host, _parse_port(port, METRICS_PORT_VARIABLE)) if port else None
--- a/briarvale/programs/_node.py
+++ b/briarvale/programs/_node.py
@@ -6,6 +6,7 @@
 import anyio
 
 from .. import logs
+from ..containment import contain
 from ..errors import SettingsInvalid
 from ..json_logs import configure_json_lines
 from ..node_settings import NodeSettings
@@ -44,7 +45,8 @@
         async for received in signals:
             match received:
                 case signal.SIGHUP:
-                    _reload(settings)
+                    with contain("settings"):
+                        _reload(settings)
                 case _:
                     stop_requested.set()
 
--- a/features/platform/containment.feature
+++ b/features/platform/containment.feature
@@ -65,3 +65,22 @@
       | program    |
       | node       |
       | store_node |
+
+  # Guards against: a node that ends at SIGHUP, as a setting has another type than expected.
+  Scenario Outline: The settings of a running node become odd
+    When a node gets SIGHUP after its settings file got <settings>
+    Then it rejects the new settings, and ends with 0 at SIGTERM
+
+    Examples:
+      | settings                          |
+      | internal_ports = 5                |
+      | internal_ports = ["a", "b"]       |
+      | internal_ports = [7660]           |
+      | bounds = { grace_s = "8" }        |
+      | bounds = { grace_s = nan }        |
+      | bounds = 7                        |
+      | listen = { front = 8 }            |
+      | limits = { cpu_share = "1/2" }    |
+      | platform = { address = "h:²" }    |
+      | bytes that are no UTF-8           |
+      | 5,000 nested lists                |
