--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -80,13 +80,13 @@
         self.is_excused = False
         self.peak_kb = 0
         self.restart_after_s = 0.3
-        self._path = path
+        self.settings_path = path
         self.log_path = path.with_suffix(".log")
         self.process = self._start()
 
     def _start(self) -> subprocess.Popen[bytes]:
         variables = {
-            "BRIARVALE_BOOT": str(self._path),
+            "BRIARVALE_BOOT": str(self.settings_path),
             # By default the store's address, which differs here, as each node has its own proxy.
             "BRIARVALE_SHARED_SECRET": SHARED_SECRET,
             "BRIARVALE_METRICS_PORT": str(self.metrics_port),
--- a/soak/odd.py
+++ b/soak/odd.py
@@ -18,7 +18,8 @@
 from features.support.platform_fleet import Answer, Caller, job_body
 from soak.callers import CONNECTION_ERRORS, CallKind, send_request
 from soak.fleet import NodeProcess, SoakFleet
-from soak.odd_neighbours import NEIGHBOURS, OddInput, OddStore
+from soak.odd_neighbours import NEIGHBOURS, OddStore
+from soak.odd_values import OddInput
 from soak.promises import BrokenPromise
 from soak.seeds import play_seeds
 
--- a/soak/odd_neighbours.py
+++ b/soak/odd_neighbours.py
@@ -2,12 +2,10 @@
 
 import json
 import random
-import resource
-import socket
 from collections.abc import AsyncIterator, Callable
-from contextlib import AbstractAsyncContextManager, ExitStack, asynccontextmanager, suppress
+from contextlib import AbstractAsyncContextManager, asynccontextmanager, suppress
 from enum import Enum
-from typing import Any, NamedTuple
+from typing import Any
 
 import anyio
 
@@ -30,13 +28,11 @@
 from features.support.platform_fleet import HOST, PLAIN, job_body
 from features.support.platform_store import PlatformStoreStandin
 from soak.fleet import SHARED_SECRET, NodeProcess, SoakFleet
-from soak.odd_values import OddDocument, mutate, odd_text, odd_value
+from soak.odd_machine import few_descriptors, odd_settings, taken_port
+from soak.odd_values import OddDocument, OddInput, mutate, odd_text, odd_value
 
 ANSWER_TIMEOUT_S = 3.0
 ODD_ENTRY = "i-odd"
-IDLE_CONNECTIONS = 60
-# Descriptors that a node may still open once its limit is lowered.
-SPARE_DESCRIPTORS = 6
 PEER_MESSAGES = 20
 PEER_MESSAGE_TYPES: tuple[Any, ...] = (
     *(SlotRequest, SlotRelease, SlotWithdraw, SlotGrant, SlotHeartbeat, HolderReport),
@@ -62,21 +58,7 @@
 ENVELOPE = ("items", "events", "as_of", "metadata", "revision", "object")
 WRONG_TYPES = (b"null", b"true", b'"x"', b"{}", b"-1", b"1.5", b"1e999", b"[[]]", b"NaN", b"[7]")
 
-__all__ = ["NEIGHBOURS", "OddInput", "OddStore"]
-
-
-class OddInput(NamedTuple):
-    """One odd input.
-
-    Attributes:
-        detail: What is said, for the report.
-        complaint: What was wrong with the answer; empty if nothing was.
-        accepted_job: Id of a job whose first item may be odd; its other items are sound.
-    """
-
-    detail: str
-    complaint: str = ""
-    accepted_job: str = ""
+__all__ = ["NEIGHBOURS", "OddStore"]
 
 
 OddContext = AbstractAsyncContextManager[OddInput]
@@ -308,67 +290,6 @@
             return value
 
 
-@asynccontextmanager
-async def taken_port(fleet: SoakFleet, draw: random.Random) -> AsyncIterator[OddInput]:
-    """A port of a node that another process holds as the node starts."""
-    node = draw.choice(fleet.nodes)
-    settings = node.endpoint.settings
-    vm = settings.vm_settings
-    assert settings.caller_address is not None and settings.readiness_address is not None
-    address, kind = draw.choice(
-        (
-            (settings.caller_address, socket.SOCK_STREAM),
-            (settings.readiness_address, socket.SOCK_STREAM),
-            (PeerAddress(vm.host, vm.peer_port), socket.SOCK_STREAM),
-            (PeerAddress(vm.host, vm.peer_port + 1), socket.SOCK_DGRAM),
-            (PeerAddress(vm.host, node.metrics_port), socket.SOCK_STREAM),
-        )
-    )
-    node.restart()
-    node.process.wait()
-    with ExitStack() as held:
-        holder = held.enter_context(socket.socket(type=kind))
-        holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        is_held = _try_bind(holder, address)
-        if is_held and kind is socket.SOCK_STREAM:
-            holder.listen()
-        verb = "is taken" if is_held else "was not free"
-        yield OddInput(f"{address.host}:{address.port} ({kind.name}) {verb} as {node.name} starts")
-
-
-def _try_bind(holder: socket.socket, address: PeerAddress) -> bool:
-    """Binds a socket; false if the node, which another input restarted, was sooner."""
-    try:
-        holder.bind((address.host, address.port))
-    except OSError:
-        return False
-    return True
-
-
-@asynccontextmanager
-async def few_descriptors(fleet: SoakFleet, draw: random.Random) -> AsyncIterator[OddInput]:
-    """A node that can open no further files, with many connections that callers opened."""
-    node = draw.choice(fleet.nodes)
-    address = node.endpoint.settings.caller_address
-    assert address is not None
-    if node.process.poll() is not None:
-        # Another input has just ended it.
-        yield OddInput(f"no descriptors taken: {node.name} is down")
-        return
-    before = resource.prlimit(node.process.pid, resource.RLIMIT_NOFILE)
-    limit = node.open_files() + SPARE_DESCRIPTORS
-    node.is_excused = True
-    with ExitStack() as opened:
-        resource.prlimit(node.process.pid, resource.RLIMIT_NOFILE, (limit, before[1]))
-        for _ in range(IDLE_CONNECTIONS):
-            connection = opened.enter_context(socket.socket())
-            connection.setblocking(False)
-            connection.connect_ex((address.host, address.port))
-        yield OddInput(f"{limit} descriptors at {node.name}")
-    if node.process.poll() is None:
-        resource.prlimit(node.process.pid, resource.RLIMIT_NOFILE, before)
-
-
 @asynccontextmanager
 async def _stored(fleet: SoakFleet, kind: str, name: str, odd: OddDocument) -> AsyncIterator[None]:
     """Keeps an object in the store, which nodes that start list first."""
@@ -405,4 +326,5 @@
     "peer": odd_peer,
     "port": taken_port,
     "descriptors": few_descriptors,
+    "settings": odd_settings,
 }
--- a/soak/odd_values.py
+++ b/soak/odd_values.py
@@ -1,11 +1,11 @@
-"""Odd JSON values, and documents in which they take the place of a sound value."""
+"""Odd values, and documents in which they take the place of a sound value."""
 
 import json
 import random
 from collections.abc import Iterator
 from typing import Any, NamedTuple
 
-__all__ = ["OddDocument", "mutate", "odd_text", "odd_value"]
+__all__ = ["OddDocument", "OddInput", "mutate", "odd_text", "odd_value"]
 
 NUMBERS = (
     *(b"0", b"-1", b"1", b"1.5", b"-0.0", b"65536", b"2147483648", b"4294967295", b"4294967296"),
@@ -31,6 +31,20 @@
     detail: str
 
 
+class OddInput(NamedTuple):
+    """One odd input.
+
+    Attributes:
+        detail: What is said, for the report.
+        complaint: What was wrong with the answer; empty if nothing was.
+        accepted_job: Id of a job whose first item may be odd; its other items are sound.
+    """
+
+    detail: str
+    complaint: str = ""
+    accepted_job: str = ""
+
+
 def odd_value(draw: random.Random) -> bytes:
     """Returns a value in JSON that few programs expect; some are malformed."""
     if draw.random() < 0.03:
