--- a/briarvale/platform/settings_file.py
+++ b/briarvale/platform/settings_file.py
@@ -78,7 +78,7 @@
     """
     path = Path(os.environ.get(SETTINGS_PATH_VARIABLE, "/etc/briarvale/boot.toml"))
     try:
-        fields = tomllib.loads(path.read_text())
+        fields = tomllib.loads(path.read_bytes().decode())
     except (OSError, ValueError, RecursionError) as error:
         raise SettingsInvalid(f"{path}: {error}") from error
     return node_settings_from(fields)
