Wait for callers though another part fails while a node stops

Seen by callers: a request or stream cut at a planned stop, if handing over the jobs or announcing the departure raises an error that nobody foresaw.

Cause: both calls stood bare in the stop, so that an error cancelled the whole node.

Evidence: with both made to fail, the new scenario ended with the error after 0.5 s; now the running stream is whole, later requests are refused as not run, and the node ends within its grace time.

Change: both are contained: logged, counted, and the stop goes on.

--- a/briarvale/platform/node.py
+++ b/briarvale/platform/node.py
@@ -9,7 +9,7 @@
 from ..active_routes import ActiveRoutes
 from ..backend_connections import BackendConnections
 from ..clock import MS_PER_S, Clock
-from ..containment import keep_running
+from ..containment import keep_running, run_contained
 from ..crash_guard import CrashGuard
 from ..crash_records import CrashRecords
 from ..datagrams import UdpDatagrams
@@ -284,8 +284,8 @@
             self._forwarder.slot_waits.end_at(end_at_ms - WAIT_RESERVE_MS)
         if self._runner is not None:
             with anyio.move_on_after(BALANCER_LAG_MS / MS_PER_S):
-                await self._runner.drain()
-        await self.cluster.membership.leave()
+                await run_contained("jobs", self._runner.drain)
+        await run_contained("membership", self.cluster.membership.leave)
         await self._clock.sleep_until(refuse_at_ms)
         self._set_ingress_state(IngressState.REFUSING)
         while self._active_count() and self._clock.now_ms() < end_at_ms:
--- a/features/platform/containment.feature
+++ b/features/platform/containment.feature
@@ -84,3 +84,10 @@
       | platform = { address = "h:²" }    |
       | bytes that are no UTF-8           |
       | 5,000 nested lists                |
+
+  # Guards against: a node that cuts its callers' requests, as another part fails while it stops.
+  Scenario: Parts of a node fail while it stops
+    When a node stops that can neither hand over its jobs nor say that it leaves
+    Then the running request gets its complete answer, and the connection then closes
+    And later requests on open connections are refused as not run
+    And the node exits within its grace period
--- a/features/steps/platform_forwarding.py
+++ b/features/steps/platform_forwarding.py
@@ -1,12 +1,15 @@
 """Steps of forwarding: a real node between a caller and stand-in servers, on loopback."""
 
 import time
+from collections.abc import Callable
 from typing import Any
+from unittest import mock
 
 import anyio
 from behave import then, when
 from behave.runner import Context
 
+from briarvale.platform.node import Node
 from features.support.platform_engine import ODD_EVENT, Behaviour, PlatformEngineStandin, event
 from features.support.platform_fleet import (
     GRACE_MS,
@@ -451,8 +454,28 @@
 
 @when("a node stops while a caller keeps its connection")
 def when_stops(context: Context) -> None:
+    stop_while_served(context, lambda node: None)
+
+
+@when("a node stops that can neither hand over its jobs nor say that it leaves")
+def when_stops_with_failures(context: Context) -> None:
+    failing = mock.AsyncMock(side_effect=ZeroDivisionError("nobody foresaw this"))
+
+    def break_parts(node: Node) -> None:
+        assert node._runner is not None
+        node._runner.drain = failing  # type: ignore[method-assign]
+        node.cluster.membership.leave = failing  # type: ignore[method-assign]
+
+    stop_while_served(context, break_parts)
+
+
+def stop_while_served(context: Context, prepare: Callable[[Node], None]) -> None:
+    """Stops a node while one caller is served and another keeps its connection."""
+
     async def scenario(fleet: PlatformFleet, caller: Caller, observed: Observations) -> None:
         node = fleet.nodes["vm-1"]
+        assert node.node is not None
+        prepare(node.node)
         kept_caller = Caller(node)
         first = await kept_caller.call("POST", "/look/a", BODY)
         assert first is not None and first.status == 200
