Wait for settings that are still being written

Seen by callers: possibly 'the system didn't start'; no logs say so. A node that starts while its settings file is missing, empty or cut off ended with 2.

Cause: the file was read once, though the platform writes it at each start and at each change.

Change: invalid settings are read again for two seconds. Hosts may also be IPv6 addresses, as they could be before the settings had types. The steps for a process's start are named after that.

--- a/briarvale/programs/_node.py
+++ b/briarvale/programs/_node.py
@@ -2,6 +2,7 @@
 
 import signal
 import sys
+import time
 
 import anyio
 
@@ -14,6 +15,9 @@
 from ..platform.settings_file import load_node_settings
 
 EXIT_BAD_SETTINGS = 2
+# The platform may still be writing the file as the process starts.
+SETTINGS_TIMEOUT_S = 2.0
+SETTINGS_RETRY_S = 0.1
 
 log = logs.component_logger("node")
 
@@ -23,15 +27,30 @@
 def run_node() -> None:
     """Runs the node; exits with 2 and starts nothing if the settings are invalid."""
     try:
-        settings = load_node_settings()
-    except SettingsInvalid as error:
-        print(error, file=sys.stderr)
+        settings = _load_settings()
+    except SettingsInvalid:
         sys.exit(EXIT_BAD_SETTINGS)
     configure_json_lines(settings.vm_settings)
     # uvloop, because a node spends most of its time in the event loop.
     anyio.run(_run, settings, backend_options={"use_uvloop": True})
 
 
+def _load_settings() -> NodeSettings:
+    """Reads the settings file, again for a while if it is invalid; raises `SettingsInvalid`."""
+    deadline_s = time.monotonic() + SETTINGS_TIMEOUT_S
+    printed = ""
+    while True:
+        try:
+            return load_node_settings()
+        except SettingsInvalid as error:
+            if str(error) != printed:
+                printed = str(error)
+                print(printed, file=sys.stderr, flush=True)
+            if time.monotonic() >= deadline_s:
+                raise
+        time.sleep(SETTINGS_RETRY_S)
+
+
 async def _run(settings: NodeSettings) -> None:
     stop_requested = anyio.Event()
     async with anyio.create_task_group() as tasks:
--- a/briarvale/strict_json.py
+++ b/briarvale/strict_json.py
@@ -35,7 +35,10 @@
 # The resolver fails at empty or long parts of a name.
 _HOST_LABEL = "[0-9A-Za-z_-]{1,63}"
 HOST_NAME_PATTERN = rf"{_HOST_LABEL}(?:\.{_HOST_LABEL})*"
-HostName = Annotated[str, msgspec.Meta(max_length=255, pattern=rf"^{HOST_NAME_PATTERN}\Z")]
+_IPV6_PATTERN = "[0-9A-Fa-f]{0,4}:[0-9A-Fa-f:.]{1,40}"
+HostName = Annotated[
+    str, msgspec.Meta(max_length=255, pattern=rf"^(?:{HOST_NAME_PATTERN}|{_IPV6_PATTERN})\Z")
+]
 
 _STRING = re.compile(rb'"[^"\\]*(?:\\.[^"\\]*)*"', re.DOTALL)
 # A whole string, a run of brackets in the same direction, or a comma. Runs keep a document of
--- a/features/platform/containment.feature
+++ b/features/platform/containment.feature
@@ -66,6 +66,17 @@
       | node       |
       | store_node |
 
+  # Guards against: a node that doesn't start, as its settings file is still being written.
+  Scenario Outline: The settings are not whole yet as a node starts
+    When a node starts while its settings file is <state>, and the file is whole after it was read
+    Then it goes on, and ends with 0 at SIGTERM
+
+    Examples:
+      | state    |
+      | missing  |
+      | empty    |
+      | cut off  |
+
   # Guards against: a node that ends at SIGHUP, as a setting has another type than expected.
   Scenario Outline: The settings of a running node become odd
     When a node gets SIGHUP after its settings file got <settings>
--- a/features/steps/platform_process_signals.py
+++ b/features/steps/platform_process_start.py
@@ -1,4 +1,4 @@
-"""Steps for signals to a node's process while it starts, and after its settings have changed."""
+"""Steps for a node's process whose settings change, or that gets signals while it starts."""
 
 import os
 import signal
@@ -55,10 +55,11 @@
     )
 
 
-def start(folder: str, *arguments: str) -> "subprocess.Popen[bytes]":
-    """Starts Python with valid settings; its standard output goes to a file in the folder."""
+def start(folder: str, *arguments: str, settings: str | None) -> "subprocess.Popen[bytes]":
+    """Starts Python with a settings file; its output goes to a file in the folder."""
     path = Path(folder, "boot.toml")
-    path.write_text(valid_settings())
+    if settings is not None:
+        path.write_text(settings)
     with Path(folder, "log").open("wb") as log:
         return subprocess.Popen(
             [sys.executable, *arguments],
@@ -89,7 +90,7 @@
 @when("the process {program} gets SIGHUP while it imports its first library")
 def when_hangup_at_start(context: Context, program: str) -> None:
     with tempfile.TemporaryDirectory() as folder:
-        process = start(folder, "-c", HANGUP_AT_IMPORT, program)
+        process = start(folder, "-c", HANGUP_AT_IMPORT, program, settings=valid_settings())
         context.has_started = wait_started(process, folder, program)
         context.code, context.output = stop(process, folder)
 
@@ -107,10 +108,23 @@
     assert context.has_started and context.code == 0, (context.code, context.output)
 
 
+@when("a node starts while its settings file is {state}, and the file is whole after it was read")
+def when_written_late(context: Context, state: str) -> None:
+    text = valid_settings()
+    partial = {"missing": None, "empty": "", "cut off": text[: len(text) // 2]}[state]
+    with tempfile.TemporaryDirectory() as folder:
+        process = start(folder, "-m", "briarvale.programs.node", settings=partial)
+        # The first line says what is wrong.
+        wait_logged(process, folder, "\n")
+        Path(folder, "boot.toml").write_text(text)
+        context.has_started = wait_logged(process, folder, "Starts.")
+        context.code, context.output = stop(process, folder)
+
+
 @when("a node gets SIGHUP after its settings file got {settings}")
 def when_settings_odd(context: Context, settings: str) -> None:
     with tempfile.TemporaryDirectory() as folder:
-        process = start(folder, "-m", "briarvale.programs.node")
+        process = start(folder, "-m", "briarvale.programs.node", settings=valid_settings())
         wait_logged(process, folder, "Starts.")
         Path(folder, "boot.toml").write_bytes(odd_file(settings))
         process.send_signal(signal.SIGHUP)
