Start without standard output

Seen by callers: possibly 'the system didn't start'; no logs say so. A node that was started with its standard output closed ended at once, at each start.

Cause: the log asked sys.stdout, which is None then, for its descriptor.

Change: without standard output the lines go to the null device.

--- a/briarvale/json_logs.py
+++ b/briarvale/json_logs.py
@@ -66,8 +66,15 @@
 
 def configure_json_lines(settings: Settings) -> None:
     """Sends all log lines to standard output as JSON, without blocking on its reader."""
-    descriptor = sys.stdout.fileno()
+    descriptor = _output_descriptor()
     os.set_blocking(descriptor, False)
     logger.remove()
     logger.configure(extra={"part": "briarvale", "vm": settings.vm})
     logger.add(_LineSink(descriptor), level=settings.log_level, format="{message}")
+
+
+def _output_descriptor() -> int:
+    """Returns standard output, or the null device if the process was started without it."""
+    if sys.stdout is None:
+        return os.open(os.devnull, os.O_WRONLY)
+    return sys.stdout.fileno()
--- a/features/platform/containment.feature
+++ b/features/platform/containment.feature
@@ -77,6 +77,16 @@
       | empty    |
       | cut off  |
 
+  # Guards against: a node that ends at its start, as nobody reads its logs.
+  Scenario Outline: A node starts without standard streams
+    When a node starts with <streams> closed
+    Then it answers readiness checks, and ends with 0 at SIGTERM
+
+    Examples:
+      | streams                  |
+      | standard output          |
+      | all its standard streams |
+
   # Guards against: a node that ends at SIGHUP, as a setting has another type than expected.
   Scenario Outline: The settings of a running node become odd
     When a node gets SIGHUP after its settings file got <settings>
--- a/features/steps/platform_process_start.py
+++ b/features/steps/platform_process_start.py
@@ -9,6 +9,7 @@
 import tomllib
 from pathlib import Path
 
+import httpx
 from behave import then, when
 from behave.runner import Context
 
@@ -21,6 +22,7 @@
 HOST = "127.0.0.1"
 PROCESS_TIMEOUT_S = 20.0
 POLL_INTERVAL_S = 0.05
+NOT_READY_STATUS = 503
 STORE_NODE_START_S = 3.0
 # Runs a program that gets SIGHUP as it imports anyio, its first library.
 HANGUP_AT_IMPORT = """
@@ -121,6 +123,44 @@
         context.code, context.output = stop(process, folder)
 
 
+@when("a node starts with {streams} closed")
+def when_streams_closed(context: Context, streams: str) -> None:
+    closed = (1,) if streams == "standard output" else (0, 1, 2)
+
+    def close() -> None:
+        for descriptor in closed:
+            os.close(descriptor)
+
+    text = valid_settings()
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder, "boot.toml")
+        path.write_text(text)
+        process = subprocess.Popen(
+            [sys.executable, "-m", "briarvale.programs.node"],
+            env=os.environ | {"BRIARVALE_BOOT": str(path)},
+            preexec_fn=close,
+        )
+        context.is_answering = wait_answering(process, tomllib.loads(text)["listen"]["ready"])
+        process.send_signal(signal.SIGTERM)
+        context.code = process.wait(PROCESS_TIMEOUT_S)
+
+
+def wait_answering(process: "subprocess.Popen[bytes]", address: str) -> bool:
+    """Waits until a process answers over HTTP; returns whether it did so before it ended."""
+    deadline_s = time.monotonic() + PROCESS_TIMEOUT_S
+    while time.monotonic() < deadline_s and process.poll() is None:
+        try:
+            return httpx.get(f"http://{address}/").status_code == NOT_READY_STATUS
+        except httpx.TransportError:
+            time.sleep(POLL_INTERVAL_S)
+    return False
+
+
+@then("it answers readiness checks, and ends with 0 at SIGTERM")
+def then_answers(context: Context) -> None:
+    assert context.is_answering and context.code == 0, (context.is_answering, context.code)
+
+
 @when("a node gets SIGHUP after its settings file got {settings}")
 def when_settings_odd(context: Context, settings: str) -> None:
     with tempfile.TemporaryDirectory() as folder:
