Bound what decoding a peer's message may cost

Callers: nothing is served for 24 to 28 s by a node whose peer port gets 52 bytes from a process that doesn't know the peers' secret; peers count its VM as dead.

Cause: a list in a message may claim hundreds of millions of elements that take no space, and the messages of the handshake are decoded before the secret is proved. Also, 4 MB could be announced before that, and an unknown value of an enum raised an error that nothing expected.

Honest messages with 20,000 rows, 2 MB or 3,000 VMs read each word once; the bound is twice that and 1,024.

Change: a traversal limit by the message's length, handshake frames of 4,096 bytes at most, and one set of errors that decoding may raise.

--- a/briarvale/_generated/messages.py
+++ b/briarvale/_generated/messages.py
@@ -12,6 +12,9 @@
 _module = capnp.load(str(_SCHEMA_PATH))
 _new_envelope = _module.Envelope.new_message
 _from_bytes = _module.Envelope.from_bytes
+# A list may claim any number of empty elements; reading it must cost what the bytes do.
+MIN_TRAVERSED_WORDS, BYTES_PER_TRAVERSED_WORD = 1_024, 4
+DECODING_ERRORS = (capnp.KjException, KeyError, RuntimeError, ValueError)
 
 
 class WorkClass(StrEnum):
@@ -1141,8 +1144,9 @@
 
 
 def decode_message(data: bytes) -> Message:
-    """Decodes an envelope; raises `capnp.KjException` on bad input."""
-    with _from_bytes(data) as envelope:
+    """Decodes an envelope; see `DECODING_ERRORS` for what bad input raises."""
+    limit = MIN_TRAVERSED_WORDS + len(data) // BYTES_PER_TRAVERSED_WORD
+    with _from_bytes(data, traversal_limit_in_words=limit) as envelope:
         field = envelope.which()
         message: Message = _READERS[str(field)](getattr(envelope, str(field)))
         return message
--- a/briarvale/datagrams.py
+++ b/briarvale/datagrams.py
@@ -9,11 +9,10 @@
 from typing import Protocol
 
 import anyio
-import capnp
 from anyio.abc import UDPSocket
 
 from . import logs
-from ._generated.messages import Message, decode_message, encode_message
+from ._generated.messages import DECODING_ERRORS, Message, decode_message, encode_message
 from .containment import contain
 from .errors import PeerProtocolError
 from .peer import PeerAddress
@@ -113,7 +112,7 @@
             raise PeerProtocolError("datagram with an invalid authentication tag")
         try:
             return decode_message(body)
-        except (capnp.KjException, KeyError, ValueError) as error:
+        except DECODING_ERRORS as error:
             raise PeerProtocolError(f"bad datagram: {type(error).__name__}") from error
 
     def _tag(self, body: bytes) -> bytes:
--- a/briarvale/peer.py
+++ b/briarvale/peer.py
@@ -16,6 +16,7 @@
 
 from . import logs, metrics
 from ._generated.messages import (
+    DECODING_ERRORS,
     Challenge,
     Hello,
     Message,
@@ -29,6 +30,8 @@
 
 LENGTH_BYTES = 4
 MAX_FRAME_BYTES = 4 * 1024 * 1024
+# Of a process that has not proved the secret yet.
+MAX_HANDSHAKE_FRAME_BYTES = 4_096
 NONCE_BYTES = 32
 CONNECT_TIMEOUT_S = 1.0
 HANDSHAKE_TIMEOUT_S = 2.0
@@ -102,11 +105,11 @@
         except (anyio.BrokenResourceError, anyio.ClosedResourceError, TimeoutError) as error:
             raise PeerClosed("the peer's connection is broken") from error
 
-    async def receive(self) -> Message:
-        """Receives one frame."""
+    async def receive(self, max_bytes: int = MAX_FRAME_BYTES) -> Message:
+        """Receives one frame; raises `PeerProtocolError` if it is larger than `max_bytes`."""
         try:
             length = int.from_bytes(await self._reader.receive_exactly(LENGTH_BYTES), "big")
-            if length > MAX_FRAME_BYTES:
+            if length > max_bytes:
                 raise PeerProtocolError(f"frame of {length} bytes exceeds the limit")
             data = await self._reader.receive_exactly(length)
         except (
@@ -183,7 +186,7 @@
         """Verifies that the connecting process knows the secret; returns its identity."""
         nonce = secrets.token_bytes(NONCE_BYTES)
         await stream.send(Challenge(nonce))
-        hello = await stream.receive()
+        hello = await stream.receive(MAX_HANDSHAKE_FRAME_BYTES)
         if not isinstance(hello, Hello):
             raise PeerProtocolError("expected a hello message")
         identity = PeerIdentity(hello.vm, hello.role, hello.boot_id)
@@ -193,12 +196,12 @@
         return identity
 
     async def _answer_challenge(self, stream: FramedStream) -> None:
-        challenge = await stream.receive()
+        challenge = await stream.receive(MAX_HANDSHAKE_FRAME_BYTES)
         if not isinstance(challenge, Challenge):
             raise PeerProtocolError("expected a challenge message")
         proof = self._proof(challenge.nonce, self._identity)
         await stream.send(Hello(*self._identity, proof))
-        if not isinstance(await stream.receive(), Welcome):
+        if not isinstance(await stream.receive(MAX_HANDSHAKE_FRAME_BYTES), Welcome):
             raise PeerProtocolError("expected a welcome message")
 
     def _proof(self, nonce: bytes, identity: PeerIdentity) -> bytes:
@@ -237,5 +240,5 @@
 def _decode_frame(data: bytes) -> Message:
     try:
         return decode_message(data)
-    except (capnp.KjException, KeyError, ValueError) as error:
+    except DECODING_ERRORS as error:
         raise PeerProtocolError(f"bad frame: {type(error).__name__}") from error
--- a/features/platform/odd_neighbours.feature
+++ b/features/platform/odd_neighbours.feature
@@ -178,3 +178,14 @@
       | {"vms": {}}                                 |
       | {"vms": [7]}                                |
       | {"vms": [{"vm": "a"}]}                      |
+
+  # Guards against: a node that stands still for half a minute over one short message of a stranger.
+  Scenario Outline: A stranger sends peers a message that can't be decoded
+    When a process without the peers' secret sends a node a message with <what>
+    Then a lookup is served there within 2 s, and the connection is closed
+
+    Examples:
+      | what                               |
+      | a list of 470 million elements     |
+      | a value that its enum doesn't have |
+      | a length of 4 MB                   |
--- a/features/steps/platform_odd_neighbours.py
+++ b/features/steps/platform_odd_neighbours.py
@@ -8,6 +8,7 @@
 
 import anyio
 import httpx
+from anyio.abc import SocketStream
 from behave import then, when
 from behave.runner import Context
 
@@ -377,3 +378,55 @@
 @then("the list is unavailable")
 def then_unavailable(context: Context) -> None:
     assert isinstance(context.error, VmListUnavailable), repr(context.error)
+
+
+# Frames: a holder's report of empty elements, a release with an unknown priority, a length alone.
+FRAMES = {
+    "a list of 470 million elements": (
+        "00000030000000000500000000000000010001000900000000000000"
+        "0000000000000100010000000000dd000000000001000500"
+    ),
+    "a value that its enum doesn't have": (
+        "00000068000000000c000000000000000100010008000000000000000000000003000300ff00000000000000"
+        "00000000000000000000000000000000090000000a000000090000000a000000090000000a000000"
+        "000000000000000000000000000000000000000000000000"
+    ),
+    "a length of 4 MB": "00400000",
+}
+CLOSED_WITHIN_S = 1.0
+
+
+@when("a process without the peers' secret sends a node a message with {what}")
+def when_stranger(context: Context, what: str) -> None:
+    frame = bytes.fromhex(FRAMES[what])
+
+    async def action(fleet: PlatformFleet, facts: dict[str, Any]) -> None:
+        await fleet.add_engine(SOUND_NAME, PLAIN)
+        await anyio.sleep(APPLY_S)
+        node = fleet.nodes["vm-1"]
+        settings = node.settings.vm_settings
+        async with await anyio.connect_tcp(settings.host, settings.peer_port) as stream:
+            await stream.send(frame)
+            started_s = time.monotonic()
+            facts["served"] = await is_served(node)
+            facts["took_s"] = time.monotonic() - started_s
+            facts["closed"] = await is_closed(stream)
+
+    run_on_fleet(context, action, engines=0)
+
+
+async def is_closed(stream: SocketStream) -> bool:
+    """Reads until the other side closes; returns whether it did so in time."""
+    with anyio.move_on_after(CLOSED_WITHIN_S):
+        try:
+            while True:
+                await stream.receive()
+        except (anyio.EndOfStream, anyio.BrokenResourceError):
+            return True
+    return False
+
+
+@then("a lookup is served there within 2 s, and the connection is closed")
+def then_stranger_closed(context: Context) -> None:
+    facts = context.facts
+    assert facts["served"] and facts["took_s"] < 2 and facts["closed"], facts
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -121,7 +121,12 @@
         "_module = capnp.load(str(_SCHEMA_PATH))",
         "_new_envelope = _module.Envelope.new_message",
     ]
-    lines += ["_from_bytes = _module.Envelope.from_bytes", "", ""]
+    lines += ["_from_bytes = _module.Envelope.from_bytes"]
+    lines += [
+        "# A list may claim any number of empty elements; reading it must cost what the bytes do."
+    ]
+    lines += ["MIN_TRAVERSED_WORDS, BYTES_PER_TRAVERSED_WORD = 1_024, 4"]
+    lines += ["DECODING_ERRORS = (capnp.KjException, KeyError, RuntimeError, ValueError)", "", ""]
     for name, values in enums.items():
         lines += [f"class {name}(StrEnum):", f'    """Values of {name}."""', ""]
         lines += [f'    {snake(value).upper()} = "{value}"' for value in values] + ["", ""]
@@ -216,8 +221,10 @@
     ]
     lines += ["    data: bytes = envelope.to_bytes()", "    return data", "", ""]
     lines += ["def decode_message(data: bytes) -> Message:"]
-    lines += ['    """Decodes an envelope; raises `capnp.KjException` on bad input."""']
-    lines += ["    with _from_bytes(data) as envelope:", "        field = envelope.which()"]
+    lines += ['    """Decodes an envelope; see `DECODING_ERRORS` for what bad input raises."""']
+    lines += ["    limit = MIN_TRAVERSED_WORDS + len(data) // BYTES_PER_TRAVERSED_WORD"]
+    lines += ["    with _from_bytes(data, traversal_limit_in_words=limit) as envelope:"]
+    lines += ["        field = envelope.which()"]
     lines += ["        message: Message = _READERS[str(field)](getattr(envelope, str(field)))"]
     lines += ["        return message", ""]
     return lines
