Split streams into events in time that grows with their bytes

Seen by callers: every caller of a node waits while one server sends many small events or line ends in one go: 2.4 s for 64 KiB, 36 s for 256 KiB; an event of 1 MB in small parts cost 20 s in all.

Cause: after each event the rest of the buffer was copied and searched from its start, for both ends of an event; and again in whole with each part that arrived.

The events are compared with those of a splitter that goes byte by byte.

Change: one pass with one expression, which goes on where the last one ended.

--- a/briarvale/event_stream.py
+++ b/briarvale/event_stream.py
@@ -1,5 +1,6 @@
 """Splits a stream of server-sent events into complete events with increasing ids."""
 
+import re
 from typing import NamedTuple
 
 from ._digits import parse_unsigned_int
@@ -8,7 +9,9 @@
 __all__ = ["EventCursor", "EventSplitter", "StreamEvent"]
 
 MAX_EVENT_BYTES = 1_048_576
-END_OF_EVENT = (b"\n\n", b"\r\n\r\n")
+END_OF_EVENT = re.compile(rb"\n\n|\r\n\r\n")
+# As many bytes of an end may have arrived while it was incomplete.
+MAX_PARTIAL_END_BYTES = 3
 
 
 class StreamEvent(NamedTuple):
@@ -48,7 +51,9 @@
     """Splits bytes into complete events; an incomplete event at the end is not returned."""
 
     def __init__(self) -> None:
-        self._buffer = b""
+        # The start of an event, and how much of it is known to hold no end.
+        self._buffer = bytearray()
+        self._searched_bytes = 0
         self._has_events = False
 
     def check_end(self, *, has_framed_end: bool) -> None:
@@ -71,21 +76,18 @@
         """
         self._buffer += data
         events = []
-        while (end := _end_of_first(self._buffer)) > 0:
-            events.append(_parse(self._buffer[:end]))
-            self._has_events = True
-            self._buffer = self._buffer[end:]
+        start = 0
+        for end in END_OF_EVENT.finditer(self._buffer, self._searched_bytes):
+            events.append(_parse(bytes(self._buffer[start : end.end()])))
+            start = end.end()
+        self._has_events = self._has_events or start > 0
+        del self._buffer[:start]
+        self._searched_bytes = max(0, len(self._buffer) - MAX_PARTIAL_END_BYTES)
         if len(self._buffer) > MAX_EVENT_BYTES:
             raise AnswerTooLong(f"an event is over {MAX_EVENT_BYTES} bytes")
         return events
 
 
-def _end_of_first(buffer: bytes) -> int:
-    """Returns the length of the first complete event; 0 if there is none."""
-    ends = [buffer.find(mark) + len(mark) for mark in END_OF_EVENT if mark in buffer]
-    return min(ends, default=0)
-
-
 def _parse(raw: bytes) -> StreamEvent:
     event_id, lines = None, []
     for line in raw.decode("utf-8", errors="replace").replace("\r\n", "\n").split("\n"):
--- a/features/platform/endless.feature
+++ b/features/platform/endless.feature
@@ -71,3 +71,17 @@
   Scenario: Long valid answers are forwarded completely
     When a caller that reads slowly asks for a stream of 40 events of 200 kB and a body of 8 MB
     Then it gets both completely
+
+  # Guards against: a node that stands still while it splits what a server sends into events.
+  Scenario Outline: Many small events, or one large event in small parts
+    When 256 KiB of <pattern> are split into events
+    Then the same events come out as when they are split one byte after the other
+    And it takes less than 2 s
+
+    Examples:
+      | pattern                        |
+      | line ends                      |
+      | line ends with carriage return |
+      | events without data            |
+      | one event in parts of 16 bytes |
+      | ends that are cut apart        |
--- a/features/steps/platform_endless.py
+++ b/features/steps/platform_endless.py
@@ -8,6 +8,7 @@
 from behave.runner import Context
 
 from briarvale.errors import AnswerTooLong
+from briarvale.event_stream import EventSplitter
 from briarvale.http_wire import AnswerHead
 from briarvale.ingress import Ingress, Responder
 from briarvale.live_servers import LiveServer
@@ -272,3 +273,40 @@
     assert stream.status == 200 and stream.is_whole, (stream.status, len(stream.body))
     assert stream.body.count(b"data: ") == LONG_EVENT_COUNT
     assert plain.status == 200 and plain.body == LONG_BODY, (plain.status, len(plain.body))
+
+
+PATTERN_BYTES = 262_144
+PATTERNS = {
+    "line ends": (b"\n", 65_536),
+    "line ends with carriage return": (b"\r\n", 65_536),
+    "events without data": (b":\n\n", 65_536),
+    "one event in parts of 16 bytes": (b"data: xy\n", 16),
+    "ends that are cut apart": (b"id: 1\r\ndata: a\r\n\r\ndata: b\n\n\r\n\r\n", 7),
+}
+
+
+@when("256 KiB of {pattern} are split into events")
+def when_split(context: Context, pattern: str) -> None:
+    unit, part_bytes = PATTERNS[pattern]
+    data = (unit * (PATTERN_BYTES // len(unit) + 1))[:PATTERN_BYTES]
+    splitter = EventSplitter()
+    started_s = time.process_time()
+    parts = [data[start : start + part_bytes] for start in range(0, len(data), part_bytes)]
+    context.events = [event for part in parts for event in splitter.feed(part)]
+    context.took_s = time.process_time() - started_s
+    context.data = data
+
+
+@then("the same events come out as when they are split one byte after the other")
+def then_same_events(context: Context) -> None:
+    expected, start = [], 0
+    for end in range(len(context.data) + 1):
+        if context.data[max(start, end - 4) : end].endswith((b"\n\n", b"\r\n\r\n")):
+            expected.append(context.data[start:end])
+            start = end
+    assert [event.raw for event in context.events] == expected
+
+
+@then("it takes less than 2 s")
+def then_soon(context: Context) -> None:
+    assert context.took_s < 2, context.took_s
