Reject malformed heads in time that grows with their length

Seen by callers: all of a node's callers wait while one caller's or server's malformed head is rejected: 4.8 s for a header of 30,000 spaces that ends in a zero byte, 1.5 s for such a chunk header.

Cause: two patterns of h11 match the same spaces in two places; if the line doesn't match in the end, all ways to share the spaces are tried.

Change: patterns that match each space in one place only replace the library's.

--- a/briarvale/http_wire.py
+++ b/briarvale/http_wire.py
@@ -16,6 +16,7 @@
 from anyio.abc import SocketAttribute, SocketStream
 
 from .errors import AnswerTooLong, ServerConnectFailed, ServerGarbled, ServerLost
+from .http_heads import client_connection
 from .peer import PeerAddress
 
 READ_BYTES = 65_536
@@ -97,7 +98,7 @@
 def check_request(request: OutgoingRequest) -> None:
     """Raises `ValueError` if a request can't be written as HTTP/1.1."""
     try:
-        _encode_request(h11.Connection(h11.CLIENT), request)
+        _encode_request(client_connection(MAX_HEAD_BYTES), request)
     except h11.LocalProtocolError as error:
         raise ValueError(str(error)) from error
 
@@ -134,7 +135,7 @@
 
     def __init__(self, stream: SocketStream) -> None:
         self._stream = stream
-        self._h11 = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
+        self._h11 = client_connection(MAX_HEAD_BYTES)
         self._request: OutgoingRequest | None = None
         self._is_sent = False
         self.idle_since_s = anyio.current_time()
@@ -240,7 +241,7 @@
         remaining, _ = self._h11.trailing_data
         if self._request is None or self._h11.their_state is h11.MUST_CLOSE:
             raise ServerGarbled("an answer to another request ended the connection")
-        self._h11 = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
+        self._h11 = client_connection(MAX_HEAD_BYTES)
         # The request was sent already; the new state machine must know it to parse the next answer.
         _encode_request(self._h11, self._request)
         if remaining:
--- a/briarvale/ingress.py
+++ b/briarvale/ingress.py
@@ -23,6 +23,7 @@
     InvalidRequest,
     NotReady,
 )
+from .http_heads import server_connection
 from .http_wire import READ_BYTES, AnswerHead, Headers, enable_keepalive, end_to_end_headers
 from .peer import PeerAddress
 from .routes import IngressLimits
@@ -197,7 +198,7 @@
 
     def _new_h11(self) -> h11.Connection:
         size_bytes = self._handler.limits.max_header_bytes
-        return h11.Connection(h11.SERVER, max_incomplete_event_size=size_bytes + 1_024)
+        return server_connection(size_bytes + 1_024)
 
     async def run(self) -> None:
         """Serves requests until the connection ends."""
--- a/features/platform/odd_neighbours.feature
+++ b/features/platform/odd_neighbours.feature
@@ -189,3 +189,20 @@
       | a list of 470 million elements     |
       | a value that its enum doesn't have |
       | a length of 4 MB                   |
+
+  # Guards against: a node that stands still for seconds over one malformed line of a caller or a server.
+  Scenario Outline: A line of spaces that is malformed
+    When <what> of 30,000 spaces ends in a byte that is not allowed there
+    Then it is rejected within 0.5 s
+
+    Examples:
+      | what                        |
+      | a header of a request       |
+      | a header of an answer       |
+      | a chunk header of a request |
+      | a chunk header of an answer |
+
+  # Guards against: lines that the HTTP library accepts and a node rejects, or reads otherwise.
+  Scenario: Lines of a head and of chunks
+    When 50,000 short header lines and chunk headers are drawn
+    Then each is accepted, and read, as the HTTP library does by itself
