Keep the highest port number in one place

It stood in the decoder of servers' entries and in that of the settings; both now take it from peer_address.

--- a/briarvale/peer_address.py
+++ b/briarvale/peer_address.py
@@ -2,7 +2,9 @@
 
 from typing import NamedTuple
 
-__all__ = ["PeerAddress"]
+MAX_PORT = 65_535
+
+__all__ = ["MAX_PORT", "PeerAddress"]
 
 
 class PeerAddress(NamedTuple):
--- a/briarvale/platform/settings_file.py
+++ b/briarvale/platform/settings_file.py
@@ -10,7 +10,7 @@
 from ..clock import MS_PER_S
 from ..errors import DocumentInvalid, SettingsInvalid
 from ..node_settings import NodeSettings, NodeTimeLimits, StoreSettings
-from ..peer import PeerAddress
+from ..peer_address import MAX_PORT, PeerAddress
 from ..settings import Settings
 from ..strict_json import HostName, Label, NonEmptyLabel, convert_value
 
@@ -19,7 +19,6 @@
 METRICS_PORT_VARIABLE = "BRIARVALE_METRICS_PORT"
 SHARED_SECRET_VARIABLE = "BRIARVALE_SHARED_SECRET"
 
-MAX_PORT = 65_535
 MAX_PORT_DIGITS = 5
 MAX_GRACE_S = 86_400
 MAX_CORES = 100_000
--- a/briarvale/platform/store_objects.py
+++ b/briarvale/platform/store_objects.py
@@ -7,7 +7,7 @@
 from .. import logs
 from ..errors import DocumentInvalid
 from ..live_servers import LiveServer
-from ..peer import PeerAddress
+from ..peer_address import MAX_PORT, PeerAddress
 from ..strict_json import HOST_NAME_PATTERN, Label, NonEmptyLabel, convert_value
 
 CONFIG_KIND = "config"
@@ -19,7 +19,6 @@
 
 # Peer messages hold timestamps as unsigned 64-bit integers.
 MAX_TIMESTAMP_MS = 2**63 - 1
-MAX_PORT = 65_535
 MAX_SLOTS = 65_535
 MAX_REASON_LENGTH = 200
 
