Have the generator send bytes of strangers to all ports of nodes

A further neighbour, 'stranger': peers' messages with some bytes changed, heads and chunk headers of 30,000 spaces, line ends and small chunks, from a process without any secret, to the ports for callers, readiness, metrics and peers, and as datagrams.

--- a/soak/odd_neighbours.py
+++ b/soak/odd_neighbours.py
@@ -2,8 +2,9 @@
 
 import json
 import random
+import socket
 from collections.abc import AsyncIterator, Callable
-from contextlib import AbstractAsyncContextManager, asynccontextmanager, suppress
+from contextlib import AbstractAsyncContextManager, ExitStack, asynccontextmanager, suppress
 from enum import Enum
 from typing import Any
 
@@ -21,7 +22,9 @@
     SlotWithdraw,
     StateFetch,
     ViewSubscribe,
+    encode_message,
 )
+from briarvale.datagrams import MAX_DATAGRAM_BYTES
 from briarvale.errors import BriarvaleError, MessageInvalid
 from briarvale.ingress import IngressRequest, Responder
 from briarvale.peer import PeerAddress, PeerIdentity, TcpTransport
@@ -34,6 +37,12 @@
 ANSWER_TIMEOUT_S = 3.0
 ODD_ENTRY = "i-odd"
 PEER_MESSAGES = 20
+STRANGER_MESSAGES = 4
+CHUNKED_HEAD = b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+LONG_BYTES = (
+    *(b" " * 30_000 + b"\0\r\n\r\n", b"1;" + b" " * 30_000 + b"\n\r\n", b"\r\n" * 30_000),
+    *(b"a:b\r\n" * 9_000, b"1\r\nx\r\n" * 9_000, b"\0" * 60_000, b"\xff" * 60_000, b"a," * 30_000),
+)
 PEER_MESSAGE_TYPES: tuple[Any, ...] = (
     *(SlotRequest, SlotRelease, SlotWithdraw, SlotGrant, SlotHeartbeat, HolderReport),
     *(ConfigFetch, StateFetch, FeedSubscribe, FeedList, ViewSubscribe),
@@ -275,6 +284,39 @@
         await stream.aclose()
 
 
+@asynccontextmanager
+async def odd_stranger(fleet: SoakFleet, draw: random.Random) -> AsyncIterator[OddInput]:
+    """A process that knows no secret and sends bytes to all ports of a node."""
+    node = draw.choice(fleet.nodes)
+    settings = node.endpoint.settings
+    vm = settings.vm_settings
+    assert settings.caller_address is not None and settings.readiness_address is not None
+    ports = (settings.caller_address.port, settings.readiness_address.port, vm.peer_port)
+    said = [_stranger_bytes(draw) for _ in range(STRANGER_MESSAGES)]
+    with ExitStack() as opened:
+        for data in said:
+            datagrams = opened.enter_context(socket.socket(type=socket.SOCK_DGRAM))
+            datagrams.setblocking(False)
+            with suppress(OSError):
+                datagrams.sendto(data[:MAX_DATAGRAM_BYTES], (vm.host, vm.heartbeat_port))
+            for port in (*ports, node.metrics_port):
+                with suppress(OSError, anyio.BrokenResourceError):
+                    async with await anyio.connect_tcp(vm.host, port) as stream:
+                        with anyio.move_on_after(ANSWER_TIMEOUT_S):
+                            await stream.send(data)
+        yield OddInput(f"{[data[:30] for data in said]} at {node.name}")
+
+
+def _stranger_bytes(draw: random.Random) -> bytes:
+    """Returns a message of a peer with some bytes changed, or long input for a reader of HTTP."""
+    if draw.random() < 0.5:
+        return draw.choice((b"", b"GET / HTTP/1.1\r\nx:", CHUNKED_HEAD)) + draw.choice(LONG_BYTES)
+    data = bytearray(encode_message(draw.choice(PEER_MESSAGE_TYPES)()))
+    for _ in range(draw.randint(1, 6)):
+        data[draw.randrange(len(data))] = draw.choice((0, 1, 255, draw.randrange(256)))
+    return len(data).to_bytes(4, "big") + data
+
+
 def _odd_field(value: Any, draw: random.Random) -> Any:
     """Returns an odd value of the same type, or the value itself."""
     match value:
@@ -324,6 +366,7 @@
     "request": odd_request,
     "job": odd_job,
     "peer": odd_peer,
+    "stranger": odd_stranger,
     "port": taken_port,
     "descriptors": few_descriptors,
     "settings": odd_settings,
