Watch signals before a node begins to run

A node applies no change while it runs, so only the log line was missing.

Evidence: a node that gets SIGHUP as it begins to run never read its settings again before, and does now (new scenario, deterministic).

Change: the node waits until signals are watched.

--- a/briarvale/programs/_node.py
+++ b/briarvale/programs/_node.py
@@ -5,6 +5,7 @@
 import time
 
 import anyio
+from anyio.abc import TaskStatus
 
 from .. import logs
 from ..containment import contain
@@ -54,13 +55,16 @@
 async def _run(settings: NodeSettings) -> None:
     stop_requested = anyio.Event()
     async with anyio.create_task_group() as tasks:
-        tasks.start_soon(_watch_signals, settings, stop_requested)
+        await tasks.start(_watch_signals, settings, stop_requested)
         await Node(settings, stop_requested).run()
         tasks.cancel_scope.cancel()
 
 
-async def _watch_signals(settings: NodeSettings, stop_requested: anyio.Event) -> None:
+async def _watch_signals(
+    settings: NodeSettings, stop_requested: anyio.Event, *, task_status: TaskStatus[None]
+) -> None:
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+        task_status.started()
         async for received in signals:
             match received:
                 case signal.SIGHUP:
--- a/features/platform/containment.feature
+++ b/features/platform/containment.feature
@@ -66,6 +66,11 @@
       | node       |
       | store_node |
 
+  # Guards against: a change of the settings that is lost as a node doesn't watch signals yet.
+  Scenario: The settings change as a node begins to run
+    When a node gets SIGHUP as it begins to run
+    Then it reads its settings again, and ends with 0 at SIGTERM
+
   # Guards against: a node that doesn't start, as its settings file is still being written.
   Scenario Outline: The settings are not whole yet as a node starts
     When a node starts while its settings file is <state>, and the file is whole after it was read
--- a/features/steps/platform_process_start.py
+++ b/features/steps/platform_process_start.py
@@ -23,6 +23,7 @@
 PROCESS_TIMEOUT_S = 20.0
 POLL_INTERVAL_S = 0.05
 NOT_READY_STATUS = 503
+RELOAD_S = 1.0
 STORE_NODE_START_S = 3.0
 # Runs a program that gets SIGHUP as it imports anyio, its first library.
 HANGUP_AT_IMPORT = """
@@ -37,6 +38,21 @@
 sys.meta_path.insert(0, Hangup())
 runpy.run_module("briarvale.programs." + sys.argv[1], run_name="__main__")
 """
+# Runs a node that gets SIGHUP as it begins to run.
+HANGUP_AT_RUN = """
+import os, signal
+from briarvale.platform.node import Node
+from briarvale.programs import node
+
+run = Node.run
+
+async def hang_up_and_run(self):
+    os.kill(os.getpid(), signal.SIGHUP)
+    await run(self)
+
+Node.run = hang_up_and_run
+node.main()
+"""
 ODD_FILES = {
     "bytes that are no UTF-8": b'node_name = "\xff"',
     "5,000 nested lists": b"zone = " + b"[" * 5_000 + b"]" * 5_000,
@@ -110,6 +126,21 @@
     assert context.has_started and context.code == 0, (context.code, context.output)
 
 
+@when("a node gets SIGHUP as it begins to run")
+def when_hangup_at_run(context: Context) -> None:
+    with tempfile.TemporaryDirectory() as folder:
+        process = start(folder, "-c", HANGUP_AT_RUN, settings=valid_settings())
+        wait_logged(process, folder, "Starts.")
+        time.sleep(RELOAD_S)
+        context.code, context.output = stop(process, folder)
+
+
+@then("it reads its settings again, and ends with 0 at SIGTERM")
+def then_reads_again(context: Context) -> None:
+    assert "Read the settings again." in context.output, context.output
+    assert context.code == 0, (context.code, context.output)
+
+
 @when("a node starts while its settings file is {state}, and the file is whole after it was read")
 def when_written_late(context: Context, state: str) -> None:
     text = valid_settings()
