Note the time of a server's crash before its connections end

Cause: the soak's own. A prompt crashed server i-2, which cut three streams at once (the nodes' logs show server_lost for all three, and the load request of vm-3 lost, within 45 ms). The time of the crash was noted only once all tasks of the server had ended; the first caller saw its stream's end before that, so that no fault overlapped its call. Streams that a server's crash cuts are allowed.

Change: the time is noted before the connections end; the limit for deadly requests counts from the same, earlier time.

--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -247,8 +247,9 @@
                 tasks.start_soon(Ingress(server).serve, address)
                 tasks.start_soon(self.server_proxies[server.id].serve, proxy_address)
                 await server.crashed.wait()
+                # Before the connections end, so that no caller sees a crash that has no time yet.
+                self.crashed_at_s.append(anyio.current_time())
                 tasks.cancel_scope.cancel()
-            self.crashed_at_s.append(anyio.current_time())
             await anyio.sleep(CRASH_S)
             server.crashed = anyio.Event()
 
