--- a/briarvale/datagrams.py
+++ b/briarvale/datagrams.py
@@ -12,10 +12,10 @@
 from anyio.abc import UDPSocket
 
 from . import logs
-from ._generated.messages import DECODING_ERRORS, Message, decode_message, encode_message
+from ._generated.messages import Message, encode_message
 from .containment import contain
 from .errors import PeerProtocolError
-from .peer import PeerAddress
+from .peer import PeerAddress, decode_peer_message
 
 MAX_DATAGRAM_BYTES = 1_400
 TAG_BYTES = 16
@@ -110,10 +110,7 @@
         tag, body = data[:TAG_BYTES], data[TAG_BYTES:]
         if not hmac.compare_digest(tag, self._tag(body)):
             raise PeerProtocolError("datagram with an invalid authentication tag")
-        try:
-            return decode_message(body)
-        except DECODING_ERRORS as error:
-            raise PeerProtocolError(f"bad datagram: {type(error).__name__}") from error
+        return decode_peer_message(body)
 
     def _tag(self, body: bytes) -> bytes:
         return hmac.digest(self._secret, body, "sha256")[:TAG_BYTES]
--- a/briarvale/peer.py
+++ b/briarvale/peer.py
@@ -49,6 +49,7 @@
     "PeerTransport",
     "TcpTransport",
     "ask_peer",
+    "decode_peer_message",
 ]
 
 
@@ -119,7 +120,7 @@
             anyio.ClosedResourceError,
         ) as error:
             raise PeerClosed("the peer closed the connection") from error
-        return _decode_frame(data)
+        return decode_peer_message(data)
 
     async def aclose(self) -> None:
         """Closes the byte stream."""
@@ -237,8 +238,9 @@
         raise MessageInvalid(f"{type(message).__name__}: {error}") from error
 
 
-def _decode_frame(data: bytes) -> Message:
+def decode_peer_message(data: bytes) -> Message:
+    """Decodes a message of a frame or a datagram; raises `PeerProtocolError`."""
     try:
         return decode_message(data)
     except DECODING_ERRORS as error:
-        raise PeerProtocolError(f"bad frame: {type(error).__name__}") from error
+        raise PeerProtocolError(f"bad message: {type(error).__name__}") from error
