Decode the rows of VM lists in one pass, and bound processor cores once

The list over HTTP and the entries of the store were decoded as any JSON and then converted; the row's type is now the decoder's. The settings file takes the bound of processor cores from the VM list, where its twin stood, and parses ports with the project's own parse_unsigned_int.

--- a/briarvale/http_vm_list.py
+++ b/briarvale/http_vm_list.py
@@ -1,14 +1,12 @@
 """The VM list over HTTP."""
 
-from typing import Any
-
 import anyio
 import httpx
 import msgspec
 
 from .errors import DocumentInvalid
 from .strict_json import decode_json
-from .vm_list import VmEntry, VmListUnavailable, entry_from_row
+from .vm_list import VmEntry, VmListUnavailable, VmRow
 
 LIST_TIMEOUT_S = 3.0
 
@@ -18,7 +16,7 @@
 class _ListDocument(msgspec.Struct):
     """The list's JSON."""
 
-    vms: list[Any]
+    vms: list[VmRow]
 
 
 _LIST_DECODER = msgspec.json.Decoder(_ListDocument)
@@ -45,7 +43,7 @@
         try:
             response = await self._client.get(self._url, timeout=LIST_TIMEOUT_S)
             response.raise_for_status()
-            rows = decode_json(_LIST_DECODER, response.content).vms
-            return tuple(entry_from_row(row) for row in rows)
+            document = decode_json(_LIST_DECODER, response.content)
         except (httpx.HTTPError, DocumentInvalid) as error:
             raise VmListUnavailable(f"can't fetch the VM list: {error!r}") from error
+        return tuple(row.to_entry() for row in document.vms)
--- a/briarvale/platform/settings_file.py
+++ b/briarvale/platform/settings_file.py
@@ -7,27 +7,26 @@
 
 import msgspec
 
+from .._digits import parse_unsigned_int
 from ..clock import MS_PER_S
 from ..errors import DocumentInvalid, SettingsInvalid
 from ..node_settings import NodeSettings, NodeTimeLimits, StoreSettings
 from ..peer_address import MAX_PORT, PeerAddress
 from ..settings import Settings
 from ..strict_json import HostName, Label, NonEmptyLabel, convert_value
+from ..vm_list import ProcessorCores
 
 SETTINGS_PATH_VARIABLE = "BRIARVALE_BOOT"
 # The deploy file sets this to the port of its `metrics` entry, which the settings file lacks.
 METRICS_PORT_VARIABLE = "BRIARVALE_METRICS_PORT"
 SHARED_SECRET_VARIABLE = "BRIARVALE_SHARED_SECRET"
 
-MAX_PORT_DIGITS = 5
 MAX_GRACE_S = 86_400
-MAX_CORES = 100_000
 MAX_VALUE_BYTES = 2**31 - 1
 
 __all__ = ["load_node_settings", "node_settings_from"]
 
 Port = Annotated[int, msgspec.Meta(ge=1, le=MAX_PORT)]
-Cores = Annotated[float, msgspec.Meta(ge=0, le=MAX_CORES)]
 
 
 class _Platform(msgspec.Struct):
@@ -51,8 +50,8 @@
 class _Limits(msgspec.Struct):
     """Processor capacity: a share of one core, which is `cpu_cores` times as fast as usual."""
 
-    cpu_share: Cores = 0.0
-    cpu_cores: Cores = 1.0
+    cpu_share: ProcessorCores = 0.0
+    cpu_cores: ProcessorCores = 1.0
 
 
 class _SettingsFile(msgspec.Struct):
@@ -125,7 +124,7 @@
 
 
 def _parse_port(text: str, name: str) -> int:
-    port = int(text) if text.isascii() and text.isdigit() and len(text) <= MAX_PORT_DIGITS else 0
+    port = parse_unsigned_int(text) or 0
     if not 0 < port <= MAX_PORT:
         raise SettingsInvalid(f"{name}: expected a port number")
     return port
--- a/briarvale/vm_directory.py
+++ b/briarvale/vm_directory.py
@@ -2,7 +2,6 @@
 
 import json
 from collections.abc import Callable
-from typing import Any
 
 import anyio
 import msgspec
@@ -21,7 +20,7 @@
 from .object_feed import FeedChange, FeedObject
 from .object_store import ObjectStore
 from .strict_json import decode_json
-from .vm_list import VmEntry, VmListUnavailable, VmStatus, entry_from_row
+from .vm_list import VmEntry, VmListUnavailable, VmRow, VmStatus
 
 VMS_KIND = "vms"
 RETRY_S = 0.5
@@ -30,7 +29,7 @@
 # A VM that was dead for less than this keeps its entry, since it may only be partitioned.
 REMOVE_AFTER_S = 20.0
 
-_ROW_DECODER = msgspec.json.Decoder(Any)
+_ROW_DECODER = msgspec.json.Decoder(VmRow)
 
 log = logs.component_logger("membership")
 
@@ -155,6 +154,6 @@
 
     def _cache_entry(self, row: FeedObject) -> None:
         try:
-            self._entries[row.name] = entry_from_row(decode_json(_ROW_DECODER, row.own_value))
+            self._entries[row.name] = decode_json(_ROW_DECODER, row.own_value).to_entry()
         except DocumentInvalid as error:
             log.warning("Could not decode the entry of {}: {}.", row.name, error)
--- a/briarvale/vm_list.py
+++ b/briarvale/vm_list.py
@@ -10,7 +10,17 @@
 
 MAX_PROCESSOR_CORES = 100_000
 
-__all__ = ["VmEntry", "VmList", "VmListUnavailable", "VmStatus", "entry_from_row"]
+__all__ = [
+    "ProcessorCores",
+    "VmEntry",
+    "VmList",
+    "VmListUnavailable",
+    "VmRow",
+    "VmStatus",
+    "entry_from_row",
+]
+
+ProcessorCores = Annotated[float, msgspec.Meta(ge=0, le=MAX_PROCESSOR_CORES)]
 
 
 class VmListUnavailable(BriarvaleError):
@@ -51,17 +61,21 @@
         """Waits for a change of the list; forever if changes are found only by polling."""
 
 
-class _Row(msgspec.Struct):
-    """A row of the list's JSON."""
+class VmRow(msgspec.Struct):
+    """A row of the list's JSON; see `VmEntry`."""
 
     vm: NonEmptyLabel
     host: HostName
     region: Label
     availability_zone: Label
     status: VmStatus
-    processor_cores: Annotated[float, msgspec.Meta(ge=0, le=MAX_PROCESSOR_CORES)] = 0.0
+    processor_cores: ProcessorCores = 0.0
+
+    def to_entry(self) -> VmEntry:
+        """Returns the VM of the row."""
+        return VmEntry(*msgspec.structs.astuple(self))
 
 
 def entry_from_row(row: object) -> VmEntry:
-    """Converts one row of the list's JSON; raises `DocumentInvalid`."""
-    return VmEntry(*msgspec.structs.astuple(convert_value(row, _Row)))
+    """Converts one row of the list, as decoded from JSON or YAML; raises `DocumentInvalid`."""
+    return convert_value(row, VmRow).to_entry()
