--- a/briarvale/clock.py
+++ b/briarvale/clock.py
@@ -6,6 +6,8 @@
 import anyio
 
 MS_PER_S = 1_000
+# Far more than any wait; deadlines that many milliseconds ahead still fit into messages.
+MAX_WAIT_MS = 366 * 86_400 * MS_PER_S
 
 
 class Clock(NamedTuple):
--- a/briarvale/platform/config_document.py
+++ b/briarvale/platform/config_document.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from .. import logs
-from ..clock import MS_PER_S
+from ..clock import MAX_WAIT_MS, MS_PER_S
 from ..errors import DocumentInvalid, SettingsInvalid
 from ..routes import (
     BatchRoute,
@@ -25,8 +25,6 @@
 DEFAULT_RETENTION_S = 60.0
 DEFAULT_COMPLETION_TARGET_MS = 60_000
 MAX_VERSION = 2**63 - 1
-# Far more than any wait; deadlines that many milliseconds ahead still fit into messages.
-MAX_WAIT_MS = 366 * 86_400 * 1_000
 MAX_WAIT_S = MAX_WAIT_MS / MS_PER_S
 # Fields of peer messages with 16 bits.
 MAX_SMALL_INT = 65_535
--- a/briarvale/platform/headers.py
+++ b/briarvale/platform/headers.py
@@ -1,6 +1,7 @@
 """Encodes and decodes the platform's HTTP headers, of callers and of backend servers."""
 
 from .._digits import parse_unsigned_int
+from ..clock import MAX_WAIT_MS
 from ..forward_request import AnswerMetadata, ForwardRequest, PromptPart
 from ..http_wire import AnswerHead, Headers, end_to_end_headers, find_header
 from ..routes import Route
@@ -21,7 +22,6 @@
 # Greater numbers are taken for these, as none makes a difference. Peer messages hold the sum of two
 # numbers of tokens in 32 bits.
 MAX_TOKENS = 2**31 - 1
-MAX_DEADLINE_MS = 366 * 86_400 * 1_000
 # Headers that a node sets itself; the caller's values of these are not forwarded.
 REPLACED_HEADERS = frozenset((DEADLINE_MS, EXPECTED_SERVER, LAST_EVENT_ID))
 
@@ -60,7 +60,7 @@
 ) -> ForwardRequest:
     """Decodes a caller's request; a malformed platform header is treated as absent."""
     request_id = _header_text(headers, REQUEST_ID)
-    deadline_ms = _header_int(headers, DEADLINE_MS, MAX_DEADLINE_MS)
+    deadline_ms = _header_int(headers, DEADLINE_MS, MAX_WAIT_MS)
     usage = [_token_count(count) for count in _header_text(headers, TOKEN_USAGE).split(",")]
     resume_after = parse_unsigned_int(_header_text(headers, LAST_EVENT_ID))
     path = target.partition(b"?")[0]
