Send the generator's datagrams to the port that nodes use

The neighbour 'stranger' sent its datagrams to a default port at which no node listens: the settings file gives nodes the second of two internal ports. A node's addresses now stand in NodeProcess, for both neighbours that need them.

--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -113,6 +113,18 @@
         self.is_excused = True
         self.send_signal(signal.SIGKILL)
 
+    def tcp_addresses(self) -> tuple[PeerAddress, ...]:
+        """Returns the addresses for callers, readiness checks, peers and metrics."""
+        settings, vm = self.endpoint.settings, self.endpoint.settings.vm_settings
+        assert settings.caller_address is not None and settings.readiness_address is not None
+        peers, metrics = (PeerAddress(vm.host, port) for port in (vm.peer_port, self.metrics_port))
+        return settings.caller_address, settings.readiness_address, peers, metrics
+
+    def datagram_address(self) -> PeerAddress:
+        """Returns the address for heartbeats: the second of the two internal ports."""
+        vm = self.endpoint.settings.vm_settings
+        return PeerAddress(vm.host, vm.peer_port + 1)
+
     def open_files(self) -> int:
         """Returns the number of the process's open descriptors."""
         return len(list(Path(f"/proc/{self.process.pid}/fd").iterdir()))
--- a/soak/odd_machine.py
+++ b/soak/odd_machine.py
@@ -31,16 +31,12 @@
 async def taken_port(fleet: SoakFleet, draw: random.Random) -> AsyncIterator[OddInput]:
     """A port of a node that another process holds as the node starts."""
     node = draw.choice(fleet.nodes)
-    settings = node.endpoint.settings
-    vm = settings.vm_settings
-    assert settings.caller_address is not None and settings.readiness_address is not None
+    callers, readiness, peers, metrics = node.tcp_addresses()
     address, kind = draw.choice(
         (
-            (settings.caller_address, socket.SOCK_STREAM),
-            (settings.readiness_address, socket.SOCK_STREAM),
-            (PeerAddress(vm.host, vm.peer_port), socket.SOCK_STREAM),
-            (PeerAddress(vm.host, vm.peer_port + 1), socket.SOCK_DGRAM),
-            (PeerAddress(vm.host, node.metrics_port), socket.SOCK_STREAM),
+            *((found, socket.SOCK_STREAM) for found in (callers, readiness, peers)),
+            (node.datagram_address(), socket.SOCK_DGRAM),
+            (metrics, socket.SOCK_STREAM),
         )
     )
     node.restart()
--- a/soak/odd_neighbours.py
+++ b/soak/odd_neighbours.py
@@ -288,20 +288,16 @@
 async def odd_stranger(fleet: SoakFleet, draw: random.Random) -> AsyncIterator[OddInput]:
     """A process that knows no secret and sends bytes to all ports of a node."""
     node = draw.choice(fleet.nodes)
-    settings = node.endpoint.settings
-    vm = settings.vm_settings
-    assert settings.caller_address is not None and settings.readiness_address is not None
-    ports = (settings.caller_address.port, settings.readiness_address.port, vm.peer_port)
     said = [_stranger_bytes(draw) for _ in range(STRANGER_MESSAGES)]
     with ExitStack() as opened:
         for data in said:
             datagrams = opened.enter_context(socket.socket(type=socket.SOCK_DGRAM))
             datagrams.setblocking(False)
             with suppress(OSError):
-                datagrams.sendto(data[:MAX_DATAGRAM_BYTES], (vm.host, vm.heartbeat_port))
-            for port in (*ports, node.metrics_port):
+                datagrams.sendto(data[:MAX_DATAGRAM_BYTES], node.datagram_address())
+            for address in node.tcp_addresses():
                 with suppress(OSError, anyio.BrokenResourceError):
-                    async with await anyio.connect_tcp(vm.host, port) as stream:
+                    async with await anyio.connect_tcp(*address) as stream:
                         with anyio.move_on_after(ANSWER_TIMEOUT_S):
                             await stream.send(data)
         yield OddInput(f"{[data[:30] for data in said]} at {node.name}")
