--- a/features/steps/platform_odd_neighbours.py
+++ b/features/steps/platform_odd_neighbours.py
@@ -8,7 +8,6 @@
 
 import anyio
 import httpx
-from anyio.abc import SocketStream
 from behave import then, when
 from behave.runner import Context
 
@@ -17,6 +16,7 @@
 from briarvale.platform.store_answers import decode_page
 from briarvale.vm_directory import VmDirectory
 from briarvale.vm_list import VmEntry, VmListUnavailable, entry_from_row
+from features.support.platform_calls import ends_within
 from features.support.platform_fleet import MODEL, PLAIN, Caller, FleetNode, PlatformFleet, job_body
 from features.support.platform_jobs import ITEMS, read_page, run_on_fleet, submit_job
 from features.support.platform_store import PlatformStoreStandin
@@ -410,22 +410,11 @@
             started_s = time.monotonic()
             facts["served"] = await is_served(node)
             facts["took_s"] = time.monotonic() - started_s
-            facts["closed"] = await is_closed(stream)
+            facts["closed"] = await ends_within(stream, CLOSED_WITHIN_S)
 
     run_on_fleet(context, action, engines=0)
 
 
-async def is_closed(stream: SocketStream) -> bool:
-    """Reads until the other side closes; returns whether it did so in time."""
-    with anyio.move_on_after(CLOSED_WITHIN_S):
-        try:
-            while True:
-                await stream.receive()
-        except (anyio.EndOfStream, anyio.BrokenResourceError):
-            return True
-    return False
-
-
 @then("a lookup is served there within 2 s, and the connection is closed")
 def then_stranger_closed(context: Context) -> None:
     facts = context.facts
--- a/features/steps/platform_process_start.py
+++ b/features/steps/platform_process_start.py
@@ -73,8 +73,18 @@
     )
 
 
-def start(folder: str, *arguments: str, settings: str | None) -> "subprocess.Popen[bytes]":
-    """Starts Python with a settings file; its output goes to a file in the folder."""
+def start(
+    folder: str, *arguments: str, settings: str | None, closed: tuple[int, ...] = ()
+) -> "subprocess.Popen[bytes]":
+    """Starts Python with a settings file; its output goes to a file in the folder.
+
+    The descriptors in `closed` are closed as it starts.
+    """
+
+    def close() -> None:
+        for descriptor in closed:
+            os.close(descriptor)
+
     path = Path(folder, "boot.toml")
     if settings is not None:
         path.write_text(settings)
@@ -84,6 +94,7 @@
             env=os.environ | {"BRIARVALE_BOOT": str(path)},
             stdout=log,
             stderr=subprocess.STDOUT,
+            preexec_fn=close,
         )
 
 
@@ -157,20 +168,9 @@
 @when("a node starts with {streams} closed")
 def when_streams_closed(context: Context, streams: str) -> None:
     closed = (1,) if streams == "standard output" else (0, 1, 2)
-
-    def close() -> None:
-        for descriptor in closed:
-            os.close(descriptor)
-
     text = valid_settings()
     with tempfile.TemporaryDirectory() as folder:
-        path = Path(folder, "boot.toml")
-        path.write_text(text)
-        process = subprocess.Popen(
-            [sys.executable, "-m", "briarvale.programs.node"],
-            env=os.environ | {"BRIARVALE_BOOT": str(path)},
-            preexec_fn=close,
-        )
+        process = start(folder, "-m", "briarvale.programs.node", settings=text, closed=closed)
         context.is_answering = wait_answering(process, tomllib.loads(text)["listen"]["ready"])
         process.send_signal(signal.SIGTERM)
         context.code = process.wait(PROCESS_TIMEOUT_S)
--- a/features/steps/platform_silence.py
+++ b/features/steps/platform_silence.py
@@ -25,6 +25,7 @@
 from briarvale.routes import IdempotentRoute, IngressLimits, Route, ServiceWeight
 from briarvale.serving_components import ServingComponents
 from briarvale.slot_client import HeldGrant, HeldSlot
+from features.support.platform_calls import ends_within
 from features.support.platform_fleet import free_port
 
 TARGET_MS = 100
@@ -193,17 +194,6 @@
     context.has_ended = anyio.run(run)
 
 
-async def ends_within(stream: anyio.abc.SocketStream, limit_s: float) -> bool:
-    """Reads until the other side closes; false if it does not in time."""
-    with anyio.move_on_after(limit_s):
-        try:
-            while True:
-                await stream.receive()
-        except (anyio.EndOfStream, anyio.BrokenResourceError):
-            return True
-    return False
-
-
 @then("the connection ends within a second")
 def then_ends(context: Context) -> None:
     assert context.has_ended
--- a/features/support/platform_calls.py
+++ b/features/support/platform_calls.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 import anyio
+from anyio.abc import SocketStream
 from behave.runner import Context
 
 from features.support.platform_engine import Behaviour, PlatformEngineStandin
@@ -20,6 +21,7 @@
     "EVENT_COUNT",
     "Observations",
     "TARGET_LATENCY_S",
+    "ends_within",
     "one_call",
     "run_on_node",
 ]
@@ -81,3 +83,14 @@
         observed.still_running = sum(engine.running for engine in observed.engines)
 
     return scenario
+
+
+async def ends_within(stream: SocketStream, limit_s: float) -> bool:
+    """Reads until the other side closes; false if it does not in time."""
+    with anyio.move_on_after(limit_s):
+        try:
+            while True:
+                await stream.receive()
+        except (anyio.EndOfStream, anyio.BrokenResourceError):
+            return True
+    return False
--- a/tools/check.py
+++ b/tools/check.py
@@ -108,7 +108,7 @@
         return Verdict(1, 0, known_failing, "\n".join(result.stdout.strip().splitlines()[-1:]))
     if check.name in known_names:
         return Verdict(0, 0, (check.name,), output)
-    return Verdict(0, 1, (), output, (f"{check.name}: {last_line(output)}",))
+    return Verdict(0, 1, (), output, (last_line(output),))
 
 
 def last_line(output: str) -> str:
@@ -148,7 +148,7 @@
             passed += verdict.passed
             failed += verdict.failed
             still_red += verdict.known_red
-            failing += verdict.failing
+            failing += [f"{check.name}: {text}" for text in verdict.failing]
     for name in still_red:
         print(f"known red: {name}")
     for name in sorted(set(known_names) - set(still_red)):
