--- a/briarvale/forward_request.py
+++ b/briarvale/forward_request.py
@@ -26,6 +26,7 @@
         prompt_tokens: Length of the prompt; 0 if it isn't stated.
         output_tokens: Expected length of the answer; 0 if it isn't stated.
         resume_after: Id of the last event that the caller received; none for a new stream.
+        workspace: Name of the workspace that sent the request; empty for none.
     """
 
     request_id: str
@@ -42,6 +43,7 @@
     prompt_tokens: int = 0
     output_tokens: int = 0
     resume_after: int | None = None
+    workspace: str = ""
 
     @property
     def answer_by_ms(self) -> int:
--- a/briarvale/routes.py
+++ b/briarvale/routes.py
@@ -10,6 +10,7 @@
 import xxhash
 
 from .errors import PromptTooLong
+from .workspaces import WorkspaceTable
 
 __all__ = [
     "BatchRoute",
@@ -76,6 +77,7 @@
         timeout_ms: Longest time from receipt to the complete answer.
         target_latency_ms: Latency within which an answer counts as on time.
         priority: Rank of the route; 0 is the highest.
+        is_public: Whether requests need no API key.
     """
 
     name: str
@@ -87,6 +89,7 @@
     timeout_ms: int = 30_000
     target_latency_ms: int = 1_000
     priority: int = 0
+    is_public: bool = False
 
     @property
     def key(self) -> str:
@@ -121,6 +124,7 @@
         routes: All routes.
         limits: Size limits and timeouts for callers.
         capacity_tokens: For each service whose servers state it, how many tokens one server holds.
+        workspaces: The workspaces whose keys requests must have; none if no keys are needed.
     """
 
     def __init__(
@@ -129,9 +133,11 @@
         routes: Iterable[Route],
         limits: IngressLimits = IngressLimits(),
         capacity_tokens: Mapping[str, int] = MappingProxyType({}),
+        workspaces: WorkspaceTable | None = None,
     ) -> None:
         self.version = version
         self.limits = limits
+        self.workspaces = workspaces
         self._capacity_tokens = capacity_tokens
         self._by_host: dict[str, list[Route]] = {}
         for route in routes:
--- a/briarvale/serving_components.py
+++ b/briarvale/serving_components.py
@@ -45,6 +45,7 @@
         return SlotRequest(
             request_id=new_request_id(),
             backend_server=request.service,
+            member=request.workspace,
             work_class=work_class,
             slot_count=1,
             cost_tokens=request.prompt_tokens + request.output_tokens,
