Identify callers by the API keys of their workspaces

Operators list workspaces with their keys, limits and priority in the configuration; a node read none of it, so keys went on to backend servers and withdrawn keys were served. A request now needs a key in force, unless its route is public; the backend server is told the workspace alone; a job belongs to the workspace that submitted it. Keys are replaced by digests where the store's answer is decoded, so that caches and peer messages hold none. An invalid entry leaves the other workspaces as they are.

--- a/briarvale/errors.py
+++ b/briarvale/errors.py
@@ -55,11 +55,17 @@
 
 
 class InvalidKey(BriarvaleError):
-    """The API key belongs to no member."""
+    """The API key belongs to no member or workspace, or is missing."""
 
     code, http_status, not_run = "invalid_key", 401, True
 
 
+class JobForbidden(BriarvaleError):
+    """The job id belongs to a job of another workspace; nothing was accepted."""
+
+    code, http_status, not_run = "job_forbidden", 403, True
+
+
 class NotFound(BriarvaleError):
     """The service, model or job does not exist."""
 
--- a/briarvale/opaque_jobs.py
+++ b/briarvale/opaque_jobs.py
@@ -77,6 +77,7 @@
         is_digest: Whether the items are reduced to their ids.
         route: Host and path prefix of the route on which the job was submitted.
         token_counts: For each item, the tokens of its prompt and its longest output.
+        workspace: Name of the workspace that submitted the job; empty for none.
     """
 
     job_id: str
@@ -93,6 +94,7 @@
     is_digest: bool = False
     route: str = ""
     token_counts: tuple[int, ...] = ()
+    workspace: str = ""
 
     @property
     def token_count(self) -> int:
--- a/briarvale/platform/batch_job_handler.py
+++ b/briarvale/platform/batch_job_handler.py
@@ -3,13 +3,14 @@
 import base64
 import json
 import re
+from contextlib import suppress
 from typing import Annotated
 
 import msgspec
 
 from .._digits import parse_unsigned_int
 from ..clock import Clock
-from ..errors import DocumentInvalid, InvalidRequest, NotFound
+from ..errors import DocumentInvalid, InvalidRequest, JobForbidden, NotFound, NotReady
 from ..forward_request import ForwardRequest
 from ..http_wire import Headers, OutgoingRequest, check_request, find_header
 from ..ingress import IngressRequest, Responder
@@ -18,6 +19,7 @@
 from ..routes import BatchRoute, Route, RouteTable, ServiceWeight
 from ..shard_log import ItemResult
 from ..strict_json import decode_json
+from .credentials import IDENTITY_HEADERS, WORKSPACE
 from .headers import DEADLINE_MS, REQUEST_ID, WAIT_MS, decode_request
 
 MAX_ITEMS = 200
@@ -59,13 +61,15 @@
     def item_request(self, job: OpaqueJob, item: OpaqueItem, body: bytes) -> ForwardRequest:
         """Returns an item's request, with the item's headers and id and the host of its job."""
         item_headers = [(name.lower().encode(), text.encode()) for name, text in item.headers]
-        replaced = {b"host", REQUEST_ID}
+        replaced = {b"host", REQUEST_ID} | IDENTITY_HEADERS
         headers = [header for header in item_headers if header[0] not in replaced]
         headers += [(b"host", job.host.encode()), (REQUEST_ID, item.id.encode())]
+        if job.workspace:
+            headers.append((WORKSPACE, job.workspace.encode()))
         route = Route("", job.host, "/", BatchRoute(0, 0), (ServiceWeight(job.service, 1.0),))
         now_ms = self._clock.now_ms()
         request = decode_request(b"POST", item.target.encode(), tuple(headers), body, route, now_ms)
-        return request._replace(deadline_at_ms=job.give_up_at_ms)
+        return request._replace(deadline_at_ms=job.give_up_at_ms, workspace=job.workspace)
 
 
 class BatchJobHandler:
@@ -82,21 +86,64 @@
         self._requests = ItemRequests(clock)
 
     async def submit(
-        self, table: RouteTable, route: Route, request: IngressRequest, responder: Responder
+        self,
+        table: RouteTable,
+        route: Route,
+        workspace: str,
+        request: IngressRequest,
+        responder: Responder,
     ) -> None:
-        """Stores a submitted job and responds with 202."""
+        """Stores a job that a workspace submits and responds with 202.
+
+        Raises:
+            JobForbidden: If the id is that of another workspace's job.
+        """
         now_ms = self._clock.now_ms()
-        job = _decode_job(route, request, now_ms)
+        job = _decode_job(route, request, now_ms)._replace(workspace=workspace)
         self._check_items(table, job)
+        self._check_submitter(job.job_id, workspace)
         deadline_ms = _header_int(request.headers, DEADLINE_MS)
         answer_by_ms = now_ms + (deadline_ms or DEFAULT_SUBMIT_TIMEOUT_MS)
         await self._service.accept(job, answer_by_ms, _max_waiting_tokens(route))
-        await self.confirm(responder)
+        if workspace:
+            await self._check_accepted(job.job_id, workspace)
+        await self._confirm(responder)
+
+    async def confirm_repeated(self, job_id: str, workspace: str, responder: Responder) -> None:
+        """Responds again that a job is accepted; raises `JobForbidden`."""
+        self._check_submitter(job_id, workspace)
+        await self._confirm(responder)
 
-    async def confirm(self, responder: Responder) -> None:
-        """Responds that a job is accepted."""
+    async def _confirm(self, responder: Responder) -> None:
         await responder.answer(202, JSON_HEADERS, b"{}")
 
+    def _check_submitter(self, job_id: str, workspace: str) -> None:
+        """Raises `JobForbidden` if this node knows the job as another workspace's."""
+        known = self._service.known_job(job_id)
+        if known is not None and known.workspace != workspace:
+            raise JobForbidden("the id belongs to another job")
+
+    async def _check_accepted(self, job_id: str, workspace: str) -> None:
+        """Checks whose job the store holds, which another node may have accepted before.
+
+        While the store can't be read, the job counts as the caller's: a refusal would promise that
+        nothing of it runs.
+        """
+        with suppress(NotReady):
+            await self._service.find(job_id)
+        self._check_submitter(job_id, workspace)
+
+    async def check_workspace(self, job_id: str, workspace: str) -> None:
+        """Raises `NotFound` if the job is another workspace's, as if there were none.
+
+        Raises:
+            NotReady: If the store doesn't tell whether the job exists.
+        """
+        _check_job_id(job_id)
+        found = await self._service.find(job_id)
+        if found.job.workspace and found.job.workspace != workspace:
+            raise NotFound(f"no job {job_id!r}")
+
     def is_kept(self, job_id: str, host: str) -> bool:
         """Whether this node knows a job that was submitted to the host."""
         job = self._service.known_job(job_id)
--- a/briarvale/platform/config_document.py
+++ b/briarvale/platform/config_document.py
@@ -19,6 +19,8 @@
     StreamRoute,
 )
 from ..strict_json import Label, NonEmptyLabel, convert_value
+from ..workspaces import WorkspaceTable
+from .workspace_entries import decode_workspaces
 
 DEFAULT_TIMEOUT_MS = 30_000
 DEFAULT_TARGET_LATENCY_MS = 1_000
@@ -66,6 +68,7 @@
     timeout_ms: Milliseconds | None = None
     target_latency_ms: Milliseconds | None = None
     priority: SmallInt | None = None
+    public: bool | None = None
     resumable: bool | None = None
     gap_aim_ms: Milliseconds | None = None
     retention_s: Annotated[float, msgspec.Meta(ge=0, le=MAX_WAIT_S)] | None = None
@@ -98,17 +101,29 @@
     # Only the stated capacities are used; a version isn't rejected for the rest.
     services: Any = None
     limits: _LimitsSpec | None = None
+    # Decoded entry by entry; a version isn't rejected for an invalid one.
+    tenants: Any = None
 
 
-def route_table_from(spec: object) -> RouteTable:
-    """Decodes the object `config/main`; raises `SettingsInvalid` with the field that is wrong."""
+def route_table_from(spec: object, previous: WorkspaceTable | None = None) -> RouteTable:
+    """Decodes the object `config/main`, whose keys are digests already.
+
+    Args:
+        spec: The decoded JSON of the object.
+        previous: The workspaces in force, which an invalid entry leaves as they were.
+
+    Raises:
+        SettingsInvalid: With the field that is wrong.
+    """
     try:
         config = convert_value(spec, _ConfigSpec)
     except DocumentInvalid as error:
         raise SettingsInvalid(str(error)) from error
     routes = [_route(route, index) for index, route in enumerate(config.routes)]
     limits = _limits(config.limits or _LimitsSpec())
-    return RouteTable(config.version, routes, limits, _capacity_tokens(config.services))
+    workspaces = decode_workspaces(config.tenants, previous)
+    capacities = _capacity_tokens(config.services)
+    return RouteTable(config.version, routes, limits, capacities, workspaces)
 
 
 def _capacity_tokens(services: object) -> dict[str, int]:
@@ -139,6 +154,7 @@
         timeout_ms=timeout_ms,
         target_latency_ms=round(spec.target_latency_ms or DEFAULT_TARGET_LATENCY_MS),
         priority=spec.priority or 0,
+        is_public=bool(spec.public),
     )
 
 
--- a/briarvale/platform/feeds.py
+++ b/briarvale/platform/feeds.py
@@ -37,7 +37,9 @@
         if config.name != CONFIG_NAME:
             return
         try:
-            self._routes.update(route_table_from(config.value), "store")
+            table = self._routes.table
+            previous = table.workspaces if table is not None else None
+            self._routes.update(route_table_from(config.value, previous), "store")
         except SettingsInvalid as error:
             log.error("Rejected the configuration: {}.", error, revision=config.revision)
 
--- a/briarvale/platform/request_handler.py
+++ b/briarvale/platform/request_handler.py
@@ -18,7 +18,9 @@
 from ..http_wire import find_header
 from ..ingress import IngressRequest, Responder
 from ..routes import BatchRoute, IngressLimits, Route, RouteTable
+from ..workspaces import Workspace, combine_priorities
 from .batch_job_handler import BatchJobHandler
+from .credentials import authenticate, identified_headers
 from .headers import REQUEST_ID, decode_request
 
 JOBS_PATH = "/briarvale/lots/"
@@ -78,7 +80,11 @@
             if self._is_job_call(table, host, path, job_id):
                 query_params = {name: values[0] for name, values in parse_qs(query).items()}
                 with self._log_job_call(job_id, request, responder):
+                    is_public = table.has_public_batch(host)
+                    workspace = authenticate(table, request.headers, is_public=is_public)
                     await self._batch.check_host(job_id, host, has_batch=table.has_batch(host))
+                    if table.workspaces is not None:
+                        await self._batch.check_workspace(job_id, _name_of(workspace))
                     await handler(job_id, query_params, request, responder)
                 return
         await self._forward(table, host, path, request, responder)
@@ -115,9 +121,11 @@
         if route is None or isinstance(route.kind, BatchRoute):
             await self._submit(table, route, host, path, request, responder)
             return
+        workspace = authenticate(table, request.headers, is_public=route.is_public)
+        request, route = _identified(table, request, route, workspace)
         forwarded = decode_request(
             request.method, request.target, request.headers, request.body, route, now_ms
-        )
+        )._replace(workspace=_name_of(workspace))
         if not forwarded.request_id:
             raise InvalidRequest("the header Briarvale-Request-Attempt-Id is missing")
         table.check_fits(forwarded.service, forwarded.prompt_tokens)
@@ -135,6 +143,7 @@
                 request_id=forwarded.request_id,
                 route=route.name,
                 service=forwarded.service,
+                workspace=forwarded.workspace,
                 config_version=table.version,
                 code=code,
                 status=responder.status,
@@ -161,11 +170,14 @@
         job_id = (find_header(request.headers, REQUEST_ID) or b"").decode("latin-1")
         if route is None and not self._batch.is_repeated(job_id, host, path):
             raise RouteNotFound(f"no route for {host}{path}")
+        is_public = route.is_public if route is not None else table.has_public_batch(host)
         with self._log_job_call(job_id, request, responder):
+            workspace = authenticate(table, request.headers, is_public=is_public)
             if route is None:
-                await self._batch.confirm(responder)
+                await self._batch.confirm_repeated(job_id, _name_of(workspace), responder)
             else:
-                await self._batch.submit(table, route, request, responder)
+                request, route = _identified(table, request, route, workspace)
+                await self._batch.submit(table, route, _name_of(workspace), request, responder)
 
     @contextmanager
     def _log_job_call(
@@ -202,6 +214,21 @@
                 raise InvalidRequest("the method is neither GET nor DELETE")
 
 
+def _name_of(workspace: Workspace | None) -> str:
+    return "" if workspace is None else workspace.name
+
+
+def _identified(
+    table: RouteTable, request: IngressRequest, route: Route, workspace: Workspace | None
+) -> tuple[IngressRequest, Route]:
+    """Returns a request without its API key, and its route with the workspace's priority first."""
+    if table.workspaces is None:
+        return request, route
+    headers = identified_headers(request.headers, workspace)
+    priority = combine_priorities(workspace, route.priority)
+    return request._replace(headers=headers), route._replace(priority=priority)
+
+
 def _status_of(error: BriarvaleError) -> int:
     """Returns the status for an error: 502 in place of one that would wrongly rule out a run."""
     if isinstance(error, CallerGone):
--- a/briarvale/platform/store.py
+++ b/briarvale/platform/store.py
@@ -30,7 +30,7 @@
 )
 from ..http_wire import ClientConnection, CompleteAnswer, OutgoingRequest
 from ..node_settings import StoreSettings
-from ..object_feed import ChangeList, ObjectList
+from ..object_feed import ChangeList, FeedObject, ObjectList
 from ..object_store import StoredObject, WatchResult
 from .store_answers import (
     ObjectPage,
@@ -39,7 +39,8 @@
     decode_revision,
     decode_stored,
 )
-from .store_objects import FOREIGN_KINDS
+from .store_objects import CONFIG_KIND, FOREIGN_KINDS
+from .workspace_entries import digest_keys
 
 CALL_TIMEOUT_S = 1.5
 # Minimum transfer rate; a call's timeout grows with the bytes that it sends and receives.
@@ -150,14 +151,21 @@
 
     async def _read_page(self, kind: str, query: str) -> ObjectPage:
         answer = await self._call("GET", f"{OBJECTS_PATH}/{kind}{query}")
-        return _decoded(decode_page, answer.body, holds_bytes=kind not in FOREIGN_KINDS)
+        page = _decoded(decode_page, answer.body, holds_bytes=kind not in FOREIGN_KINDS)
+        return page._replace(objects=tuple(_without_keys(kind, row) for row in page.objects))
 
     async def watch_kind(self, kind: str, revision: int, wait_ms: int) -> ChangeList:
         """Waits up to `wait_ms` for changes of a kind after a revision; raises `HistoryGone`."""
         path = f"{OBJECTS_PATH}/{kind}?watch={revision}&wait_ms={wait_ms}"
         timeout_s = wait_ms / MS_PER_S + WATCH_GRACE_S
         answer = await self._call("GET", path, may_refuse=(410,), timeout_s=timeout_s)
-        return _decoded(decode_changes, answer.body, holds_bytes=kind not in FOREIGN_KINDS)
+        found = _decoded(decode_changes, answer.body, holds_bytes=kind not in FOREIGN_KINDS)
+        return found._replace(
+            changes=tuple(
+                change._replace(object=_without_keys(kind, change.object))
+                for change in found.changes
+            )
+        )
 
     async def _call(
         self,
@@ -259,6 +267,11 @@
         raise _unavailable(error) from error
 
 
+def _without_keys(kind: str, row: FeedObject) -> FeedObject:
+    """Returns an object without API keys: the configuration holds their digests instead."""
+    return row._replace(value=digest_keys(row.value)) if kind == CONFIG_KIND else row
+
+
 def _path(key: str) -> str:
     kind, _, name = key.partition("/")
     return f"{OBJECTS_PATH}/{kind}/{quote(name, safe='')}"
--- a/briarvale/routes.py
+++ b/briarvale/routes.py
@@ -164,3 +164,8 @@
     def has_batch(self, host: str) -> bool:
         """Whether the host has a route for batch jobs."""
         return any(isinstance(r.kind, BatchRoute) for r in self._by_host.get(host.lower(), ()))
+
+    def has_public_batch(self, host: str) -> bool:
+        """Whether the host has a route on which batch jobs need no API key."""
+        routes = self._by_host.get(host.lower(), ())
+        return any(isinstance(r.kind, BatchRoute) and r.is_public for r in routes)
--- a/features/support/platform_jobs.py
+++ b/features/support/platform_jobs.py
@@ -72,9 +72,11 @@
     return answer
 
 
-async def read_page(node: FleetNode, after: int = 0, job_id: str = JOB) -> Answer:
+async def read_page(
+    node: FleetNode, after: int = 0, job_id: str = JOB, headers: dict[str, str] | None = None
+) -> Answer:
     """Reads a job's results on a new connection."""
-    headers = {"Briarvale-Wait-Ms": "1000"}
+    headers = {"Briarvale-Wait-Ms": "1000"} | (headers or {})
     path = f"/briarvale/lots/{job_id}?after={after}"
     answer = await Caller(node).call("GET", path, headers=headers)
     assert answer is not None
@@ -82,13 +84,16 @@
 
 
 async def read_all(
-    node: FleetNode, count: int = len(ITEMS), job_id: str = JOB
+    node: FleetNode,
+    count: int = len(ITEMS),
+    job_id: str = JOB,
+    headers: dict[str, str] | None = None,
 ) -> list[dict[str, str]]:
     """Reads pages of results until `count` results are listed."""
     results: list[dict[str, str]] = []
     with anyio.fail_after(DONE_TIMEOUT_S):
         while len(results) < count:
-            answer = await read_page(node, len(results), job_id)
+            answer = await read_page(node, len(results), job_id, headers)
             if answer.status != 200:
                 await anyio.sleep(0.2)
                 continue
