Run each feature file of the platform's folder as a check of its own

The check of the whole folder took longer than all other checks together, most of it waiting for real nodes. The same scenarios run; only how many run at a time changes.

--- a/tools/check.py
+++ b/tools/check.py
@@ -52,10 +52,26 @@
 
 
 BEHAVE = (PYTHON, "-m", "behave", "--format", "progress", "--no-color")
+# Folders whose scenarios mostly wait for real nodes: each of their files is a check of its own, as
+# one check of them all would take longer than all other checks together.
+SPLIT_FOLDERS = ("platform",)
+
+
+def feature_paths() -> list[Path]:
+    """Returns the folders and files of features that are a check each, in their order."""
+    paths = []
+    for path in sorted((ROOT / "features").iterdir()):
+        files = sorted(path.glob("*.feature"))
+        if path.name in SPLIT_FOLDERS:
+            paths += files
+        elif files or path.suffix == ".feature":
+            paths.append(path)
+    return paths
+
+
 FEATURES = tuple(
     Check(str(path.relative_to(ROOT)), (*BEHAVE, str(path.relative_to(ROOT))))
-    for path in sorted((ROOT / "features").iterdir())
-    if path.suffix == ".feature" or any(path.glob("*.feature"))
+    for path in feature_paths()
 )
 SOAK = (PYTHON, "-m", "soak", "--length-s", "10")
 # Seeds that broke a promise; each is its own check, so that KNOWN-RED.txt can list it alone.
