Revoke batch slots only for online requests that would start too late

Callers got 1.1 to 1.2 interrupted runs per finished item in a pool of 360 slots, since each online request that waited had a batch slot revoked at once, although released slots would have served most of them within milliseconds.

The owner now counts recent releases. A waiting request at position n counts on the slots that will be released within three fifths of the time until its latest start, less a margin for randomness and for the revocation itself, and only what is missing is revoked. Where few slots are released (a small pool, or none lately) or a request is near its time, slots are revoked at once, as before. The owner computes the need again every 10 ms while requests wait without one.

--- a/briarvale/slot_granters.py
+++ b/briarvale/slot_granters.py
@@ -5,7 +5,6 @@
 names either.
 """
 
-import math
 from typing import Generic, Protocol, TypeVar
 
 import anyio
@@ -91,6 +90,7 @@
         self._granters: dict[str, Granter] = {}
         self._early_reports: dict[str, tuple[HeldGrant, Holder]] = {}
         self._due_changed = anyio.Event()
+        self._wake_at_ms = 0.0
         self._granter_added = Notifier()
 
     async def wait_owned(self) -> None:
@@ -168,15 +168,15 @@
         now_ms = self._clock.now_ms()
         due_times_ms = [granter.due_at_ms for granter in self._granters.values()]
         future_times_ms = [at_ms for at_ms in due_times_ms if at_ms > now_ms]
-        wake_at_ms = min([tick_at_ms, *future_times_ms])
-        with anyio.move_on_after(max(MIN_WAIT_MS, wake_at_ms - now_ms) / MS_PER_S):
+        self._wake_at_ms = min([tick_at_ms, *future_times_ms])
+        with anyio.move_on_after(max(MIN_WAIT_MS, self._wake_at_ms - now_ms) / MS_PER_S):
             await self._due_changed.wait()
 
     def _submit(self, holder: Holder, request: SlotRequest) -> None:
         granter = self._granters.get(request.backend_server)
         if granter is not None:
             granter.submit(request, holder)
-            if granter.due_at_ms < math.inf:
+            if granter.due_at_ms < self._wake_at_ms:
                 self._due_changed.set()
             return
         retry_at_ms = self._clock.now_ms() + RETRY_DELAY_MS
--- a/briarvale/slot_pool.py
+++ b/briarvale/slot_pool.py
@@ -27,7 +27,7 @@
 from .live_servers import LiveServer
 from .pool_health import PoolHealth
 from .pool_queue import MAX_QUEUED, PoolQueue, PoolWaiter
-from .pool_revocation import revoke_batch
+from .pool_revocation import OnlineRevocation, revoke_batch
 from .pool_server import PoolServer, ServerRuns, choose_server
 from .wait_estimate import WaitEstimate
 
@@ -66,6 +66,7 @@
         self._estimate = WaitEstimate()
         self._item_durations = ItemDurations()
         self._online_peak = PeakDemand(BATCH_HEADROOM_MS)
+        self._revocation = OnlineRevocation()
         self._sequence = 0
         self._log_at_ms = 0
         self._ticked_at_ms = clock.now_ms()
@@ -89,10 +90,10 @@
 
     @property
     def due_at_ms(self) -> float:
-        """When to grant slots before the next tick: after the report grace, if requests wait."""
+        """When to grant slots before the next tick: for revocations, and after the report grace."""
         if self._clock.now_ms() < self._grant_from_ms and self.queued:
             return self._grant_from_ms
-        return math.inf
+        return self._revocation.due_at_ms
 
     def configure(self, servers: Iterable[LiveServer]) -> None:
         """Sets the servers that accept new work; those not listed stay until their grants end."""
@@ -159,6 +160,8 @@
         self._sequence += 1
         waiter = PoolWaiter(request, holder, now_ms, self._sequence)
         queue.push(waiter)
+        if request.work_class is WorkClass.ONLINE:
+            self._revocation.record_request(request.start_by_ms, now_ms)
         self.grant_waiting()
         if waiter in queue and request.work_class is WorkClass.ONLINE:
             wait_ms = self._predicted_wait_ms(queue.position(waiter))
@@ -186,6 +189,8 @@
                 self._health.record_outcome(server, release.outcome, now_ms)
                 duration_ms = now_ms - grant.granted_at_ms
                 is_finished = release.outcome is Outcome.FINISHED
+                if release.outcome is not Outcome.REVOKED:
+                    self._revocation.record_release(now_ms)
                 if grant.held.work_class is WorkClass.ONLINE:
                     self._estimate.observe(duration_ms)
                     if is_finished:
@@ -281,6 +286,7 @@
             online_queued=len(self._waiting[WorkClass.ONLINE]),
             batch_queued=len(self._waiting[WorkClass.BATCH]),
             foreign_runs=sum(server.foreign_runs for server in self._servers.values()),
+            revoked=self._revocation.revoked,
         )
 
     def grant_waiting(self) -> None:
@@ -293,9 +299,9 @@
             return
         self._grant_queue(WorkClass.ONLINE, now_ms)
         self._online_peak.observe(self._held_by(WorkClass.ONLINE), now_ms)
-        if self._waiting[WorkClass.ONLINE]:
-            self._revoke_for_online()
-        elif now_ms >= self._batch_from_ms:
+        ready = (server for server in self._servers.values() if server.is_ready)
+        self._revocation.revoke(self._waiting[WorkClass.ONLINE], ready, now_ms)
+        if not self._waiting[WorkClass.ONLINE] and now_ms >= self._batch_from_ms:
             self._grant_batch(now_ms)
 
     def _refuse_online(self, now_ms: int) -> None:
@@ -360,12 +366,6 @@
             SlotGrant(request.request_id, grant_id, server_id, 1, expires_at_ms, *counts)
         )
 
-    def _revoke_for_online(self) -> None:
-        """Revokes a batch slot per waiting online request, less the slots already being revoked."""
-        ready = [server for server in self._servers.values() if server.is_ready]
-        revoking = sum(server.grants.revoking_slots for server in ready)
-        revoke_batch(ready, len(self._waiting[WorkClass.ONLINE]) - revoking)
-
     def _revoke_excess(self) -> None:
         """Revokes batch slots beyond a server's slots, which several owners may have granted."""
         for server in self._servers.values():
--- a/features/support/pool_load.py
+++ b/features/support/pool_load.py
@@ -66,6 +66,7 @@
     Attributes:
         item_times_ms: Times from the arrival of an item to its completion.
         starts: How often items started or resumed.
+        revoked: Slots of items that were revoked.
         revoked_early: Starts that were revoked before they had done any work.
         online_times_ms: Times from the arrival of an online request to the end of its run.
     """
@@ -75,6 +76,7 @@
     items_done: int
     item_times_ms: list[float]
     starts: int
+    revoked: int
     revoked_early: int
     online_failed: int
     online_times_ms: list[float]
@@ -121,8 +123,9 @@
         self._items: dict[str, _Item] = {}
         # Request id and start of each running item, by grant id.
         self._runs: dict[str, tuple[str, float]] = {}
-        self.result = LoadResult([], 0, 0, [], 0, 0, 0, [], 0)
+        self.result = LoadResult([], 0, 0, [], 0, 0, 0, 0, [], 0)
         self._refused = self._done = self._starts = self._early = self._failed = self._hung = 0
+        self._revoked = 0
         self.pool = make_pool("desk", self._clock)
         self.pool.configure(
             LiveServer(f"i-{n}", "desk", PeerAddress("127.0.0.1", 1), "a", shape.slots)
@@ -137,12 +140,14 @@
         ids = random.Random(self._shape.seed)
         with mock.patch("secrets.token_hex", lambda size=32: ids.randbytes(size).hex()):
             while self._heap and self._heap[0][0] <= self._shape.duration_ms:
+                self._grant_due(self._heap[0][0])
                 self._clock.ms, _, action = heapq.heappop(self._heap)
                 action()
         return self.result._replace(
             online_refused=self._refused,
             items_done=self._done,
             starts=self._starts,
+            revoked=self._revoked,
             revoked_early=self._early,
             online_failed=self._failed,
             online_hung=self._hung,
@@ -162,6 +167,7 @@
                 item = self._items.pop(request_id)
                 self._schedule(50, lambda: self._request_item(item))
             case SlotRevoke(grant_id=grant_id):
+                self._revoked += 1
                 self._schedule(3, lambda: self._stop_item(grant_id))
 
     def _schedule(self, delay_ms: float, action: Callable[[], None]) -> None:
@@ -172,6 +178,14 @@
         self.pool.tick()
         self._schedule(TICK_MS, self._tick)
 
+    def _grant_due(self, until_ms: float) -> None:
+        """Lets the pool grant slots at its due time, if nothing else happens before."""
+        due_at_ms = self.pool.due_at_ms
+        while self._clock.ms < due_at_ms < until_ms:
+            self._clock.ms = due_at_ms
+            self.pool.grant_waiting()
+            due_at_ms = self.pool.due_at_ms
+
     def _rate_per_s(self) -> float:
         shape = self._shape
         phase = self._clock.ms % (shape.low_ms + shape.high_ms)
