--- a/briarvale/opaque_job_service.py
+++ b/briarvale/opaque_job_service.py
@@ -38,7 +38,7 @@
 from .peer import PeerIdentity
 from .shard_log import ItemResult, LogEntry, RunnerId, ShardLog, fitting_results
 from .store_budget import StoreBudget
-from .waiting_tokens import TokenLimiter
+from .waiting_tokens import ACCEPT_WITHIN_S, TokenLimiter
 
 MAX_PAGE_BYTES = 900_000
 # After this time a page is returned with the results read so far, if there are any.
@@ -110,8 +110,11 @@
         """
         if self._directory.get(job.job_id) is not None:
             return
-        if max_waiting_tokens and not await self._reserve(job, max_waiting_tokens, answer_by_ms):
-            return
+        if max_waiting_tokens:
+            accept_by_ms = self._clock.now_ms() + round(ACCEPT_WITHIN_S * MS_PER_S)
+            answer_by_ms = min(answer_by_ms, accept_by_ms + ANSWER_RESERVE_MS)
+            if not await self._reserve(job, max_waiting_tokens, answer_by_ms):
+                return
         job = job._replace(runner=self._own_id)
         stored = await self._create_parts(job, answer_by_ms)
         key = job_key(job.job_id)
--- a/features/platform/waiting_tokens.feature
+++ b/features/platform/waiting_tokens.feature
@@ -29,6 +29,21 @@
     When a node is killed between the reservation of a job's tokens and its acceptance
     Then a job as large is accepted within 35 s
 
+  # Guards against a job accepted after other nodes have dropped its reservation as abandoned.
+  Scenario Outline: A job is not accepted on a reservation that another node may drop
+    When a job is <event> while another node sees its reservation for 30 s
+    Then no more tokens than the limit wait
+
+    Examples:
+      | event                      |
+      | sent again                 |
+      | accepted with a long delay |
+
+  # Guards against a workspace that fills the route for the others, or exceeds the limit itself.
+  Scenario: The limit applies to each workspace on the route
+    When jobs with and without a workspace are submitted to all nodes on a limited route
+    Then each of them gets as many accepted as the limit allows
+
   # Guards against waiting tokens beyond the limit, in any order of acceptance, results, ends and faults.
   Scenario: Nodes accept, finish and end jobs in random order, with faults of the store
     When 60 seeded schedules of jobs on a limited route are run in virtual time
--- a/features/steps/platform_waiting_tokens.py
+++ b/features/steps/platform_waiting_tokens.py
@@ -1,11 +1,13 @@
 """Steps for the limit on a route's waiting tokens: real nodes on loopback, and virtual time."""
 
+from contextlib import suppress
 from typing import Any
 
 import anyio
 from behave import then, when
 from behave.runner import Context
 
+from briarvale.errors import AcceptanceRefused, WaitingTokensExceeded
 from features.support.platform_fleet import (
     TOKENS_PER_ITEM,
     Answer,
@@ -35,6 +37,8 @@
 # Items of this gap between events run for longer than the test.
 LONG_GAP_S = 10.0
 APPLY_TIMEOUT_S = 10.0
+# One of them is none: jobs without a workspace share a limit of their own.
+WORKSPACES = ("", "huka", "moa")
 
 
 async def set_limit(fleet: PlatformFleet, max_tokens: int) -> None:
@@ -183,10 +187,7 @@
         killed, other = world.nodes
         async with anyio.create_task_group() as tasks:
             world.start(tasks)
-            with anyio.CancelScope() as scope:
-                killed.service._create_parts = _cancelling(scope)  # type: ignore[method-assign]
-                await world.accept(killed, "job-1", LIMIT // ITEMS_PER_JOB)
-            assert scope.cancelled_caught and not world.stored_job_ids()
+            await _accept_until_killed(world, killed)
             tasks.start_soon(_submit_small_jobs, world, other)
             took_s = await world.accept_largest(other, "job-2")
             tasks.cancel_scope.cancel()
@@ -198,7 +199,7 @@
 async def _submit_small_jobs(world: TokenWorld, node: TokenNode) -> None:
     """Submits a job a second on another limited route, for as long as they fit."""
     for number in range(LIMIT // ITEMS_PER_JOB):
-        await world.accept(node, f"other-{number}", 1, "desk.example/other/")
+        await world.accept(node, f"other-{number}", 1, route="desk.example/other/")
         await anyio.sleep(1)
 
 
@@ -217,6 +218,81 @@
     assert context.took_s <= limit_s, context.took_s
 
 
+@when("a job is {event} while another node sees its reservation for 30 s")
+def when_reserved_long(context: Context, event: str) -> None:
+    async def run() -> int:
+        world = TokenWorld(seed=1, node_count=3)
+        killed, other, witness = world.nodes
+        async with anyio.create_task_group() as tasks:
+            world.start(tasks)
+            tasks.start_soon(_accept_later, world, witness)
+            match event:
+                case "sent again":
+                    await _accept_until_killed(world, killed)
+                    await anyio.sleep(29.0)
+                    delay_s, timeout_ms = 2.0, 4_000
+                case _:
+                    delay_s, timeout_ms = 31.0, 60_000
+            create_parts = other.service._create_parts
+
+            async def create_late(*args: Any) -> Any:
+                await anyio.sleep(delay_s)
+                return await create_parts(*args)
+
+            other.service._create_parts = create_late  # type: ignore[method-assign]
+            with suppress(AcceptanceRefused, WaitingTokensExceeded):
+                await world.accept(other, "job-1", LIMIT // ITEMS_PER_JOB, timeout_ms=timeout_ms)
+            await anyio.sleep(5.0)
+            tasks.cancel_scope.cancel()
+        return world.most_waiting()
+
+    context.most_waiting = run_virtual(run)
+
+
+async def _accept_later(world: TokenWorld, node: TokenNode) -> None:
+    """Submits a job as large as the limit, from after the reservation of the first job on."""
+    await anyio.sleep(0.5)
+    await world.accept_largest(node, "job-2")
+
+
+async def _accept_until_killed(world: TokenWorld, node: TokenNode) -> None:
+    """Submits a job at a node that is killed once it has reserved the job's tokens."""
+    with anyio.CancelScope() as scope:
+        node.service._create_parts = _cancelling(scope)  # type: ignore[method-assign]
+        await world.accept(node, "job-1", LIMIT // ITEMS_PER_JOB)
+    assert scope.cancelled_caught and not world.stored_job_ids()
+
+
+@then("no more tokens than the limit wait")
+def then_no_more(context: Context) -> None:
+    assert context.most_waiting <= LIMIT, context.most_waiting
+
+
+@when("jobs with and without a workspace are submitted to all nodes on a limited route")
+def when_two_workspaces(context: Context) -> None:
+    async def run() -> dict[str, int]:
+        accepted = dict.fromkeys(WORKSPACES, 0)
+        world = TokenWorld(seed=1, node_count=3)
+        async with anyio.create_task_group() as tasks:
+            world.start(tasks)
+            for number in range(4):
+                for name in WORKSPACES:
+                    node = world.nodes[number % len(world.nodes)]
+                    tokens = LIMIT // ITEMS_PER_JOB // 2
+                    with suppress(WaitingTokensExceeded):
+                        await world.accept(node, f"{name}-{number}", tokens, workspace=name)
+                        accepted[name] += 1
+            tasks.cancel_scope.cancel()
+        return accepted
+
+    context.accepted = run_virtual(run)
+
+
+@then("each of them gets as many accepted as the limit allows")
+def then_each_limited(context: Context) -> None:
+    assert context.accepted == dict.fromkeys(WORKSPACES, 2), context.accepted
+
+
 @when("{seeds:d} seeded schedules of jobs on a limited route are run in virtual time")
 def when_schedules(context: Context, seeds: int) -> None:
     context.token_reports = [run_token_schedule(seed) for seed in range(1, seeds + 1)]
--- a/features/support/token_schedules.py
+++ b/features/support/token_schedules.py
@@ -1,6 +1,5 @@
 """Seeded schedules of jobs at several nodes that share a route's limit on waiting tokens."""
 
-import json
 import math
 import random
 from typing import NamedTuple
@@ -24,6 +23,7 @@
 from briarvale.standins.object_api import StandinObjectApi, StoreWrite
 from briarvale.store_budget import BackOff, CallRates, StoreBudget
 
+from .job_writes import JobWrite, JobWrites
 from .virtual import run_virtual
 
 ROUTE = "desk.example/lot/"
@@ -107,11 +107,19 @@
             tasks.start_soon(node.follow)
 
     async def accept(
-        self, node: TokenNode, job_id: str, tokens_per_item: int, route: str = ROUTE
+        self,
+        node: TokenNode,
+        job_id: str,
+        tokens_per_item: int,
+        *,
+        route: str = ROUTE,
+        workspace: str = "",
+        timeout_ms: int = SUBMIT_TIMEOUT_MS,
     ) -> None:
         """Submits a job of `ITEMS_PER_JOB` items at a node."""
-        answer_by_ms = self.clock.now_ms() + SUBMIT_TIMEOUT_MS
-        job = _job(job_id, tokens_per_item, self.clock.now_ms())._replace(route=route)
+        answer_by_ms = self.clock.now_ms() + timeout_ms
+        job = _job(job_id, tokens_per_item, self.clock.now_ms())
+        job = job._replace(route=route, workspace=workspace)
         await node.service.accept(job, answer_by_ms, LIMIT)
 
     async def accept_largest(self, node: TokenNode, job_id: str) -> float:
@@ -143,23 +151,14 @@
 
     def most_waiting(self) -> int:
         """Returns the most tokens that waited at any time, from the store's writes."""
-        waiting: dict[str, dict[int, int]] = {}
-        most = 0
-        for write in self.store.applied_writes:
-            kind, _, name = write.key.partition("/")
-            if kind != JOBS_KIND or write.value is None:
-                continue
-            job_id, _, suffix = name.partition(".")
-            row = json.loads(write.value)
-            if not suffix:
-                waiting[job_id] = dict(enumerate(row["token_counts"]))
-            elif row["is_seal"]:
-                waiting[job_id] = {}
-            else:
-                for result in row["results"]:
-                    waiting[job_id].pop(result[0], None)
-            most = max(most, sum(sum(counts.values()) for counts in waiting.values()))
-        return most
+        replayed = JobWrites(ROUTE)
+        prefix = f"{JOBS_KIND}/"
+        replayed.apply(
+            JobWrite(write.key.removeprefix(prefix), write.value)
+            for write in self.store.applied_writes
+            if write.key.startswith(prefix) and write.value is not None
+        )
+        return replayed.most_waiting
 
 
 class _Schedule:
