Give workspaces fair shares of a pool's slots

A workspace at seven times its rate, in a peak with a sixth of the servers down, made callers of all workspaces wait: the pool's queue knew priorities and times only.

Within a priority, the owner now serves workspaces by start-time fair queueing, with the tags of briarvale/fairness.py, which servers' queues use too. Weights are the limits of the configuration, at least the mean of them. Lateness classes decide within a workspace. A lower priority that was bypassed 15 times gets the next slot, while several workspaces wait. Requests that cannot be served by their deadlines are refused from the end of the fair order, and a full queue refuses the newest request of the workspace that is furthest over its share. With one workspace or none the order and the refusals are as before.

--- a/briarvale/fairness.py
+++ b/briarvale/fairness.py
@@ -9,7 +9,7 @@
 
 MIN_WEIGHT = 0.001
 
-__all__ = ["FairQueue", "Shares", "Waiter"]
+__all__ = ["FairQueue", "FairTags", "Shares", "Waiter"]
 
 
 class Waiter(NamedTuple):
@@ -44,13 +44,53 @@
         return self.weight(member) / sum(self.weight(name) for name in members | {member})
 
 
-class FairQueue:
-    """Waiting requests of one class, in a bounded queue for each member.
+class FairTags:
+    """Virtual start and finish times of start-time fair queueing, by member.
 
     A member's start tag is the virtual time at which its next request starts service. Serving a
     request of `c` tokens advances the tag by `c` divided by the member's weight. The member with
     the least tag is served next, so backlogged members get tokens in proportion to their weights.
 
+    Attributes:
+        virtual_time: The greatest start tag of the requests served so far.
+    """
+
+    def __init__(self) -> None:
+        self.virtual_time = 0.0
+        self._start: dict[str, float] = {}
+        self._finish: dict[str, float] = {}
+
+    def enter(self, member: str) -> None:
+        """Adds a member whose first request begins to wait."""
+        self._start[member] = max(self.virtual_time, self._finish.pop(member, 0.0))
+
+    def leave(self, member: str) -> None:
+        """Removes a member that has no waiting requests any more."""
+        finish = self._start.pop(member)
+        if finish > self.virtual_time:
+            self._finish[member] = finish
+
+    def start(self, member: str) -> float:
+        """Returns the start tag of a member with waiting requests."""
+        return self._start[member]
+
+    def charge(self, member: str, cost: float) -> None:
+        """Charges a member with waiting requests for one that is served; `cost` is weighted."""
+        start = self._start[member]
+        self.virtual_time = max(self.virtual_time, start)
+        self._start[member] = start + cost
+
+    def refund(self, member: str, cost: float) -> None:
+        """Refunds part of a charge; `cost` is weighted."""
+        if member in self._finish:
+            self._finish[member] -= cost
+        if member in self._start:
+            self._start[member] = max(self.virtual_time, self._start[member] - cost)
+
+
+class FairQueue:
+    """Waiting requests of one class, in a bounded queue for each member, served by `FairTags`.
+
     Args:
         max_queued: Bound of each member's queue.
     """
@@ -58,9 +98,7 @@
     def __init__(self, max_queued: int) -> None:
         self._max_queued = max_queued
         self._waiting: dict[str, list[Waiter]] = {}
-        self._start_tags: dict[str, float] = {}
-        self._finish_tags: dict[str, float] = {}
-        self._virtual_time = 0.0
+        self._tags = FairTags()
 
     def __len__(self) -> int:
         return sum(len(queue) for queue in self._waiting.values())
@@ -72,7 +110,7 @@
     @property
     def members(self) -> list[str]:
         """Members with waiting requests, the next to be served first."""
-        return sorted(self._waiting, key=lambda member: self._start_tags[member])
+        return sorted(self._waiting, key=self._tags.start)
 
     def queued(self, member: str) -> int:
         """Returns how many requests of the member are queued."""
@@ -87,8 +125,7 @@
         member = waiter.request.member
         if member not in self._waiting:
             self._waiting[member] = []
-            finish_tag = self._finish_tags.get(member, 0.0)
-            self._start_tags[member] = max(self._virtual_time, finish_tag)
+            self._tags.enter(member)
         insort(self._waiting[member], waiter, key=lambda each: each.urgency)
 
     def peek(self, member: str) -> Waiter:
@@ -98,22 +135,13 @@
     def pop(self, member: str, shares: Shares) -> Waiter:
         """Removes and returns the member's next request, and charges the member for it."""
         waiter = self._waiting[member].pop(0)
-        start_tag = self._start_tags[member]
-        finish_tag = start_tag + waiter.request.cost_tokens / shares.weight(member)
-        self._virtual_time = max(self._virtual_time, start_tag)
-        self._finish_tags[member] = finish_tag
-        self._start_tags[member] = finish_tag
+        self._tags.charge(member, waiter.request.cost_tokens / shares.weight(member))
         self._remove_if_empty(member)
         return waiter
 
     def refund(self, member: str, tokens: int, shares: Shares) -> None:
         """Refunds part of a charge, for tokens that were not generated."""
-        refund = tokens / shares.weight(member)
-        if member in self._finish_tags:
-            self._finish_tags[member] -= refund
-        if member in self._start_tags:
-            tag = max(self._virtual_time, self._start_tags[member] - refund)
-            self._start_tags[member] = tag
+        self._tags.refund(member, tokens / shares.weight(member))
 
     def remove(self, waiter: Waiter) -> None:
         """Removes a request that won't be served, without a charge."""
@@ -124,4 +152,4 @@
     def _remove_if_empty(self, member: str) -> None:
         if not self._waiting[member]:
             del self._waiting[member]
-            del self._start_tags[member]
+            self._tags.leave(member)
--- a/briarvale/platform/node.py
+++ b/briarvale/platform/node.py
@@ -14,6 +14,7 @@
 from ..crash_records import CrashRecords
 from ..datagrams import UdpDatagrams
 from ..errors import BriarvaleError
+from ..fairness import Shares
 from ..feed_publisher import FeedPublisher
 from ..feed_relay import FeedRelay
 from ..feed_source import FeedSource
@@ -36,6 +37,7 @@
 from ..store_budget import BackOff, CallRates, StoreBudget
 from ..vm_directory import VMS_KIND, VmDirectory
 from ..vm_drains import VmDrains
+from ..workspaces import workspace_shares
 from .batch_job_handler import BatchJobHandler, ItemRequests
 from .engine_report import fetch_runs
 from .feeds import ConfigFeed, ServerFeed
@@ -129,6 +131,7 @@
             fetch_runs,
             self._directory.processor_cores,
         )
+        self.cluster.pools.shares = self._workspace_shares
         self._publisher = self.cluster.publisher = FeedPublisher()
         self.feed_source = FeedSource(
             self._store,
@@ -165,6 +168,9 @@
         is_served = self._ingress is None or self._ingress.is_listening
         return is_served and self._transport.is_listening and self._datagrams.is_receiving
 
+    def _workspace_shares(self) -> Shares:
+        return workspace_shares(self.routes.table.workspaces if self.routes.table else None)
+
     async def run(self) -> None:
         """Runs until a stop is requested and the node has drained."""
         log.info("Starts.", vm=self._settings.vm_settings.vm, host=self._settings.vm_settings.host)
--- a/briarvale/pool_owner.py
+++ b/briarvale/pool_owner.py
@@ -1,7 +1,9 @@
 """The slot pools of all services that this node owns."""
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 
+from .clock import Clock
+from .fairness import Shares
 from .live_servers import LiveServer
 from .slot_granters import OwnedGranters
 from .slot_pool import SlotPool
@@ -10,15 +12,26 @@
 
 
 class PoolOwner(OwnedGranters[SlotPool]):
-    """Runs one `SlotPool` for each owned service."""
+    """Runs one `SlotPool` for each owned service.
+
+    Args:
+        clock: Source of timestamps.
+
+    Attributes:
+        shares: Returns the weights of the workspaces; they weigh the same by default.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        super().__init__(clock)
+        self.shares: Callable[[], Shares] = lambda: Shares({})
 
     def reconcile(self, pools: Mapping[str, Sequence[LiveServer]]) -> None:
         """Adds and removes pools so that they match `pools`; sets the ready servers of each."""
         self._remove_owned(self._granters.keys() - pools.keys())
+        shares = self.shares()
         for name, servers in pools.items():
-            if name in self._granters:
-                self._granters[name].configure(servers)
-                continue
-            pool = SlotPool(name, self._clock)
+            pool = self._granters.get(name) or SlotPool(name, self._clock)
+            pool.set_shares(shares)
             pool.configure(servers)
-            self._add_owned(name, pool)
+            if name not in self._granters:
+                self._add_owned(name, pool)
--- a/briarvale/pool_revocation.py
+++ b/briarvale/pool_revocation.py
@@ -13,7 +13,7 @@
 # Interval between two computations of the need, while no new request is near its time.
 INTERVAL_MS = 5
 
-__all__ = ["OnlineRevocation", "revoke_batch"]
+__all__ = ["OnlineRevocation", "revoke_batch", "revoke_excess"]
 
 
 class OnlineRevocation:
@@ -78,6 +78,13 @@
     return min(count, len(revocable))
 
 
+def revoke_excess(servers: Iterable[PoolServer]) -> None:
+    """Revokes batch slots beyond a server's slots, which several owners may have granted."""
+    for server in servers:
+        excess = server.grants.slots - server.grants.revoking_slots - server.live_server.slots
+        revoke_batch([server], excess)
+
+
 def _rank(grant: Grant) -> tuple[bool, int, int, str]:
     """Sort key: grants with the highest are revoked first."""
     return grant.is_late, grant.start_by_ms, grant.granted_at_ms, grant.held.grant_id
--- a/briarvale/slot_pool.py
+++ b/briarvale/slot_pool.py
@@ -20,14 +20,16 @@
 )
 from .clock import MS_PER_S, Clock
 from .errors import NoServer, NotOwner, Overloaded, OwnerUnreachable
+from .fairness import Shares
 from .grants import Grant
 from .headroom import PeakDemand
 from .holder import Holder
 from .item_durations import ItemDurations
 from .live_servers import LiveServer
 from .pool_health import PoolHealth
+from .pool_log import PoolLog
 from .pool_queue import MAX_QUEUED, PoolQueue, PoolWaiter
-from .pool_revocation import OnlineRevocation, revoke_batch
+from .pool_revocation import OnlineRevocation, revoke_excess
 from .pool_server import PoolServer, ServerRuns, choose_server
 from .wait_estimate import WaitEstimate
 
@@ -39,7 +41,6 @@
 # How long after `BATCH_GRACE_MS` a new owner still probes servers for runs without a grant.
 PROBE_MS = 1_000
 MAX_TICK_GAP_MS = 1_000
-LOG_INTERVAL_MS = 1_000
 # Window of the online peak: a dip of the online load must last longer before batch items fill it.
 BATCH_HEADROOM_MS = 150
 RETRY_DELAY_MS = 250
@@ -68,7 +69,7 @@
         self._online_peak = PeakDemand(BATCH_HEADROOM_MS)
         self._revocation = OnlineRevocation()
         self._sequence = 0
-        self._log_at_ms = 0
+        self._log = PoolLog(name)
         self._ticked_at_ms = clock.now_ms()
         self._grant_from_ms = clock.now_ms() + REPORT_GRACE_MS
         self._batch_from_ms = clock.now_ms() + BATCH_GRACE_MS
@@ -95,6 +96,11 @@
             return self._grant_from_ms
         return self._revocation.due_at_ms
 
+    def set_shares(self, shares: Shares) -> None:
+        """Sets the weights of the workspaces."""
+        for queue in self._waiting.values():
+            queue.set_shares(shares)
+
     def configure(self, servers: Iterable[LiveServer]) -> None:
         """Sets the servers that accept new work; those not listed stay until their grants end."""
         ready = {server.id: server for server in servers}
@@ -109,7 +115,7 @@
                 del self._servers[server_id]
         for server_id in ready.keys() - self._servers.keys():
             self._servers[server_id] = PoolServer(ready[server_id])
-        self._revoke_excess()
+        revoke_excess(self._servers.values())
         self.grant_waiting()
 
     def servers_to_probe(self) -> list[LiveServer]:
@@ -152,8 +158,11 @@
             return
         queue = self._waiting[request.work_class]
         if queue.is_full:
-            self._refuse(request, holder, now_ms + RETRY_DELAY_MS)
-            return
+            displaced = queue.pop_displaced(request)
+            refused, refused_holder = displaced[:2] if displaced else (request, holder)
+            self._refuse(refused, refused_holder, now_ms + RETRY_DELAY_MS)
+            if displaced is None:
+                return
         if request.work_class is WorkClass.BATCH:
             latest_start_ms = self._item_durations.latest_start_ms(request)
             request = request._replace(start_by_ms=latest_start_ms)
@@ -163,11 +172,16 @@
         if request.work_class is WorkClass.ONLINE:
             self._revocation.record_request(request.start_by_ms, now_ms)
         self.grant_waiting()
-        if waiter in queue and request.work_class is WorkClass.ONLINE:
-            wait_ms = self._predicted_wait_ms(queue.position(waiter))
-            if now_ms + wait_ms > request.deadline_ms:
-                queue.remove(waiter)
-                self._refuse(request, holder, now_ms + wait_ms)
+        if request.work_class is WorkClass.ONLINE:
+            self._refuse_unservable(now_ms, waiter)
+
+    def _refuse_unservable(self, now_ms: int, newest: PoolWaiter | None = None) -> None:
+        """Refuses online requests that will probably not get slots by their deadlines."""
+        batch, limit = self._held_by(WorkClass.BATCH), max(1, self.limit)
+        predict_ms = self._estimate.prediction(batch, limit)
+        unservable = self._waiting[WorkClass.ONLINE].pop_unservable(predict_ms, now_ms, newest)
+        for waiter, wait_ms in unservable:
+            self._refuse(waiter.request, waiter.holder, now_ms + wait_ms)
 
     def withdraw(self, request_id: str, holder: Holder) -> None:
         """Removes a waiting request, or releases the grant that it got in the meantime."""
@@ -228,7 +242,7 @@
             server.grants.remove_unreported(holder, reported)
         for held in own_grants:
             self.adopt(held, holder)
-        self._revoke_excess()
+        revoke_excess(self._servers.values())
         self.grant_waiting()
 
     def renew(self, holder: Holder) -> None:
@@ -267,20 +281,17 @@
         for queue in self._waiting.values():
             for waiter in queue.pop_expired(now_ms):
                 self._refuse(waiter.request, waiter.holder, now_ms + RETRY_DELAY_MS)
+        self._refuse_unservable(now_ms)
         self._health.compare_durations(now_ms)
         self.grant_waiting()
         self._log_state(now_ms)
 
     def _log_state(self, now_ms: int) -> None:
-        """Logs held slots and waiting requests once a second, unless there are neither."""
-        if now_ms < self._log_at_ms or not (self.held or self.queued):
-            return
-        self._log_at_ms = now_ms + LOG_INTERVAL_MS
-        log.info(
-            "{} of {} slots are granted.",
-            self.held,
-            self.limit,
-            pool=self.name,
+        self._log.write(
+            now_ms,
+            held=self.held,
+            limit=self.limit,
+            queued=self.queued,
             online=self._held_by(WorkClass.ONLINE),
             batch=self._held_by(WorkClass.BATCH),
             online_queued=len(self._waiting[WorkClass.ONLINE]),
@@ -328,21 +339,21 @@
     def _grant_queue(self, work_class: WorkClass, now_ms: int, at_most: int = MAX_QUEUED) -> None:
         """Grants up to `at_most` slots in the order of the queue."""
         queue = self._waiting[work_class]
-        if not queue or not any(
-            server.free_slots_for(work_class) > 0 for server in self._servers.values()
-        ):
+        if not queue:
+            return
+        free = sum(max(0, server.free_slots_for(work_class)) for server in self._servers.values())
+        at_most = min(at_most, free)
+        if at_most <= 0:
             return
         is_online = work_class is WorkClass.ONLINE
         granted = 0
         for waiter in queue.online_order(now_ms) if is_online else queue.batch_order(now_ms):
-            server = None
-            if granted < at_most:
-                server = choose_server(self._servers.values(), waiter.request, now_ms)
+            server = choose_server(self._servers.values(), waiter.request, now_ms)
             if server is not None:
-                queue.remove(waiter)
+                queue.serve(waiter)
                 self._grant(waiter, server, now_ms)
                 granted += 1
-            elif granted >= at_most or not waiter.request.excluded:
+            if granted >= at_most or (server is None and not waiter.request.excluded):
                 break
 
     def _grant(self, waiter: PoolWaiter, server: PoolServer, now_ms: int) -> None:
@@ -366,22 +377,6 @@
             SlotGrant(request.request_id, grant_id, server_id, 1, expires_at_ms, *counts)
         )
 
-    def _revoke_excess(self) -> None:
-        """Revokes batch slots beyond a server's slots, which several owners may have granted."""
-        for server in self._servers.values():
-            excess = server.grants.slots - server.grants.revoking_slots - server.live_server.slots
-            if excess > 0:
-                revoke_batch([server], excess)
-
-    def _predicted_wait_ms(self, ahead: int) -> float:
-        """Returns the expected wait of an online request, for which all batch slots count as free.
-
-        Args:
-            ahead: How many online requests precede it.
-        """
-        batch = self._held_by(WorkClass.BATCH)
-        return self._estimate.wait_ms(max(0, ahead + 1 - batch), max(1, self.limit))
-
     def _refuse(
         self, request: SlotRequest, holder: Holder, retry_at_ms: float, code: str = Overloaded.code
     ) -> None:
--- a/briarvale/wait_estimate.py
+++ b/briarvale/wait_estimate.py
@@ -1,5 +1,7 @@
 """Estimate of the wait for a slot, from the time that slots are held."""
 
+from collections.abc import Callable
+
 from .smoothed_mean import SmoothedMean
 
 __all__ = ["WaitEstimate"]
@@ -21,3 +23,12 @@
         It is 0 until the first slot is released.
         """
         return position * self._hold_time.mean_ms / max(1.0, slots)
+
+    def prediction(self, batch: int, slots: int) -> Callable[[int], float]:
+        """Returns the expected wait of an online request, by how many precede it.
+
+        Args:
+            batch: Slots of batch items, all of which count as free.
+            slots: All slots.
+        """
+        return lambda ahead: self.wait_ms(max(0, ahead + 1 - batch), slots)
--- a/briarvale/workspaces/__init__.py
+++ b/briarvale/workspaces/__init__.py
@@ -1,6 +1,7 @@
 """Workspaces: the callers that share the fleet, their API keys and their limits."""
 
 from .priority import combine_priorities
+from .shares import workspace_shares
 from .workspace import Workspace, WorkspaceLimits, WorkspaceTable, digest_key
 
 __all__ = [
@@ -9,4 +10,5 @@
     "WorkspaceTable",
     "combine_priorities",
     "digest_key",
+    "workspace_shares",
 ]
--- a/features/support/pool_load.py
+++ b/features/support/pool_load.py
@@ -20,6 +20,7 @@
 from briarvale.live_servers import LiveServer
 from briarvale.peer import PeerAddress
 from briarvale.slot_pool import SlotPool
+from briarvale.workspaces import Workspace, WorkspaceLimits, WorkspaceTable, workspace_shares
 
 TICK_MS = 100
 
@@ -35,6 +36,9 @@
         slow_factor: How many times as long a run takes on a slow server.
         hang_share: Fraction of the runs on a hanging server that last until `timeout_ms`.
         slack_ms: How long an online request may wait and still be answered in time.
+        workspaces: Number of workspaces, whose sizes follow a Zipf distribution; 0 for none.
+        burst_workspace: The workspace that sends `burst_factor` times its rate from
+            `burst_at_ms` on, for `burst_ms`; `down_servers` servers are down in that time.
     """
 
     servers: int = 9
@@ -58,6 +62,36 @@
     hang_share: float = 0.4
     timeout_ms: float = 3_200.0
     slack_ms: int = 200
+    workspaces: int = 0
+    burst_workspace: int = 3
+    burst_factor: float = 7.0
+    burst_at_ms: int = 9_000
+    burst_ms: int = 6_500
+    down_servers: int = 0
+
+    def rate_per_s(self, now_ms: float) -> float:
+        """Returns the rate of online requests, without a burst."""
+        phase = now_ms % (self.low_ms + self.high_ms)
+        return self.low_per_s if phase < self.low_ms else self.high_per_s
+
+    def is_burst(self, now_ms: float) -> bool:
+        """Whether a workspace sends more than usual."""
+        return self.workspaces > 0 and 0 <= now_ms - self.burst_at_ms < self.burst_ms
+
+    def sizes(self) -> dict[str, float]:
+        """Returns the fraction of the online requests that each workspace sends."""
+        sizes = {f"w-{n}": (n + 1) ** -1.2 for n in range(self.workspaces)} or {"": 1.0}
+        total = sum(sizes.values())
+        return {name: size / total for name, size in sizes.items()}
+
+
+class OnlineOutcome(NamedTuple):
+    """What became of an online request."""
+
+    workspace: str
+    arrived_ms: float
+    wait_ms: float
+    is_refused: bool
 
 
 class LoadResult(NamedTuple):
@@ -81,6 +115,7 @@
     online_failed: int
     online_times_ms: list[float]
     online_hung: int
+    online_outcomes: list[OnlineOutcome]
 
     def wait_ms(self, share: float) -> float:
         """Returns a quantile of the online waits."""
@@ -119,24 +154,32 @@
         self._random = random.Random(shape.seed)
         self._heap: list[tuple[float, int, Callable[[], None]]] = []
         self._sequence = itertools.count()
+        self._sizes = shape.sizes()
+        # Workspace of each online request, by request id.
+        self._members: dict[str, str] = {}
         self._online: dict[str, float] = {}
         self._items: dict[str, _Item] = {}
         # Request id and start of each running item, by grant id.
         self._runs: dict[str, tuple[str, float]] = {}
-        self.result = LoadResult([], 0, 0, [], 0, 0, 0, 0, [], 0)
+        self.result = LoadResult([], 0, 0, [], 0, 0, 0, 0, [], 0, [])
         self._refused = self._done = self._starts = self._early = self._failed = self._hung = 0
         self._revoked = 0
         self.pool = make_pool("desk", self._clock)
-        self.pool.configure(
-            LiveServer(f"i-{n}", "desk", PeerAddress("127.0.0.1", 1), "a", shape.slots)
-            for n in range(shape.servers)
+        workspaces = (
+            Workspace(each, limits=WorkspaceLimits(self._sizes[each])) for each in self._sizes
         )
+        self.pool.set_shares(workspace_shares(WorkspaceTable(workspaces)))
+        self._set_servers(down=0)
 
     def run(self) -> LoadResult:
         """Runs the load to its end."""
         self._schedule(500, self._send_online)
         self._schedule(500, self._send_items)
         self._schedule(TICK_MS, self._tick)
+        if self._shape.down_servers:
+            down, burst_ms = self._shape.down_servers, self._shape.burst_ms
+            self._schedule(self._shape.burst_at_ms, lambda: self._set_servers(down))
+            self._schedule(self._shape.burst_at_ms + burst_ms, lambda: self._set_servers(0))
         ids = random.Random(self._shape.seed)
         with mock.patch("secrets.token_hex", lambda size=32: ids.randbytes(size).hex()):
             while self._heap and self._heap[0][0] <= self._shape.duration_ms:
@@ -161,8 +204,7 @@
             case SlotGrant(request_id=request_id, grant_id=grant_id):
                 self._start_item(request_id, grant_id)
             case SlotRefusal(request_id=request_id) if request_id in self._online:
-                del self._online[request_id]
-                self._refused += 1
+                self._record_online(request_id, is_refused=True)
             case SlotRefusal(request_id=request_id):
                 item = self._items.pop(request_id)
                 self._schedule(50, lambda: self._request_item(item))
@@ -186,18 +228,35 @@
             self.pool.grant_waiting()
             due_at_ms = self.pool.due_at_ms
 
-    def _rate_per_s(self) -> float:
+    def _workspace_rates(self) -> dict[str, float]:
+        """Returns the rate of online requests of each workspace."""
+        rate_per_s = self._shape.rate_per_s(self._clock.ms)
+        rates = {name: rate_per_s * size for name, size in self._sizes.items()}
+        if self._shape.is_burst(self._clock.ms):
+            rates[f"w-{self._shape.burst_workspace}"] *= self._shape.burst_factor
+        return rates
+
+    def _set_servers(self, down: int) -> None:
+        """Sets the servers of the pool; the runs at those that are down go on."""
         shape = self._shape
-        phase = self._clock.ms % (shape.low_ms + shape.high_ms)
-        return shape.low_per_s if phase < shape.low_ms else shape.high_per_s
+        self.pool.configure(
+            LiveServer(f"i-{n}", "desk", PeerAddress("127.0.0.1", 1), "a", shape.slots)
+            for n in range(down, shape.servers)
+        )
 
     def _send_online(self) -> None:
         request_id = f"o{next(self._sequence)}"
         self._online[request_id] = self._clock.ms
-        request = self._request(request_id, WorkClass.ONLINE, 2_400)
+        rates = self._workspace_rates()
+        member = ""
+        if self._shape.workspaces:
+            member = self._random.choices(list(rates), list(rates.values()))[0]
+        request = self._request(request_id, WorkClass.ONLINE, 2_400)._replace(member=member)
+        self._members[request_id] = member
         start_by_ms = self._clock.now_ms() + self._shape.slack_ms
         self.pool.submit(request._replace(start_by_ms=start_by_ms), self)
-        self._schedule(self._random.expovariate(self._rate_per_s()) * 1_000, self._send_online)
+        delay_s = self._random.expovariate(sum(rates.values()))
+        self._schedule(delay_s * 1_000, self._send_online)
 
     def _send_items(self) -> None:
         now_ms = self._clock.ms
@@ -224,10 +283,21 @@
             deadline_ms=self._clock.now_ms() + wait_ms,
         )
 
+    def _record_online(self, request_id: str, *, is_refused: bool) -> float:
+        """Records the wait of a request that got a slot or was refused, and returns it."""
+        arrived_ms = self._online.pop(request_id)
+        wait_ms = self._clock.ms - arrived_ms
+        outcome = OnlineOutcome(self._members.pop(request_id), arrived_ms, wait_ms, is_refused)
+        self.result.online_outcomes.append(outcome)
+        if is_refused:
+            self._refused += 1
+        else:
+            self.result.online_waits_ms.append(wait_ms)
+        return wait_ms
+
     def _start_online(self, grant: SlotGrant) -> None:
         shape = self._shape
-        wait_ms = self._clock.ms - self._online.pop(grant.request_id)
-        self.result.online_waits_ms.append(wait_ms)
+        wait_ms = self._record_online(grant.request_id, is_refused=False)
         hold_ms = shape.online_ms * self._random.uniform(0.7, 1.3)
         # Servers are numbered; the first ones fail or hang, the last ones are slow.
         number = int(grant.backend_server.removeprefix("i-"))
