Check the limit on waiting tokens in the soak after each write of the store

The soak counted waiting tokens only when a caller learned of an acceptance, and reported a number alone: an overshoot could not be told from an item that no server finished because its error is listed as its result. That count stays; the store's writes are replayed and checked too, and a broken promise now names the unfinished items of each job and the results with errors.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -82,7 +82,7 @@
             broken += check_calls(callers.calls, fleet, faults + crashes)
             broken += check_deadly_calls(callers.deadly_calls, fleet, faults)
             broken += check_jobs(callers.jobs) + check_exits(fleet)
-            broken += check_limit(callers.waiting_tokens)
+            broken += check_limit([*callers.waiting_counts, callers.count_stored()])
             peak_mb = fleet.peak_kb // 1024
         finally:
             fleet.end()
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -6,8 +6,8 @@
 import anyio
 
 from features.support.platform_engine import expected_text
-from features.support.platform_fleet import TOKENS_PER_ITEM, Answer, Caller, job_body
-from soak.fleet import DEADLY_PART, EVENT_COUNT, NodeProcess, SoakFleet
+from features.support.platform_fleet import HOST, TOKENS_PER_ITEM, Answer, Caller, job_body
+from soak.fleet import DEADLY_PART, EVENT_COUNT, MAX_WAITING_TOKENS, NodeProcess, SoakFleet
 from soak.records import CallRecord, SubmittedJob
 
 CALL_PAUSE_S = 0.15
@@ -21,7 +21,14 @@
 LIMITED_PATH = "/few/"
 CONNECTION_ERRORS = (OSError, anyio.BrokenResourceError, anyio.ClosedResourceError)
 
-__all__ = ["Callers", "KINDS", "send_request"]
+__all__ = ["Callers", "KINDS", "WaitingCount", "send_request"]
+
+
+class WaitingCount(NamedTuple):
+    """Tokens that wait on the limited route, and what they consist of if they pass its limit."""
+
+    tokens: int
+    detail: str
 
 
 class CallKind(NamedTuple):
@@ -58,8 +65,8 @@
         self._last_id = 0
         self.calls: list[CallRecord] = []
         self.jobs: list[SubmittedJob] = []
-        # Tokens that waited on the limited route, each time a job was accepted there.
-        self.waiting_tokens: list[int] = []
+        # What waited on the limited route, each time a caller learned of an acceptance there.
+        self.waiting_counts: list[WaitingCount] = []
         # Requests with a part that crashes servers.
         self.deadly_calls: list[CallRecord] = []
         self.is_stopping = False
@@ -107,18 +114,32 @@
             answer = await self._call_any_node("POST", job.path, job_body(job.items), job.job_id)
             job.is_accepted = answer is not None and answer.status == 202
             if job.is_accepted and job.path == LIMITED_PATH:
-                self.waiting_tokens.append(self._count_waiting())
+                self.waiting_counts.append(self._count_waiting())
             await anyio.sleep(POLL_PAUSE_S)
         while not job.is_done:
             await self.read_results(job, len(job.results))
             await anyio.sleep(POLL_PAUSE_S)
 
-    def _count_waiting(self) -> int:
+    def count_stored(self) -> WaitingCount:
+        """Returns the most tokens that waited on the limited route after any write to the store."""
+        stored = self._fleet.job_writes(f"{HOST}{LIMITED_PATH}")
+        return WaitingCount(stored.most_waiting, "as stored")
+
+    def _count_waiting(self) -> WaitingCount:
         """Returns the tokens of accepted items on the limited route that no server has finished."""
         finished = {item for server in self._fleet.servers.values() for item in server.finished_ids}
         accepted = [job for job in self.jobs if job.is_accepted and job.path == LIMITED_PATH]
-        waiting = [item for job in accepted for item in job.items if item not in finished]
-        return TOKENS_PER_ITEM * len(waiting)
+        waiting = {
+            job.job_id: len(unfinished)
+            for job in accepted
+            if (unfinished := set(job.items) - finished)
+        }
+        tokens = TOKENS_PER_ITEM * sum(waiting.values())
+        if tokens <= MAX_WAITING_TOKENS:
+            return WaitingCount(tokens, "")
+        stored = self._fleet.job_writes(f"{HOST}{LIMITED_PATH}")
+        detail = f"not finished: {waiting}, as stored {stored.waiting} tokens, "
+        return WaitingCount(tokens, f"{detail}results with errors: {sorted(stored.dead_ids)}")
 
     async def read_results(self, job: SubmittedJob, after: int) -> None:
         """Reads a job's results after a position, from any ready node."""
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -13,8 +13,10 @@
 
 from briarvale.ingress import Ingress, IngressHandler
 from briarvale.node_settings import NodeSettings, NodeTimeLimits, StoreSettings
+from briarvale.opaque_jobs import JOBS_KIND
 from briarvale.peer import PeerAddress
 from briarvale.settings import Settings
+from features.support.job_writes import JobWrite, JobWrites
 from features.support.platform_engine import PlatformEngineStandin
 from features.support.platform_fleet import (
     HOST,
@@ -286,6 +288,16 @@
         self._tasks.start_soon(node.supervise, self.exits.append)
         self._tasks.start_soon(node.poll_readiness)
 
+    def job_writes(self, route: str) -> JobWrites:
+        """Returns what the store's writes so far say of the jobs of a route."""
+        replayed = JobWrites(route)
+        replayed.apply(
+            JobWrite(event.object["metadata"]["name"], event.object["spec"]["text"].encode())
+            for event in self.store.history
+            if event.kind == JOBS_KIND and not event.is_deleted
+        )
+        return replayed
+
     @property
     def peak_kb(self) -> int:
         """The sum of the nodes' peak memory."""
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from features.support.platform_engine import PlatformEngineStandin, expected_text
+from soak.callers import WaitingCount
 from soak.fleet import EVENT_COUNT, MAX_WAITING_TOKENS, SoakFleet
 from soak.records import CallRecord, SubmittedJob
 from soak.schedule import PLANNED_FAULTS, FaultRecord
@@ -102,11 +103,11 @@
     return broken
 
 
-def check_limit(waiting_tokens: Iterable[int]) -> list[BrokenPromise]:
-    """Checks the tokens that waited on the limited route, each time a job was accepted there."""
+def check_limit(counts: Iterable[WaitingCount]) -> list[BrokenPromise]:
+    """Checks counts of the tokens that waited on the limited route."""
     promise = "no more tokens wait than the limit of their route"
-    beyond = [tokens for tokens in waiting_tokens if tokens > MAX_WAITING_TOKENS]
-    return [BrokenPromise(promise, f"{tokens} tokens") for tokens in beyond]
+    beyond = [count for count in counts if count.tokens > MAX_WAITING_TOKENS]
+    return [BrokenPromise(promise, f"{count.tokens} tokens; {count.detail}") for count in beyond]
 
 
 def check_exits(fleet: SoakFleet) -> list[BrokenPromise]:
