--- a/features/support/platform_store.py
+++ b/features/support/platform_store.py
@@ -66,6 +66,8 @@
         self.history: list[StoreEvent] = []
         self.faults = StoreFaults()
         self.calls = 0
+        # Calls by verb, or `LIST` or `WATCH` for these reads, and kind; refused ones too.
+        self.calls_by_kind: Counter[str] = Counter()
         # Objects that no JSON library would write, by the text that stands for them.
         self._encoded: dict[str, bytes] = {}
         self._changed = Notifier()
@@ -118,6 +120,7 @@
     async def handle(self, request: IngressRequest, responder: Responder) -> None:
         """Handles a call."""
         self.calls += 1
+        self.calls_by_kind[_call_name(request)] += 1
         if self.faults.refuse_status and request.method in self.faults.refused_verbs:
             await _answer(responder, self.faults.refuse_status, {})
             return
@@ -220,6 +223,16 @@
         self._changed.notify()
 
 
+def _call_name(request: IngressRequest) -> str:
+    """Returns the verb and kind of a call; `LIST` and `WATCH` stand for reads of a whole kind."""
+    path, _, query = request.target.decode().partition("?")
+    kind, _, name = path.removeprefix(PREFIX).partition("/")
+    verb = request.method.decode()
+    if verb == "GET" and not name:
+        verb = "WATCH" if "watch=" in query else "LIST"
+    return f"{verb} {kind}"
+
+
 class StoreProxy:
     """One node's proxy for the store; it can refuse, block or delay that node's calls."""
 
