Read several changes of servers' entries in one watch, and watch retirements for longer

Each change of a server's entry ended three watches, one for each zone, and the watches for retirements were renewed every second. Both are calls that cost something. A pause of 0.2 s after a change of a server is short against the 3 s in which a drain must be noticed; a retirement still ends its watch at once.

--- a/briarvale/platform/node.py
+++ b/briarvale/platform/node.py
@@ -54,7 +54,7 @@
 SHORT_WATCH_MS = 5_000
 # Pause between watches, by kind. Changes of these kinds come in bursts and may apply a little late;
 # after a pause, one watch returns several of them.
-WATCH_PAUSES_S = {VMS_KIND: 1.0, JOBS_KIND: 0.1}
+WATCH_PAUSES_S = {VMS_KIND: 1.0, JOBS_KIND: 0.1, SERVERS_KIND: 0.2}
 STORE_RETRY_TIMEOUT_S = 3.0
 # High enough that reads neither queue behind each other nor delay writes.
 READS_PER_S = 200.0
@@ -138,7 +138,7 @@
             self._publisher,
             self._environment.transport,
             self.cluster.feed_publisher_address,
-            long_poll_kinds=frozenset((VMS_KIND,)),
+            long_poll_kinds=frozenset((VMS_KIND, RETIREMENTS_KIND)),
             listed_by_publisher=frozenset(PUBLISHED_LISTS),
         )
         self.jobs = JobDirectory()
