Group the results of a job for longer while its due date is far

Each log entry costs two calls to the store, and each reader of its texts another; ten items that finish over seconds had nearly one entry each, as results waited for others for 0.15 s only.

Results now wait for up to 1.5 s, or a tenth of the time until the due date if that is less, and as before if all items have finished, 16 results wait or the date is near. A node that is killed loses at most what it has not committed in that time; those items run again.

--- a/briarvale/opaque_job_runner.py
+++ b/briarvale/opaque_job_runner.py
@@ -9,7 +9,7 @@
 from anyio.abc import TaskGroup
 
 from . import logs, metrics
-from .clock import Clock
+from .clock import MS_PER_S, Clock
 from .containment import contain
 from .errors import NotReady, ShardSealed, StoreThrottled, StoreUnavailable
 from .node_cluster import NodeCluster
@@ -17,6 +17,7 @@
 from .opaque_job_service import OpaqueJobService
 from .opaque_jobs import JobDirectory, JobReplica, OpaqueJob
 from .peer import PeerIdentity
+from .result_grouping import commit_at_ms
 from .shard_log import (
     NO_RUNNER,
     ItemProgress,
@@ -27,8 +28,6 @@
 )
 
 POLL_INTERVAL_S = 0.5
-# Results that arrive within this time share one log entry.
-RESULT_GROUPING_S = 0.15
 # The store holds the entry's JSON as an escaped string, which may double its size.
 MAX_ENTRY_BYTES = 500_000
 RETRY_S = 1.0
@@ -52,6 +51,7 @@
         job: The job, with its items once they have been loaded.
         claimed_from: The job's runner when this run started: this process, or the one to replace.
         results: Results that wait to be committed.
+        first_at_ms: When the first of them arrived, or was left by an earlier commit.
         states: States of the items that this run has started, by index.
     """
 
@@ -60,12 +60,15 @@
         self.job = replica.job
         self.claimed_from = replica.runner
         self.results: list[ItemResult] = []
+        self.first_at_ms = 0
         self.states: dict[int, ItemState] = {}
         self.scope = anyio.CancelScope()
         self.result_arrived = anyio.Event()
 
-    def add(self, result: ItemResult) -> None:
+    def add(self, result: ItemResult, now_ms: int) -> None:
         """Adds a finished item's result to those that wait to be committed."""
+        if not self.results:
+            self.first_at_ms = now_ms
         self.results.append(result)
         self.result_arrived.set()
 
@@ -287,16 +290,34 @@
                 await anyio.sleep(STORE_RETRY_S)
 
     async def _run_item(self, running: _RunningJob, state: ItemState) -> None:
-        running.add(await self._items.run(running.job, state))
+        result = await self._items.run(running.job, state)
+        running.add(result, self._clock.now_ms())
 
     async def _commit_results(self, running: _RunningJob, shard_log: ShardLog) -> None:
         """Commits results as they arrive, until all items have one or the job has ended."""
         item_count = len(running.replica.job.items)
         while len(shard_log.committed_items) < item_count and not shard_log.is_sealed:
             await running.result_arrived.wait()
-            await anyio.sleep(RESULT_GROUPING_S)
+            await self._wait_for_others(running, shard_log)
             await self._append(running, shard_log)
 
+    async def _wait_for_others(self, running: _RunningJob, shard_log: ShardLog) -> None:
+        """Waits until the results that wait should be committed; more of them may arrive."""
+        item_count = len(running.replica.job.items)
+        while True:
+            waiting = {r.item_index for r in running.results} - shard_log.committed_items
+            unfinished_count = item_count - len(shard_log.committed_items) - len(waiting)
+            due_at_ms = running.replica.job.due_at_ms
+            commit_by_ms = commit_at_ms(
+                running.first_at_ms, due_at_ms, len(waiting), unfinished_count
+            )
+            remaining_s = (commit_by_ms - self._clock.now_ms()) / MS_PER_S
+            if remaining_s <= 0:
+                return
+            running.result_arrived = anyio.Event()
+            with anyio.move_on_after(remaining_s):
+                await running.result_arrived.wait()
+
     async def _append(self, running: _RunningJob, shard_log: ShardLog) -> None:
         """Commits the waiting results that fit into an entry; the others wait for the next call."""
         running.result_arrived = anyio.Event()
@@ -305,6 +326,9 @@
         try:
             if fitting and await shard_log.append(fitting):
                 self._record_committed(running.replica.job, fitting)
+            if len(fitting) == len(uncommitted):
+                # Those that arrived meanwhile may wait for others again.
+                running.first_at_ms = self._clock.now_ms()
         except ShardSealed:
             log.info("The job has ended.", job_id=running.replica.job.job_id)
         except (StoreThrottled, StoreUnavailable) as error:
--- a/features/platform/results.feature
+++ b/features/platform/results.feature
@@ -26,3 +26,13 @@
     Then each node returns the results of both, and the body of an item that has not run
     And each node accepts a repeat of the jobs, and neither a new one nor an unknown one
     And the second job can be ended, and no item of it runs from then on
+
+  # Guards against a log entry, of two calls to the store, for nearly each result of a job.
+  Scenario Outline: Results that finish within seconds share log entries while the due date is far
+    When 10 items of a job that is due in <due> s finish one each 0.3 s
+    Then its results are listed in at most <entries> entries, each result within <age> s
+
+    Examples:
+      | due | entries | age |
+      | 18  | 3       | 1.6 |
+      | 4   | 10      | 0.5 |
--- a/features/steps/platform_results.py
+++ b/features/steps/platform_results.py
@@ -25,6 +25,8 @@
     run_on_fleet,
     submit_job,
 )
+from features.support.runner_fleet import time_results
+from features.support.virtual import run_virtual
 
 TEXT = "whole text"
 LATE_S = 1.4
@@ -233,3 +235,19 @@
 @then("the second job can be ended, and no item of it runs from then on")
 def then_job_ended(context: Context) -> None:
     assert context.facts["ended"] == (200, 0), context.facts["ended"]
+
+
+@when("{count:d} items of a job that is due in {due_s:d} s finish one each {gap_s:g} s")
+def when_finish_apart(context: Context, count: int, due_s: int, gap_s: float) -> None:
+    context.times = run_virtual(time_results, count, due_s, gap_s)
+
+
+@then("its results are listed in at most {entries:d} entries, each result within {age_s:g} s")
+def then_grouped(context: Context, entries: int, age_s: float) -> None:
+    assert context.times.entries <= entries, context.times
+    assert max(context.times.ages_s) <= age_s, context.times
+
+
+@then("its runner reads nothing of the job from the store")
+def then_nothing_read(context: Context) -> None:
+    assert context.times.reads == 0, context.times
--- a/features/support/runner_fleet.py
+++ b/features/support/runner_fleet.py
@@ -6,7 +6,7 @@
 
 import random
 from collections.abc import Awaitable, Callable
-from typing import TypeVar
+from typing import NamedTuple, TypeVar
 
 import anyio
 from anyio.abc import TaskGroup
@@ -35,7 +35,7 @@
 
 T = TypeVar("T")
 
-__all__ = ["RunnerFleet", "FAULT_SPAN_S"]
+__all__ = ["FAULT_SPAN_S", "ResultTimes", "RunnerFleet", "time_results"]
 
 
 class _StoreLink:
@@ -100,11 +100,19 @@
 
 
 class _ItemRunner:
-    """Runs items, each for a random time of up to `MAX_RUN_S`."""
+    """Runs items, each for a random time of up to `MAX_RUN_S`, or one after another.
+
+    Attributes:
+        gap_s: Time between the ends of two items; 0 for random times.
+    """
+
+    def __init__(self) -> None:
+        self.gap_s = 0.0
 
     async def run(self, job: OpaqueJob, state: ItemState) -> ItemResult:
         """Runs an item."""
-        await anyio.sleep(random.uniform(0.1, MAX_RUN_S))
+        random_s = random.uniform(0.1, MAX_RUN_S)
+        await anyio.sleep(self.gap_s * (state.index + 1) if self.gap_s else random_s)
         return ItemResult(state.index, f"text {state.index}")
 
 
@@ -137,12 +145,13 @@
             lambda: True,
             identity,
         )
+        self.items = _ItemRunner()
         self.runner = OpaqueJobRunner(
             self.view,  # type: ignore[arg-type]
             identity,
             self._directory,
             self.service,
-            _ItemRunner(),  # type: ignore[arg-type]
+            self.items,  # type: ignore[arg-type]
             clock,
         )
 
@@ -305,3 +314,43 @@
 
     def _record_event(self, text: str) -> None:
         self.events.append(f"{anyio.current_time():.2f} s: {text}")
+
+
+class ResultTimes(NamedTuple):
+    """How the results of a job were committed.
+
+    Attributes:
+        entries: Number of log entries.
+        ages_s: For each result, the time from its item's end to its commit.
+        reads: Reads of the store.
+    """
+
+    entries: int
+    ages_s: list[float]
+    reads: int
+
+
+async def time_results(item_count: int, due_in_s: float, gap_s: float) -> ResultTimes:
+    """Runs a job on one node; its items end `gap_s` apart."""
+    fleet = RunnerFleet(seed=1)
+    async with anyio.create_task_group() as tasks:
+        fleet._start(tasks, "vm-1")
+        node = fleet.nodes[0]
+        node.items.gap_s = gap_s
+        items = tuple(OpaqueItem(f"item-{n}", "/", (), "") for n in range(item_count))
+        now_ms = node.service._clock.now_ms()
+        due_at_ms, give_up_at_ms = now_ms + round(due_in_s * 1_000), now_ms + 600_000
+        job = OpaqueJob("job-1", "h", "s", 0, now_ms, due_at_ms, give_up_at_ms, 3, items)
+        started_s = anyio.current_time()
+        await node.service.accept(job, now_ms + 3_000)
+        while fleet._result_count(job) < item_count:
+            await anyio.sleep(0.05)
+        tasks.cancel_scope.cancel()
+    prefix = job_log_prefix(job.job_id)
+    writes = [write for write in fleet.store.applied_writes if write.key.startswith(prefix)]
+    ages_s = [
+        write.at_s - started_s - gap_s * (result.item_index + 1)
+        for write in writes
+        for result in LogEntry.decode(write.value or b"").results
+    ]
+    return ResultTimes(len(writes), ages_s, sum(not call.is_write for call in fleet.store.calls))
