Don't read the log of a job that this process has just accepted

The runner of a new job read its log before the first item, one call a job that found nothing. Only the end of the job by another node can have written to it; the feed tells of that, and the first append finds it.

--- a/briarvale/opaque_job_runner.py
+++ b/briarvale/opaque_job_runner.py
@@ -191,10 +191,12 @@
         """Runs a job until it is complete, ended or claimed by another node, or this node stops."""
         job = running.replica.job
         shard_log = self._service.open_log(job.job_id)
+        is_new = self._service.is_new_here(running.replica)
         try:
             with running.scope:
                 running.job = await self._service.load_full_job(running.replica)
-                await self._replay(shard_log)
+                if not is_new:
+                    await self._replay(shard_log)
                 if await self._claim(running, shard_log):
                     await self._run_items(running, shard_log)
             with anyio.CancelScope(shield=True), anyio.move_on_after(HANDOVER_TIMEOUT_S):
--- a/briarvale/opaque_job_service.py
+++ b/briarvale/opaque_job_service.py
@@ -265,6 +265,14 @@
         log_store = OpaqueJobLogStore(self._store, job_id)
         return ShardLog(log_store, self._budget, job_log_prefix(job_id))
 
+    def is_new_here(self, replica: JobReplica) -> bool:
+        """Whether this process accepted the job, hasn't run it yet and knows no entry of its log.
+
+        If another node has ended the job meanwhile, the feed tells, or the first append.
+        """
+        is_own = replica.full_job is not None and replica.runner == self._own_id
+        return is_own and replica.next_sequence == 0
+
     async def find(self, job_id: str) -> JobReplica:
         """Returns a job's replica, read from the store if it isn't in this node's directory.
 
--- a/features/platform/results.feature
+++ b/features/platform/results.feature
@@ -31,6 +31,7 @@
   Scenario Outline: Results that finish within seconds share log entries while the due date is far
     When 10 items of a job that is due in <due> s finish one each 0.3 s
     Then its results are listed in at most <entries> entries, each result within <age> s
+    And its runner reads nothing of the job from the store
 
     Examples:
       | due | entries | age |
