Choose servers of a pool by the expected time of a run

Callers saw late first events from slow servers, and shared parts of prompts were prefilled at many servers, as the owner compared loads only, with a fixed bonus for a cached prompt. It now estimates each server's step time and prefill speed from the times that releases report, keeps what a server has cached within its memory, and places a request where its expected cost is least. A request may wait briefly for a full server that is faster for it.

--- a/briarvale/_generated/messages.py
+++ b/briarvale/_generated/messages.py
@@ -93,6 +93,8 @@
     priority: int = 0
     availability_zone: str = ""
     worked_ms: int = 0
+    prefix_tokens: tuple[int, ...] = ()
+    output_tokens: int = 0
 
 
 class SlotGrant(NamedTuple):
@@ -144,6 +146,9 @@
     fingerprint: str = ""
     server_started_at_ms: int = 0
     is_server_draining: bool = False
+    first_event_ms: int = 0
+    last_event_ms: int = 0
+    event_count: int = 0
 
 
 class HeldGrant(NamedTuple):
@@ -475,6 +480,8 @@
         reader.priority,
         reader.availabilityZone,
         reader.workedMs,
+        tuple(reader.prefixTokens),
+        reader.outputTokens,
     )
 
 
@@ -496,6 +503,8 @@
     builder.priority = message.priority
     builder.availabilityZone = message.availability_zone
     builder.workedMs = message.worked_ms
+    builder.prefixTokens = list(message.prefix_tokens)
+    builder.outputTokens = message.output_tokens
 
 
 def _read_slot_grant(reader: Any) -> SlotGrant:
@@ -576,6 +585,9 @@
         reader.fingerprint,
         reader.serverStartedAtMs,
         reader.isServerDraining,
+        reader.firstEventMs,
+        reader.lastEventMs,
+        reader.eventCount,
     )
 
 
@@ -588,6 +600,9 @@
     builder.fingerprint = message.fingerprint
     builder.serverStartedAtMs = message.server_started_at_ms
     builder.isServerDraining = message.is_server_draining
+    builder.firstEventMs = message.first_event_ms
+    builder.lastEventMs = message.last_event_ms
+    builder.eventCount = message.event_count
 
 
 def _read_held_grant(reader: Any) -> HeldGrant:
--- a/briarvale/active_routes.py
+++ b/briarvale/active_routes.py
@@ -16,6 +16,10 @@
         self.table: RouteTable | None = None
         self.changed = Notifier()
 
+    def capacity_tokens(self, service: str) -> int:
+        """Returns how many tokens one server of a service holds; 0 if that isn't known."""
+        return 0 if self.table is None else self.table.capacity_tokens(service)
+
     def update(self, table: RouteTable, source: str) -> None:
         """Replaces the table if the given one is newer."""
         if self.table is not None and table.version <= self.table.version:
--- a/briarvale/forwarding.py
+++ b/briarvale/forwarding.py
@@ -42,6 +42,7 @@
 from .server_timeouts import TimedReader, server_timeout
 from .serving_components import ServingComponents
 from .slot_client import HeldSlot
+from .stream_times import StreamTimes
 from .traces import tracer
 from .wait_limit import WaitLimit
 
@@ -265,6 +266,8 @@
         request = attempt.request
         timeout_ms = self._answer_timeout_ms(request, sink, progress)
         sent_at_ms = self._clock.now_ms()
+        stream_times = StreamTimes() if attempt.slot is None else attempt.slot.stream_times
+        stream_times.record_sent()
         run_context = self._forward_client.run(request, attempt.server, progress.cursor.last_id)
         async with AsyncExitStack() as stack:
             with server_timeout(timeout_ms):
@@ -280,7 +283,7 @@
             match request.route.kind:
                 case StreamRoute() if is_success:
                     reader = TimedReader(pause_limit_ms(request, progress))
-                    await _forward_events(run, sink, progress, reader)
+                    await _forward_events(run, sink, progress, reader, stream_times)
                 case _:
                     await _forward_body(run, sink)
         return Outcome.FAILED if has_failed else Outcome.FINISHED
@@ -320,7 +323,11 @@
 
 
 async def _forward_events(
-    run: ForwardRun, sink: AnswerSink, progress: ForwardProgress, reader: TimedReader
+    run: ForwardRun,
+    sink: AnswerSink,
+    progress: ForwardProgress,
+    reader: TimedReader,
+    stream_times: StreamTimes,
 ) -> None:
     """Forwards complete events as they arrive; a resumed run repeats none of them."""
     splitter = EventSplitter()
@@ -331,6 +338,7 @@
         if not events:
             continue
         reader.record_event()
+        stream_times.record_events(len(events))
         progress.record_events(len(events))
         if not sink.has_started:
             await sink.start(run.head)
--- a/briarvale/grants.py
+++ b/briarvale/grants.py
@@ -1,5 +1,6 @@
 """Granted slots of one backend server, each leased to its holder."""
 
+import math
 import secrets
 from collections import Counter
 from collections.abc import Iterable
@@ -7,6 +8,7 @@
 
 from ._generated.messages import HeldGrant, SlotRequest, WorkClass
 from .holder import Holder
+from .pools import RunStart
 
 __all__ = ["Grant", "GrantTable"]
 
@@ -20,6 +22,7 @@
         is_orphan: Whether its holder's connection ended.
         is_overdue: Whether its run was found to take far longer than usual.
         worked_ms: For how long earlier runs of a batch item worked.
+        start: What was known when the run began; nothing of a grant of an earlier owner.
     """
 
     held: HeldGrant
@@ -32,6 +35,7 @@
     is_orphan: bool = False
     is_overdue: bool = False
     worked_ms: int = 0
+    start: RunStart = RunStart()
 
     @classmethod
     def from_request(
@@ -43,6 +47,7 @@
         backend_server: str,
         granted_at_ms: int,
         expires_at_ms: int,
+        start: RunStart = RunStart(),
     ) -> "Grant":
         """Returns the grant of one slot for a request."""
         held = HeldGrant(
@@ -63,6 +68,7 @@
             expires_at_ms=expires_at_ms,
             start_by_ms=request.start_by_ms,
             worked_ms=request.worked_ms,
+            start=start,
         )
 
     @property
@@ -78,6 +84,7 @@
 
     Attributes:
         slots: Slots granted.
+        tokens: Expected tokens of the granted runs, of prompts and answers.
         slots_by_member: Slots granted, by class and member.
     """
 
@@ -88,7 +95,9 @@
         self._revoking_slots = 0
         self._overdue_count = 0
         self._slots_of = dict.fromkeys(WorkClass, 0)
+        self._next_end_ms: float | None = None
         self.slots = 0
+        self.tokens = 0
         self.slots_by_member: dict[WorkClass, Counter[str]] = {
             work_class: Counter() for work_class in WorkClass
         }
@@ -110,6 +119,14 @@
         """Whether any grant is marked as overdue."""
         return self._overdue_count > 0
 
+    @property
+    def next_end_ms(self) -> float:
+        """When the first of the runs should end; infinite if that is not known of any."""
+        if self._next_end_ms is None:
+            ends_ms = (grant.start.expected_end_ms for grant in self._grants.values())
+            self._next_end_ms = min((end_ms for end_ms in ends_ms if end_ms), default=math.inf)
+        return self._next_end_ms
+
     def revocable(self) -> list[Grant]:
         """Returns batch grants whose revocation has not been sent yet."""
         return [
@@ -124,7 +141,7 @@
         self._grants[grant.held.grant_id] = grant
         self._id_by_request[grant.request_id] = grant.held.grant_id
         self._overdue_count += grant.is_overdue
-        self._add_to_counts(grant.held, grant.held.slot_count)
+        self._add_to_counts(grant.held, grant.held.slot_count, grant.held.cost_tokens)
 
     def remove(self, grant_id: str) -> Grant | None:
         """Removes and returns a grant; none if the id is unknown."""
@@ -136,10 +153,12 @@
             self._revoking.remove(grant_id)
             self._revoking_slots -= grant.held.slot_count
         self._overdue_count -= grant.is_overdue
-        self._add_to_counts(grant.held, -grant.held.slot_count)
+        self._add_to_counts(grant.held, -grant.held.slot_count, -grant.held.cost_tokens)
         return grant
 
-    def _add_to_counts(self, held: HeldGrant, slots: int) -> None:
+    def _add_to_counts(self, held: HeldGrant, slots: int, tokens: int) -> None:
+        self._next_end_ms = None
+        self.tokens += tokens
         self.slots_by_member[held.work_class][held.member] += slots
         self._slots_of[held.work_class] += slots
         self.slots += slots
--- a/briarvale/metrics.py
+++ b/briarvale/metrics.py
@@ -35,6 +35,10 @@
 CACHE_EVENT_GAPS = Counter(
     "briarvale_cache_event_gaps_total", "Prefix indexes dropped for a gap in cache events."
 )
+PROMPT_TOKENS = Counter(
+    "briarvale_prompt_tokens_total",
+    "Prompt tokens of granted runs by whether their server had probably cached them.",
+)
 PEER_BAD_FRAMES = Counter("briarvale_peer_bad_frames_total", "Connections closed for a bad frame.")
 BAD_DATAGRAMS = Counter(
     "briarvale_bad_datagrams_total", "Datagrams dropped for a bad seal or form."
--- a/briarvale/node_cluster.py
+++ b/briarvale/node_cluster.py
@@ -61,6 +61,7 @@
         servers: The backend servers that have an entry in the store.
         probe: Fetches the load of a backend server.
         processor_cores: Returns the processor capacity of a VM, in cores; 0 if unknown.
+        capacity_tokens: Returns how many tokens one server of a service holds; 0 if unknown.
     """
 
     def __init__(
@@ -70,12 +71,14 @@
         servers: LiveServers,
         probe: ServerProbe,
         processor_cores: Callable[[str], float],
+        capacity_tokens: Callable[[str], int],
     ) -> None:
         self._settings = settings
         self._environment = environment
         self._servers = servers
         self._probe = probe
         self._processor_cores = processor_cores
+        self._capacity_tokens = capacity_tokens
         self._started_at_ms = environment.clock.now_ms()
         self.membership = Membership(settings, environment)
         self.pools = PoolOwner(environment.clock)
@@ -213,7 +216,8 @@
             return
         services = self._servers.services()
         owned = [name for name in services if self.pool_owner(name) == self._settings.vm]
-        self.pools.reconcile({service: self._servers.ready(service) for service in owned})
+        ready = {service: self._servers.ready(service) for service in owned}
+        self.pools.reconcile(ready, self._capacity_tokens)
 
     async def _follow_servers(self) -> None:
         while True:
--- a/briarvale/opaque_item_runner.py
+++ b/briarvale/opaque_item_runner.py
@@ -275,7 +275,7 @@
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(_cancel_when_revoked, slot, tasks.cancel_scope)
                 tasks.start_soon(_cancel_when_silent, state, tasks.cancel_scope)
-                error = await self._stream(job, request, state, server)
+                error = await self._stream(job, request, state, server, slot)
                 tasks.cancel_scope.cancel()
             state.record_work(began_at_s)
             if state.is_stalled:
@@ -291,13 +291,18 @@
             slot.outcome = Outcome.REVOKED
 
     async def _stream(
-        self, job: OpaqueJob, request: ForwardRequest, state: ItemState, server: LiveServer
+        self,
+        job: OpaqueJob,
+        request: ForwardRequest,
+        state: ItemState,
+        server: LiveServer,
+        slot: HeldSlot,
     ) -> BriarvaleError | None:
         """Reads the run's events; returns its error, which a task group would wrap if raised."""
         remaining_s = (request.deadline_at_ms - self._clock.now_ms()) / MS_PER_S
         try:
             with anyio.fail_after(max(0.0, remaining_s)):
-                await self._read_events(job, request, state, server)
+                await self._read_events(job, request, state, server, slot)
         except TimeoutError:
             return DeadlineExceeded("the item's deadline passed")
         except BriarvaleError as error:
@@ -305,7 +310,12 @@
         return None
 
     async def _read_events(
-        self, job: OpaqueJob, request: ForwardRequest, state: ItemState, server: LiveServer
+        self,
+        job: OpaqueJob,
+        request: ForwardRequest,
+        state: ItemState,
+        server: LiveServer,
+        slot: HeldSlot,
     ) -> None:
         """Reads the response, resuming after the last event; updates the item's state."""
         splitter = EventSplitter()
@@ -313,6 +323,7 @@
             # Without event ids a stream can't be resumed.
             state.start_over()
         state.run = self._crash_guard.watch(request, server, len(state.data))
+        slot.stream_times.record_sent()
         async with self._forward_client.run(request, server, state.cursor.last_id) as run:
             if run.head.status != 200:
                 await run.read_full_body(MAX_FAILURE_BODY_BYTES)
@@ -321,7 +332,9 @@
             if not run.metadata.is_signed:
                 raise ServerLost("a response with status 200 has no signature")
             while data := await run.read():
-                state.record_events(splitter.feed(data))
+                events = splitter.feed(data)
+                state.record_events(events)
+                slot.stream_times.record_events(len(events))
             splitter.check_end(has_framed_end=run.head.has_framed_end)
             state.is_complete = True
             state.run.record_answer()
--- a/briarvale/platform/node.py
+++ b/briarvale/platform/node.py
@@ -128,6 +128,7 @@
             self.servers,
             fetch_runs,
             self._directory.processor_cores,
+            self.routes.capacity_tokens,
         )
         self._publisher = self.cluster.publisher = FeedPublisher()
         self.feed_source = FeedSource(
--- a/briarvale/pool_health.py
+++ b/briarvale/pool_health.py
@@ -14,6 +14,9 @@
 # Minimum age of an overdue run. Where runs are shorter than this, detection would come too late to
 # send further requests elsewhere.
 MIN_OVERDUE_MS = 300
+# A slow server's runs are compared with its own usual time up to this multiple of the pool's, so
+# that a server whose runs hang is found however slow it is.
+MAX_OWN_FACTOR = 2.0
 
 log = logs.component_logger("pool")
 
@@ -49,16 +52,19 @@
         known_means_ms = [mean_ms for mean_ms in means_ms if mean_ms is not None]
         usual_ms = median(known_means_ms) if known_means_ms else 0.0
         if known_means_ms:
-            self._record_overdue(now_ms - max(MIN_OVERDUE_MS, OVERDUE_FACTOR * usual_ms), now_ms)
+            self._record_overdue(usual_ms, now_ms)
         for server in self._servers.values():
             was_slow = server.slowness > 1
             server.update_slowness(usual_ms, now_ms)
             if was_slow != (server.slowness > 1):
                 self._log_slowness(server, usual_ms, now_ms)
 
-    def _record_overdue(self, granted_by_ms: float, now_ms: int) -> None:
+    def _record_overdue(self, usual_ms: float, now_ms: int) -> None:
         """Counts overdue runs as failures, before their callers time out."""
         for server in self._servers.values():
+            own_factor = min(MAX_OWN_FACTOR, max(1.0, server.speed.step_factor))
+            overdue_ms = max(MIN_OVERDUE_MS, OVERDUE_FACTOR * usual_ms * own_factor)
+            granted_by_ms = now_ms - overdue_ms
             overdue = server.grants.mark_overdue(granted_by_ms)
             for _ in range(overdue):
                 self.record_outcome(server, Outcome.FAILED, now_ms)
--- a/briarvale/routes.py
+++ b/briarvale/routes.py
@@ -155,6 +155,10 @@
                 return route
         return None
 
+    def capacity_tokens(self, service: str) -> int:
+        """Returns how many tokens one server of the service holds; 0 if it isn't stated."""
+        return self._capacity_tokens.get(service, 0)
+
     def check_fits(self, service: str, prompt_tokens: int) -> None:
         """Raises `PromptTooLong` for a prompt that no server of the service can hold."""
         capacity = self._capacity_tokens.get(service)
--- a/briarvale/schema/messages.capnp
+++ b/briarvale/schema/messages.capnp
@@ -28,6 +28,10 @@
   priority @14 :UInt16;
   availabilityZone @15 :Text;
   workedMs @16 :UInt32;
+  # Token counts of the parts in `prefixIds`, in the same order; the last part is the request's own.
+  prefixTokens @17 :List(UInt32);
+  # Expected length of the answer; 0 if unknown.
+  outputTokens @18 :UInt32;
 }
 struct SlotGrant {
   requestId @0 :Text;
@@ -58,6 +62,10 @@
   fingerprint @5 :Text;
   serverStartedAtMs @6 :UInt64;
   isServerDraining @7 :Bool;
+  # Times since the request was sent, and the events of this run; all 0 if the answer was no stream.
+  firstEventMs @8 :UInt32;
+  lastEventMs @9 :UInt32;
+  eventCount @10 :UInt32;
 }
 struct HeldGrant {
   grantId @0 :Text;
--- a/briarvale/serving_components.py
+++ b/briarvale/serving_components.py
@@ -52,6 +52,8 @@
             deadline_ms=deadline_ms,
             prompt_tokens=request.prompt_tokens,
             prefix_ids=tuple(part.id for part in request.prompt_parts),
+            prefix_tokens=tuple(part.token_count for part in request.prompt_parts),
+            output_tokens=request.output_tokens,
             excluded=tuple(excluded),
             priority=priority,
             availability_zone=self.availability_zone,
--- a/briarvale/slot_client.py
+++ b/briarvale/slot_client.py
@@ -229,6 +229,9 @@
                 slot.grant.fingerprint,
                 slot.server_started_at_ms,
                 slot.is_server_draining,
+                slot.stream_times.first_event_ms,
+                slot.stream_times.last_event_ms,
+                slot.stream_times.event_count,
             )
         )
 
--- a/briarvale/slot_pool.py
+++ b/briarvale/slot_pool.py
@@ -28,7 +28,8 @@
 from .pool_health import PoolHealth
 from .pool_queue import MAX_QUEUED, PoolQueue, PoolWaiter
 from .pool_revocation import revoke_batch
-from .pool_server import PoolServer, ServerRuns, choose_server
+from .pool_server import PoolServer, ServerRuns
+from .pools import Choice, ServerChooser
 from .wait_estimate import WaitEstimate
 
 GRANT_LEASE_MS = 4_000
@@ -64,6 +65,7 @@
         self._health = PoolHealth(self._servers)
         self._waiting = {work_class: PoolQueue() for work_class in WorkClass}
         self._estimate = WaitEstimate()
+        self._chooser = ServerChooser()
         self._item_durations = ItemDurations()
         self._online_peak = PeakDemand(BATCH_HEADROOM_MS)
         self._sequence = 0
@@ -94,7 +96,7 @@
             return self._grant_from_ms
         return math.inf
 
-    def configure(self, servers: Iterable[LiveServer]) -> None:
+    def configure(self, servers: Iterable[LiveServer], capacity_tokens: int = 0) -> None:
         """Sets the servers that accept new work; those not listed stay until their grants end."""
         ready = {server.id: server for server in servers}
         for server_id, pool_server in list(self._servers.items()):
@@ -106,11 +108,17 @@
                 pool_server.live_server = server
             elif pool_server.grants.slots == 0:
                 del self._servers[server_id]
-        for server_id in ready.keys() - self._servers.keys():
-            self._servers[server_id] = PoolServer(ready[server_id])
+        for server_id, server in ready.items():
+            if server_id not in self._servers:
+                self._servers[server_id] = PoolServer(server)
+            self._servers[server_id].holdings.capacity_tokens = capacity_tokens
         self._revoke_excess()
         self.grant_waiting()
 
+    def server(self, server_id: str) -> PoolServer | None:
+        """Returns a server of the pool by id."""
+        return self._servers.get(server_id)
+
     def servers_to_probe(self) -> list[LiveServer]:
         """Returns the servers that may be running requests without a grant.
 
@@ -182,8 +190,9 @@
         for server in self._servers.values():
             grant = server.grants.remove(release.grant_id)
             if grant is not None:
-                self._record_draining(server, release)
+                server.record_draining(release)
                 self._health.record_outcome(server, release.outcome, now_ms)
+                self._chooser.record_end(server, grant, release, now_ms)
                 duration_ms = now_ms - grant.granted_at_ms
                 is_finished = release.outcome is Outcome.FINISHED
                 if grant.held.work_class is WorkClass.ONLINE:
@@ -195,18 +204,6 @@
                 self.grant_waiting()
                 return
 
-    def _record_draining(self, server: PoolServer, release: SlotRelease) -> None:
-        """Marks a server as draining if the release says so of its current process."""
-        is_current_process = release.server_started_at_ms == server.live_server.started_at_ms
-        if not release.is_server_draining or not is_current_process or server.is_draining:
-            return
-        server.is_draining = True
-        log.info(
-            "Stopped granting slots on a server that a holder reported as draining.",
-            backend_server=server.live_server.id,
-            started_at_ms=release.server_started_at_ms,
-        )
-
     def adopt(self, held: HeldGrant, holder: Holder) -> None:
         """Registers a grant from an earlier owner or from the holder's earlier connection."""
         server = self._servers.get(held.backend_server)
@@ -262,6 +259,7 @@
         for queue in self._waiting.values():
             for waiter in queue.pop_expired(now_ms):
                 self._refuse(waiter.request, waiter.holder, now_ms + RETRY_DELAY_MS)
+        self._chooser.tick(self._servers, now_ms)
         self._health.compare_durations(now_ms)
         self.grant_waiting()
         self._log_state(now_ms)
@@ -291,9 +289,11 @@
         if not any(server.is_ready for server in self._servers.values()):
             self._refuse_online(now_ms)
             return
-        self._grant_queue(WorkClass.ONLINE, now_ms)
-        self._online_peak.observe(self._held_by(WorkClass.ONLINE), now_ms)
         if self._waiting[WorkClass.ONLINE]:
+            self._chooser.begin_pass(self.limit - self.held - self.queued)
+            self._grant_queue(WorkClass.ONLINE, now_ms)
+        self._online_peak.observe(self._held_by(WorkClass.ONLINE), now_ms)
+        if len(self._waiting[WorkClass.ONLINE]) > self._chooser.deferred:
             self._revoke_for_online()
         elif now_ms >= self._batch_from_ms:
             self._grant_batch(now_ms)
@@ -329,18 +329,18 @@
         is_online = work_class is WorkClass.ONLINE
         granted = 0
         for waiter in queue.online_order(now_ms) if is_online else queue.batch_order(now_ms):
-            server = None
+            choice = None
             if granted < at_most:
-                server = choose_server(self._servers.values(), waiter.request, now_ms)
-            if server is not None:
+                choice = self._chooser.choose(self._servers.values(), waiter.request, now_ms)
+            if choice is not None:
                 queue.remove(waiter)
-                self._grant(waiter, server, now_ms)
+                self._grant(waiter, choice, now_ms)
                 granted += 1
-            elif granted >= at_most or not waiter.request.excluded:
+            elif granted >= at_most or not (waiter.request.excluded or self._chooser.deferred):
                 break
 
-    def _grant(self, waiter: PoolWaiter, server: PoolServer, now_ms: int) -> None:
-        request = waiter.request
+    def _grant(self, waiter: PoolWaiter, choice: Choice, now_ms: int) -> None:
+        request, server = waiter.request, choice.server
         expires_at_ms = now_ms + GRANT_LEASE_MS
         grant = Grant.from_request(
             request,
@@ -349,9 +349,9 @@
             backend_server=server.live_server.id,
             granted_at_ms=now_ms,
             expires_at_ms=expires_at_ms,
+            start=self._chooser.start(choice, request, now_ms),
         )
         server.grants.add(grant)
-        server.record_prefixes(request.prefix_ids)
         labels = {"work_class": request.work_class.value}
         metrics.SLOT_WAIT_S.observe(labels, (now_ms - waiter.queued_at_ms) / MS_PER_S)
         counts = (self.held, self.queued, self.limit)
