Wait for a full server only where it saves twice the wait

The cost of a prefill to other runs counts at the usual speed, so that it does not count against slow servers as such. Runs of adopted grants, of whose start nothing is known, no longer enter the estimates.

--- a/briarvale/pools/placement_cost.py
+++ b/briarvale/pools/placement_cost.py
@@ -15,8 +15,9 @@
 
 # Weight of the time from the first event to the last, beside the time to the first event.
 REST_WEIGHT = 0.1
-# A prefill also delays the other runs on the server, of which a busy one has about as many.
-PREFILL_WEIGHT = 8.0
+# A prefill also delays the other runs on the server, of which a busy one has about as many. What it
+# costs them is counted at the usual speed, as it must not count against slow servers as such.
+SHARED_PREFILL_WEIGHT = 7.0
 # Parts that are evicted first were not used for the longest time, and not all are asked for again.
 EVICTION_WEIGHT = 0.5
 # Cost of each run on a server, and of each one above the mean load of the pool, as fractions of a
@@ -35,7 +36,8 @@
 
     Attributes:
         wait_ms: Until a slot is free.
-        prefill_ms: To prefill the tokens that are not cached, with the delay of other runs.
+        prefill_ms: To prefill the tokens that are not cached.
+        shared_prefill_ms: For the delay of other runs by that, weighted.
         step_ms: To the first event after the prefill.
         rest_ms: To the last event, weighted.
         eviction_ms: To prefill again what others use and this request evicts, weighted.
@@ -45,6 +47,7 @@
 
     wait_ms: float
     prefill_ms: float
+    shared_prefill_ms: float
     step_ms: float
     rest_ms: float
     eviction_ms: float
@@ -59,7 +62,7 @@
     @property
     def own_ms(self) -> float:
         """The part that the request itself takes, without what it costs others."""
-        return self.wait_ms + self.prefill_ms / PREFILL_WEIGHT + self.step_ms + self.rest_ms
+        return self.wait_ms + self.prefill_ms + self.step_ms + self.rest_ms
 
 
 class PlacementPlan(NamedTuple):
@@ -100,7 +103,8 @@
     Attributes:
         runs: The runs there for which the rates hold.
         step_ms: Time of a step with one run more.
-        prefill_ms: Weighted cost of a token's prefill.
+        prefill_ms: Time to prefill a token.
+        shared_prefill_ms: Weighted cost of that to the other runs there.
         load: Cost of the load, as a fraction of a run's usual time.
         room_tokens: Tokens that may be added before a part is evicted.
         eviction_ms: Weighted cost of each token beyond that.
@@ -110,6 +114,7 @@
     runs: int
     step_ms: float
     prefill_ms: float
+    shared_prefill_ms: float
     load: float
     room_tokens: float
     eviction_ms: float
@@ -124,10 +129,11 @@
     return ServerRates(
         runs=runs,
         step_ms=step_ms(server, speeds, runs + 1),
-        prefill_ms=PREFILL_WEIGHT * prefill_ms,
+        prefill_ms=prefill_ms,
+        shared_prefill_ms=SHARED_PREFILL_WEIGHT * speeds.prefill_ms_per_token,
         load=RUN_WEIGHT * runs + EXCESS_RUN_WEIGHT * excess_runs + server.excess_cost,
         room_tokens=holdings.room_tokens(server.grants.tokens),
-        eviction_ms=EVICTION_WEIGHT * PREFILL_WEIGHT * prefill_ms * holdings.reused_fraction,
+        eviction_ms=EVICTION_WEIGHT * prefill_ms * holdings.reused_fraction,
         availability_zone=server.live_server.availability_zone,
     )
 
@@ -149,6 +155,7 @@
     return CostTerms(
         wait_ms=wait_ms,
         prefill_ms=rates.prefill_ms * uncached,
+        shared_prefill_ms=rates.shared_prefill_ms * uncached,
         step_ms=rates.step_ms,
         rest_ms=rates.step_ms * (plan.weighted_events - 1),
         eviction_ms=rates.eviction_ms * max(0.0, uncached - rates.room_tokens),
--- a/briarvale/pools/run_records.py
+++ b/briarvale/pools/run_records.py
@@ -13,13 +13,13 @@
     Attributes:
         uncached_tokens: Prompt tokens that the server probably had to prefill.
         output_tokens: Expected length of the answer; 0 if unknown.
-        running: Runs on the server, this one included.
-        expected_end_ms: When the run should end, by the server's speed.
+        running: Runs on the server, this one included; 0 if nothing is known of the start.
+        expected_end_ms: When the run should end, by the server's speed; 0 if unknown.
     """
 
     uncached_tokens: int = 0
     output_tokens: int = 0
-    running: int = 1
+    running: int = 0
     expected_end_ms: float = 0.0
 
 
--- a/briarvale/pools/server_choice.py
+++ b/briarvale/pools/server_choice.py
@@ -17,9 +17,10 @@
     from ..grants import Grant
     from ..pool_server import PoolServer
 
-# A wait must be better by this much, since the end of a run is only estimated.
-WAIT_MARGIN_MS = 10.0
-WAIT_MARGIN_FACTOR = 0.25
+# A wait must save this much, and as much again as it takes, as the end of a run is only estimated.
+# In simulated load, smaller savings than that made first events no earlier.
+WAIT_MARGIN_MS = 30.0
+WAIT_MARGIN_FACTOR = 1.0
 # A run past its expected end is taken to need this fraction of a usual run more.
 OVERRUN_FRACTION = 0.15
 # A request that waits for a better server gets a free one this long before it must start. Waits are
@@ -125,7 +126,8 @@
             self._events.record(work_class, grant.start.output_tokens, release.event_count)
             if work_class is WorkClass.ONLINE:
                 self.speeds.record_hold(server.speed, now_ms - grant.granted_at_ms, now_ms)
-        if release.outcome in (Outcome.FINISHED, Outcome.REVOKED):
+        is_sound = release.outcome in (Outcome.FINISHED, Outcome.REVOKED)
+        if is_sound and grant.start.running:
             run = RunTimes.of_release(release, grant.start, server.runs + 1)
             self.speeds.record(server.speed, run, now_ms)
         if release.outcome is Outcome.CRASHED:
@@ -163,14 +165,14 @@
             rates = server.rates
             if rates is None or rates[0] != server.grants.slots + server.foreign_runs:
                 rates = server.rates = rates_of(server, self.speeds, self._mean_load)
-            _, server_step_ms, prefill_ms, load, room_tokens, eviction_ms, server_zone = rates
+            _, server_step_ms, prefill_ms, shared_ms, load, room_tokens, eviction_ms, at = rates
             uncached = prompt_tokens
             if first_part in server.holdings.parts:
                 uncached -= server.holdings.cached_tokens(plan.prompt)
-            cost_ms = server_step_ms * events + prefill_ms * uncached + load * run_ms
+            cost_ms = server_step_ms * events + (prefill_ms + shared_ms) * uncached + load * run_ms
             if uncached > room_tokens:
                 cost_ms += eviction_ms * (uncached - room_tokens)
-            if server_zone == zone:
+            if at == zone:
                 cost_ms -= zone_bonus_ms
             ranked.append((cost_ms, index, server))
         heapify(ranked)
--- a/briarvale/pools/server_speed.py
+++ b/briarvale/pools/server_speed.py
@@ -19,7 +19,7 @@
 # A server counts as different from the median only beyond this difference, and beyond twice the
 # standard error of its median. Otherwise servers that are alike would be told apart by chance.
 MIN_DIFFERENCE = 0.08
-MAX_FACTOR = 5.0
+MIN_FACTOR, MAX_FACTOR = 0.2, 5.0
 # Standard error of a median by the median absolute deviation of normally distributed samples.
 MEDIAN_ERROR_FACTOR = 1.253 * 1.483
 # More would say that one run delays another as if both had the server's whole capacity.
@@ -74,7 +74,7 @@
         ratio = middle / usual
         if abs(ratio - 1) <= max(MIN_DIFFERENCE, 2 * self._error / usual):
             return 1.0
-        return min(MAX_FACTOR, ratio)
+        return max(MIN_FACTOR, min(MAX_FACTOR, ratio))
 
 
 class ServerSpeed:
--- a/features/platform/server_choice.feature
+++ b/features/platform/server_choice.feature
@@ -26,7 +26,7 @@
     Examples:
       | tokens | share |
       | 60000  | 0.5   |
-      | 12000  | 0.7   |
+      | 12000  | 0.5   |
 
   # Guards against prompt parts that count as cached after they were evicted.
   Scenario: Memory is shared by cached parts and running requests
--- a/features/steps/server_choice.py
+++ b/features/steps/server_choice.py
@@ -91,7 +91,7 @@
         backend_server=server.live_server.id,
         granted_at_ms=clock.ms,
         expires_at_ms=clock.ms + 4_000,
-        start=RunStart(**known),
+        start=RunStart(running=1, **known),
     )
 
 
