--- a/briarvale/platform/node.py
+++ b/briarvale/platform/node.py
@@ -130,6 +130,7 @@
             self.servers,
             fetch_runs,
             self._directory.processor_cores,
+            self.routes.capacity_tokens,
         )
         self.cluster.pools.shares = self._workspace_shares
         self._publisher = self.cluster.publisher = FeedPublisher()
