--- a/briarvale/pools/__init__.py
+++ b/briarvale/pools/__init__.py
@@ -1,6 +1,8 @@
 """Decisions of a pool's owner, without a network: whom to serve, where, and what to revoke."""
 
 from .fair_backlog import FairBacklog
+from .item_starts import ItemStarts, required_starts, usable_slots
+from .peak_forecast import PeakForecast, find_period
 from .placement_cost import CostTerms, ServerRates
 from .prefix_holdings import PrefixHoldings
 from .release_rate import ReleaseRate
@@ -16,6 +18,8 @@
     "Choice",
     "CostTerms",
     "FairBacklog",
+    "ItemStarts",
+    "PeakForecast",
     "PrefixHoldings",
     "ReleaseRate",
     "RevocationNeed",
@@ -24,6 +28,9 @@
     "ServerRates",
     "ServerSpeed",
     "StarvationGuard",
+    "find_period",
     "grant_by_ms",
+    "required_starts",
     "revocation_need",
+    "usable_slots",
 ]
