--- a/features/platform/server_choice.feature
+++ b/features/platform/server_choice.feature
@@ -62,3 +62,9 @@
     When its run lasts 2.75 times as long as the usual run of all servers
     Then that run is not overdue there, and is overdue at a server of usual speed
     And a run that lasts twice as long is overdue there
+
+  # Guards against owners that choose without the times, prompt parts and memory that they need.
+  Scenario: Nodes report what the owner of a pool needs to know
+    When a stream and a job of items run on two nodes, with 5,000 tokens of memory configured
+    Then the owner learns the times of their events
+    And the owner knows the prompt parts that the server holds, and its memory
--- a/features/steps/server_choice.py
+++ b/features/steps/server_choice.py
@@ -1,7 +1,10 @@
 """Steps for the choice of servers, in simulated time and without a network."""
 
 from statistics import median
+from typing import Any
+from unittest import mock
 
+import anyio
 from behave import then, when
 from behave.runner import Context
 
@@ -13,6 +16,8 @@
 from briarvale.pools.prefix_holdings import PromptShape
 from features.steps.pool_policy import ManualClock, ready_pool, ready_server, slot_request
 from features.support.holders import RecordingHolder
+from features.support.platform_fleet import MODEL, Caller, PlatformFleet, job_body
+from features.support.platform_jobs import ITEMS, read_all, run_on_fleet, submit_job
 from features.support.server_model import ModelShape, ServerModel
 
 EVENTS = 18
@@ -212,3 +217,47 @@
     context.clock.ms += round(2.75 * USUAL_MS)
     PoolHealth(context.servers).compare_durations(context.clock.ms)
     assert context.servers["slow"].grants.has_overdue
+
+
+@when("a stream and a job of items run on two nodes, with 5,000 tokens of memory configured")
+def when_nodes(context: Context) -> None:
+    releases: list[SlotRelease] = []
+
+    async def action(fleet: PlatformFleet, facts: dict[str, Any]) -> None:
+        service = {"name": MODEL, "engine": {"kv_capacity_tokens": 5_000}}
+        fleet.version += 1
+        fleet.store.put("config", "main", fleet.config(services=[service]))
+        nodes = [node.node for node in fleet.nodes.values() if node.node is not None]
+        while not all(node.routes.capacity_tokens(MODEL) for node in nodes):
+            await anyio.sleep(0.02)
+        headers = {"Briarvale-Prompt-Prefix": "shared:200,own:50"}
+        # A new owner grants no slots at first; requests then run without one.
+        while not releases:
+            await Caller(fleet.nodes["vm-1"]).call("POST", "/ask/", b"prompt", headers=headers)
+        await submit_job(fleet.nodes["vm-2"], job_body(ITEMS))
+        await read_all(fleet.nodes["vm-1"])
+        owner = next(n for n in nodes if n.cluster.pool_owner(MODEL) == n._settings.vm_settings.vm)
+        facts["server"] = owner.cluster.pools.granter(MODEL).server("i-0")
+
+    def record_end(self: Any, server: Any, grant: Any, release: SlotRelease, now_ms: int) -> None:
+        releases.append(release)
+
+    with mock.patch.object(ServerChooser, "record_end", record_end):
+        run_on_fleet(context, action, engines=1)
+    context.releases = releases
+
+
+@then("the owner learns the times of their events")
+def then_times(context: Context) -> None:
+    finished = [r for r in context.releases if r.outcome is Outcome.FINISHED]
+    # Items have no fingerprint.
+    assert len([r for r in finished if not r.fingerprint]) == len(ITEMS), finished
+    assert any(r.fingerprint for r in finished), finished
+    assert all(r.event_count > 1 and r.last_event_ms > r.first_event_ms for r in finished)
+
+
+@then("the owner knows the prompt parts that the server holds, and its memory")
+def then_known(context: Context) -> None:
+    holdings = context.facts["server"].holdings
+    assert holdings.capacity_tokens == 5_000, holdings.capacity_tokens
+    assert holdings.parts["shared"] == 200 and holdings.parts["own"] == 50, holdings.parts
