--- a/briarvale/pools/server_choice.py
+++ b/briarvale/pools/server_choice.py
@@ -1,7 +1,7 @@
 """Chooses the server on which a request runs, by the time that it is expected to cost there."""
 
 import math
-from collections.abc import Collection, Iterator, Mapping
+from collections.abc import Callable, Collection, Iterator, Mapping
 from heapq import heapify, heappop
 from typing import TYPE_CHECKING, NamedTuple
 
@@ -57,18 +57,18 @@
         self._events = EventCounts()
         self._mean_load = 0.0
         self._awaited: set[str] = set()
-        self._may_wait = False
+        self._spare_slots: Callable[[], int] = lambda: -1
         self._log_at_ms = 0
 
-    def begin_pass(self, spare_slots: int) -> None:
+    def begin_pass(self, spare_slots: Callable[[], int]) -> None:
         """Begins to choose for the waiting requests, of which one may wait for each full server.
 
         Args:
-            spare_slots: Free slots less all waiting requests. If there are too few for all, none
-                may stay empty while a request waits for a better one.
+            spare_slots: Returns the free slots less all waiting requests. If there are too few for
+                all, none may stay empty while a request waits for a better one.
         """
         self._awaited.clear()
-        self._may_wait = spare_slots >= 0
+        self._spare_slots = spare_slots
         self.deferred = 0
 
     def choose(
@@ -196,7 +196,7 @@
         """
         is_online = plan.request.work_class is WorkClass.ONLINE
         latest_wait_ms = plan.request.start_by_ms - START_MARGIN_MS - now_ms
-        if not (self._may_wait and is_online and latest_wait_ms > 0):
+        if not (full and is_online and latest_wait_ms > 0) or self._spare_slots() < 0:
             return False
         best_ms, best_id = math.inf, ""
         for server in full:
--- a/briarvale/slot_pool.py
+++ b/briarvale/slot_pool.py
@@ -290,7 +290,7 @@
             self._refuse_online(now_ms)
             return
         if self._waiting[WorkClass.ONLINE]:
-            self._chooser.begin_pass(self.limit - self.held - self.queued)
+            self._chooser.begin_pass(lambda: self.limit - self.held - self.queued)
             self._grant_queue(WorkClass.ONLINE, now_ms)
         self._online_peak.observe(self._held_by(WorkClass.ONLINE), now_ms)
         if len(self._waiting[WorkClass.ONLINE]) > self._chooser.deferred:
--- a/features/steps/server_choice.py
+++ b/features/steps/server_choice.py
@@ -145,7 +145,7 @@
     full.grants.add(run)
     request = prompt_request("new", clock, start)
     request = request._replace(prefix_tokens=(tokens, 100), prompt_tokens=tokens + 100)
-    chooser.begin_pass(spare)
+    chooser.begin_pass(lambda: spare)
     context.choice = chooser.choose([full, free], request, clock.ms)
 
 
