--- a/briarvale/slot_pool.py
+++ b/briarvale/slot_pool.py
@@ -310,7 +310,7 @@
             self._refuse_all(self._waiting[WorkClass.ONLINE], retry_at_ms, NoServer.code)
             return
         if self._waiting[WorkClass.ONLINE]:
-            self._chooser.begin_pass(self.limit - self.held - self.queued)
+            self._chooser.begin_pass(lambda: self.limit - self.held - self.queued)
             self._grant_queue(WorkClass.ONLINE, now_ms, ItemStarts())
         online = self._held_by(WorkClass.ONLINE)
         self._online_peak.observe(online, now_ms)
