Refuse a job without reading reservations if the known jobs fill its route

Each attempt to submit a job to a full route cost two calls: the route's reservations, and whether the job was accepted before. If the jobs that the node knows leave no room, the reservations can't change the refusal.

A job with a reservation of an earlier attempt that ended is now refused too while the known jobs fill the route; until then it was accepted on it.

--- a/briarvale/waiting_tokens.py
+++ b/briarvale/waiting_tokens.py
@@ -152,6 +152,8 @@
             WaitingTokensExceeded: If the job doesn't fit within the limit now.
             AcceptanceRefused: If the store did not confirm the reservation in time.
         """
+        # Refused without a call to the store if even the known jobs leave no room.
+        self._check_fits(job, (), max_tokens)
         remaining_s = max(0.0, (stop_at_ms - self._clock.now_ms()) / MS_PER_S)
         attempt = secrets.token_hex(ATTEMPT_BYTES)
         with anyio.move_on_after(remaining_s):
--- a/features/platform/waiting_tokens.feature
+++ b/features/platform/waiting_tokens.feature
@@ -39,6 +39,11 @@
       | sent again                 |
       | accepted with a long delay |
 
+  # Guards against calls to the store for each attempt to submit a job to a route that is known to be full.
+  Scenario: A refusal by a node that knows the jobs that fill the route costs one read
+    When a job is refused at a node that knows the job that fills the route
+    Then the store was asked only whether the refused job was accepted before
+
   # Guards against a workspace that fills the route for the others, or exceeds the limit itself.
   Scenario: The limit applies to each workspace on the route
     When jobs with and without a workspace are submitted to all nodes on a limited route
--- a/features/steps/platform_waiting_tokens.py
+++ b/features/steps/platform_waiting_tokens.py
@@ -8,6 +8,7 @@
 from behave.runner import Context
 
 from briarvale.errors import AcceptanceRefused, WaitingTokensExceeded
+from briarvale.opaque_jobs import job_key
 from features.support.platform_fleet import (
     TOKENS_PER_ITEM,
     Answer,
@@ -268,6 +269,28 @@
     assert context.most_waiting <= LIMIT, context.most_waiting
 
 
+@when("a job is refused at a node that knows the job that fills the route")
+def when_refused(context: Context) -> None:
+    async def run() -> list[str]:
+        world = TokenWorld(seed=1, node_count=2)
+        async with anyio.create_task_group() as tasks:
+            world.start(tasks)
+            await world.accept(world.nodes[0], "job-1", LIMIT // ITEMS_PER_JOB)
+            await anyio.sleep(1.0)
+            calls_before = len(world.store.calls)
+            with suppress(WaitingTokensExceeded):
+                await world.accept(world.nodes[1], "job-2", 1)
+            tasks.cancel_scope.cancel()
+        return [f"{call.verb} {call.key}" for call in world.store.calls[calls_before:]]
+
+    context.calls = run_virtual(run)
+
+
+@then("the store was asked only whether the refused job was accepted before")
+def then_one_read(context: Context) -> None:
+    assert context.calls == [f"get {job_key('job-2')}"], context.calls
+
+
 @when("jobs with and without a workspace are submitted to all nodes on a limited route")
 def when_two_workspaces(context: Context) -> None:
     async def run() -> dict[str, int]:
