List the requests to drain VMs from the publisher

Each node listed them from the store at its start, a call a node. Nodes that start together now get them from the one that watches for their zone, as they get the jobs; a node without a publisher asks the store, as before.

Three of four nodes that start again: 3 lists before, none now; all four: 4 before, at most 1.

--- a/briarvale/platform/node.py
+++ b/briarvale/platform/node.py
@@ -46,8 +46,9 @@
 
 ROLE = "node"
 RELAYED_KINDS = (CONFIG_KIND, SERVERS_KIND)
-# Kinds with long lists: nodes request them from the publisher, or else from the store.
-PUBLISHED_LISTS = (JOBS_KIND,)
+# Kinds that nodes can do without at first: they request the lists from the publisher, or else from
+# the store, as each call to the store has a cost and the list of jobs is long.
+PUBLISHED_LISTS = (JOBS_KIND, RETIREMENTS_KIND)
 # Changes of relayed kinds must apply within a few seconds; a watch that misses one must end soon.
 SHORT_WATCH_MS = 5_000
 # Pause between watches, by kind. Changes of these kinds come in bursts and may apply a little late;
--- a/features/platform/feeds.feature
+++ b/features/platform/feeds.feature
@@ -22,12 +22,12 @@
 
   Scenario: Nodes that start again learn of all jobs without asking the store for each
     When a job is done and 3 of 4 nodes are killed and start again
-    Then none of these lists the jobs from the store, and all know the results within 4 s
+    Then none of these lists the jobs or drains from the store, and all know the results within 4 s
     And a reader at each of them gets the texts
 
   Scenario: All nodes start again and one of them lists the jobs
     When a job is done and all of 4 nodes are killed and start again
-    Then one of these lists the jobs from the store, and all know the results within 4 s
+    Then one of these lists the jobs and drains from the store, and all know the results within 4 s
     And a reader at each of them gets the texts
 
   Scenario: The list of jobs that every node reads holds only ids
--- a/features/steps/platform_feeds.py
+++ b/features/steps/platform_feeds.py
@@ -44,6 +44,7 @@
 SETTLE_S = 1.0
 READ_FOR_S = 3.0
 JOBS_PATH = "/briarvale/objects/workjobs"
+DRAINS_PATH = "/briarvale/objects/retirements"
 # A node that joins does no work for others in its first seconds.
 JOIN_TIMEOUT_S = 10.0
 
@@ -225,6 +226,9 @@
         facts["known"] = [knows_results(node) for node in nodes]
         calls = [fleet.store_proxies[node.name].read_calls[JOBS_PATH] for node in nodes]
         facts["listed"] = [count for count in calls if count]
+        # A node asks its publisher for this list for a few seconds before it asks the store.
+        proxies = [fleet.store_proxies[node.name] for node in nodes]
+        facts["listed drains"] = sum(proxy.read_calls[DRAINS_PATH] for proxy in proxies)
         facts["read"] = [await read_all(node) for node in nodes]
 
     return action
@@ -246,15 +250,17 @@
     run_on_fleet(context, kill_and_restart(4), nodes=4)
 
 
-@then("none of these lists the jobs from the store, and all know the results within 4 s")
+@then("none of these lists the jobs or drains from the store, and all know the results within 4 s")
 def then_none_lists(context: Context) -> None:
     assert context.facts["listed"] == [], context.facts["listed"]
+    assert context.facts["listed drains"] == 0, context.facts["listed drains"]
     assert all(context.facts["known"]), context.facts["known"]
 
 
-@then("one of these lists the jobs from the store, and all know the results within 4 s")
+@then("one of these lists the jobs and drains from the store, and all know the results within 4 s")
 def then_one_lists(context: Context) -> None:
     assert len(context.facts["listed"]) == 1, context.facts["listed"]
+    assert context.facts["listed drains"] <= 1, context.facts["listed drains"]
     assert all(context.facts["known"]), context.facts["known"]
 
 
