Read no further in a job's log than a page of results needs

A reader's node that did not know of a new result read the log to its end, so one call more than the page needed: 2 reads of the log before, 1 now, for one new entry. Only an empty page needs the end of the log.

--- a/briarvale/opaque_job_service.py
+++ b/briarvale/opaque_job_service.py
@@ -47,6 +47,8 @@
 # Readers expect results that any node listed over a second ago, so an older read is repeated.
 MAX_READ_AGE_S = 0.5
 READ_TIMEOUT_S = 0.8
+# More than any job has.
+MAX_RESULTS = 2**31
 # Reserved before the caller's deadline, so that the answer still arrives in time.
 ANSWER_RESERVE_MS = 300
 
@@ -169,7 +171,7 @@
         replica = await self.find(job_id)
         await self._wait_for_result(replica, after, wait_until_ms)
         if not replica.is_complete and len(replica.results) <= after:
-            await self._read_new_entries(replica, is_needed=True)
+            await self._read_new_entries(replica, is_needed=True, result_count=after + 1)
         page = ResultsPage(len(replica.job.items), after, ())
         if len(replica.results) > after:
             page = await self._read_page(replica, after)
@@ -312,12 +314,16 @@
             raise NotReady(f"can't read the job: {error!r}") from error
         return self._directory.add(OpaqueJob.decode(stored.value))
 
-    async def _read_new_entries(self, replica: JobReplica, *, is_needed: bool) -> None:
+    async def _read_new_entries(
+        self, replica: JobReplica, *, is_needed: bool, result_count: int = MAX_RESULTS
+    ) -> None:
         """Reads log entries that the feed has not delivered yet, unless a recent read found none.
 
         Args:
             replica: The job, to which the entries are applied.
             is_needed: Whether to raise an error if the entries can't be read.
+            result_count: Reads no further once the job has this many results, as each entry costs
+                a call.
 
         Raises:
             NotReady: If `is_needed` and the store doesn't answer.
@@ -329,7 +335,7 @@
         shard_log = ShardLog(self._store, self._read_budget, job_log_prefix(replica.job.job_id))
         try:
             with anyio.fail_after(READ_TIMEOUT_S):
-                while not replica.is_complete:
+                while not replica.is_complete and len(replica.results) < result_count:
                     replica.apply_entry(await shard_log.read_entry(replica.next_sequence))
         except ObjectNotFound:
             replica.log_end_read_at_s = read_at_s
--- a/features/platform/results.feature
+++ b/features/platform/results.feature
@@ -37,3 +37,8 @@
       | due | entries | age |
       | 18  | 3       | 1.6 |
       | 4   | 10      | 0.5 |
+
+  # Guards against a call to the store for each entry that a page does not need.
+  Scenario: A node that knows of no new result reads only the next entry of the log
+    When a result is listed that a node doesn't know of, and a reader asks that node for it
+    Then the page has the result, and the node read 1 entry of the log for it
--- a/features/steps/platform_results.py
+++ b/features/steps/platform_results.py
@@ -26,6 +26,7 @@
     submit_job,
 )
 from features.support.runner_fleet import time_results
+from features.support.token_schedules import TokenWorld
 from features.support.virtual import run_virtual
 
 TEXT = "whole text"
@@ -251,3 +252,29 @@
 @then("its runner reads nothing of the job from the store")
 def then_nothing_read(context: Context) -> None:
     assert context.times.reads == 0, context.times
+
+
+@when("a result is listed that a node doesn't know of, and a reader asks that node for it")
+def when_unknown(context: Context) -> None:
+    async def run() -> None:
+        world = TokenWorld(seed=1, node_count=2)
+        runner, other = world.nodes
+        await world.accept(runner, JOB, 1)
+        await world.finish(runner, JOB, 0)
+        await other.service.find(JOB)
+        # Until this read is too old to answer a reader.
+        await anyio.sleep(1.0)
+        await world.finish(runner, JOB, 1)
+        calls_before = len(world.store.calls)
+        context.page = await other.service.results(JOB, 1, 0)
+        read = [call.key for call in world.store.calls[calls_before:]]
+        # The last read is that of the text.
+        context.log_reads = len(read) - 1
+
+    run_virtual(run)
+
+
+@then("the page has the result, and the node read {count:d} entry of the log for it")
+def then_read_once(context: Context, count: int) -> None:
+    assert [result.item_index for result in context.page.results] == [1], context.page
+    assert context.log_reads == count, context.log_reads
