Limit the request rates of workspaces over all nodes

A workspace's limit applied nowhere. Nodes now request tokens from an owner, which may spend only the shares of the limit that nodes lend to it; requests over the limit get 429 with the time at which they fit. Tests follow.

--- a/briarvale/_generated/messages.py
+++ b/briarvale/_generated/messages.py
@@ -388,6 +388,34 @@
     sequence: int = 0
 
 
+class RateRequest(NamedTuple):
+    """The peer message RateRequest."""
+
+    request_id: int = 0
+    group: int = 0
+    workspace: str = ""
+    token_count: int = 0
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+    config_version: int = 0
+    is_lending: bool = False
+    is_tolerance: bool = False
+    owner_epoch: int = 0
+    stamp_ms: int = 0
+    since_stamp_ms: int = 0
+
+
+class RateAnswer(NamedTuple):
+    """The peer message RateAnswer."""
+
+    request_id: int = 0
+    granted: int = 0
+    retry_after_ms: int = 0
+    is_partial: bool = False
+    owner_epoch: int = 0
+    stamp_ms: int = 0
+
+
 Message = (
     Challenge
     | Hello
@@ -417,6 +445,8 @@
     | FeedLost
     | FeedBeat
     | FeedList
+    | RateRequest
+    | RateAnswer
 )
 
 
@@ -1072,6 +1102,58 @@
     builder.sequence = message.sequence
 
 
+def _read_rate_request(reader: Any) -> RateRequest:
+    return RateRequest(
+        reader.requestId,
+        reader.group,
+        reader.workspace,
+        reader.tokenCount,
+        reader.ratePerS,
+        reader.burst,
+        reader.configVersion,
+        reader.isLending,
+        reader.isTolerance,
+        reader.ownerEpoch,
+        reader.stampMs,
+        reader.sinceStampMs,
+    )
+
+
+def _write_rate_request(builder: Any, message: RateRequest) -> None:
+    builder.requestId = message.request_id
+    builder.group = message.group
+    builder.workspace = message.workspace
+    builder.tokenCount = message.token_count
+    builder.ratePerS = message.rate_per_s
+    builder.burst = message.burst
+    builder.configVersion = message.config_version
+    builder.isLending = message.is_lending
+    builder.isTolerance = message.is_tolerance
+    builder.ownerEpoch = message.owner_epoch
+    builder.stampMs = message.stamp_ms
+    builder.sinceStampMs = message.since_stamp_ms
+
+
+def _read_rate_answer(reader: Any) -> RateAnswer:
+    return RateAnswer(
+        reader.requestId,
+        reader.granted,
+        reader.retryAfterMs,
+        reader.isPartial,
+        reader.ownerEpoch,
+        reader.stampMs,
+    )
+
+
+def _write_rate_answer(builder: Any, message: RateAnswer) -> None:
+    builder.requestId = message.request_id
+    builder.granted = message.granted
+    builder.retryAfterMs = message.retry_after_ms
+    builder.isPartial = message.is_partial
+    builder.ownerEpoch = message.owner_epoch
+    builder.stampMs = message.stamp_ms
+
+
 _WRITERS: dict[type, tuple[str, Any]] = {
     Challenge: ("challenge", _write_challenge),
     Hello: ("hello", _write_hello),
@@ -1101,6 +1183,8 @@
     FeedLost: ("feedLost", _write_feed_lost),
     FeedBeat: ("feedBeat", _write_feed_beat),
     FeedList: ("feedList", _write_feed_list),
+    RateRequest: ("rateRequest", _write_rate_request),
+    RateAnswer: ("rateAnswer", _write_rate_answer),
 }
 _READERS: dict[str, Any] = {
     "challenge": _read_challenge,
@@ -1131,6 +1215,8 @@
     "feedLost": _read_feed_lost,
     "feedBeat": _read_feed_beat,
     "feedList": _read_feed_list,
+    "rateRequest": _read_rate_request,
+    "rateAnswer": _read_rate_answer,
 }
 
 
--- a/briarvale/errors.py
+++ b/briarvale/errors.py
@@ -150,6 +150,17 @@
     code, http_status, not_run = "too_many_waiting_tokens", 429, True
 
 
+class RateLimited(BriarvaleError):
+    """The workspace is over its rate limit; the request fits at `retry_at_ms`.
+
+    `owner` is the node that was asked last, and `reason` what the refusal is due to.
+    """
+
+    code, http_status, not_run = "rate_limited", 429, True
+    owner = ""
+    reason = ""
+
+
 class DocumentInvalid(BriarvaleError):
     """A document of another program isn't what its published format shows."""
 
--- a/briarvale/metrics.py
+++ b/briarvale/metrics.py
@@ -59,6 +59,10 @@
 )
 WAITING_TOKENS_LIMIT = Gauge("briarvale_waiting_tokens_limit", "Limit on them, by route.")
 JOBS_LATE = Gauge("briarvale_jobs_late", "Jobs that are predicted to miss their due date.")
+RATE_CHARGES = Counter(
+    "briarvale_rate_charges_total", "Requests counted towards rate limits, by source of the token."
+)
+RATE_REFUSALS = Counter("briarvale_rate_refusals_total", "Requests over a rate limit, by reason.")
 CONFIG_REVISION = Gauge("briarvale_config_revision", "Configuration revision in force.")
 CONFIG_REFUSED = Counter("briarvale_config_refused_total", "Revisions that this VM can't use.")
 
@@ -82,6 +86,8 @@
     "PEER_BAD_FRAMES",
     "QUARANTINED",
     "QUARANTINE_REFUSALS",
+    "RATE_CHARGES",
+    "RATE_REFUSALS",
     "REFUSALS",
     "REQUESTS",
     "RETRIES",
--- a/briarvale/node_cluster.py
+++ b/briarvale/node_cluster.py
@@ -11,6 +11,8 @@
     FeedSubscribe,
     HolderReport,
     Message,
+    RateAnswer,
+    RateRequest,
     SlotHeartbeat,
     SlotRelease,
     SlotRequest,
@@ -32,6 +34,8 @@
 from .pool_server import ServerRuns
 from .rendezvous import first_by_rendezvous, rank_by_rendezvous
 from .settings import Settings
+from .workspaces.ledger import RateOwner
+from .workspaces.tolerance import Quota
 
 EXPIRE_INTERVAL_S = 0.25
 # A node that has run for less may not have discovered the fleet; it owns nothing if another can.
@@ -44,6 +48,10 @@
 MIN_CORES_FRACTION = 0.7
 # Rendezvous key prefix by which each zone chooses its publisher, which watches the store.
 FEEDS_KEY = "feeds/"
+# Rendezvous key prefix by which groups of workspaces choose the owners of their rate limits.
+RATES_KEY = "rates/"
+# How many nodes may own a group, one after the other, if those before do not answer.
+RATE_OWNERS = 3
 
 ServerProbe = Callable[[LiveServer], Awaitable[ServerRuns]]
 
@@ -61,6 +69,7 @@
         servers: The backend servers that have an entry in the store.
         probe: Fetches the load of a backend server.
         processor_cores: Returns the processor capacity of a VM, in cores; 0 if unknown.
+        quota: How exactly rate limits are kept.
     """
 
     def __init__(
@@ -70,6 +79,7 @@
         servers: LiveServers,
         probe: ServerProbe,
         processor_cores: Callable[[str], float],
+        quota: Quota = Quota(),
     ) -> None:
         self._settings = settings
         self._environment = environment
@@ -79,6 +89,7 @@
         self._started_at_ms = environment.clock.now_ms()
         self.membership = Membership(settings, environment)
         self.pools = PoolOwner(environment.clock)
+        self._rates = RateOwner(settings.vm, quota, self._started_at_ms)
         self.relay: FeedRelay | None = None
         self.publisher: FeedPublisher | None = None
         self._connections: list[PeerConnection] = []
@@ -86,6 +97,7 @@
         # at least every `EXPIRE_INTERVAL_S`.
         self._pool_owners: dict[str, str | None] = {}
         self._cached_pool_candidates: list[str] | None = None
+        self._rate_owners: dict[int, list[str]] = {}
 
     def live_nodes(self) -> list[str]:
         """Returns the alive and suspect nodes, this one included unless it is leaving."""
@@ -137,6 +149,27 @@
             self._cached_pool_candidates = self._large_nodes(self._ownership_candidates())
         return self._cached_pool_candidates
 
+    def rate_owners(self, group: int) -> list[str]:
+        """Returns the nodes that may own the rate limits of a group, the preferred one first."""
+        if group not in self._rate_owners:
+            key = f"{RATES_KEY}{group}"
+            candidates = self._pool_owner_candidates()
+            self._rate_owners[group] = first_by_rendezvous(key, candidates, RATE_OWNERS)
+        return self._rate_owners[group]
+
+    def known_nodes(self) -> list[str]:
+        """Returns all listed nodes, whether alive or not."""
+        return [vm.vm for vm in self.membership.vms]
+
+    def rate_address(self, vm: str) -> PeerAddress | None:
+        """Returns the address where a node answers requests for tokens of rate limits."""
+        return self.membership.peer_address(vm)
+
+    def answer_rate_request(self, request: RateRequest, vm: str) -> RateAnswer:
+        """Answers a request for tokens of a rate limit; `vm` is the node that requests them."""
+        now_ms = self._environment.clock.now_ms()
+        return self._rates.answer(request, vm, self.known_nodes(), now_ms)
+
     def _large_nodes(self, names: list[str]) -> list[str]:
         """Returns the nodes with at least `MIN_CORES_FRACTION` of the most cores among `names`."""
         cores = {name: self._processor_cores(name) for name in names}
@@ -208,6 +241,7 @@
     def _update_owned_pools(self) -> None:
         self._servers.expire()
         self._pool_owners.clear()
+        self._rate_owners.clear()
         self._cached_pool_candidates = None
         if not self.membership.vms:
             return
@@ -266,6 +300,8 @@
         match message:
             case SlotRequest() | SlotRelease() | SlotWithdraw() | HolderReport() | SlotHeartbeat():
                 self.pools.handle(connection, message)
+            case RateRequest():
+                connection.notify(self.answer_rate_request(message, connection.identity.vm))
             case StateFetch():
                 connection.notify(self.membership.snapshot())
             case ConfigFetch() if self.relay is not None:
--- a/briarvale/node_settings.py
+++ b/briarvale/node_settings.py
@@ -4,6 +4,7 @@
 
 from .peer import PeerAddress
 from .settings import Settings
+from .workspaces.tolerance import Quota
 
 __all__ = ["NodeSettings", "NodeTimeLimits", "StoreSettings"]
 
@@ -31,6 +32,7 @@
     """Settings of one node; `vm_settings` are those of its VM, read by all its components.
 
     Attributes:
+        quota: How exactly rate limits of workspaces are kept.
         processor_cores: Processor capacity of the machine, in cores; 0 if unknown.
         caller_address: Address for callers; none on a node that serves no callers.
         readiness_address: Address of the load balancer's readiness check.
@@ -40,6 +42,7 @@
     vm_settings: Settings
     store: StoreSettings
     time_limits: NodeTimeLimits = NodeTimeLimits()
+    quota: Quota = Quota()
     processor_cores: float = 0.0
     caller_address: PeerAddress | None = None
     readiness_address: PeerAddress | None = None
--- a/briarvale/platform/node.py
+++ b/briarvale/platform/node.py
@@ -36,6 +36,9 @@
 from ..store_budget import BackOff, CallRates, StoreBudget
 from ..vm_directory import VMS_KIND, VmDirectory
 from ..vm_drains import VmDrains
+from ..workspaces import WorkspaceTable
+from ..workspaces.rate_limiter import RateLimiter
+from ..workspaces.rate_link import RateLinks
 from .batch_job_handler import BatchJobHandler, ItemRequests
 from .engine_report import fetch_runs
 from .feeds import ConfigFeed, ServerFeed
@@ -128,6 +131,7 @@
             self.servers,
             fetch_runs,
             self._directory.processor_cores,
+            settings.quota,
         )
         self._publisher = self.cluster.publisher = FeedPublisher()
         self.feed_source = FeedSource(
@@ -253,6 +257,7 @@
             lambda: self.routes.table,
             self._forwarder,
             BatchJobHandler(job_service, self._clock),
+            self._start_rate_limits(tasks),
         )
         if settings.caller_address is not None:
             self._ingress = Ingress(request_handler)
@@ -268,6 +273,22 @@
                 keep_running, "metrics", metrics_ingress.serve, settings.metrics_address
             )
 
+    def _start_rate_limits(self, tasks: TaskGroup) -> RateLimiter:
+        limiter = RateLimiter(
+            self._settings.vm_settings.vm,
+            self.cluster,
+            RateLinks(self._environment.transport, tasks),
+            self._clock,
+            self._workspaces,
+        )
+        tasks.start_soon(keep_running, "rate limits", limiter.run)
+        return limiter
+
+    def _workspaces(self) -> tuple[int, WorkspaceTable | None]:
+        """Returns the version of the configuration in force and its workspaces."""
+        table = self.routes.table
+        return (0, None) if table is None else (table.version, table.workspaces)
+
     async def _drain(self) -> None:
         """Stops gracefully.
 
--- a/briarvale/platform/request_handler.py
+++ b/briarvale/platform/request_handler.py
@@ -19,6 +19,7 @@
 from ..ingress import IngressRequest, Responder
 from ..routes import BatchRoute, IngressLimits, Route, RouteTable
 from ..workspaces import Workspace, combine_priorities
+from ..workspaces.rate_limiter import RateLimiter
 from .batch_job_handler import BatchJobHandler
 from .credentials import authenticate, identified_headers
 from .headers import REQUEST_ID, decode_request
@@ -42,6 +43,7 @@
         routes: Returns the routes in force, or none before the first configuration.
         forwarder: Forwards requests to backend servers.
         batch: Handles callers' requests about batch jobs.
+        rate_limiter: Counts requests towards the limits of their workspaces.
     """
 
     def __init__(
@@ -50,11 +52,13 @@
         routes: Callable[[], RouteTable | None],
         forwarder: Forwarder,
         batch: BatchJobHandler,
+        rate_limiter: RateLimiter,
     ) -> None:
         self._clock = clock
         self._routes = routes
         self._forwarder = forwarder
         self._batch = batch
+        self._rate_limiter = rate_limiter
 
     @property
     def limits(self) -> IngressLimits:
@@ -122,6 +126,9 @@
             await self._submit(table, route, host, path, request, responder)
             return
         workspace = authenticate(table, request.headers, is_public=route.is_public)
+        if workspace is not None:
+            request_id = (find_header(request.headers, REQUEST_ID) or b"").decode("latin-1")
+            await self._rate_limiter.charge(workspace, request_id)
         request, route = _identified(table, request, route, workspace)
         forwarded = decode_request(
             request.method, request.target, request.headers, request.body, route, now_ms
--- a/briarvale/platform/settings_file.py
+++ b/briarvale/platform/settings_file.py
@@ -15,6 +15,7 @@
 from ..settings import Settings
 from ..strict_json import HostName, Label, NonEmptyLabel, convert_value
 from ..vm_list import ProcessorCores
+from ..workspaces.tolerance import Quota
 
 SETTINGS_PATH_VARIABLE = "BRIARVALE_BOOT"
 # The deploy file sets this to the port of its `metrics` entry, which the settings file lacks.
@@ -23,6 +24,8 @@
 
 MAX_GRACE_S = 86_400
 MAX_VALUE_BYTES = 2**31 - 1
+MAX_QUOTA_WINDOW_S = 3_600
+MAX_QUOTA = 1_000_000
 
 __all__ = ["load_node_settings", "node_settings_from"]
 
@@ -44,7 +47,12 @@
 
 
 class _Bounds(msgspec.Struct):
+    """Time limits, and how exactly rate limits of workspaces are kept."""
+
     grace_s: Annotated[float, msgspec.Meta(ge=0, le=MAX_GRACE_S)] = 8.0
+    quota_window_s: Annotated[float, msgspec.Meta(ge=0.1, le=MAX_QUOTA_WINDOW_S)] = 5.0
+    quota_overage: Annotated[float, msgspec.Meta(ge=0, le=MAX_QUOTA)] = 0.1
+    quota_slack: Annotated[float, msgspec.Meta(ge=0, le=MAX_QUOTA)] = 20.0
 
 
 class _Limits(msgspec.Struct):
@@ -109,6 +117,11 @@
         vm_settings=vm_settings,
         store=StoreSettings(store, found.platform.value_bytes),
         time_limits=NodeTimeLimits(grace_ms=round(found.bounds.grace_s * MS_PER_S)),
+        quota=Quota(
+            window_ms=round(found.bounds.quota_window_s * MS_PER_S),
+            overage=found.bounds.quota_overage,
+            slack=found.bounds.quota_slack,
+        ),
         processor_cores=found.limits.cpu_share * found.limits.cpu_cores,
         caller_address=_optional_address(found.listen.front, "listen.front"),
         readiness_address=_optional_address(found.listen.ready, "listen.ready"),
--- a/briarvale/schema/messages.capnp
+++ b/briarvale/schema/messages.capnp
@@ -195,6 +195,32 @@
 struct FeedLost { kind @0 :Text; number @1 :UInt32; }
 struct FeedBeat { sequence @0 :UInt32; }
 
+# A node requests tokens of a workspace, or only renews or ends the loan of its share (`tokenCount` 0).
+# `ownerEpoch` and `stampMs` repeat the owner's last answer, which arrived `sinceStampMs` ago.
+struct RateRequest {
+  requestId @0 :UInt64;
+  group @1 :UInt16;
+  workspace @2 :Text;
+  tokenCount @3 :UInt16;
+  ratePerS @4 :Float64;
+  burst @5 :Float64;
+  configVersion @6 :UInt64;
+  isLending @7 :Bool;
+  isTolerance @8 :Bool;
+  ownerEpoch @9 :UInt64;
+  stampMs @10 :UInt64;
+  sinceStampMs @11 :UInt64;
+}
+# `isPartial`: the owner does not know the past, or not all shares, so that it may refuse too much.
+struct RateAnswer {
+  requestId @0 :UInt64;
+  granted @1 :UInt16;
+  retryAfterMs @2 :UInt32;
+  isPartial @3 :Bool;
+  ownerEpoch @4 :UInt64;
+  stampMs @5 :UInt64;
+}
+
 struct Envelope {
   union {
     challenge @0 :Challenge;
@@ -225,5 +251,7 @@
     feedLost @25 :FeedLost;
     feedBeat @26 :FeedBeat;
     feedList @27 :FeedList;
+    rateRequest @28 :RateRequest;
+    rateAnswer @29 :RateAnswer;
   }
 }
--- /dev/null
+++ b/briarvale/workspaces/share_loan.py
@@ -0,0 +1,36 @@
+"""A node's own share of a group's limits: to whom it is lent, and until when."""
+
+from .shares import HOLD_MS
+
+__all__ = ["ShareLoan"]
+
+
+class ShareLoan:
+    """Lends one share to one owner at a time.
+
+    Args:
+        now_ms: Time of the start; an earlier process of this node may have lent the share before.
+    """
+
+    def __init__(self, now_ms: int) -> None:
+        self.owner: str | None = None
+        self.free_at_ms = now_ms + HOLD_MS
+        self.lent_at_ms = 0
+        self._last_request_id = 0
+
+    def may_lend(self, owner: str, now_ms: int) -> bool:
+        """Whether the share may be lent to an owner now."""
+        return owner == self.owner or now_ms >= self.free_at_ms
+
+    def lend(self, owner: str, request_id: int, now_ms: int) -> None:
+        """Records that a message which lends the share is about to be sent."""
+        self.owner = owner
+        self.lent_at_ms = now_ms
+        self.free_at_ms = now_ms + HOLD_MS
+        self._last_request_id = request_id
+
+    def take_back(self, owner: str, request_id: int) -> None:
+        """Records that the owner has answered a message which ends the loan."""
+        if owner == self.owner and request_id > self._last_request_id:
+            self.owner = None
+            self.free_at_ms = 0
