--- a/briarvale/workspaces/ledger.py
+++ b/briarvale/workspaces/ledger.py
@@ -7,11 +7,10 @@
 from .._generated.messages import RateAnswer, RateRequest
 from ..clock import MS_PER_S
 from ..headroom import PeakDemand
-from .shares import LEASE_MS, ShareLeases
+from .shares import HOLD_MS, LEASE_MS, ShareLeases
 from .token_bucket import TokenBucket
 from .tolerance import (
     HOLDER_COUNT,
-    IN_FLIGHT_MS,
     MIN_OWNER_SHARE,
     Quota,
     ToleranceBudget,
@@ -30,8 +29,11 @@
 # With fewer shares than this, a refusal may be due to the missing ones.
 COMPLETE_SHARE = 0.9
 MIN_HISTORY_MS = 1_000
+MAX_HISTORY_MS = 60_000
 MAX_BUCKETS = 2_000
-MAX_RETRY_MS = 60_000
+MAX_RETRY_MS = 3_600_000
+# Nodes wait less than this for an answer.
+MAX_ROUND_TRIP_MS = 200
 
 __all__ = ["GROUP_COUNT", "RateOwner"]
 
@@ -69,6 +71,7 @@
     def __init__(self, now_ms: int) -> None:
         self.leases = ShareLeases(now_ms)
         self.buckets: dict[str, _Bucket] = {}
+        self._complete_from_ms = 0.0
 
     def advance(self, known: int, now_ms: int) -> _Shares:
         """Counts the loans up to now; a loan that ended takes its part of the tokens with it."""
@@ -82,6 +85,8 @@
         if shares.lent < lent_before:
             for bucket in self.buckets.values():
                 self.settle(bucket, shares)
+        if shares.fraction < COMPLETE_SHARE:
+            self._complete_from_ms = self.leases.covered_ms
         return shares
 
     def settle(self, bucket: _Bucket, shares: _Shares) -> None:
@@ -109,13 +114,13 @@
             self.settle(bucket, shares)
         return bucket
 
-    def is_history_short(self, limits: WorkspaceLimits, shares: _Shares, window_ms: int) -> bool:
-        """Whether a bucket that was full when the loans began may not be full again yet."""
-        if not shares.known:
+    def is_partial(self, limits: WorkspaceLimits, shares: _Shares) -> bool:
+        """Whether shares are missing, or were so lately that buckets may not be full again."""
+        if shares.fraction < COMPLETE_SHARE:
             return True
         fill_ms = limits.burst / limits.rate_per_s * MS_PER_S if limits.rate_per_s else 0.0
-        needed_ms = min(window_ms, max(MIN_HISTORY_MS, fill_ms))
-        return self.leases.covered_ms / shares.known < needed_ms
+        needed_ms = min(MAX_HISTORY_MS, max(MIN_HISTORY_MS, fill_ms))
+        return (self.leases.covered_ms - self._complete_from_ms) / shares.known < needed_ms
 
     def _drop_full(self) -> None:
         """Forgets full buckets, which would be full again if they were made anew."""
@@ -191,10 +196,12 @@
         granted = bucket.tokens.take(request.token_count)
         if granted:
             return answer._replace(granted=granted)
-        wait_ms = bucket.tokens.wait_ms(bucket.limits.rate_per_s * shares.fraction)
-        is_partial = shares.fraction < COMPLETE_SHARE or group.is_history_short(
-            bucket.limits, shares, self._quota.window_ms
-        )
+        rate_per_s = bucket.limits.rate_per_s
+        wait_ms = bucket.tokens.wait_ms(rate_per_s * shares.fraction)
+        is_partial = group.is_partial(bucket.limits, shares)
+        if is_partial:
+            # The other shares arrive once their loans to an earlier owner have ended.
+            wait_ms = min(wait_ms, HOLD_MS + bucket.tokens.wait_ms(rate_per_s))
         retry_after_ms = math.ceil(min(wait_ms, MAX_RETRY_MS))
         return answer._replace(retry_after_ms=retry_after_ms, is_partial=is_partial)
 
@@ -229,4 +236,4 @@
 
     The request was sent `since_stamp_ms` after its stamp arrived, so at the earliest then.
     """
-    return now_ms - request.stamp_ms - request.since_stamp_ms > IN_FLIGHT_MS * 2
+    return now_ms - request.stamp_ms - request.since_stamp_ms > MAX_ROUND_TRIP_MS
--- a/briarvale/workspaces/rate_client.py
+++ b/briarvale/workspaces/rate_client.py
@@ -24,12 +24,14 @@
 OWNER_TIMEOUT_MS = 80
 CHARGE_TIMEOUT_MS = 150
 HOLDER_TIMEOUT_MS = 40
+# How late this process may notice an answer that came in time.
+MAX_DELAY_MS = 20
 # Nodes that did not answer are not asked for this long. Those that may own a group are probed more
 # often in the background, so that no further request waits for them.
 SILENCE_MS = 2_000
-RENEW_INTERVAL_MS = 600
+RENEW_INTERVAL_MS = 400
 # Loans that a request renewed this recently need no message of their own.
-FRESH_LOAN_MS = 300
+FRESH_LOAN_MS = 200
 # Request ids of a process continue above those of an earlier one on the same node.
 REQUEST_IDS_PER_MS = 1_000
 PRUNE_STATES = 10_000
@@ -204,7 +206,7 @@
         answer = yield RateCall(node, request, timeout_ms)
         now_ms = self._now_ms()
         # An answer that waited while this process was stopped counts as none: its tokens are spent.
-        if answer is None or now_ms - sent_ms > CHARGE_TIMEOUT_MS:
+        if answer is None or now_ms - sent_ms > timeout_ms + MAX_DELAY_MS:
             self._silent_until_ms[node] = now_ms + SILENCE_MS
             return None
         self._silent_until_ms.pop(node, None)
@@ -218,10 +220,11 @@
         loan = self._loans[request.group]
         is_owner = not request.is_tolerance and node == self._owner(request.group)
         is_lending = may_lend and is_owner and loan.may_lend(node, now_ms)
-        if is_lending:
-            loan.lend(node, request_id, now_ms)
         request = request._replace(request_id=request_id, is_lending=is_lending)
         stamp = self._stamps.get(node)
+        if is_lending:
+            # Without a stamp the owner does not count the loan yet.
+            loan.lend(node, request_id, stamp.received_ms if stamp else 0, now_ms)
         if stamp is None:
             return request
         return request._replace(
@@ -252,7 +255,7 @@
         self, workspace: Workspace, owner: str, demand: RateDemand, is_answered: bool
     ) -> RateLimited:
         now_ms = self._now_ms()
-        retry_at_ms = demand.refused_until_ms
+        retry_at_ms = demand.retry_at_ms
         if retry_at_ms <= now_ms:
             retry_at_ms = max(now_ms + 1, self._loans[group_of(workspace.name)].free_at_ms)
         error = RateLimited(
--- a/briarvale/workspaces/rate_demand.py
+++ b/briarvale/workspaces/rate_demand.py
@@ -6,6 +6,8 @@
 LOT_MS = 100
 MAX_LOT = 64
 DEMAND_WINDOW_MS = 500
+# While shares are on the way to an owner, it may have tokens earlier than it expects.
+ASK_AGAIN_MS = 100
 
 __all__ = ["RateDemand"]
 
@@ -14,7 +16,8 @@
     """One workspace at one node.
 
     Attributes:
-        refused_until_ms: Until then the owner has no token.
+        refused_until_ms: Until then the owner is not asked.
+        retry_at_ms: When the owner expects to have a token.
         is_partial: Whether the owner refused for lack of shares or of knowledge of the past.
         tolerance_refused_until_ms: Until then no holder has a token beyond the limit.
     """
@@ -26,6 +29,7 @@
         self._current = 0
         self._previous = 0
         self.refused_until_ms = 0
+        self.retry_at_ms = 0
         self.is_partial = False
         self.tolerance_refused_until_ms = 0
 
@@ -56,14 +60,13 @@
         return True
 
     def refuse(self, retry_after_ms: int, now_ms: int, *, is_partial: bool) -> None:
-        """Records an owner's refusal."""
-        self.refused_until_ms = now_ms + max(1, retry_after_ms)
+        """Records an owner's refusal; one that lacks shares is asked again soon."""
+        self.retry_at_ms = now_ms + max(1, retry_after_ms)
+        self.refused_until_ms = self.retry_at_ms
+        if is_partial:
+            self.refused_until_ms = min(self.retry_at_ms, now_ms + ASK_AGAIN_MS)
         self.is_partial = is_partial
 
     def refuse_tolerance(self, retry_after_ms: int, now_ms: int) -> None:
         """Records the refusal of all holders that answered."""
         self.tolerance_refused_until_ms = now_ms + max(1, retry_after_ms)
-
-    def retry_at_ms(self, now_ms: int) -> int:
-        """Returns when a request fits next, as far as it is known."""
-        return max(now_ms + 1, self.refused_until_ms)
--- a/briarvale/workspaces/share_loan.py
+++ b/briarvale/workspaces/share_loan.py
@@ -22,11 +22,15 @@
         """Whether the share may be lent to an owner now."""
         return owner == self.owner or now_ms >= self.free_at_ms
 
-    def lend(self, owner: str, request_id: int, now_ms: int) -> None:
-        """Records that a message which lends the share is about to be sent."""
+    def lend(self, owner: str, request_id: int, stamped_at_ms: int, now_ms: int) -> None:
+        """Records that a message which lends the share is about to be sent.
+
+        Args:
+            stamped_at_ms: When the stamp that the message repeats arrived; the loan begins then.
+        """
         self.owner = owner
         self.lent_at_ms = now_ms
-        self.free_at_ms = now_ms + HOLD_MS
+        self.free_at_ms = max(self.free_at_ms, stamped_at_ms + HOLD_MS)
         self._last_request_id = request_id
 
     def take_back(self, owner: str, request_id: int) -> None:
--- a/briarvale/workspaces/shares.py
+++ b/briarvale/workspaces/shares.py
@@ -2,11 +2,13 @@
 
 __all__ = ["HOLD_MS", "LEASE_MS", "ShareLeases"]
 
-# A node that lends its share to an owner neither spends it nor lends it to another for `HOLD_MS`
-# after it sent the message. The owner counts it for `LEASE_MS` after the stamp that the message
-# repeats, which is earlier than the message. The difference allows for clocks of different speed.
-LEASE_MS = 1_400
-HOLD_MS = 1_500
+# A message that lends a share repeats the stamp of the owner's last answer. The owner counts the
+# share for `LEASE_MS` after that stamp; the node neither spends it nor lends it to another for
+# `HOLD_MS` after the answer arrived, which is later. The difference allows for clocks of different
+# speed. While an owner that is lost holds the shares, its workspaces have only their tolerance;
+# a shorter lease would end when an owner is busy for half a second.
+LEASE_MS = 1_000
+HOLD_MS = 1_100
 
 
 class ShareLeases:
--- a/briarvale/workspaces/tolerance.py
+++ b/briarvale/workspaces/tolerance.py
@@ -17,8 +17,8 @@
 # One node of a zone or one machine may be lost without the others.
 HOLDER_COUNT = 3
 # Longest time from a grant until its token is spent, and from a request's arrival until its grant:
-# tokens granted before a window may be spent in it.
-IN_FLIGHT_MS = 250
+# tokens granted before or after a window may be spent for requests in it.
+IN_FLIGHT_MS = 100
 DELAY_MS = 100
 # Owners with a quarter of the shares may hold one whole token each; there are at most four of them.
 MIN_OWNER_SHARE = 0.25
