Skip the passes over servers and requests that grant or revoke nothing

Each message at a full pool read the free slots of all servers for both classes, also with an empty queue, and the sums of batch slots while no batch item ran.

--- a/briarvale/pool_revocation.py
+++ b/briarvale/pool_revocation.py
@@ -49,6 +49,7 @@
         servers = list(servers)
         revoking = sum(server.grants.revoking_slots for server in servers)
         batch = sum(server.grants.slots_of(WorkClass.BATCH) for server in servers)
+        self._next_at_ms = now_ms + INTERVAL_MS
         if batch <= revoking:
             self.due_at_ms = math.inf
             return
@@ -58,7 +59,8 @@
         ]
         need = revocation_need(by_ms, revoking, self._rate, now_ms)
         self.due_at_ms = need.recheck_at_ms
-        self._next_at_ms = now_ms + INTERVAL_MS if need.recheck_at_ms < math.inf else -math.inf
+        if need.recheck_at_ms == math.inf:
+            self._next_at_ms = -math.inf
         self.revoked += revoke_batch(servers, need.slots)
 
 
--- a/briarvale/slot_pool.py
+++ b/briarvale/slot_pool.py
@@ -340,13 +340,13 @@
     def _grant_queue(self, work_class: WorkClass, now_ms: int, starts: ItemStarts) -> None:
         """Grants slots in the order of the queue, to the requests that may start."""
         queue = self._waiting[work_class]
-        free = sum(max(0, server.free_slots_for(work_class)) for server in self._servers.values())
-        at_most = min(starts.at_most, free)
-        if not queue or at_most <= 0:
+        servers = self._servers.values() if queue else ()
+        at_most = min(starts.at_most, sum(max(0, s.free_slots_for(work_class)) for s in servers))
+        if at_most <= 0:
             return
-        is_online = work_class is WorkClass.ONLINE
+        order = queue.online_order if work_class is WorkClass.ONLINE else queue.batch_order
         granted = 0
-        for waiter in queue.online_order(now_ms) if is_online else queue.batch_order(now_ms):
+        for waiter in order(now_ms):
             if not starts.may_start(self._item_durations.remaining_ms(waiter.request), granted):
                 continue
             server = choose_server(self._servers.values(), waiter.request, now_ms)
