--- a/briarvale/item_gate.py
+++ b/briarvale/item_gate.py
@@ -3,13 +3,16 @@
 import math
 from itertools import accumulate
 
+from . import logs
 from .item_durations import ItemDurations
 from .pool_queue import PoolQueue
-from .pools import ItemStarts, PeakForecast, required_starts, usable_slots
+from .pools import BIN_MS, ItemStarts, PeakForecast, required_starts, usable_slots
 
 # Interval between two plans, each of which is a pass over all waiting items.
 PLAN_INTERVAL_MS = 20
 
+log = logs.component_logger("pool")
+
 __all__ = ["ItemGate"]
 
 
@@ -30,7 +33,14 @@
 
     def observe(self, online: int, now_ms: int) -> None:
         """Records the slots that online requests hold and wait for now."""
+        period_bins = self._forecast.period_bins
         self._forecast.observe(online, now_ms)
+        if bool(self._forecast.period_bins) != bool(period_bins):
+            log.info(
+                "The online demand began or ceased to have a clear period.",
+                period_ms=self._forecast.period_bins * BIN_MS,
+                online=online,
+            )
 
     def plan(
         self, waiting: PoolQueue, at_most: int, limit: int, batch: int, now_ms: int
--- a/briarvale/pools/__init__.py
+++ b/briarvale/pools/__init__.py
@@ -2,12 +2,13 @@
 
 from .fair_backlog import FairBacklog
 from .item_starts import ItemStarts, required_starts, usable_slots
-from .peak_forecast import PeakForecast, find_period
+from .peak_forecast import BIN_MS, PeakForecast, find_period
 from .release_rate import ReleaseRate
 from .revocation_need import REVOCATION_MS, RevocationNeed, grant_by_ms, revocation_need
 from .starvation_guard import MAX_BYPASSES, StarvationGuard
 
 __all__ = [
+    "BIN_MS",
     "MAX_BYPASSES",
     "REVOCATION_MS",
     "FairBacklog",
--- a/briarvale/slot_pool.py
+++ b/briarvale/slot_pool.py
@@ -385,15 +385,7 @@
     def _refuse(
         self, request: SlotRequest, holder: Holder, retry_at_ms: float, code: str = Overloaded.code
     ) -> None:
-        metrics.SLOT_REFUSALS.inc({"code": code, "work_class": request.work_class.value})
-        log.info(
-            "Refused a slot.",
-            request_id=request.request_id,
-            pool=self.name,
-            code=code,
-            held=self.held,
-            queued=self.queued,
-            limit=self.limit,
-        )
         counts = (self.held, self.queued, self.limit)
-        holder.notify(SlotRefusal(request.request_id, code, math.ceil(retry_at_ms), *counts))
+        refusal = SlotRefusal(request.request_id, code, math.ceil(retry_at_ms), *counts)
+        self._log.write_refusal(request, refusal)
+        holder.notify(refusal)
