--- a/briarvale/pools/__init__.py
+++ b/briarvale/pools/__init__.py
@@ -2,7 +2,7 @@
 
 from .fair_backlog import FairBacklog
 from .item_starts import ItemStarts, required_starts, usable_slots
-from .peak_forecast import PeakForecast, find_period
+from .peak_forecast import BIN_MS, PeakForecast, find_period
 from .placement_cost import CostTerms, ServerRates
 from .prefix_holdings import PrefixHoldings
 from .release_rate import ReleaseRate
@@ -13,6 +13,7 @@
 from .starvation_guard import MAX_BYPASSES, StarvationGuard
 
 __all__ = [
+    "BIN_MS",
     "MAX_BYPASSES",
     "REVOCATION_MS",
     "Choice",
