Trust an owner again as soon as it answers, also late

A busy owner that answered after the time-out was avoided until the next probe, and its callers used up the tolerance meanwhile. features/platform/rate_limits.feature and edges.feature: 19 scenarios passed.

--- a/briarvale/workspaces/rate_client.py
+++ b/briarvale/workspaces/rate_client.py
@@ -21,7 +21,7 @@
 
 # An owner that doesn't answer delays a request by the first time-out at most, all nodes together by
 # the second one.
-OWNER_TIMEOUT_MS = 80
+OWNER_TIMEOUT_MS = 100
 CHARGE_TIMEOUT_MS = 150
 HOLDER_TIMEOUT_MS = 40
 # Callers that retry sooner would only add load.
@@ -139,6 +139,10 @@
             if not is_fresh:
                 yield from self._call(owner, RateRequest(group=group), CHARGE_TIMEOUT_MS)
 
+    def hear(self, node: str) -> None:
+        """Records that a node answers again; an answer that came too late is not used otherwise."""
+        self._silent_until_ms.pop(node, None)
+
     def _end_loan(self, group: int, owner: str) -> Charge:
         """Ends the loan to an earlier owner, so that the present one gets the share at once."""
         loan = self._loans[group]
--- a/briarvale/workspaces/rate_limiter.py
+++ b/briarvale/workspaces/rate_limiter.py
@@ -1,6 +1,7 @@
 """Charges requests to the rate limits of their workspaces, over all nodes."""
 
 from collections.abc import Callable
+from functools import partial
 from typing import Protocol
 
 import anyio
@@ -112,5 +113,7 @@
         if address is None:
             return None
         with anyio.move_on_after(call.timeout_ms / MS_PER_S):
-            return await self._links.ask(address, call.request)
+            return await self._links.ask(
+                address, call.request, partial(self._client.hear, call.node)
+            )
         return None
--- a/briarvale/workspaces/rate_link.py
+++ b/briarvale/workspaces/rate_link.py
@@ -1,5 +1,7 @@
 """A node's connections to the owners of rate limits: one message in each direction per request."""
 
+from collections.abc import Callable
+
 import anyio
 from anyio.abc import TaskGroup
 
@@ -28,8 +30,9 @@
 class _Link:
     """One connection; it is opened in the background, and requests wait for it meanwhile."""
 
-    def __init__(self, address: PeerAddress) -> None:
+    def __init__(self, address: PeerAddress, on_late: Callable[[], None]) -> None:
         self._address = address
+        self._on_late = on_late
         self._pending: dict[int, _Pending] = {}
         self._opened = anyio.Event()
         self._connection: PeerConnection | None = None
@@ -88,10 +91,14 @@
             if idle.cancelled_caught:
                 return
             self._unanswered_since_s = None
-            if isinstance(message, RateAnswer) and message.request_id in self._pending:
-                pending = self._pending[message.request_id]
-                pending.answer = message
-                pending.ended.set()
+            if not isinstance(message, RateAnswer):
+                continue
+            pending = self._pending.get(message.request_id)
+            if pending is None:
+                self._on_late()
+                continue
+            pending.answer = message
+            pending.ended.set()
 
     def close(self) -> None:
         """Ends the connection; requests that wait get no answer."""
@@ -115,13 +122,19 @@
         self._tasks = tasks
         self._links: dict[PeerAddress, _Link] = {}
 
-    async def ask(self, address: PeerAddress, request: RateRequest) -> RateAnswer | None:
-        """Asks a node; returns None if the connection can't be opened or is lost."""
+    async def ask(
+        self, address: PeerAddress, request: RateRequest, on_late: Callable[[], None]
+    ) -> RateAnswer | None:
+        """Asks a node; returns None if the connection can't be opened or is lost.
+
+        Args:
+            on_late: Called when the node answers a request that is not waited for any more.
+        """
         link = self._links.get(address)
         if link is not None and link.is_silent:
             link.close()
         if link is None or link.is_closed:
-            link = self._links[address] = _Link(address)
+            link = self._links[address] = _Link(address, on_late)
             self._tasks.start_soon(self._run, address, link)
         return await link.ask(request)
 
--- a/features/support/platform_settings_file.py
+++ b/features/support/platform_settings_file.py
@@ -15,6 +15,9 @@
 ready = "{ready}"
 [bounds]
 grace_s = {grace_s}
+quota_window_s = {quota_window_s}
+quota_overage = {quota.overage}
+quota_slack = {quota.slack}
 [platform]
 address = "{store}"
 """
@@ -31,6 +34,8 @@
         front=_address_text(settings.caller_address),
         ready=_address_text(settings.readiness_address),
         grace_s=settings.time_limits.grace_ms / MS_PER_S,
+        quota=settings.quota,
+        quota_window_s=settings.quota.window_ms / MS_PER_S,
         store=_address_text(settings.store.address),
     )
 
