Test what untrusted callers can make a node's process hold

Callers that sent many unfinished bodies, or pipelined requests without reading the responses, ended processes for their memory use. Each scenario starts a node's process with 100 MB of memory and 150 descriptors in its settings file, on loopback, and checks that it is alive, within both limits and answers an ordinary request afterwards. No time is checked.

What the callers send is bounded in bytes, in time, and by 400 MB of the process's memory. The scenarios run alone, after the concurrent checks.

--- a/tools/check.py
+++ b/tools/check.py
@@ -1,5 +1,7 @@
 """`make test`: runs every check of CI, several at a time, and prints the totals.
 
+Checks of `LONE_CHECKS` run afterwards, one at a time, since other load would disturb them.
+
 Each check is a command. KNOWN-RED.txt lists checks and scenarios that fail for an open fault; their
 failures are printed but not counted. The last line reads `N passed, N failed`.
 """
@@ -9,6 +11,7 @@
 import subprocess
 import sys
 import tomllib
+from collections.abc import Iterator
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 from typing import NamedTuple
@@ -52,16 +55,26 @@
 
 
 BEHAVE = (PYTHON, "-m", "behave", "--format", "progress", "--no-color")
+
+
+def feature_check(path: Path) -> Check:
+    """Returns the check of a feature file or of a folder with some."""
+    return Check(str(path.relative_to(ROOT)), (*BEHAVE, str(path.relative_to(ROOT))))
+
+
+# Folders of features that run after the other checks, each alone.
+LONE_FOLDERS = ("untrusted",)
 FEATURES = tuple(
-    Check(str(path.relative_to(ROOT)), (*BEHAVE, str(path.relative_to(ROOT))))
+    feature_check(path)
     for path in sorted((ROOT / "features").iterdir())
     if path.suffix == ".feature" or any(path.glob("*.feature"))
 )
+LONE_CHECKS = tuple(check for check in FEATURES if Path(check.name).name in LONE_FOLDERS)
 SOAK = (PYTHON, "-m", "soak", "--length-s", "10")
 # Seeds that broke a promise; each is its own check, so that KNOWN-RED.txt can list it alone.
 REGRESSIONS = ROOT / "soak" / "regressions.toml"
-CHECKS = (
-    *FEATURES,
+CONCURRENT_CHECKS = (
+    *(check for check in FEATURES if check not in LONE_CHECKS),
     Check("formatter", (str(BIN / "black"), "--check", "--quiet", ".")),
     Check("linter", (str(BIN / "ruff"), "check", "--quiet", ".")),
     Check("types", (str(BIN / "mypy"),)),
@@ -87,6 +100,15 @@
 )
 
 
+def run_checks(known_names: list[str]) -> Iterator[tuple[Check, Verdict]]:
+    """Runs all checks, the lone ones last, and yields their results in order."""
+    with ThreadPoolExecutor(MAX_CONCURRENT_CHECKS) as pool:
+        verdicts = pool.map(lambda check: run_check(check, known_names), CONCURRENT_CHECKS)
+        yield from zip(CONCURRENT_CHECKS, verdicts, strict=True)
+    for check in LONE_CHECKS:
+        yield check, run_check(check, known_names)
+
+
 def known_red() -> list[str]:
     """Returns the name of the check or scenario in each entry of KNOWN-RED.txt."""
     if not KNOWN_RED.exists():
@@ -140,15 +162,13 @@
     passed = failed = 0
     still_red: list[str] = []
     failing: list[str] = []
-    with ThreadPoolExecutor(MAX_CONCURRENT_CHECKS) as pool:
-        verdicts = pool.map(lambda check: run_check(check, known_names), CHECKS)
-        for check, verdict in zip(CHECKS, verdicts, strict=True):
-            status = "failed" if verdict.failed else "done"
-            print(f"check: {check.name}: {status}. {verdict.output}", flush=True)
-            passed += verdict.passed
-            failed += verdict.failed
-            still_red += verdict.known_red
-            failing += [f"{check.name}: {text}" for text in verdict.failing]
+    for check, verdict in run_checks(known_names):
+        status = "failed" if verdict.failed else "done"
+        print(f"check: {check.name}: {status}. {verdict.output}", flush=True)
+        passed += verdict.passed
+        failed += verdict.failed
+        still_red += verdict.known_red
+        failing += [f"{check.name}: {text}" for text in verdict.failing]
     for name in still_red:
         print(f"known red: {name}")
     for name in sorted(set(known_names) - set(still_red)):
