Bound what all callers together can make a process hold

Callers ended processes for their memory use: with many unfinished bodies, pipelined requests whose responses they did not read, and slow reading.

Causes: bodies were bounded one by one but not together, and each small chunk was an object of its own; read-ahead was bounded per request, not per connection, so that each pipelined request read more; the event loop's streams read on until their first pause, and up to 32 buffers in one turn, from callers and from backend servers; connections were accepted without bound.

One budget per process, derived from `memory_mb` and `max_fds`, now counts connections, heads, bodies, bytes read ahead and unsent responses. Without room connections stop reading; then stalled callers are closed, the largest first, and after 1 s the largest holder; a request that finds no room gets 503, not run. Too many connections close those that were never answered, oldest first. Readiness and metrics have a reserve of their own. While there is room nothing is closed, refused or timed out. Callers' connections are read straight from their sockets, so that nothing is buffered that was not asked for. A caller's disconnect is now noticed also while read-ahead is at its bound.

--- a/briarvale/errors.py
+++ b/briarvale/errors.py
@@ -96,6 +96,12 @@
     code, http_status, not_run = "overloaded", 503, True
 
 
+class IngressExhausted(BriarvaleError):
+    """Callers make this process hold as much as it may; the request was not read to its end."""
+
+    code, http_status, not_run = "ingress_exhausted", 503, True
+
+
 class NoServer(BriarvaleError):
     """No backend server of the service accepts work now."""
 
--- a/briarvale/forward_progress.py
+++ b/briarvale/forward_progress.py
@@ -28,6 +28,9 @@
     def has_started(self) -> bool:
         """Whether the head of an answer was sent."""
 
+    async def hold(self, size_bytes: int) -> None:
+        """Counts bytes that are held until the next write; raises `IngressExhausted`."""
+
     async def start(self, head: AnswerHead) -> None:
         """Sends the head."""
 
--- a/briarvale/forwarding.py
+++ b/briarvale/forwarding.py
@@ -16,6 +16,7 @@
     AttemptsExhausted,
     BriarvaleError,
     DeadlineExceeded,
+    IngressExhausted,
     NoServer,
     Overloaded,
     OwnerUnreachable,
@@ -307,6 +308,7 @@
         if sink.has_started:
             await sink.send(data)
             continue
+        await _hold(sink, len(data))
         chunks.append(data)
         size_bytes += len(data)
         if size_bytes > MAX_BUFFERED_BYTES:
@@ -319,6 +321,15 @@
         await sink.answer(run.head.status, run.head.headers, b"".join(chunks))
 
 
+async def _hold(sink: AnswerSink, size_bytes: int) -> None:
+    """Waits until there is room for a part of the answer; the request has run if there is none."""
+    try:
+        await sink.hold(size_bytes)
+    except IngressExhausted as error:
+        error.was_sent = True
+        raise
+
+
 async def _forward_events(
     run: ForwardRun, sink: AnswerSink, progress: ForwardProgress, reader: TimedReader
 ) -> None:
--- a/briarvale/http_wire.py
+++ b/briarvale/http_wire.py
@@ -31,6 +31,10 @@
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
 SEND_TIMEOUT_MS = 2_500
+# Limit of bytes from a server that wait in the kernel; an event loop may read all of them at once.
+RECEIVE_BUFFER_BYTES = 131_072
+# Bodies over this size are written apart from the head, so that they are not copied.
+MAX_JOINED_BODY_BYTES = 65_536
 
 Headers = tuple[tuple[bytes, bytes], ...]
 
@@ -155,6 +159,7 @@
             raise failed from error
         try:
             enable_keepalive(stream)
+            _limit_receive_buffer(stream)
         except ConnectionError as error:
             raise ServerConnectFailed(f"{address.host}:{address.port}: {error}") from error
         return cls(stream)
@@ -176,10 +181,11 @@
         """Sends a request; a broken connection is reported when the answer is read."""
         self._request = request
         self._is_sent = False
-        data = _encode_request(self._h11, request)
+        parts = _encode_request(self._h11, request)
         # A server may answer and close before it has read everything; its answer can still be read.
         with suppress(anyio.BrokenResourceError, OSError):
-            await self._stream.send(data)
+            for data in parts:
+                await self._stream.send(data)
             self._is_sent = True
 
     async def read_head(self) -> AnswerHead:
@@ -292,12 +298,20 @@
         return None
 
 
-def _encode_request(connection: h11.Connection, request: OutgoingRequest) -> bytes:
+def _limit_receive_buffer(stream: SocketStream) -> None:
+    raw = _raw_socket(stream)
+    if raw is not None:
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+
+
+def _encode_request(connection: h11.Connection, request: OutgoingRequest) -> list[bytes]:
+    """Returns the parts of an encoded request; a large body is a part of its own."""
     headers = list(request.headers)
     if request.body or request.method not in (b"GET", b"HEAD", b"DELETE"):
         headers.append((b"Content-Length", str(len(request.body)).encode()))
     head = h11.Request(method=request.method, target=request.target, headers=headers)
     data = connection.send(head) or b""
-    if request.body:
-        data += connection.send(h11.Data(data=request.body)) or b""
-    return data + (connection.send(h11.EndOfMessage()) or b"")
+    body = connection.send(h11.Data(data=request.body)) or b"" if request.body else b""
+    # Content-Length marks the end of the body, so no bytes follow it.
+    connection.send(h11.EndOfMessage())
+    return [data, body] if len(body) > MAX_JOINED_BODY_BYTES else [data + body]
--- a/briarvale/ingress.py
+++ b/briarvale/ingress.py
@@ -14,25 +14,33 @@
 from anyio.abc import SocketStream
 
 from . import logs
+from .body_buffer import BodyBuffer
+from .caller_stream import accept_caller, is_peer_gone
 from .clock import MS_PER_S
 from .errors import (
     BodyTooLarge,
     BriarvaleError,
     CallerGone,
     HeadersTooLarge,
+    IngressExhausted,
     InvalidRequest,
     NotReady,
 )
 from .fair_turns import FairTurns
 from .http_heads import server_connection
-from .http_wire import READ_BYTES, AnswerHead, Headers, enable_keepalive, end_to_end_headers
+from .http_wire import READ_BYTES, Headers, enable_keepalive
+from .ingress_budget import Holding, IngressBudget, Phase
 from .peer import PeerAddress
+from .responder import Responder
 from .routes import IngressLimits
 from .tcp_server import TcpServer
 
 # Limit of bytes read ahead of the next request while the current one is answered.
-MAX_PIPELINED_BYTES = 1_048_576
-BODILESS_STATUSES = frozenset((204, 304))
+MAX_PIPELINED_BYTES = 65_536
+# Interval of the checks whether the caller has disconnected while nothing is read ahead.
+DISCONNECT_POLL_S = 0.05
+# First bytes of a request; most requests are no longer.
+FIRST_READ_BYTES = 16_384
 # How long a caller has to read the last answer and close before the connection is closed.
 LINGER_S = 0.5
 
@@ -50,76 +58,6 @@
     body: bytes
 
 
-class Responder:
-    """Sends the single answer to a request.
-
-    Args:
-        connection: The HTTP state machine.
-        stream: The caller's connection.
-        should_close: Returns whether the connection must close after this answer.
-    """
-
-    def __init__(
-        self, connection: h11.Connection, stream: SocketStream, should_close: Callable[[], bool]
-    ) -> None:
-        self._h11 = connection
-        self._stream = stream
-        self._should_close = should_close
-        # Method of the request; empty while none was read.
-        self.method = b""
-        self.status = 0
-        # Whether the answer was written to its end; if not, the connection is closed.
-        self.is_finished = False
-
-    @property
-    def has_started(self) -> bool:
-        """Whether the head of an answer was sent."""
-        return self.status != 0
-
-    async def start(self, head: AnswerHead) -> None:
-        """Sends the head; the body follows in chunks."""
-        headers = end_to_end_headers(head.headers)
-        chunked = (b"transfer-encoding", b"chunked")
-        await self._write(self._encode_head(head.status, (*headers, chunked)))
-
-    async def send(self, data: bytes) -> None:
-        """Sends bytes of the body."""
-        await self._write(self._h11.send(h11.Data(data=data)))
-
-    async def finish(self) -> None:
-        """Ends the answer as complete."""
-        await self._write(self._h11.send(h11.EndOfMessage()))
-        self.is_finished = True
-
-    async def answer(self, status: int, headers: Headers, body: bytes) -> None:
-        """Sends a complete answer in one write, without its body where HTTP allows none."""
-        content_length = (b"content-length", str(len(body)).encode())
-        data = self._encode_head(status, (*end_to_end_headers(headers), content_length))
-        if body and self.method != b"HEAD" and status not in BODILESS_STATUSES:
-            data += self._h11.send(h11.Data(data=body)) or b""
-        await self._write(data + (self._h11.send(h11.EndOfMessage()) or b""))
-        self.is_finished = True
-
-    async def write_raw(self, data: bytes) -> None:
-        """Sends bytes without HTTP framing; test stand-ins use it to break the protocol."""
-        await self._write(data)
-
-    def _encode_head(self, status: int, headers: Headers) -> bytes:
-        all_headers = list(headers)
-        if self._should_close():
-            all_headers.append((b"connection", b"close"))
-        self.status = status
-        return self._h11.send(h11.Response(status_code=status, headers=all_headers)) or b""
-
-    async def _write(self, data: bytes | None) -> None:
-        if not data:
-            return
-        try:
-            await self._stream.send(data)
-        except (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError) as error:
-            raise CallerGone("the caller's connection broke") from error
-
-
 class IngressHandler(Protocol):
     """Answers the requests of callers."""
 
@@ -149,12 +87,14 @@
 
     Args:
         handler: Answers the requests.
+        budget: Bounds what callers make the process hold; several addresses may share it.
     """
 
-    def __init__(self, handler: IngressHandler) -> None:
+    def __init__(self, handler: IngressHandler, budget: IngressBudget | None = None) -> None:
         self._handler = handler
+        self._budget = budget or IngressBudget()
         self._connections: set[_CallerConnection] = set()
-        self._server = TcpServer("connections of callers")
+        self._server = TcpServer("connections of callers", accept_caller)
         self.state = IngressState.SERVING
 
     @property
@@ -172,40 +112,64 @@
         await self._server.serve(address, self._serve_connection)
 
     async def _serve_connection(self, stream: SocketStream) -> None:
-        connection = _CallerConnection(stream, self._handler, lambda: self.state)
-        self._connections.add(connection)
         try:
-            enable_keepalive(stream)
-            await connection.run()
+            with anyio.CancelScope() as scope:
+                await self._run_connection(stream, scope)
+        except IngressExhausted as error:
+            log.info("Closed a new connection: {}.", error)
         except (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError) as error:
             log.debug("A caller's connection broke: {}.", error)
         finally:
-            self._connections.discard(connection)
             with anyio.CancelScope(shield=True):
                 await anyio.aclose_forcefully(stream)
 
+    async def _run_connection(self, stream: SocketStream, scope: anyio.CancelScope) -> None:
+        """Serves a connection until it ends, or the budget ends it by the scope."""
+        holding = self._budget.open(scope.cancel)
+        connection = _CallerConnection(stream, self._handler, lambda: self.state, holding)
+        self._connections.add(connection)
+        try:
+            enable_keepalive(stream)
+            await connection.run()
+        finally:
+            self._connections.discard(connection)
+            connection.drop_body()
+            self._budget.close(holding)
+
 
 class _CallerConnection:
     """One connection of a caller."""
 
     def __init__(
-        self, stream: SocketStream, handler: IngressHandler, state: Callable[[], IngressState]
+        self,
+        stream: SocketStream,
+        handler: IngressHandler,
+        state: Callable[[], IngressState],
+        holding: Holding,
     ) -> None:
         self._stream = stream
+        self._holding = holding
+        # Bytes of the current request that were received, and of the next ones behind it.
+        self._received_bytes = 0
         self._handler = handler
         self._state = state
         self._h11 = self._new_h11()
         self._turns = FairTurns()
+        self._body = BodyBuffer()
         self.is_active = False
 
     def _new_h11(self) -> h11.Connection:
         size_bytes = self._handler.limits.max_header_bytes
         return server_connection(size_bytes + 1_024)
 
+    def drop_body(self) -> None:
+        """Frees an incomplete body; the traceback of a cancellation may keep this object."""
+        self._body.clear()
+
     async def run(self) -> None:
         """Serves requests until the connection ends."""
         while True:
-            responder = Responder(self._h11, self._stream, self._is_closing)
+            responder = Responder(self._h11, self._stream, self._is_closing, self._holding)
             try:
                 request = await self._read_request(responder)
                 if request is None:
@@ -219,6 +183,8 @@
                 return
             finally:
                 self.is_active = False
+            del request
+            self._holding.has_answered = True
             if not self._start_next_request():
                 await self._close_gracefully()
                 return
@@ -232,29 +198,31 @@
         head = await self._read_head(limits, responder)
         if head is None:
             return None
-        chunks: list[bytes] = []
-        size_bytes = 0
         while True:
             event = await self._next_event()
             if isinstance(event, h11.EndOfMessage):
                 break
             if not isinstance(event, h11.Data):
                 raise CallerGone("the caller closed its connection in the middle of a request")
-            size_bytes += len(event.data)
-            if size_bytes > limits.max_body_bytes:
+            if self._body.size_bytes + len(event.data) > limits.max_body_bytes:
                 raise BodyTooLarge(f"the body is over {limits.max_body_bytes} bytes")
-            chunks.append(bytes(event.data))
-        return IngressRequest(head.method, head.target, tuple(head.headers), b"".join(chunks))
+            self._body.append(event.data)
+            self._holding.add(len(event.data))
+        return IngressRequest(head.method, head.target, tuple(head.headers), self._body.take())
 
     async def _read_head(self, limits: IngressLimits, responder: Responder) -> h11.Request | None:
         """Reads the head of a request; none if the caller closes or a timeout passes."""
-        has_buffered_bytes = bool(self._h11.trailing_data[0])
-        if not has_buffered_bytes:
+        self._received_bytes = len(self._h11.trailing_data[0])
+        self._holding.reset(self._received_bytes)
+        self._holding.record_progress()
+        if not self._received_bytes:
+            self._holding.phase = Phase.IDLE
             with anyio.move_on_after(limits.idle_timeout_ms / MS_PER_S) as idle:
-                data = await self._receive()
+                data = await self._receive(FIRST_READ_BYTES)
             if idle.cancelled_caught or not data:
                 return None
-            self._h11.receive_data(data)
+            self._take(data)
+        self._holding.phase = Phase.READING
         self.is_active = True
         with anyio.move_on_after(limits.header_timeout_ms / MS_PER_S):
             event = await self._next_event()
@@ -271,6 +239,7 @@
 
     async def _handle(self, request: IngressRequest, responder: Responder) -> None:
         """Runs the handler, and cancels it when the caller disconnects."""
+        self._holding.phase = Phase.RUNNING
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._watch_caller, tasks.cancel_scope)
             try:
@@ -300,19 +269,34 @@
     async def _watch_caller(self, scope: anyio.CancelScope) -> None:
         """Reads ahead while a request is answered, and cancels the scope when the caller leaves.
 
-        It stops after `MAX_PIPELINED_BYTES`; a disconnect is then noticed only by a failed write.
+        It reads until `MAX_PIPELINED_BYTES` wait; then it only looks for a disconnect.
         """
-        ahead_bytes = 0
+        ahead_bytes = len(self._h11.trailing_data[0])
         while ahead_bytes < MAX_PIPELINED_BYTES:
             try:
-                data = await self._receive()
+                data = await self._receive(MAX_PIPELINED_BYTES - ahead_bytes)
             except (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError):
                 data = b""
             if not data:
                 scope.cancel()
                 return
             ahead_bytes += len(data)
+            self._holding.add(len(data))
             self._h11.receive_data(data)
+        while not is_peer_gone(self._stream):
+            await anyio.sleep(DISCONNECT_POLL_S)
+        scope.cancel()
+
+    def _take(self, data: bytes) -> None:
+        """Passes received bytes of a request on; those not decoded yet are counted up to a limit.
+
+        No more than about `READ_BYTES` wait to be decoded; bodies are counted once decoded.
+        """
+        uncounted_bytes = max(0, READ_BYTES - self._received_bytes)
+        self._holding.add(min(len(data), uncounted_bytes))
+        self._holding.record_progress()
+        self._received_bytes += len(data)
+        self._h11.receive_data(data)
 
     async def _next_event(self) -> h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]:
         """Returns the next event of the request, and reads more bytes if it needs them."""
@@ -329,14 +313,16 @@
             if self._h11.they_are_waiting_for_100_continue:
                 proceed = h11.InformationalResponse(status_code=100, headers=[])
                 await self._stream.send(self._h11.send(proceed) or b"")
-            data = await self._receive()
+            # Without room the rest of the request stays with the kernel, and then with the caller.
+            await self._holding.wait_for_room()
+            data = await self._receive(READ_BYTES)
             if not data and self._h11.their_state is h11.IDLE:
                 raise CallerGone("the caller closed its connection")
-            self._h11.receive_data(data)
+            self._take(data)
 
-    async def _receive(self) -> bytes:
+    async def _receive(self, max_bytes: int) -> bytes:
         try:
-            return await self._stream.receive(READ_BYTES)
+            return await self._stream.receive(max_bytes)
         except anyio.EndOfStream:
             return b""
 
@@ -354,7 +340,7 @@
         with suppress(OSError, anyio.BrokenResourceError, anyio.ClosedResourceError):
             await self._stream.send_eof()
             with anyio.move_on_after(LINGER_S):
-                while await self._receive():
+                while await self._receive(READ_BYTES):
                     pass
 
     def _start_next_request(self) -> bool:
--- a/briarvale/metrics.py
+++ b/briarvale/metrics.py
@@ -9,6 +9,9 @@
 
 REQUESTS = Counter("briarvale_requests_total", "Requests by member, service and code.")
 REFUSALS = Counter("briarvale_refusals_total", "Refusals by code.")
+INGRESS_EVICTIONS = Counter(
+    "briarvale_ingress_evictions_total", "Callers' connections closed to make room, by reason."
+)
 FIRST_TOKEN_S = Histogram(
     "briarvale_first_token_seconds", "Time to the first token.", buckets=LATENCY_BUCKETS_S
 )
@@ -72,6 +75,7 @@
     "CONFIG_REVISION",
     "EJECTIONS",
     "FIRST_TOKEN_S",
+    "INGRESS_EVICTIONS",
     "ITEMS",
     "JOBS_LATE",
     "LEASES_EXPIRED",
--- a/briarvale/node_settings.py
+++ b/briarvale/node_settings.py
@@ -32,6 +32,8 @@
 
     Attributes:
         processor_cores: Processor capacity of the machine, in cores; 0 if unknown.
+        memory_bytes: Memory of the machine; 0 if unknown.
+        max_descriptors: File descriptors that the process may open; 0 if unknown.
         caller_address: Address for callers; none on a node that serves no callers.
         readiness_address: Address of the load balancer's readiness check.
         metrics_address: Address at which metrics are served; none to serve no metrics.
@@ -41,6 +43,8 @@
     store: StoreSettings
     time_limits: NodeTimeLimits = NodeTimeLimits()
     processor_cores: float = 0.0
+    memory_bytes: int = 0
+    max_descriptors: int = 0
     caller_address: PeerAddress | None = None
     readiness_address: PeerAddress | None = None
     metrics_address: PeerAddress | None = None
--- a/briarvale/platform/node.py
+++ b/briarvale/platform/node.py
@@ -20,6 +20,7 @@
 from ..forward_client import ForwardClient
 from ..forwarding import Forwarder
 from ..ingress import Ingress, IngressRequest, IngressState, Responder
+from ..ingress_budget import IngressBudget, ingress_capacities
 from ..live_servers import LiveServers
 from ..node_cluster import NodeCluster
 from ..node_settings import NodeSettings
@@ -254,16 +255,18 @@
             self._forwarder,
             BatchJobHandler(job_service, self._clock),
         )
+        capacities = ingress_capacities(settings.memory_bytes, settings.max_descriptors)
+        status_budget = IngressBudget(capacities.status)
         if settings.caller_address is not None:
-            self._ingress = Ingress(request_handler)
+            self._ingress = Ingress(request_handler, IngressBudget(capacities.callers))
             tasks.start_soon(keep_running, "callers", self._ingress.serve, settings.caller_address)
         if settings.readiness_address is not None:
-            readiness_ingress = Ingress(_StatusHandler(self, serves_metrics=False))
+            readiness_ingress = Ingress(_StatusHandler(self, serves_metrics=False), status_budget)
             tasks.start_soon(
                 keep_running, "readiness", readiness_ingress.serve, settings.readiness_address
             )
         if settings.metrics_address is not None:
-            metrics_ingress = Ingress(_StatusHandler(self, serves_metrics=True))
+            metrics_ingress = Ingress(_StatusHandler(self, serves_metrics=True), status_budget)
             tasks.start_soon(
                 keep_running, "metrics", metrics_ingress.serve, settings.metrics_address
             )
--- a/briarvale/platform/settings_file.py
+++ b/briarvale/platform/settings_file.py
@@ -23,6 +23,9 @@
 
 MAX_GRACE_S = 86_400
 MAX_VALUE_BYTES = 2**31 - 1
+MAX_MEMORY_MB = 2**30
+MAX_DESCRIPTORS = 2**31 - 1
+BYTES_PER_MB = 1_000_000
 
 __all__ = ["load_node_settings", "node_settings_from"]
 
@@ -48,10 +51,15 @@
 
 
 class _Limits(msgspec.Struct):
-    """Processor capacity: a share of one core, which is `cpu_cores` times as fast as usual."""
+    """Limits of the machine.
+
+    Processor capacity is a share of one core, which is `cpu_cores` times as fast as usual.
+    """
 
     cpu_share: ProcessorCores = 0.0
     cpu_cores: ProcessorCores = 1.0
+    memory_mb: Annotated[float, msgspec.Meta(ge=0, le=MAX_MEMORY_MB)] = 0.0
+    max_fds: Annotated[int, msgspec.Meta(ge=0, le=MAX_DESCRIPTORS)] = 0
 
 
 class _SettingsFile(msgspec.Struct):
@@ -110,6 +118,8 @@
         store=StoreSettings(store, found.platform.value_bytes),
         time_limits=NodeTimeLimits(grace_ms=round(found.bounds.grace_s * MS_PER_S)),
         processor_cores=found.limits.cpu_share * found.limits.cpu_cores,
+        memory_bytes=round(found.limits.memory_mb * BYTES_PER_MB),
+        max_descriptors=found.limits.max_fds,
         caller_address=_optional_address(found.listen.front, "listen.front"),
         readiness_address=_optional_address(found.listen.ready, "listen.ready"),
         metrics_address=_metrics_address(found.ip),
--- a/briarvale/tcp_server.py
+++ b/briarvale/tcp_server.py
@@ -21,6 +21,7 @@
 __all__ = ["TcpServer"]
 
 ConnectionHandler = Callable[[SocketStream], Awaitable[None]]
+Acceptor = Callable[[SocketListener], Awaitable[SocketStream]]
 
 
 class TcpServer:
@@ -28,13 +29,15 @@
 
     Args:
         name: What the connections are for, for log lines.
+        accept: Accepts one connection of a listener; by default as the event loop does.
 
     Attributes:
         is_listening: Whether connections are accepted.
     """
 
-    def __init__(self, name: str) -> None:
+    def __init__(self, name: str, accept: Acceptor | None = None) -> None:
         self._name = name
+        self._accept = accept or _accept_by_event_loop
         self.is_listening = False
 
     async def serve(self, address: PeerAddress, handle: ConnectionHandler) -> None:
@@ -80,9 +83,13 @@
         assert isinstance(listener, SocketListener)
         while True:
             try:
-                stream = await listener.accept()
+                stream = await self._accept(listener)
             except OSError as error:
                 log.warning("Can't accept a connection for {}: {}.", self._name, error)
                 await anyio.sleep(ACCEPT_RETRY_S)
                 continue
             tasks.start_soon(run_contained, self._name, handle, stream)
+
+
+async def _accept_by_event_loop(listener: SocketListener) -> SocketStream:
+    return await listener.accept()
--- a/features/steps/platform_endless.py
+++ b/features/steps/platform_endless.py
@@ -13,6 +13,7 @@
 from briarvale.event_stream import EventSplitter
 from briarvale.http_wire import AnswerHead, ClientConnection, OutgoingRequest
 from briarvale.ingress import Ingress, Responder, _CallerConnection
+from briarvale.ingress_budget import IngressBudget
 from briarvale.live_servers import LiveServer
 from briarvale.peer import PeerAddress
 from briarvale.platform.engine_report import fetch_runs
@@ -348,7 +349,8 @@
 async def read_request() -> int:
     """Reads a chunked request; returns the size of its body in bytes."""
     handler = mock.Mock(limits=IngressLimits())
-    connection = _CallerConnection(ReceivedStream(CHUNKED_REQUEST), handler, mock.Mock())
+    holding = IngressBudget().open(mock.Mock())
+    connection = _CallerConnection(ReceivedStream(CHUNKED_REQUEST), handler, mock.Mock(), holding)
     request = await connection._read_request(mock.Mock())
     assert request is not None
     return len(request.body)
--- a/features/steps/platform_silence.py
+++ b/features/steps/platform_silence.py
@@ -89,6 +89,9 @@
         self.has_started = False
         self.body = b""
 
+    async def hold(self, size_bytes: int) -> None:
+        """Has room for all bytes."""
+
     async def answer(self, status: int, headers: Headers, body: bytes) -> None:
         """Stores a complete answer."""
         self.has_started = True
