--- a/tools/check.py
+++ b/tools/check.py
@@ -1,5 +1,7 @@
 """`make test`: runs every check of CI, several at a time, and prints the totals.
 
+Checks of `LONE_CHECKS` run afterwards, one at a time, since other load would disturb them.
+
 Each check is a command. KNOWN-RED.txt lists checks and scenarios that fail for an open fault; their
 failures are printed but not counted. The last line reads `N passed, N failed`.
 """
@@ -9,6 +11,7 @@
 import subprocess
 import sys
 import tomllib
+from collections.abc import Iterator
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 from typing import NamedTuple
@@ -55,6 +58,8 @@
 # Folders whose scenarios mostly wait for real nodes: each of their files is a check of its own, as
 # one check of them all would take longer than all other checks together.
 SPLIT_FOLDERS = ("platform",)
+# Folders of features that run after the other checks, each alone.
+LONE_FOLDERS = ("untrusted",)
 
 
 def feature_paths() -> list[Path]:
@@ -73,11 +78,12 @@
     Check(str(path.relative_to(ROOT)), (*BEHAVE, str(path.relative_to(ROOT))))
     for path in feature_paths()
 )
+LONE_CHECKS = tuple(check for check in FEATURES if Path(check.name).name in LONE_FOLDERS)
 SOAK = (PYTHON, "-m", "soak", "--length-s", "10")
 # Seeds that broke a promise; each is its own check, so that KNOWN-RED.txt can list it alone.
 REGRESSIONS = ROOT / "soak" / "regressions.toml"
-CHECKS = (
-    *FEATURES,
+CONCURRENT_CHECKS = (
+    *(check for check in FEATURES if check not in LONE_CHECKS),
     Check("formatter", (str(BIN / "black"), "--check", "--quiet", ".")),
     Check("linter", (str(BIN / "ruff"), "check", "--quiet", ".")),
     Check("types", (str(BIN / "mypy"),)),
@@ -103,6 +109,15 @@
 )
 
 
+def run_checks(known_names: list[str]) -> Iterator[tuple[Check, Verdict]]:
+    """Runs all checks, the lone ones last, and yields their results in order."""
+    with ThreadPoolExecutor(MAX_CONCURRENT_CHECKS) as pool:
+        verdicts = pool.map(lambda check: run_check(check, known_names), CONCURRENT_CHECKS)
+        yield from zip(CONCURRENT_CHECKS, verdicts, strict=True)
+    for check in LONE_CHECKS:
+        yield check, run_check(check, known_names)
+
+
 def known_red() -> list[str]:
     """Returns the name of the check or scenario in each entry of KNOWN-RED.txt."""
     if not KNOWN_RED.exists():
@@ -156,15 +171,13 @@
     passed = failed = 0
     still_red: list[str] = []
     failing: list[str] = []
-    with ThreadPoolExecutor(MAX_CONCURRENT_CHECKS) as pool:
-        verdicts = pool.map(lambda check: run_check(check, known_names), CHECKS)
-        for check, verdict in zip(CHECKS, verdicts, strict=True):
-            status = "failed" if verdict.failed else "done"
-            print(f"check: {check.name}: {status}. {verdict.output}", flush=True)
-            passed += verdict.passed
-            failed += verdict.failed
-            still_red += verdict.known_red
-            failing += [f"{check.name}: {text}" for text in verdict.failing]
+    for check, verdict in run_checks(known_names):
+        status = "failed" if verdict.failed else "done"
+        print(f"check: {check.name}: {status}. {verdict.output}", flush=True)
+        passed += verdict.passed
+        failed += verdict.failed
+        still_red += verdict.known_red
+        failing += [f"{check.name}: {text}" for text in verdict.failing]
     for name in still_red:
         print(f"known red: {name}")
     for name in sorted(set(known_names) - set(still_red)):
