--- a/briarvale/_generated/messages.py
+++ b/briarvale/_generated/messages.py
@@ -403,7 +403,7 @@
     rate_per_s: float = 0.0
     burst: float = 0.0
     config_version: int = 0
-    is_lending: bool = False
+    is_delegating: bool = False
     is_tolerance: bool = False
     owner_epoch: int = 0
     stamp_ms: int = 0
@@ -1126,7 +1126,7 @@
         reader.ratePerS,
         reader.burst,
         reader.configVersion,
-        reader.isLending,
+        reader.isDelegating,
         reader.isTolerance,
         reader.ownerEpoch,
         reader.stampMs,
@@ -1142,7 +1142,7 @@
     builder.ratePerS = message.rate_per_s
     builder.burst = message.burst
     builder.configVersion = message.config_version
-    builder.isLending = message.is_lending
+    builder.isDelegating = message.is_delegating
     builder.isTolerance = message.is_tolerance
     builder.ownerEpoch = message.owner_epoch
     builder.stampMs = message.stamp_ms
--- a/briarvale/schema/messages.capnp
+++ b/briarvale/schema/messages.capnp
@@ -203,7 +203,7 @@
 struct FeedLost { kind @0 :Text; number @1 :UInt32; }
 struct FeedBeat { sequence @0 :UInt32; }
 
-# A node requests tokens of a workspace, or only renews or ends the loan of its share (`tokenCount` 0).
+# A node requests tokens of a workspace, or only renews or ends the delegation of its share (`tokenCount` 0).
 # `ownerEpoch` and `stampMs` repeat the owner's last answer, which arrived `sinceStampMs` ago.
 struct RateRequest {
   requestId @0 :UInt64;
@@ -213,7 +213,7 @@
   ratePerS @4 :Float64;
   burst @5 :Float64;
   configVersion @6 :UInt64;
-  isLending @7 :Bool;
+  isDelegating @7 :Bool;
   isTolerance @8 :Bool;
   ownerEpoch @9 :UInt64;
   stampMs @10 :UInt64;
--- a/briarvale/workspaces/ledger.py
+++ b/briarvale/workspaces/ledger.py
@@ -1,4 +1,4 @@
-"""The owner's side of rate limits: token buckets scaled by the shares that nodes lend to it."""
+"""The owner's side of rate limits: token buckets scaled by the shares that nodes delegate to it."""
 
 import math
 import secrets
@@ -18,7 +18,7 @@
 )
 from .workspace import WorkspaceLimits
 
-# Workspaces are divided into groups with one owner each. Shares are lent by group, so that the
+# Workspaces are divided into groups with one owner each. Shares are delegated by group, so that the
 # number of messages does not depend on the number of workspaces.
 GROUP_COUNT = 4
 # How long a lower number of known nodes is ignored, so that a node that comes back is counted.
@@ -39,7 +39,7 @@
 
 
 class _Bucket:
-    """A workspace's bucket, the limits that it keeps, and the loans that have filled it."""
+    """A workspace's bucket, the limits that it keeps, and the delegations that have filled it."""
 
     def __init__(self, limits: WorkspaceLimits, config_version: int) -> None:
         self.tokens = TokenBucket(0.0)
@@ -49,15 +49,15 @@
 
 
 class _Shares(NamedTuple):
-    """How many nodes lend their shares, of how many."""
+    """How many nodes delegate their shares, of how many."""
 
-    lent: int
+    delegated: int
     known: int
 
     @property
     def fraction(self) -> float:
         """The part of the limits that this owner may spend."""
-        return min(1.0, self.lent / self.known) if self.known else 0.0
+        return min(1.0, self.delegated / self.known) if self.known else 0.0
 
     def capacity(self, limits: WorkspaceLimits) -> float:
         """Returns the burst that this owner may spend."""
@@ -66,7 +66,7 @@
 
 
 class _Group:
-    """The loans and buckets of the workspaces of one group."""
+    """The delegations and buckets of the workspaces of one group."""
 
     def __init__(self, now_ms: int) -> None:
         self.leases = ShareLeases(now_ms)
@@ -74,15 +74,15 @@
         self._complete_from_ms = 0.0
 
     def advance(self, known: int, now_ms: int) -> _Shares:
-        """Counts the loans up to now; a loan that ended takes its part of the tokens with it."""
-        lent_before = self.leases.count
+        """Counts the delegations up to now; one that ended takes its part of the tokens with it."""
+        delegated_before = self.leases.count
         self.leases.advance(now_ms)
-        return self.reduce(lent_before, known)
+        return self.reduce(delegated_before, known)
 
-    def reduce(self, lent_before: int, known: int) -> _Shares:
-        """Reduces all buckets if fewer nodes lend than before; returns the shares."""
+    def reduce(self, delegated_before: int, known: int) -> _Shares:
+        """Reduces all buckets if fewer nodes delegate than before; returns the shares."""
         shares = _Shares(self.leases.count, max(known, self.leases.count) if known else 0)
-        if shares.lent < lent_before:
+        if shares.delegated < delegated_before:
             for bucket in self.buckets.values():
                 self.settle(bucket, shares)
         if shares.fraction < COMPLETE_SHARE:
@@ -90,7 +90,7 @@
         return shares
 
     def settle(self, bucket: _Bucket, shares: _Shares) -> None:
-        """Adds the tokens of the loans since the last call, up to the capacity."""
+        """Adds the tokens of the delegations since the last call, up to the capacity."""
         covered_ms = self.leases.covered_ms - bucket.covered_ms
         bucket.covered_ms = self.leases.covered_ms
         if not shares.known:
@@ -101,7 +101,7 @@
     def bucket(self, request: RateRequest, shares: _Shares) -> _Bucket:
         """Returns the bucket of a request's workspace, settled; the newest limits apply.
 
-        A new one holds what it would hold had it been there from the start of the loans.
+        A new one holds what it would hold had it been there from the start of the delegations.
         """
         limits = WorkspaceLimits(request.rate_per_s, request.burst)
         bucket = self.buckets.get(request.workspace)
@@ -134,8 +134,8 @@
 class RateOwner:
     """Grants tokens to the nodes that request them here, and this node's part of the tolerance.
 
-    Whether this node is an owner is decided by those that lend their shares to it: each share is
-    lent to one owner at a time, so that all owners together grant no more than the limit.
+    Whether this node is an owner is decided by those that delegate their shares to it. Each share
+    is delegated to one owner at a time, so all owners together grant no more than the limit.
 
     Args:
         vm: This node.
@@ -162,7 +162,7 @@
         self._known.observe(len(known_nodes), now_ms)
         is_known = request.owner_epoch == self._epoch
         if is_known and _is_clock_behind(request, now_ms):
-            # The clock stood still, so that shares which seem to be lent may be spent elsewhere.
+            # The clock stood still, so shares that seem to be delegated may be spent elsewhere.
             self._groups.clear()
             self._epoch = secrets.randbits(63)
             is_known = False
@@ -171,23 +171,23 @@
             return answer
         if request.is_tolerance:
             return self._answer_tolerance(request, answer, known_nodes, now_ms)
-        shares, group = self._apply_loan(request, node, is_known, now_ms)
+        shares, group = self._apply_delegation(request, node, is_known, now_ms)
         if not request.token_count or (is_known and _is_stale(request, now_ms)):
             return answer
         return self._grant(request, answer, group, shares)
 
-    def _apply_loan(
+    def _apply_delegation(
         self, request: RateRequest, node: str, is_known: bool, now_ms: int
     ) -> tuple[_Shares, _Group]:
         known = self._known.peak(now_ms)
         group = self._groups.setdefault(request.group % GROUP_COUNT, _Group(now_ms))
         group.advance(known, now_ms)
-        lent_before = group.leases.count
-        if not request.is_lending:
+        delegated_before = group.leases.count
+        if not request.is_delegating:
             group.leases.release(node, request.request_id)
         elif is_known:
             group.leases.renew(node, request.request_id, request.stamp_ms + LEASE_MS)
-        return group.reduce(lent_before, known), group
+        return group.reduce(delegated_before, known), group
 
     def _grant(
         self, request: RateRequest, answer: RateAnswer, group: _Group, shares: _Shares
@@ -200,7 +200,7 @@
         wait_ms = bucket.tokens.wait_ms(rate_per_s * shares.fraction)
         is_partial = group.is_partial(bucket.limits, shares)
         if is_partial:
-            # The other shares arrive once their loans to an earlier owner have ended.
+            # The other shares arrive once their delegations to an earlier owner have ended.
             wait_ms = min(wait_ms, HOLD_MS + bucket.tokens.wait_ms(rate_per_s))
         retry_after_ms = math.ceil(min(wait_ms, MAX_RETRY_MS))
         return answer._replace(retry_after_ms=retry_after_ms, is_partial=is_partial)
--- a/briarvale/workspaces/rate_client.py
+++ b/briarvale/workspaces/rate_client.py
@@ -15,7 +15,7 @@
 from ..errors import RateLimited
 from .ledger import GROUP_COUNT
 from .rate_demand import RateDemand
-from .share_loan import ShareLoan
+from .share_delegation import ShareDelegation
 from .tolerance import IN_FLIGHT_MS, tolerance_holders
 from .workspace import Workspace
 
@@ -32,8 +32,8 @@
 # often in the background, so that no further request waits for them.
 SILENCE_MS = 2_000
 RENEW_INTERVAL_MS = 500
-# Loans that a request renewed this recently need no message of their own.
-FRESH_LOAN_MS = 250
+# Delegations that a request renewed this recently need no message of their own.
+FRESH_DELEGATION_MS = 250
 # Request ids of a process continue above those of an earlier one on the same node.
 REQUEST_IDS_PER_MS = 1_000
 PRUNE_STATES = 10_000
@@ -79,7 +79,7 @@
 
 
 class RateClient:
-    """Requests tokens for the callers of one node, and lends the node's share to the owners.
+    """Requests tokens for the callers of one node, and delegates the node's share to the owners.
 
     Args:
         vm: This node; it is its own owner if no other answers.
@@ -91,7 +91,7 @@
         self._vm = vm
         self._fleet = fleet
         self._now_ms = now_ms
-        self._loans = [ShareLoan(now_ms()) for _ in range(GROUP_COUNT)]
+        self._delegations = [ShareDelegation(now_ms()) for _ in range(GROUP_COUNT)]
         self._demands: dict[str, RateDemand] = {}
         self._stamps: dict[str, _Stamp] = {}
         self._silent_until_ms: dict[str, int] = {}
@@ -123,19 +123,22 @@
         raise self._refusal(workspace, owner, demand, is_answered)
 
     def renew(self, groups: Iterable[int]) -> Charge:
-        """Lends this node's share for the groups in use, and probes owners that did not answer."""
+        """Delegates this node's shares of the groups in use, and probes owners that are silent."""
         for group in groups:
             owner = self._owner(group)
             for preferred in self._fleet.rate_owners(group):
                 if preferred == owner:
                     break
-                # Without tokens, this leaves the loan as it is.
+                # Without tokens, this leaves the delegation as it is.
                 probe = RateRequest(group=group, is_tolerance=True)
                 yield from self._call(preferred, probe, CHARGE_TIMEOUT_MS)
             owner = self._owner(group)
-            yield from self._end_loan(group, owner)
-            loan = self._loans[group]
-            is_fresh = loan.owner == owner and self._now_ms() - loan.lent_at_ms < FRESH_LOAN_MS
+            yield from self._end_delegation(group, owner)
+            delegation = self._delegations[group]
+            is_fresh = (
+                delegation.owner == owner
+                and self._now_ms() - delegation.delegated_at_ms < FRESH_DELEGATION_MS
+            )
             if not is_fresh:
                 yield from self._call(owner, RateRequest(group=group), CHARGE_TIMEOUT_MS)
 
@@ -143,16 +146,16 @@
         """Records that a node answers again; an answer that came too late is not used otherwise."""
         self._silent_until_ms.pop(node, None)
 
-    def _end_loan(self, group: int, owner: str) -> Charge:
-        """Ends the loan to an earlier owner, so that the present one gets the share at once."""
-        loan = self._loans[group]
-        if loan.owner is None or loan.owner == owner:
+    def _end_delegation(self, group: int, owner: str) -> Charge:
+        """Ends the delegation to an earlier owner, so that the new one gets the share at once."""
+        delegation = self._delegations[group]
+        if delegation.owner is None or delegation.owner == owner:
             return
-        lender = loan.owner
+        earlier = delegation.owner
         request = RateRequest(group=group)
-        answer = yield from self._call(lender, request, CHARGE_TIMEOUT_MS, may_lend=False)
+        answer = yield from self._call(earlier, request, CHARGE_TIMEOUT_MS, may_delegate=False)
         if answer is not None:
-            loan.take_back(lender, answer.request_id)
+            delegation.take_back(earlier, answer.request_id)
 
     def _ask_owner(
         self, workspace: Workspace, owner: str, config_version: int
@@ -163,7 +166,7 @@
         """
         demand = self._demand(workspace.name)
         sent_ms = self._now_ms()
-        request = _token_request(workspace, config_version, demand.lot())
+        request = _token_request(workspace, config_version, demand.prefetch_count())
         answer = yield from self._call(owner, request, OWNER_TIMEOUT_MS)
         is_answered = answer is not None
         if answer is None:
@@ -204,11 +207,11 @@
         return False
 
     def _call(
-        self, node: str, request: RateRequest, timeout_ms: int, *, may_lend: bool = True
+        self, node: str, request: RateRequest, timeout_ms: int, *, may_delegate: bool = True
     ) -> Generator[RateCall, RateAnswer | None, RateAnswer | None]:
         """Asks one node; returns None if no answer came in time, and notes that it is silent."""
         sent_ms = self._now_ms()
-        request = self._address(node, request, may_lend, sent_ms)
+        request = self._address(node, request, may_delegate, sent_ms)
         answer = yield RateCall(node, request, timeout_ms)
         now_ms = self._now_ms()
         # An answer that waited while this process was stopped counts as none: its tokens are spent.
@@ -219,18 +222,20 @@
         self._stamps[node] = _Stamp(answer.owner_epoch, answer.stamp_ms, now_ms)
         return answer
 
-    def _address(self, node: str, request: RateRequest, may_lend: bool, now_ms: int) -> RateRequest:
-        """Returns a request with its id, the node's last stamp, and the loan if it is free."""
+    def _address(
+        self, node: str, request: RateRequest, may_delegate: bool, now_ms: int
+    ) -> RateRequest:
+        """Returns a request with its id, the node's last stamp, and the delegation if free."""
         self._last_request_id += 1
         request_id = self._last_request_id
-        loan = self._loans[request.group]
+        delegation = self._delegations[request.group]
         is_owner = not request.is_tolerance and node == self._owner(request.group)
-        is_lending = may_lend and is_owner and loan.may_lend(node, now_ms)
-        request = request._replace(request_id=request_id, is_lending=is_lending)
+        is_delegating = may_delegate and is_owner and delegation.may_delegate(node, now_ms)
+        request = request._replace(request_id=request_id, is_delegating=is_delegating)
         stamp = self._stamps.get(node)
-        if is_lending:
-            # Without a stamp the owner does not count the loan yet.
-            loan.lend(node, request_id, stamp.received_ms if stamp else 0, now_ms)
+        if is_delegating:
+            # Without a stamp the owner does not count the delegation yet.
+            delegation.delegate(node, request_id, stamp.received_ms if stamp else 0, now_ms)
         if stamp is None:
             return request
         return request._replace(
@@ -263,7 +268,7 @@
         now_ms = self._now_ms()
         retry_at_ms = demand.retry_at_ms
         if retry_at_ms <= now_ms:
-            retry_at_ms = self._loans[group_of(workspace.name)].free_at_ms
+            retry_at_ms = self._delegations[group_of(workspace.name)].free_at_ms
         retry_at_ms = max(retry_at_ms, now_ms + MIN_RETRY_MS)
         error = RateLimited(
             f"over the limit of {workspace.limits.rate_per_s:g} requests per second",
--- a/briarvale/workspaces/rate_demand.py
+++ b/briarvale/workspaces/rate_demand.py
@@ -3,8 +3,8 @@
 import math
 
 # Requests for which tokens are requested at once: those expected within this time.
-LOT_MS = 100
-MAX_LOT = 64
+PREFETCH_MS = 100
+MAX_PREFETCH = 64
 DEMAND_WINDOW_MS = 500
 # While shares are on the way to an owner, it may have tokens earlier than it expects.
 ASK_AGAIN_MS = 100
@@ -42,10 +42,10 @@
             self._window_began_ms = now_ms
         self._current += 1
 
-    def lot(self) -> int:
+    def prefetch_count(self) -> int:
         """Returns how many tokens to request at once; more than one only at a high rate."""
-        expected = self._previous * LOT_MS / DEMAND_WINDOW_MS
-        return max(1, min(MAX_LOT, math.floor(expected)))
+        expected = self._previous * PREFETCH_MS / DEMAND_WINDOW_MS
+        return max(1, min(MAX_PREFETCH, math.floor(expected)))
 
     def keep(self, tokens: int, expires_at_ms: int) -> None:
         """Keeps granted tokens for the next requests."""
--- a/briarvale/workspaces/rate_limiter.py
+++ b/briarvale/workspaces/rate_limiter.py
@@ -85,7 +85,7 @@
             raise
 
     async def run(self) -> None:
-        """Lends this node's share to the owners, until cancelled."""
+        """Delegates this node's share to the owners, until cancelled."""
         while True:
             await anyio.sleep(RENEW_INTERVAL_MS / MS_PER_S)
             _, table = self._config()
--- a/briarvale/workspaces/share_leases.py
+++ b/briarvale/workspaces/share_leases.py
@@ -2,23 +2,23 @@
 
 __all__ = ["HOLD_MS", "LEASE_MS", "ShareLeases"]
 
-# A message that lends a share repeats the stamp of the owner's last answer. The owner counts the
-# share for `LEASE_MS` after that stamp; the node neither spends it nor lends it to another for
-# `HOLD_MS` after the answer arrived, which is later. The difference allows for clocks of different
-# speed. While an owner that is lost holds the shares, its workspaces have only their tolerance;
-# a shorter lease would end when an owner is busy for half a second.
+# A message that delegates a share repeats the stamp of the owner's last answer. The owner counts
+# the share for `LEASE_MS` after that stamp; the node neither spends it nor delegates it to another
+# for `HOLD_MS` after the answer arrived, which is later. The difference allows for clocks of
+# different speed. While an owner that is lost holds the shares, its workspaces have only their
+# tolerance; a shorter lease would end when an owner is busy for half a second.
 LEASE_MS = 1_200
 HOLD_MS = 1_300
 
 
 class ShareLeases:
-    """The shares that nodes lend to one owner.
+    """The shares that nodes delegate to one owner.
 
     Args:
         now_ms: Time of the start.
 
     Attributes:
-        covered_ms: Sum over all nodes of the time in which their shares were lent.
+        covered_ms: Sum over all nodes of the time in which their shares were delegated.
     """
 
     def __init__(self, now_ms: int) -> None:
@@ -30,7 +30,7 @@
 
     @property
     def count(self) -> int:
-        """How many nodes lend their shares, as of the last call of `advance`."""
+        """How many nodes delegate their shares, as of the last call of `advance`."""
         return len(self._until_ms)
 
     def advance(self, now_ms: int) -> None:
--- a/features/steps/platform_rate_limits.py
+++ b/features/steps/platform_rate_limits.py
@@ -57,16 +57,16 @@
     owner, last = RateOwner("vm-1", QUOTA, 0), RateAnswer()
 
     def ask(now_ms: int, name: str, since_ms: int = 0, count: int = 0) -> RateAnswer:
-        # Without a count, a message only lends the share and leaves the buckets as they are.
+        # Without a count, a message only delegates the share and leaves the buckets as they are.
         request = RateRequest(
-            now_ms, 0, WORKSPACE, count, float(RATE_PER_S), float(BURST), 1, is_lending=True
+            now_ms, 0, WORKSPACE, count, float(RATE_PER_S), float(BURST), 1, is_delegating=True
         )
         stamped = request._replace(
             owner_epoch=last.owner_epoch, stamp_ms=last.stamp_ms, since_stamp_ms=since_ms
         )
         return owner.answer(stamped, name, names, now_ms)
 
-    def lend_all(from_ms: int, until_ms: int) -> RateAnswer:
+    def delegate_all(from_ms: int, until_ms: int) -> RateAnswer:
         nonlocal last
         for now_ms in range(from_ms, until_ms, 100):
             answers = [ask(now_ms, name) for name in names]
@@ -74,7 +74,7 @@
         return last
 
     now_ms = 4_000
-    lend_all(0, now_ms)
+    delegate_all(0, now_ms)
     assert ask(now_ms, "vm-1", count=1).granted == 1
     if fault == "loses all shares":
         now_ms += 2 * HOLD_MS
--- a/features/support/rate_schedules.py
+++ b/features/support/rate_schedules.py
@@ -77,7 +77,7 @@
         return vm not in self.live
 
     def renew(self) -> None:
-        """Lends the share, and again after each interval."""
+        """Delegates the share, and again after each interval."""
         run = self.run_count
         if not self.is_up:
             return
