Delegate shares of rate limits as soon as a process starts

After a power loss of all nodes, requests of limited workspaces got 429 for 1.3 s from each node's start, until a delegation by its earlier process had surely ended. An owner counts each node once, so only an owner that the restarted node no longer reaches could count it twice, for at most 1.2 s and with the restarted nodes' part of the limit, which the tolerance covers.

--- a/briarvale/workspaces/rate_client.py
+++ b/briarvale/workspaces/rate_client.py
@@ -91,7 +91,7 @@
         self._vm = vm
         self._fleet = fleet
         self._now_ms = now_ms
-        self._delegations = [ShareDelegation(now_ms()) for _ in range(GROUP_COUNT)]
+        self._delegations = [ShareDelegation() for _ in range(GROUP_COUNT)]
         self._demands: dict[str, RateDemand] = {}
         self._stamps: dict[str, _Stamp] = {}
         self._silent_until_ms: dict[str, int] = {}
--- a/briarvale/workspaces/share_delegation.py
+++ b/briarvale/workspaces/share_delegation.py
@@ -8,13 +8,15 @@
 class ShareDelegation:
     """Delegates one share to one owner at a time.
 
-    Args:
-        now_ms: Time of the start; an earlier process of this node may have delegated the share.
+    A process that starts delegates at once, although an earlier process of this node may have
+    delegated the share as well. An owner counts a node once; another owner may count the earlier
+    delegation until it ends, which adds at most the restarted nodes' part of `LEASE_MS`. Waiting
+    for its end would refuse all requests for that time after every restart.
     """
 
-    def __init__(self, now_ms: int) -> None:
+    def __init__(self) -> None:
         self.owner: str | None = None
-        self.free_at_ms = now_ms + HOLD_MS
+        self.free_at_ms = 0
         self.delegated_at_ms = 0
         self._last_request_id = 0
 
