--- a/review/common_2/harness.py
+++ b/review/common_2/harness.py
@@ -24,6 +24,8 @@
 STARTED_S = time.monotonic()
 DEADLINE_S = 110.0
 PAGE_ITEMS = 500
+# Of the stand-ins, and of up to four nodes.
+ADDRESSES = ("127.0.0.1", "127.0.0.11", "127.0.0.12", "127.0.0.13", "127.0.0.14")
 # After this time a process that has ended is started again.
 RESTART_S = 1.0
 # Rule "Fault": processes end by themselves three times, on two machines at least.
@@ -31,7 +33,7 @@
 
 
 def free_ports(count: int) -> int:
-    """Returns the first of `count` ports that are free now on all addresses."""
+    """Returns the first of `count` ports that are free now on all of `ADDRESSES`."""
     while True:
         first = random.SystemRandom().randrange(12_000, 31_000)
         if all(_is_free(first + offset) for offset in range(count)):
@@ -39,12 +41,13 @@
 
 
 def _is_free(port: int) -> bool:
-    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
-        with socket.socket(type=kind) as probe:
-            try:
-                probe.bind(("0.0.0.0", port))
-            except OSError:
-                return False
+    for address in ADDRESSES:
+        for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+            with socket.socket(type=kind) as probe:
+                try:
+                    probe.bind((address, port))
+                except OSError:
+                    return False
     return True
 
 
