Log failures of items with the server's signature, and skipped answers

Cause: review/8 dead-letters items after two answers of 500 where three are allowed, but a node logs neither an item's failed answers nor the answers that it skips, so its log can't tell a third failed run from one answer that is counted twice.

Change: `A server answered an item with a failure.` has the server's signature, which is unique to a run; `Skipped an answer to another request.` and `briarvale_stray_answers_total` show answers that arrive on the wrong connection. AnswerMetadata keeps the signature in place of a flag.

Features silence, containment and forwarding: 68 scenarios passed.

--- a/briarvale/forward_client.py
+++ b/briarvale/forward_client.py
@@ -5,6 +5,7 @@
 
 import anyio
 
+from . import logs, metrics
 from .backend_connections import BackendConnections
 from .clock import Clock
 from .errors import DeadlineExceeded, ServerFull, ServerLost, ServerNotReady
@@ -15,6 +16,8 @@
 # A run is lost after this many answers to other requests.
 MAX_STRAY_ANSWERS = 3
 
+log = logs.component_logger("gateway")
+
 __all__ = ["ForwardClient", "ForwardRun"]
 
 
@@ -123,5 +126,13 @@
                 self._servers.record_draining(server)
             if metadata.request_id in ("", request.request_id):
                 return ForwardRun(connection, head, metadata)
+            metrics.STRAY_ANSWERS.inc({"service": request.service})
+            log.info(
+                "Skipped an answer to another request.",
+                request_id=request.request_id,
+                answered_id=metadata.request_id,
+                backend_server=server.id,
+                status=head.status,
+            )
             await connection.skip_answer()
         raise ServerLost("only answers to other requests arrived")
--- a/briarvale/forward_request.py
+++ b/briarvale/forward_request.py
@@ -57,7 +57,7 @@
     Attributes:
         request_id: Id of the answered request; empty if it isn't stated.
         was_not_run: Whether the server states that it didn't run the request.
-        is_signed: Whether a backend server signed the answer.
+        signature: The backend server's signature, unique to a run; empty if there is none.
         is_closing: Whether the server closes the connection after the answer.
         is_draining: Whether the server is draining and accepts no later request.
         keep_alive_s: How long the server keeps an idle connection open; none if it isn't stated.
@@ -65,11 +65,16 @@
 
     request_id: str
     was_not_run: bool
-    is_signed: bool
+    signature: str
     is_closing: bool
     is_draining: bool
     keep_alive_s: float | None
 
+    @property
+    def is_signed(self) -> bool:
+        """Whether a backend server signed the answer."""
+        return self.signature != ""
+
 
 class BackendHeaderCodec(Protocol):
     """Encodes and decodes the headers between a node and backend servers."""
--- a/briarvale/metrics.py
+++ b/briarvale/metrics.py
@@ -19,6 +19,9 @@
     "briarvale_slot_wait_seconds", "Wait for a slot by class.", buckets=LATENCY_BUCKETS_S
 )
 ATTEMPTS = Counter("briarvale_attempts_total", "Attempts at backend servers by service and code.")
+STRAY_ANSWERS = Counter(
+    "briarvale_stray_answers_total", "Answers to other requests that were skipped, by service."
+)
 RETRIES = Counter("briarvale_retries_total", "Retries allowed and refused by member's budget.")
 STREAMS_PAUSED = Counter("briarvale_streams_paused_total", "Slots given up for a slow caller.")
 SLOTS_HELD = Gauge("briarvale_slots_held", "Slots granted by backend server and class.")
--- a/briarvale/opaque_item_runner.py
+++ b/briarvale/opaque_item_runner.py
@@ -327,6 +327,14 @@
         async with self._forward_client.run(request, server, state.cursor.last_id) as run:
             if run.head.status != 200:
                 await run.read_full_body(MAX_FAILURE_BODY_BYTES)
+                log.info(
+                    "A server answered an item with a failure.",
+                    job_id=job.job_id,
+                    item_id=request.request_id,
+                    backend_server=server.id,
+                    status=run.head.status,
+                    signature=run.metadata.signature,
+                )
                 self._record_failure(job, run.head.status, state)
                 return
             if not run.metadata.is_signed:
--- a/briarvale/platform/headers.py
+++ b/briarvale/platform/headers.py
@@ -48,7 +48,7 @@
         return AnswerMetadata(
             request_id=(find_header(head.headers, REQUEST_ID) or b"").decode("latin-1"),
             was_not_run=find_header(head.headers, NOT_RUN) is not None or head.status == 421,
-            is_signed=find_header(head.headers, SIGNATURE) is not None,
+            signature=_header_text(head.headers, SIGNATURE),
             is_closing=b"close" in connection,
             is_draining=(find_header(head.headers, DRAINING) or b"").strip() == b"1",
             keep_alive_s=_keep_alive_s(find_header(head.headers, b"keep-alive")),
--- a/features/steps/platform_silence.py
+++ b/features/steps/platform_silence.py
@@ -32,7 +32,7 @@
 # Half of the target latency, since the mean time to an answer is 0 here.
 TIMEOUT_S = 0.05
 BODY = b"whole"
-METADATA = AnswerMetadata("r", False, True, False, False, None)
+METADATA = AnswerMetadata("r", False, "s", False, False, None)
 
 
 class BlockedLoopEngines:
