Send no two requests with the same id over one connection

Cause: a late second copy of an answer is told from the answer that is due by the request's id alone. All runs of an item have the same id, and after an answer of 500 that was read to its end the connection went back to the pool, where the item's next run took it. The same holds for a resumable stream that ends within an event but with its framing whole, and for a caller that uses an id twice.

Change: BackendConnections remembers hashes of the ids that a connection has carried and gives a run a connection that has not carried its id. A connection is closed after 256 requests.

--- a/briarvale/backend_connections.py
+++ b/briarvale/backend_connections.py
@@ -1,4 +1,8 @@
-"""A pool of keep-alive connections to backend servers, each to one incarnation of a server."""
+"""A pool of keep-alive connections to backend servers, each to one incarnation of a server.
+
+A faulty server may send an answer again where the next one is due. Only the request's id tells the
+copy from the answer that is due, so no connection carries two requests with the same id.
+"""
 
 import anyio
 
@@ -13,6 +17,8 @@
 # Idle timeout of a server that states none.
 DEFAULT_IDLE_S = 1.0
 CLOSE_INTERVAL_S = 1.0
+# Bounds the ids that are remembered for each connection.
+MAX_REQUESTS_PER_CONNECTION = 256
 
 __all__ = ["BackendConnections"]
 
@@ -23,15 +29,25 @@
     def __init__(self) -> None:
         self._idle: dict[tuple[str, int], list[ClientConnection]] = {}
 
-    async def acquire(self, server: LiveServer) -> ClientConnection:
-        """Returns an idle connection that is still usable, or a new one."""
+    async def acquire(self, server: LiveServer, request_id: str) -> ClientConnection:
+        """Returns an idle connection that has carried no request with this id, or a new one."""
+        id_hash = hash(request_id)
+        connection = await self._take_idle(server, id_hash)
+        if connection is None:
+            connection = await ClientConnection.open(server.address, CONNECT_TIMEOUT_S)
+        connection.carried_id_hashes.add(id_hash)
+        return connection
+
+    async def _take_idle(self, server: LiveServer, id_hash: int) -> ClientConnection | None:
+        """Removes a usable connection from the idle ones and returns it; none if there is none."""
         idle = self._idle.get(server.incarnation, [])
-        while idle:
-            connection = idle.pop()
+        while found := [other for other in idle if id_hash not in other.carried_id_hashes]:
+            connection = found[-1]
+            idle.remove(connection)
             if connection.is_reusable and anyio.current_time() < connection.keep_alive_until_s:
                 return connection
             await connection.aclose()
-        return await ClientConnection.open(server.address, CONNECT_TIMEOUT_S)
+        return None
 
     async def release(
         self, server: LiveServer, connection: ClientConnection, metadata: AnswerMetadata | None
@@ -41,20 +57,25 @@
         Args:
             metadata: Metadata of the complete answer; none if the answer was not read to its end.
         """
-        idle = self._idle.get(server.incarnation, [])
-        must_close = metadata is None or metadata.is_closing or metadata.is_draining
-        if (
-            metadata is None
-            or must_close
-            or len(idle) >= MAX_IDLE_PER_SERVER
-            or not connection.finish()
-        ):
+        if metadata is None or not self._may_keep(server, connection, metadata):
             await connection.aclose()
             return
         idle_s = metadata.keep_alive_s if metadata.keep_alive_s is not None else DEFAULT_IDLE_S
         connection.keep_alive_until_s = anyio.current_time() + idle_s * IDLE_TIMEOUT_FRACTION
         self._idle.setdefault(server.incarnation, []).append(connection)
 
+    def _may_keep(
+        self, server: LiveServer, connection: ClientConnection, metadata: AnswerMetadata
+    ) -> bool:
+        """Ends the exchange; returns whether the connection may carry another request."""
+        if metadata.is_closing or metadata.is_draining:
+            return False
+        if len(self._idle.get(server.incarnation, [])) >= MAX_IDLE_PER_SERVER:
+            return False
+        if len(connection.carried_id_hashes) >= MAX_REQUESTS_PER_CONNECTION:
+            return False
+        return connection.finish()
+
     async def run(self) -> None:
         """Closes connections that have been idle for too long to be reused, until cancelled.
 
--- a/briarvale/forward_client.py
+++ b/briarvale/forward_client.py
@@ -96,7 +96,7 @@
             request, server.id, int(remaining_ms), resume_after
         )
         outgoing = OutgoingRequest(request.method, request.target, headers, request.body)
-        connection = await self._connections.acquire(server)
+        connection = await self._connections.acquire(server, request.request_id)
         run: ForwardRun | None = None
         try:
             # An answer to another request may have announced a drain while the connection opened.
--- a/briarvale/http_wire.py
+++ b/briarvale/http_wire.py
@@ -136,6 +136,7 @@
     Attributes:
         idle_since_s: When the last exchange ended, or the connection was opened.
         keep_alive_until_s: Until when the connection may be reused; set by its pool.
+        carried_id_hashes: Hashes of the ids of the requests that it has carried; set by its pool.
     """
 
     def __init__(self, stream: SocketStream) -> None:
@@ -146,6 +147,7 @@
         self._is_sent = False
         self.idle_since_s = anyio.current_time()
         self.keep_alive_until_s = 0.0
+        self.carried_id_hashes: set[int] = set()
 
     @classmethod
     async def open(cls, address: PeerAddress, timeout_s: float) -> "ClientConnection":
--- a/features/steps/platform_containment.py
+++ b/features/steps/platform_containment.py
@@ -333,7 +333,7 @@
             tasks.start_soon(connections.run)
             while not tcp_server.is_listening:
                 await anyio.sleep(0.01)
-            opened = [await connections.acquire(server) for _ in range(3)]
+            opened = [await connections.acquire(server, f"r{n}") for n in range(3)]
             for connection in opened:
                 await connection.exchange(OutgoingRequest(b"GET", b"/", ((b"Host", b"a"),)), 100)
                 await connections.release(server, connection, metadata)
