Close a connection after an answer that states no id

What callers saw: if a server sends an error without the request's id, and once more where the next answer is due, the next caller on that connection got the copy as its answer.

Cause: an answer without an id is taken as the answer to any request, so nothing tells a late copy of it from the answer that is due.

Evidence: the new scenario "An answer that states no id" failed before ([answer 1, answer 1]).

Change: the pool keeps a connection only after an answer that states an id. A test of the pool that released a connection with an empty id now states one.

--- a/briarvale/backend_connections.py
+++ b/briarvale/backend_connections.py
@@ -70,6 +70,9 @@
         """Ends the exchange; returns whether the connection may carry another request."""
         if metadata.is_closing or metadata.is_draining:
             return False
+        if not metadata.request_id:
+            # Nothing would tell a late copy of this answer from the next one.
+            return False
         if len(self._idle.get(server.incarnation, [])) >= MAX_IDLE_PER_SERVER:
             return False
         if len(connection.carried_id_hashes) >= MAX_REQUESTS_PER_CONNECTION:
--- a/features/platform/second_copies.feature
+++ b/features/platform/second_copies.feature
@@ -22,3 +22,8 @@
   Scenario: A caller that uses an id again
     When the first of two answers to one id comes again before the second
     Then each request gets its own answer
+
+  # Guards against: an answer without an id that reaches the next caller on the connection too.
+  Scenario: An answer that states no id
+    When the first of two answers states no id and comes again before the second
+    Then each request gets its own answer
--- a/features/steps/platform_containment.py
+++ b/features/steps/platform_containment.py
@@ -326,7 +326,7 @@
     async def run() -> None:
         address, tcp_server = PeerAddress(HOST, free_port()), TcpServer("test")
         server = LiveServer("i-0", "orders", address, "caerdydd", 4)
-        metadata = AnswerMetadata("", False, "s", False, False, 0.4)
+        metadata = AnswerMetadata("r", False, "s", False, False, 0.4)
         connections = BackendConnections()
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(tcp_server.serve, address, answer)
--- a/features/steps/platform_second_copies.py
+++ b/features/steps/platform_second_copies.py
@@ -119,6 +119,19 @@
     call_raw(context, server, PLAIN, "/pay/a", "req-1", "req-1")
 
 
+@when("the first of two answers states no id and comes again before the second")
+def when_no_id(context: Context) -> None:
+    def respond(request: RawRequest) -> bytes:
+        unidentified = raw_answer(400, b"answer 1")
+        if request.id == "req-1":
+            return unidentified
+        is_late = request.connection == server.seen[0].connection
+        return (unidentified if is_late else b"") + raw_answer(200, b"answer 2", request)
+
+    server = RawServer(respond)
+    call_raw(context, server, PLAIN, "/pay/a", "req-1", "req-2")
+
+
 @then("each request gets its own answer")
 def then_own(context: Context) -> None:
     bodies = [answer.body for answer in context.answers]
