Refuse the head of an answer that is joined from two

What callers saw: if a server sends a second copy of a failure that breaks off in its head, and then the answer to the next request on the connection, the caller of a request that may not be repeated got the failure's status with the headers, signature and body of its own answer of 200.

Cause: the next answer's status line became the end of a header's value or of the reason phrase, which the parser allows; the request's id then came from the second head.

--- a/briarvale/http_wire.py
+++ b/briarvale/http_wire.py
@@ -17,7 +17,7 @@
 
 from .errors import AnswerTooLong, ServerConnectFailed, ServerGarbled, ServerLost
 from .fair_turns import FairTurns
-from .http_heads import client_connection
+from .http_heads import client_connection, is_joined_head
 from .peer import PeerAddress
 
 READ_BYTES = 65_536
@@ -201,6 +201,8 @@
         for _ in range(MAX_INFORMATIONAL_ANSWERS + 1):
             event = await self._next_event()
             if isinstance(event, h11.Response):
+                if is_joined_head(event):
+                    raise ServerGarbled("the head of an answer broke off")
                 return AnswerHead(event.status_code, tuple(event.headers))
             if not isinstance(event, h11.InformationalResponse):
                 raise ServerGarbled("expected the head of an answer")
--- a/features/platform/second_copies.feature
+++ b/features/platform/second_copies.feature
@@ -27,3 +27,17 @@
   Scenario: An answer that states no id
     When the first of two answers states no id and comes again before the second
     Then each request gets its own answer
+
+  # Guards against: the status of a copy that breaks off in its head, joined with the next answer's headers.
+  Scenario Outline: A copy of a failure that breaks off within <part>, on the route <route>
+    When a server sends its failure again, up to <part>, before it answers a request on the route <route>
+    Then the second request ends with status <status>, and not with the failure of the first
+
+    Examples:
+      | route | part         | status |
+      | look  | its reason   | 200    |
+      | look  | a header     | 200    |
+      | pay   | its reason   | 502    |
+      | pay   | a header     | 502    |
+      | look  | its body     | 200    |
+      | pay   | its body     | 502    |
--- a/features/steps/platform_second_copies.py
+++ b/features/steps/platform_second_copies.py
@@ -24,6 +24,8 @@
 FAILURE = b"failed"
 IN_ONE_PIECE = "in one piece with the first"
 CUT = "cut, before the next answer"
+# After which bytes a failure breaks off.
+CUTS = {"its reason": b"HTTP/1.1 500 Sta", "a header": b"timeout=2", "its body": b"\r\n\r\nans"}
 
 
 def stream(request: RawRequest, end: bytes = b"", until: int = EVENT_COUNT) -> bytes:
@@ -132,6 +134,30 @@
     call_raw(context, server, PLAIN, "/pay/a", "req-1", "req-2")
 
 
+@when(
+    "a server sends its failure again, up to {part}, "
+    "before it answers a request on the route {route}"
+)
+def when_cut_copy(context: Context, part: str, route: str) -> None:
+    def respond(request: RawRequest) -> bytes:
+        failure = raw_answer(500, b"answer 1", server.seen[0])
+        if request.id == "req-1":
+            return failure
+        cut = failure.index(CUTS[part]) + len(CUTS[part])
+        is_late = request.connection == server.seen[0].connection
+        return (failure[:cut] if is_late else b"") + raw_answer(200, b"answer 2", request)
+
+    server = RawServer(respond)
+    call_raw(context, server, PLAIN, f"/{route}/a", "req-1", "req-2")
+
+
+@then("the second request ends with status {status:d}, and not with the failure of the first")
+def then_status(context: Context, status: int) -> None:
+    answer = context.answers[1]
+    assert answer.status == status, answer
+    assert (answer.body == b"answer 2") == (status == 200), answer
+
+
 @then("each request gets its own answer")
 def then_own(context: Context) -> None:
     bodies = [answer.body for answer in context.answers]
