Open a connection for each call of the gateway to a backend server

What callers saw: on the gateway that runs without the platform, if a service sends an answer twice, the next caller's call that may be repeated gets the copy; so does a completion at an engine.

Cause: these answers state no request id, and the HTTP client reused connections for them. It keeps bytes after an answer, and takes them for the next one.

Evidence: with a client that reuses connections, both new scenarios failed, for a copy in one piece and for a late one.

Change: `backend_client()` makes the one client for backend servers, which keeps no idle connection; it replaces a pair of clients and the flag `is_repeatable` that chose between them. The test of calls that may not be repeated uses it too.

--- a/briarvale/engine_client.py
+++ b/briarvale/engine_client.py
@@ -124,7 +124,7 @@
 
     Args:
         base_url: The engine's URL, with an IP address.
-        client: HTTP client; its creator closes it.
+        client: HTTP client that reuses no connection; its creator closes it.
     """
 
     def __init__(self, base_url: str, client: httpx.AsyncClient) -> None:
--- a/briarvale/environment.py
+++ b/briarvale/environment.py
@@ -20,7 +20,13 @@
 MAX_CONNECTIONS = 2_000
 KEEPALIVE_EXPIRY_S = 30.0
 
-__all__ = ["BackendClients", "Environment", "HttpBackendClients", "open_environment"]
+__all__ = [
+    "BackendClients",
+    "Environment",
+    "HttpBackendClients",
+    "backend_client",
+    "open_environment",
+]
 
 
 class BackendClients(Protocol):
@@ -46,16 +52,14 @@
 
 
 class HttpBackendClients:
-    """Clients over HTTP that share one connection pool.
+    """Clients over HTTP.
 
     Args:
-        client: HTTP client; closed by the caller.
-        fresh_client: HTTP client that reuses no connection, for calls that can't be retried.
+        client: HTTP client that reuses no connection; closed by the caller.
     """
 
-    def __init__(self, client: httpx.AsyncClient, fresh_client: httpx.AsyncClient) -> None:
+    def __init__(self, client: httpx.AsyncClient) -> None:
         self._client = client
-        self._fresh_client = fresh_client
 
     def engine(self, server: BackendServer) -> Engine:
         """Returns the client of a model engine."""
@@ -63,7 +67,7 @@
 
     def plain_service(self, server: BackendServer) -> PlainService:
         """Returns the client of a plain service."""
-        return HttpPlainService(server.url, self._client, self._fresh_client)
+        return HttpPlainService(server.url, self._client)
 
 
 async def open_environment(
@@ -75,20 +79,27 @@
         max_keepalive_connections=MAX_CONNECTIONS,
         keepalive_expiry=KEEPALIVE_EXPIRY_S,
     )
-    backend_client = await stack.enter_async_context(_client(limits))
-    fresh_limits = httpx.Limits(max_connections=MAX_CONNECTIONS, max_keepalive_connections=0)
-    fresh_client = await stack.enter_async_context(_client(fresh_limits))
+    client = await stack.enter_async_context(backend_client())
     platform_client = await stack.enter_async_context(_client(limits))
     return Environment(
         clock=Clock.from_system(),
         store=HttpObjectStore(settings.object_api_url, platform_client),
         vm_list=HttpVmList(settings.vm_list_url, platform_client),
-        backends=HttpBackendClients(backend_client, fresh_client),
+        backends=HttpBackendClients(client),
         transport=TcpTransport(identity, settings.shared_secret),
         datagrams=UdpDatagrams(),
         identity=identity,
     )
 
 
+def backend_client() -> httpx.AsyncClient:
+    """Returns an HTTP client for backend servers, which reuses no connection.
+
+    Their answers state no request id, so on a connection in use again nothing would tell a second
+    copy of an answer from the answer to the next request.
+    """
+    return _client(httpx.Limits(max_connections=MAX_CONNECTIONS, max_keepalive_connections=0))
+
+
 def _client(limits: httpx.Limits) -> httpx.AsyncClient:
     return httpx.AsyncClient(limits=limits, trust_env=False)
--- a/briarvale/plain_calls.py
+++ b/briarvale/plain_calls.py
@@ -102,8 +102,7 @@
             BriarvaleError: If it was refused; `not_run` is true only if no byte was sent.
         """
         if self._view.config.services[request.service].idempotent:
-            call = request.call._replace(is_repeatable=True)
-            return await self._send_repeatable(request._replace(call=call))
+            return await self._send_repeatable(request)
         if not request.call.idempotency_key:
             timeout_error = OutcomeUnknown("no answer before the deadline; the call may have run")
             return await self._run_detached(request, self._send_once, timeout_error)
--- a/briarvale/service_client.py
+++ b/briarvale/service_client.py
@@ -16,17 +16,13 @@
 
 
 class ServiceCall(NamedTuple):
-    """One call to a plain service; `path` includes the query.
-
-    A call that is not repeatable is sent over a new connection.
-    """
+    """One call to a plain service; `path` includes the query."""
 
     verb: str
     path: str
     body: bytes
     content_type: str
     idempotency_key: str = ""
-    is_repeatable: bool = False
 
 
 class ServiceAnswer(NamedTuple):
@@ -54,25 +50,20 @@
 
     Args:
         base_url: Its URL, with an IP address.
-        client: HTTP client without retries; its creator closes it.
-        fresh_client: HTTP client that reuses no connection, for calls that are not repeatable.
+        client: HTTP client without retries that reuses no connection; its creator closes it.
     """
 
-    def __init__(
-        self, base_url: str, client: httpx.AsyncClient, fresh_client: httpx.AsyncClient
-    ) -> None:
+    def __init__(self, base_url: str, client: httpx.AsyncClient) -> None:
         self._base_url = base_url.rstrip("/")
         self._client = client
-        self._fresh_client = fresh_client
 
     async def call(self, call: ServiceCall) -> ServiceAnswer:
         """Makes the call once."""
         headers = {"content-type": call.content_type}
         if call.idempotency_key:
             headers["idempotency-key"] = call.idempotency_key
-        client = self._client if call.is_repeatable else self._fresh_client
         try:
-            async with client.stream(
+            async with self._client.stream(
                 call.verb,
                 f"{self._base_url}/{call.path}",
                 content=call.body,
--- a/features/platform/second_copies.feature
+++ b/features/platform/second_copies.feature
@@ -41,3 +41,13 @@
       | pay   | a header     | 502    |
       | look  | its body     | 200    |
       | pay   | its body     | 502    |
+
+  # Guards against: a gateway whose connections to services and engines, which state no id, are used again.
+  Scenario Outline: Calls of a gateway that runs without the platform
+    When a plain service of a gateway sends each answer twice, <copy>
+    Then each of 3 calls gets its own answer
+
+    Examples:
+      | copy                   |
+      | in one piece           |
+      | before the next answer |
--- a/features/steps/claims_connections.py
+++ b/features/steps/claims_connections.py
@@ -1,5 +1,6 @@
 """Steps of calls to plain services over HTTP: from callers, and to services over loopback."""
 
+from collections.abc import Awaitable, Callable
 from contextlib import suppress
 
 import anyio
@@ -8,6 +9,7 @@
 from behave import given, then, when
 from behave.runner import Context
 
+from briarvale.environment import backend_client
 from briarvale.gateway_http import gateway_app
 from briarvale.service_client import HttpPlainService, ServiceAnswer, ServiceCall
 from briarvale.standins.memory_fleet import PLAIN_SERVICE, FleetSettings, MemoryFleet
@@ -31,24 +33,46 @@
                 await stream.send(ANSWER)
                 await stream.receive()
 
-    async def run() -> list[ServiceAnswer]:
-        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
-        port = listener.extra(SocketAttribute.local_port)
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(listener.serve, serve)
-            fresh = httpx.Limits(max_keepalive_connections=0)
-            async with (
-                httpx.AsyncClient(trust_env=False) as pooled_client,
-                httpx.AsyncClient(limits=fresh, trust_env=False) as fresh_client,
-            ):
-                url = f"http://127.0.0.1:{port}"
-                service = HttpPlainService(url, pooled_client, fresh_client)
-                call = ServiceCall("POST", "lookup", b"{}", "application/json")
-                answers = [await service.call(call) for _ in range(calls)]
-            tasks.cancel_scope.cancel()
-        return answers
+    context.http_answers = anyio.run(call_service, serve, calls)
+
+
+async def call_service(
+    serve: Callable[[SocketStream], Awaitable[None]], calls: int
+) -> list[ServiceAnswer]:
+    """Makes calls one after the other to a service whose connections are served by `serve`."""
+    listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+    port = listener.extra(SocketAttribute.local_port)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(listener.serve, serve)
+        async with backend_client() as client:
+            service = HttpPlainService(f"http://127.0.0.1:{port}", client)
+            call = ServiceCall("POST", "lookup", b"{}", "application/json")
+            answers = [await service.call(call) for _ in range(calls)]
+        tasks.cancel_scope.cancel()
+    return answers
+
+
+@when("a plain service of a gateway sends each answer twice, {copy}")
+def when_sent_twice(context: Context, copy: str) -> None:
+    answered = 0
+
+    async def serve(stream: SocketStream) -> None:
+        nonlocal answered
+        earlier = b""
+        async with stream:
+            with suppress(anyio.EndOfStream, anyio.BrokenResourceError):
+                while await stream.receive():
+                    answered += 1
+                    answer = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n%d" % answered
+                    await stream.send(answer * 2 if copy == "in one piece" else earlier + answer)
+                    earlier = answer
+
+    context.http_answers = anyio.run(call_service, serve, 3)
+
 
-    context.http_answers = anyio.run(run)
+@then("each of 3 calls gets its own answer")
+def then_own_answers(context: Context) -> None:
+    assert [answer.body for answer in context.http_answers] == [b"1", b"2", b"3"]
 
 
 @then("each got its answer, over a connection of its own")
--- a/features/steps/frame_endless.py
+++ b/features/steps/frame_endless.py
@@ -22,7 +22,7 @@
 
 async def call_service(url: str, client: httpx.AsyncClient) -> None:
     """Calls a plain service."""
-    await HttpPlainService(url, client, client).call(ServiceCall("POST", "a", b"", "text/plain"))
+    await HttpPlainService(url, client).call(ServiceCall("POST", "a", b"", "text/plain"))
 
 
 async def complete(url: str, client: httpx.AsyncClient) -> None:
