Store the texts of a log entry in as many objects as they need

Each run was ended after 240 kB and began anew elsewhere, until the retention would end.

Cause: an entry with its texts was one object of the store, so the text of an item was bounded by 240,000 bytes, though a page of results may hold 1 MB. Texts whose JSON escapes grow more (control characters) passed the size of an object even so, and the commit failed with an unexpected error.

Change: entry_parts.py stores the texts in parts before the digest that commits the entry, and reads them back; the reader follows parts of full size. MAX_TEXT_BYTES is 990,000.

--- a/briarvale/opaque_item_runner.py
+++ b/briarvale/opaque_item_runner.py
@@ -32,8 +32,8 @@
 SLOT_WAIT_MS = 5_000
 # How long an item waits for a slot on a server other than the one that its last run failed on.
 OTHER_SERVER_WAIT_MS = 1_000
-# A text of this size still fits into one store object after JSON escaping.
-MAX_TEXT_BYTES = 240_000
+# A page of results may hold 1 MB.
+MAX_TEXT_BYTES = 990_000
 MAX_FAILURE_BODY_BYTES = 1_048_576
 # Callers abandon a stream after two seconds without an event; an item may wait a little longer.
 MAX_SILENCE_S = 3.0
--- a/briarvale/opaque_job_log_store.py
+++ b/briarvale/opaque_job_log_store.py
@@ -4,7 +4,8 @@
 """
 
 from . import logs
-from .errors import ObjectExists, ObjectNotFound
+from .entry_parts import create_parts, read_parts
+from .errors import ObjectNotFound
 from .object_store import ObjectStore, StoredObject
 from .opaque_jobs import texts_key
 from .shard_log import EntryStore, LogEntry
@@ -31,7 +32,7 @@
         entry = LogEntry.decode(value)
         if not entry.has_texts:
             return await self._store.create(key, value)
-        await self._create_texts(entry, value)
+        await create_parts(self._store, texts_key(self._job_id, entry.nonce), value)
         return await self._store.create(key, entry.digest().encode())
 
     async def get(self, key: str) -> StoredObject:
@@ -41,17 +42,9 @@
         if not entry.has_progress:
             return stored
         try:
-            full_entry = await self._store.get(texts_key(self._job_id, entry.nonce))
+            full_entry = await read_parts(self._store.get, texts_key(self._job_id, entry.nonce))
         except ObjectNotFound:
             # The entry stays committed; its unfinished items start over.
             log.warning("The texts of a log entry are missing.", job_id=self._job_id, key=key)
             return stored
         return stored._replace(value=full_entry.value)
-
-    async def _create_texts(self, entry: LogEntry, value: bytes) -> None:
-        """Stores the whole entry, with texts and progress, under its nonce."""
-        try:
-            await self._store.create(texts_key(self._job_id, entry.nonce), value)
-        except ObjectExists:
-            # Created by an earlier attempt for the same entry, whose answer was lost.
-            return
--- a/briarvale/opaque_job_runner.py
+++ b/briarvale/opaque_job_runner.py
@@ -28,7 +28,7 @@
 )
 
 POLL_INTERVAL_S = 0.5
-# The store holds the entry's JSON as an escaped string, which may double its size.
+# A larger entry holds a single result, and takes several objects of the store.
 MAX_ENTRY_BYTES = 500_000
 RETRY_S = 1.0
 STORE_RETRY_S = 0.2
--- a/briarvale/opaque_job_service.py
+++ b/briarvale/opaque_job_service.py
@@ -9,6 +9,7 @@
 
 from . import logs
 from .clock import MS_PER_S, Clock
+from .entry_parts import read_parts
 from .errors import (
     AcceptanceRefused,
     AcceptanceUnknown,
@@ -22,7 +23,7 @@
     StoreUnavailable,
     WaitingTokensExceeded,
 )
-from .object_store import ObjectStore
+from .object_store import ObjectStore, StoredObject
 from .opaque_job_log_store import OpaqueJobLogStore
 from .opaque_jobs import (
     JobDirectory,
@@ -220,9 +221,13 @@
     async def _read_texts(self, replica: JobReplica, position: int) -> tuple[ItemResult, ...]:
         """Reads the results of one log entry, from a position to the end of the entry."""
         source = replica.text_sources[position]
-        stored = await self._read_budget.call(self._store.get, source.key)
+        stored = await read_parts(self._get, source.key)
         return LogEntry.decode(stored.value).results[position - source.first_position :]
 
+    async def _get(self, key: str) -> StoredObject:
+        """Reads an object, with retries."""
+        return await self._read_budget.call(self._store.get, key)
+
     async def get_item(self, job_id: str, item_id: str) -> OpaqueItem:
         """Returns an item of a job that has not ended; raises `NotFound`."""
         replica = await self.find(job_id)
@@ -297,7 +302,7 @@
         try:
             for part_id in replica.job.part_ids:
                 key = part_key(replica.job.job_id, part_id)
-                part = await self._read_budget.call(self._store.get, key)
+                part = await self._get(key)
                 parts.append(part.value)
         except (ObjectNotFound, StoreThrottled, StoreUnavailable) as error:
             raise NotReady(f"can't read the job's items: {error}") from error
--- a/briarvale/opaque_jobs.py
+++ b/briarvale/opaque_jobs.py
@@ -125,7 +125,7 @@
     """Where the text of a result is stored.
 
     Attributes:
-        key: Key of the object that holds the result's log entry with its texts.
+        key: Key of the objects that hold the result's log entry with its texts.
         first_position: Position of the first result of that entry.
     """
 
--- a/features/platform/results.feature
+++ b/features/platform/results.feature
@@ -42,3 +42,15 @@
   Scenario: A node that knows of no new result reads only the next entry of the log
     When a result is listed that a node doesn't know of, and a reader asks that node for it
     Then the page has the result, and the node read 1 entry of the log for it
+
+  # Guards against items that run without end since their text, as it is stored, passes the size of one object.
+  Scenario Outline: An item with a long text of <characters>
+    When the events of two items hold 900,000 bytes of <characters>
+    Then both are listed as done by another node, with their complete texts
+
+    Examples:
+      | characters         |
+      | letters            |
+      | quotes             |
+      | control characters |
+      | umlauts            |
--- a/features/steps/platform_results.py
+++ b/features/steps/platform_results.py
@@ -35,6 +35,9 @@
 APPLY_S = 1.0
 LATER_JOB = "job-2"
 LATER_ITEMS = [f"later-{n}" for n in range(12)]
+LONG_EVENTS = 6
+LONG_TEXT_BYTES = 900_000
+CHARACTERS = {"letters": "x", "quotes": '"', "control characters": "\x01", "umlauts": "ü"}
 
 
 def texts_of(answer: Any) -> list[str]:
@@ -278,3 +281,26 @@
 def then_read_once(context: Context, count: int) -> None:
     assert [result.item_index for result in context.page.results] == [1], context.page
     assert context.log_reads == count, context.log_reads
+
+
+@when("the events of two items hold 900,000 bytes of {characters}")
+def when_long_texts(context: Context, characters: str) -> None:
+    character = CHARACTERS[characters]
+    padding = character * (LONG_TEXT_BYTES // LONG_EVENTS // len(character.encode()))
+
+    async def action(fleet: PlatformFleet, facts: dict[str, Any]) -> None:
+        for engine in facts["engines"]:
+            engine.padding, engine.event_count = padding, LONG_EVENTS
+        await submit_job(fleet.nodes["vm-1"], job_body(ITEMS[:2]))
+        facts["results"] = await read_all(fleet.nodes["vm-2"], 2)
+
+    run_on_fleet(context, action)
+    context.padding = padding
+
+
+@then("both are listed as done by another node, with their complete texts")
+def then_long_texts(context: Context) -> None:
+    pieces = [f"piece {number}{context.padding}" for number in range(1, LONG_EVENTS + 1)]
+    results = context.facts["results"]
+    assert sorted(row["id"] for row in results) == ITEMS[:2]
+    assert all(row["text"] == "\n".join(pieces) for row in results)
