Bound the prompt parts that a pool's owner remembers by their number

Cause: where a server's memory is known, the parts that it has probably cached were evicted by their tokens alone: up to 147,261 parts a server, and parts of 0 tokens never.

Change: at most 2,048 parts a server, as before only for servers whose memory isn't known.

--- a/briarvale/pools/prefix_holdings.py
+++ b/briarvale/pools/prefix_holdings.py
@@ -7,8 +7,8 @@
 
 from .._generated.messages import SlotRequest
 
-# Bound on the parts of a server that doesn't state its memory.
-MAX_PREFIXES = 2_048
+# Bound on the parts of a server: callers may cut a prompt into parts of a token or none.
+MAX_PARTS = 2_048
 # Assumed length of a part whose length no one states.
 DEFAULT_PART_TOKENS = 100
 # How many of the least recently used parts tell what a further eviction would hit.
@@ -114,10 +114,8 @@
         self._tail_fraction = None
 
     def _evict(self, running_tokens: int) -> None:
-        limit = max(0, self.capacity_tokens - running_tokens)
-        while self.parts and (
-            self._tokens > limit if self.capacity_tokens else len(self.parts) > MAX_PREFIXES
-        ):
+        limit = max(0, self.capacity_tokens - running_tokens) if self.capacity_tokens else math.inf
+        while self.parts and (self._tokens > limit or len(self.parts) > MAX_PARTS):
             part_id, tokens = self.parts.popitem(last=False)
             self._reused.discard(part_id)
             self._tokens -= tokens
--- a/features/platform/server_choice.feature
+++ b/features/platform/server_choice.feature
@@ -33,6 +33,16 @@
     When prompts of 3 parts exceed the memory of a server
     Then only the parts used last count as cached, and none without the parts before it
 
+  # Guards against owners that exhaust their memory over prompts of very many small parts.
+  Scenario Outline: Prompts of many parts of <tokens> tokens
+    When 100 prompts of 1,600 parts of <tokens> tokens each run on a server with memory for 1,000,000
+    Then at most 2,048 parts are remembered, and the last prompt counts as cached
+
+    Examples:
+      | tokens |
+      | 1      |
+      | 0      |
+
   # Guards against waits that cost more than they save, that keep slots empty while others need
   # them, or that miss the latency target, and against never waiting.
   Scenario Outline: A full server holds a prompt of <tokens> tokens, and its run should end in <wait> ms
--- a/features/steps/server_choice.py
+++ b/features/steps/server_choice.py
@@ -112,6 +112,26 @@
     assert context.servers["i-0"].speed.step_factor == 1
 
 
+@when(
+    "{prompts:d} prompts of 1,600 parts of {tokens:d} tokens each run on a server "
+    "with memory for 1,000,000"
+)
+def when_many_parts(context: Context, prompts: int, tokens: int) -> None:
+    context.holdings = PrefixHoldings()
+    context.holdings.capacity_tokens = 1_000_000
+    for number in range(prompts):
+        part_ids = tuple(f"{number}-{part}" for part in range(1_600))
+        part_tokens = (*[tokens] * 1_599, 50)
+        context.prompt = PromptShape(part_ids, part_tokens, sum(part_tokens))
+        context.holdings.record(context.prompt, 0)
+
+
+@then("at most 2,048 parts are remembered, and the last prompt counts as cached")
+def then_bounded(context: Context) -> None:
+    assert len(context.holdings) <= 2_048, len(context.holdings)
+    assert context.holdings.cached_tokens(context.prompt) == context.prompt.tokens
+
+
 @when("prompts of 3 parts exceed the memory of a server")
 def when_exceed(context: Context) -> None:
     context.holdings = PrefixHoldings()
