Run as many jobs at a time as a node's memory allows

Cause: a node started all items of all its jobs at once, each with a task and a decoded copy of its body while it waited for a slot, held the items of a job until its last one had finished, and loaded all jobs of a lost node at the same time.

Change: job_memory.py decides which jobs run, by what their unfinished items take; the others wait in the store. Bodies are decoded once an item has its slot, finished items are dropped, and large jobs are loaded one at a time. RunningJob moves to a module of its own.

--- a/briarvale/opaque_item_runner.py
+++ b/briarvale/opaque_item_runner.py
@@ -65,6 +65,7 @@
 
     Args:
         index: Index of the item in its job.
+        item: The item, with its body.
         progress: Where an earlier runner stopped; none to start from the beginning.
 
     Attributes:
@@ -81,8 +82,9 @@
         error_code: Why the item has no text; empty while it runs and if it completed.
     """
 
-    def __init__(self, index: int, progress: ItemProgress | None = None) -> None:
+    def __init__(self, index: int, item: OpaqueItem, progress: ItemProgress | None = None) -> None:
         self.index = index
+        self.item = item
         self.data: list[str] = [] if progress is None else [progress.text]
         self.text_bytes = sum(len(text.encode()) for text in self.data)
         self.cursor = EventCursor(None if progress is None else progress.last_event_id)
@@ -148,7 +150,7 @@
         self._decoder = decoder
 
     async def run(self, job: OpaqueJob, state: ItemState) -> ItemResult:
-        """Runs an item until it has a result: its text, or an error code.
+        """Runs an item of a job until it has a result: its text, or an error code.
 
         A lost run is retried, on another server if there is one, until the job's `give_up_at_ms`,
         no matter how many servers crash while running the item. But after each crash without an
@@ -170,7 +172,7 @@
                 log.info(
                     "A run of an item ended early.",
                     job_id=job.job_id,
-                    item_id=job.items[state.index].id,
+                    item_id=state.item.id,
                     code=error.code,
                     reason=str(error),
                     events=len(state.data),
@@ -180,9 +182,11 @@
             except Exception as error:
                 # An unexpected error must end only this run, not those of the job's other items.
                 state.retries += 1
-                item_id = job.items[state.index].id
                 log.exception(
-                    "A run of an item failed: {!r}.", error, job_id=job.job_id, item_id=item_id
+                    "A run of an item failed: {!r}.",
+                    error,
+                    job_id=job.job_id,
+                    item_id=state.item.id,
                 )
                 await _back_off(state)
         text = "" if state.error_code else "\n".join(state.data)
@@ -203,10 +207,11 @@
         return self._crash_guard.trial_at_ms(request) > self._clock.now_ms()
 
     def _request(self, job: OpaqueJob, state: ItemState) -> ForwardRequest:
-        """Returns the item's request; without a fingerprint, as its body is run until it ends."""
-        item = job.items[state.index]
-        request = self._decoder.item_request(job, item, base64.b64decode(item.body_base64))
-        return request._replace(fingerprint="")
+        """Returns the item's request without its body, which is decoded only for a run.
+
+        It has no fingerprint, as the body is run until it ends.
+        """
+        return self._decoder.item_request(job, state.item, b"")._replace(fingerprint="")
 
     async def _run_once(self, job: OpaqueJob, request: ForwardRequest, state: ItemState) -> None:
         """Runs an item once, with a slot; raises a `BriarvaleError` if the run fails."""
@@ -219,6 +224,7 @@
             if self._crash_guard.trial_at_ms(request) > self._clock.now_ms():
                 # The content was quarantined while the item waited for its slot.
                 return
+            request = request._replace(body=base64.b64decode(state.item.body_base64))
             try:
                 await self._run_at(job, request, state, slot, server)
             except (ServerLost, ServerConnectFailed, ServerFull, ServerStalled) as error:
--- a/briarvale/opaque_job_runner.py
+++ b/briarvale/opaque_job_runner.py
@@ -5,6 +5,8 @@
 twice, but no item gets two results, since a result counts only once its log entry is created.
 """
 
+from collections.abc import Iterator
+
 import anyio
 from anyio.abc import TaskGroup
 
@@ -12,15 +14,16 @@
 from .clock import MS_PER_S, Clock
 from .containment import contain
 from .errors import NotReady, ShardSealed, StoreThrottled, StoreUnavailable
+from .job_memory import DEFAULT_CAPACITY_BYTES, JobMemory, item_bytes, job_bytes
 from .node_cluster import NodeCluster
 from .opaque_item_runner import ItemState, OpaqueItemRunner
 from .opaque_job_service import OpaqueJobService
 from .opaque_jobs import JobDirectory, JobReplica, OpaqueJob
 from .peer import PeerIdentity
 from .result_grouping import commit_at_ms
+from .running_job import RunningJob, fitting_progress
 from .shard_log import (
     NO_RUNNER,
-    ItemProgress,
     ItemResult,
     RunnerId,
     ShardLog,
@@ -44,35 +47,6 @@
 __all__ = ["OpaqueJobRunner"]
 
 
-class _RunningJob:
-    """A job that this node runs.
-
-    Attributes:
-        job: The job, with its items once they have been loaded.
-        claimed_from: The job's runner when this run started: this process, or the one to replace.
-        results: Results that wait to be committed.
-        first_at_ms: When the first of them arrived, or was left by an earlier commit.
-        states: States of the items that this run has started, by index.
-    """
-
-    def __init__(self, replica: JobReplica) -> None:
-        self.replica = replica
-        self.job = replica.job
-        self.claimed_from = replica.runner
-        self.results: list[ItemResult] = []
-        self.first_at_ms = 0
-        self.states: dict[int, ItemState] = {}
-        self.scope = anyio.CancelScope()
-        self.result_arrived = anyio.Event()
-
-    def add(self, result: ItemResult, now_ms: int) -> None:
-        """Adds a finished item's result to those that wait to be committed."""
-        if not self.results:
-            self.first_at_ms = now_ms
-        self.results.append(result)
-        self.result_arrived.set()
-
-
 class OpaqueJobRunner:
     """Runs opaque jobs while `run` is active.
 
@@ -83,6 +57,7 @@
         service: Loads jobs and opens their logs.
         items: Runs single items.
         clock: Source of the current time.
+        memory_bytes: What the jobs that run at a time may take.
     """
 
     def __init__(
@@ -93,6 +68,7 @@
         service: OpaqueJobService,
         items: OpaqueItemRunner,
         clock: Clock,
+        memory_bytes: int = DEFAULT_CAPACITY_BYTES,
     ) -> None:
         self._cluster = cluster
         self._own_id = RunnerId(identity.vm, identity.boot_id)
@@ -100,10 +76,13 @@
         self._service = service
         self._items = items
         self._clock = clock
-        self._running: dict[str, _RunningJob] = {}
+        self._running: dict[str, RunningJob] = {}
         self._retry_at_s: dict[str, float] = {}
         # When this node first found that a job has no live runner, by job id.
         self._orphaned_at_s: dict[str, float] = {}
+        self._memory = JobMemory(memory_bytes)
+        # Jobs that wait for memory, by id.
+        self._waiting: set[str] = set()
         self._is_stopping = False
 
     @property
@@ -136,19 +115,46 @@
                 running.scope.cancel()
 
     def _start_jobs(self, tasks: TaskGroup) -> None:
-        """Starts the jobs of this process, and claims those that have lost their runner."""
+        """Starts jobs of this process, and those that have lost their runner, as memory allows."""
+        for replica in sorted(self._startable_jobs(), key=_start_order):
+            job_id = replica.job.job_id
+            if self._has_memory_for(replica):
+                self._running[job_id] = RunningJob(replica)
+                tasks.start_soon(self._run_job, self._running[job_id])
+
+    def _startable_jobs(self) -> Iterator[JobReplica]:
+        """Yields the jobs that this process may run and doesn't run yet."""
         now_s = anyio.current_time()
         for replica in self._directory:
             job_id = replica.job.job_id
             if replica.is_complete:
                 self._orphaned_at_s.pop(job_id, None)
+                self._waiting.discard(job_id)
                 continue
             may_retry = self._retry_at_s.get(job_id, 0.0) <= now_s
             if job_id in self._running or self._is_stopping or not may_retry:
                 continue
             if replica.runner == self._own_id or self._may_claim(replica):
-                self._running[job_id] = _RunningJob(replica)
-                tasks.start_soon(self._run_job, self._running[job_id])
+                yield replica
+
+    def _has_memory_for(self, replica: JobReplica) -> bool:
+        """Counts a job that starts; if it has to wait for memory, its items stay in the store."""
+        job = replica.job
+        size_bytes = job_bytes(replica.full_job or job)
+        if self._memory.may_start(job.service, size_bytes):
+            self._memory.start(job.job_id, job.service, size_bytes)
+            self._waiting.discard(job.job_id)
+            return True
+        replica.full_job = None
+        if job.job_id not in self._waiting:
+            self._waiting.add(job.job_id)
+            log.info(
+                "A job waits for memory.",
+                job_id=job.job_id,
+                size_bytes=size_bytes,
+                used_bytes=self._memory.used_bytes,
+            )
+        return False
 
     def _may_claim(self, replica: JobReplica) -> bool:
         """Whether the job has no live runner and it is this node's turn to claim it.
@@ -187,14 +193,14 @@
         with anyio.move_on_after(POLL_INTERVAL_S):
             await self._directory.changed.wait()
 
-    async def _run_job(self, running: _RunningJob) -> None:
+    async def _run_job(self, running: RunningJob) -> None:
         """Runs a job until it is complete, ended or claimed by another node, or this node stops."""
         job = running.replica.job
         shard_log = self._service.open_log(job.job_id)
         is_new = self._service.is_new_here(running.replica)
         try:
             with running.scope:
-                running.job = await self._service.load_full_job(running.replica)
+                await self._load_items(running)
                 if not is_new:
                     await self._replay(shard_log)
                 if await self._claim(running, shard_log):
@@ -208,10 +214,22 @@
             log.exception("Run of the job failed: {!r}.", error, job_id=job.job_id)
         finally:
             del self._running[job.job_id]
+            self._memory.end(job.job_id)
+            self._directory.changed.notify()
             running.replica.full_job = None
             self._retry_at_s[job.job_id] = anyio.current_time() + RETRY_S
 
-    async def _claim(self, running: _RunningJob, shard_log: ShardLog) -> bool:
+    async def _load_items(self, running: RunningJob) -> None:
+        """Loads the items of a job; raises `NotReady`."""
+        full_job = await self._service.load_full_job(running.replica)
+        running.replica.full_job = None
+        running.states = {
+            index: ItemState(index, item) for index, item in enumerate(full_job.items)
+        }
+        self._memory.resize(full_job.job_id, job_bytes(full_job._replace(is_digest=False)))
+        self._directory.changed.notify()
+
+    async def _claim(self, running: RunningJob, shard_log: ShardLog) -> bool:
         """Claims the job in its log, unless this process is its runner; false if that failed."""
         current = shard_log.runner or running.replica.job.runner
         if shard_log.is_sealed or (current != self._own_id and current != running.claimed_from):
@@ -235,17 +253,20 @@
         )
         return True
 
-    async def _run_items(self, running: _RunningJob, shard_log: ShardLog) -> None:
+    async def _run_items(self, running: RunningJob, shard_log: ShardLog) -> None:
         """Runs all items without a result at once, and commits their results."""
+        for index in shard_log.committed_items & running.states.keys():
+            self._finish_item(running, running.states[index])
+        for index in running.states.keys() & shard_log.progress.keys():
+            item = running.states[index].item
+            running.states[index] = ItemState(index, item, shard_log.progress[index])
         async with anyio.create_task_group() as tasks:
-            for index in range(len(running.replica.job.items)):
-                if index not in shard_log.committed_items:
-                    running.states[index] = ItemState(index, shard_log.progress.get(index))
-                    tasks.start_soon(self._run_item, running, running.states[index])
+            for state in running.states.values():
+                tasks.start_soon(self._run_item, running, state)
             await self._commit_results(running, shard_log)
             tasks.cancel_scope.cancel()
 
-    async def _hand_over(self, running: _RunningJob, shard_log: ShardLog) -> None:
+    async def _hand_over(self, running: RunningJob, shard_log: ShardLog) -> None:
         """Commits the remaining results; a node that stops also releases the job, with progress."""
         while self._is_ours(running, shard_log):
             if self._is_stopping:
@@ -256,12 +277,12 @@
             if is_done:
                 return
 
-    def _is_ours(self, running: _RunningJob, shard_log: ShardLog) -> bool:
+    def _is_ours(self, running: RunningJob, shard_log: ShardLog) -> bool:
         """Whether the log, as read so far, isn't sealed and names this process as the runner."""
         runner = shard_log.runner or running.replica.job.runner
         return not shard_log.is_sealed and runner == self._own_id
 
-    async def _release(self, running: _RunningJob, shard_log: ShardLog) -> bool:
+    async def _release(self, running: RunningJob, shard_log: ShardLog) -> bool:
         """Commits results and progress, and clears the job's runner, so that another may claim it.
 
         False if results didn't fit or another entry came first; the caller then calls it again.
@@ -274,11 +295,12 @@
         committed = shard_log.committed_items | {result.item_index for result in fitting}
         states = [state for index, state in running.states.items() if index not in committed]
         remaining_bytes = MAX_ENTRY_BYTES - sum(result.size_bytes for result in fitting)
-        progress = _fitting_progress(states, remaining_bytes)
+        progress = fitting_progress(states, remaining_bytes)
         if not await shard_log.append(fitting, progress=progress, runner=NO_RUNNER):
             return False
         self._record_committed(running.replica.job, fitting)
-        log.info("Handed the job over.", job_id=running.replica.job.job_id, unfinished=len(states))
+        unfinished = len(running.job.items) - len(committed)
+        log.info("Handed the job over.", job_id=running.replica.job.job_id, unfinished=unfinished)
         return True
 
     async def _replay(self, shard_log: ShardLog) -> None:
@@ -291,11 +313,19 @@
                 log.info("Can't read the job's log yet: {}.", error)
                 await anyio.sleep(STORE_RETRY_S)
 
-    async def _run_item(self, running: _RunningJob, state: ItemState) -> None:
+    async def _run_item(self, running: RunningJob, state: ItemState) -> None:
         result = await self._items.run(running.job, state)
+        self._finish_item(running, state)
         running.add(result, self._clock.now_ms())
 
-    async def _commit_results(self, running: _RunningJob, shard_log: ShardLog) -> None:
+    def _finish_item(self, running: RunningJob, state: ItemState) -> None:
+        """Drops the state of an item that has a result, and what it held."""
+        del running.states[state.index]
+        self._memory.release(running.job.job_id, item_bytes(state.item))
+        if self._waiting:
+            self._directory.changed.notify()
+
+    async def _commit_results(self, running: RunningJob, shard_log: ShardLog) -> None:
         """Commits results as they arrive, until all items have one or the job has ended."""
         item_count = len(running.replica.job.items)
         while len(shard_log.committed_items) < item_count and not shard_log.is_sealed:
@@ -303,7 +333,7 @@
             await self._wait_for_others(running, shard_log)
             await self._append(running, shard_log)
 
-    async def _wait_for_others(self, running: _RunningJob, shard_log: ShardLog) -> None:
+    async def _wait_for_others(self, running: RunningJob, shard_log: ShardLog) -> None:
         """Waits until the results that wait should be committed; more of them may arrive."""
         item_count = len(running.replica.job.items)
         while True:
@@ -320,7 +350,7 @@
             with anyio.move_on_after(remaining_s):
                 await running.result_arrived.wait()
 
-    async def _append(self, running: _RunningJob, shard_log: ShardLog) -> None:
+    async def _append(self, running: RunningJob, shard_log: ShardLog) -> None:
         """Commits the waiting results that fit into an entry; the others wait for the next call."""
         running.result_arrived = anyio.Event()
         uncommitted = [r for r in running.results if r.item_index not in shard_log.committed_items]
@@ -357,12 +387,6 @@
             )
 
 
-def _fitting_progress(states: list[ItemState], max_bytes: int) -> tuple[ItemProgress, ...]:
-    """Returns the progress of as many items as fit; the next runner starts the others over."""
-    chosen = []
-    remaining_bytes = max_bytes
-    for progress in (state.progress for state in states):
-        if progress is not None and progress.size_bytes <= remaining_bytes:
-            chosen.append(progress)
-            remaining_bytes -= progress.size_bytes
-    return tuple(chosen)
+def _start_order(replica: JobReplica) -> tuple[int, int]:
+    """Sorts jobs by priority and due date."""
+    return replica.job.priority, replica.job.due_at_ms
--- a/briarvale/opaque_job_service.py
+++ b/briarvale/opaque_job_service.py
@@ -97,6 +97,7 @@
         self._is_feed_current = is_feed_current
         self._own_id = RunnerId(identity.vm, identity.boot_id)
         self._token_limiter = TokenLimiter(store, directory, clock, is_feed_current)
+        self._large_load = anyio.Lock()
 
     async def accept(self, job: OpaqueJob, answer_by_ms: int, max_waiting_tokens: int = 0) -> None:
         """Accepts a job, returning once it is stored; idempotent for a job that already exists.
@@ -298,6 +299,14 @@
         """Returns a job with its full items; raises `NotReady` if they can't be read."""
         if replica.full_job is not None:
             return replica.full_job
+        if len(replica.job.part_ids) == 1:
+            return await self._read_full_job(replica)
+        # A large job takes several times its size while it is decoded: one at a time.
+        async with self._large_load:
+            return await self._read_full_job(replica)
+
+    async def _read_full_job(self, replica: JobReplica) -> OpaqueJob:
+        """Reads a job's items from the store; raises as `load_full_job` does."""
         parts = []
         try:
             for part_id in replica.job.part_ids:
@@ -351,11 +360,12 @@
 
     async def _create_parts(self, job: OpaqueJob, answer_by_ms: int) -> OpaqueJob:
         """Stores the items of a job; returns the head to store."""
-        parts = split_parts(job.items)
-        part_ids = tuple(xxhash.xxh3_128_hexdigest(part) for part in parts)
-        for part_id, part in zip(part_ids, parts, strict=True):
-            await self._create(part_key(job.job_id, part_id), part, answer_by_ms, is_head=False)
-        return job.digest()._replace(part_ids=part_ids)
+        part_ids = []
+        for part in split_parts(job.items):
+            part_ids.append(xxhash.xxh3_128_hexdigest(part))
+            key = part_key(job.job_id, part_ids[-1])
+            await self._create(key, part, answer_by_ms, is_head=False)
+        return job.digest()._replace(part_ids=tuple(part_ids))
 
     async def _create(self, key: str, value: bytes, answer_by_ms: int, *, is_head: bool) -> bool:
         """Creates an object, with retries; false if an object with this key already exists.
--- a/briarvale/opaque_jobs.py
+++ b/briarvale/opaque_jobs.py
@@ -36,6 +36,7 @@
     "JOBS_KIND",
     "JobDirectory",
     "JobReplica",
+    "MAX_PART_BYTES",
     "OpaqueItem",
     "OpaqueJob",
     "TextSource",
@@ -145,7 +146,7 @@
 
     Attributes:
         job: The digest of the job.
-        full_job: The job with its items, from its acceptance on this node until its run ends.
+        full_job: The job with its items, from its acceptance on this node until its run starts.
         results: Results without their texts, by position.
         text_sources: Where the text of each result is stored, by position.
         is_ended: Whether the log is sealed: a caller ended the job.
@@ -290,10 +291,11 @@
     return tuple(items)
 
 
-def split_parts(items: tuple[OpaqueItem, ...]) -> list[bytes]:
+def split_parts(items: tuple[OpaqueItem, ...]) -> Iterator[bytes]:
     """Splits the JSON of the items (ASCII) into parts that each fit into one object."""
     value = json.dumps(items).encode()
-    return [value[start : start + MAX_PART_BYTES] for start in range(0, len(value), MAX_PART_BYTES)]
+    for start in range(0, len(value), MAX_PART_BYTES):
+        yield value[start : start + MAX_PART_BYTES]
 
 
 def join_parts(parts: Iterable[bytes]) -> tuple[OpaqueItem, ...]:
--- a/briarvale/platform/node.py
+++ b/briarvale/platform/node.py
@@ -22,6 +22,7 @@
 from ..forwarding import Forwarder
 from ..ingress import Ingress, IngressRequest, IngressState, Responder
 from ..ingress_budget import IngressBudget, ingress_capacities
+from ..job_memory import job_memory_capacity
 from ..live_servers import LiveServers
 from ..node_cluster import NodeCluster
 from ..node_settings import NodeSettings
@@ -257,7 +258,13 @@
         item_runner = OpaqueItemRunner(components, ItemRequests(self._clock))
         identity = self._environment.identity
         self._runner = OpaqueJobRunner(
-            self.cluster, identity, self.jobs, job_service, item_runner, self._clock
+            self.cluster,
+            identity,
+            self.jobs,
+            job_service,
+            item_runner,
+            self._clock,
+            job_memory_capacity(settings.memory_bytes),
         )
         tasks.start_soon(keep_running, "jobs", self._runner.run)
         request_handler = RequestHandler(
--- a/features/steps/platform_items.py
+++ b/features/steps/platform_items.py
@@ -58,7 +58,8 @@
                 clock, servers, slots, cast(Any, None), cast(Any, None), "caerdydd"
             )
             items = OpaqueItemRunner(components, ItemRequests(clock))
-            result = await items.run(job_of_one(started_at_ms), ItemState(0))
+            job = job_of_one(started_at_ms)
+            result = await items.run(job, ItemState(0, job.items[0]))
             tasks.cancel_scope.cancel()
         return {"code": result.error_code, "took ms": clock.now_ms() - started_at_ms}
 
