Let runs of jobs not wait for callers who read bodies of large jobs

Cause: large jobs were loaded one at a time for runs and callers together, so many callers who ask for the body of an item, while the store is slow, would have kept a claimed job from running. A job whose acceptance returned after its run had begun kept a second copy of its items, uncounted.

Change: one lock for runs and one for callers; the check of running jobs drops such copies.

Found by reading; not reproduced.

--- a/briarvale/opaque_job_runner.py
+++ b/briarvale/opaque_job_runner.py
@@ -95,7 +95,7 @@
         async with anyio.create_task_group() as tasks:
             while True:
                 with contain("jobs"):
-                    self._stop_lost_jobs()
+                    self._check_running_jobs()
                     self._start_jobs(tasks)
                 await self._wait_change()
 
@@ -107,9 +107,12 @@
         while self._running:
             await anyio.sleep(0.05)
 
-    def _stop_lost_jobs(self) -> None:
-        """Stops jobs that run here but have ended or been claimed by another process."""
+    def _check_running_jobs(self) -> None:
+        """Stops jobs that have ended or been claimed elsewhere, and drops second copies of items."""
         for running in self._running.values():
+            if running.states:
+                # The job's acceptance returned after its run had loaded the items.
+                running.replica.full_job = None
             is_lost = running.replica.runner not in (self._own_id, running.claimed_from)
             if running.replica.is_ended or is_lost:
                 running.scope.cancel()
--- a/briarvale/opaque_job_service.py
+++ b/briarvale/opaque_job_service.py
@@ -97,7 +97,10 @@
         self._is_feed_current = is_feed_current
         self._own_id = RunnerId(identity.vm, identity.boot_id)
         self._token_limiter = TokenLimiter(store, directory, clock, is_feed_current)
-        self._large_load = anyio.Lock()
+        # A large job takes several times its size while it is decoded: one at a time for runs, and
+        # one for callers, whom runs don't wait for.
+        self._load_for_run = anyio.Lock()
+        self._load_for_caller = anyio.Lock()
 
     async def accept(self, job: OpaqueJob, answer_by_ms: int, max_waiting_tokens: int = 0) -> None:
         """Accepts a job, returning once it is stored; idempotent for a job that already exists.
@@ -226,13 +229,13 @@
         return LogEntry.decode(stored.value).results[position - source.first_position :]
 
     async def _get(self, key: str) -> StoredObject:
-        """Reads an object, with retries."""
+        """Reads an object within the rate limit of reads."""
         return await self._read_budget.call(self._store.get, key)
 
     async def get_item(self, job_id: str, item_id: str) -> OpaqueItem:
         """Returns an item of a job that has not ended; raises `NotFound`."""
         replica = await self.find(job_id)
-        job = await self.load_full_job(replica)
+        job = await self._load_full_job(replica, self._load_for_caller)
         for item in job.items:
             if item.id == item_id and not replica.is_ended:
                 return item
@@ -296,13 +299,16 @@
         return replica
 
     async def load_full_job(self, replica: JobReplica) -> OpaqueJob:
-        """Returns a job with its full items; raises `NotReady` if they can't be read."""
+        """Returns a job with its full items, to run it; raises `NotReady` if they can't be read."""
+        return await self._load_full_job(replica, self._load_for_run)
+
+    async def _load_full_job(self, replica: JobReplica, large_load: anyio.Lock) -> OpaqueJob:
+        """Loads a job as `load_full_job` does; one of several parts only under the lock."""
         if replica.full_job is not None:
             return replica.full_job
         if len(replica.job.part_ids) == 1:
             return await self._read_full_job(replica)
-        # A large job takes several times its size while it is decoded: one at a time.
-        async with self._large_load:
+        async with large_load:
             return await self._read_full_job(replica)
 
     async def _read_full_job(self, replica: JobReplica) -> OpaqueJob:
