--- a/briarvale/opaque_job_runner.py
+++ b/briarvale/opaque_job_runner.py
@@ -108,7 +108,7 @@
             await anyio.sleep(0.05)
 
     def _check_running_jobs(self) -> None:
-        """Stops jobs that have ended or been claimed elsewhere, and drops second copies of items."""
+        """Stops jobs that have ended or been claimed elsewhere; drops second copies of items."""
         for running in self._running.values():
             if running.states:
                 # The job's acceptance returned after its run had loaded the items.
