Count no dead-lettered item as waiting in the soak

Cause: the soak's own count. Item item-7-2 got three answers of 500 (in the node's log: `A server answered an item with a failure.`, three times, and `Committed an item's result.` with `attempts_exhausted`), so it no longer waited; the callers' count takes an item as waiting until a server finishes it. The store's own count was 1,200 each time.

Change: items of counted jobs whose stored result is an error are subtracted. The check of what the store holds after each write stays as it was.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -138,6 +138,9 @@
         if tokens <= MAX_WAITING_TOKENS:
             return WaitingCount(tokens, "")
         stored = self._fleet.job_writes(f"{HOST}{LIMITED_PATH}")
+        # An item whose result is an error no longer waits, though no server finished it.
+        counted = {item for job in accepted for item in job.items} - finished
+        tokens -= TOKENS_PER_ITEM * len(stored.dead_ids & counted)
         detail = f"not finished: {waiting}, as stored {stored.waiting} tokens, "
         return WaitingCount(tokens, f"{detail}results with errors: {sorted(stored.dead_ids)}")
 
