Define what a process needs besides callers and jobs once

job_memory.py had a copy of PROCESS_BYTES from ingress_budget.py, and a comment that the half which jobs leave is free for copies. Callers get that half; copies are part of PROCESS_BYTES.

Change: one constant, with comments that say so. No value changes.

--- a/briarvale/ingress_budget.py
+++ b/briarvale/ingress_budget.py
@@ -16,7 +16,8 @@
 from .errors import IngressExhausted
 
 MEBIBYTE = 1_048_576
-# What a process needs without callers: code, tables, peers, jobs and copies made for servers.
+# What a process needs beside callers and the items of jobs: code, tables, peers, and copies made
+# for servers and while jobs are stored and loaded.
 PROCESS_BYTES = 96_000_000
 MIN_CAPACITY_BYTES = 16 * MEBIBYTE
 DEFAULT_CAPACITY_BYTES = 256 * MEBIBYTE
@@ -42,7 +43,14 @@
 
 log = logs.component_logger("ingress")
 
-__all__ = ["Holding", "IngressBudget", "IngressCapacity", "Phase", "ingress_capacities"]
+__all__ = [
+    "Holding",
+    "IngressBudget",
+    "IngressCapacity",
+    "PROCESS_BYTES",
+    "Phase",
+    "ingress_capacities",
+]
 
 
 class Phase(Enum):
--- a/briarvale/job_memory.py
+++ b/briarvale/job_memory.py
@@ -7,15 +7,14 @@
 from collections import Counter
 from typing import NamedTuple
 
+from .ingress_budget import PROCESS_BYTES
 from .opaque_jobs import MAX_PART_BYTES, OpaqueItem, OpaqueJob
 
 __all__ = ["DEFAULT_CAPACITY_BYTES", "JobMemory", "item_bytes", "job_bytes", "job_memory_capacity"]
 
 # What an unfinished item takes beside its body: its task, its request for a slot and its headers.
 ITEM_OVERHEAD_BYTES = 24_000
-# What a process needs without jobs: code, tables, peers, and what callers make it hold.
-PROCESS_BYTES = 96_000_000
-# Part of the rest for jobs; as much is left for copies made while jobs are stored and loaded.
+# Part for jobs of what a process leaves; the other part is for what callers make it hold.
 CAPACITY_FRACTION = 0.5
 MIN_CAPACITY_BYTES = 16_000_000
 DEFAULT_CAPACITY_BYTES = 256_000_000
